Thin path: a request and a batch job from caller to outcome

Cause: nothing existed; every later matter grows from one working path. Change: crates by role (policy, wire, coord, daemon, CLI, stand-ins, bench); three daemons relay requests, own cells through a fenced ring log and spread configuration by push and watch.

--- /dev/null
+++ b/crates/agatesill/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/agatesill_bench/src/main.rs
@@ -0,0 +1,29 @@
+//! Thin program around the scenarios.
+
+use std::process::ExitCode;
+
+use agatesill_bench::scenario::{RunOptions, SCENARIOS};
+use agatesill_bench::{cli, scenario};
+
+/// Exit code for wrong usage.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let name = matches.get_one::<String>("scenario").map_or("list", String::as_str);
+    if name == "list" {
+        scenario::list();
+        return ExitCode::SUCCESS;
+    }
+    let Some(scenario) = SCENARIOS.iter().find(|scenario| scenario.name == name) else {
+        eprintln!("agatesill-bench: no scenario {name:?}; `agatesill-bench list` shows all");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    match RunOptions::from_matches(&matches) {
+        Ok(options) => (scenario.run)(&options),
+        Err(message) => {
+            eprintln!("agatesill-bench: {message}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/agatesill_policy/src/lib.rs
@@ -0,0 +1,38 @@
+//! Decisions of the scheduler, free of any network, clock or thread.
+//!
+//! Every module takes the current time as an argument (microseconds on the caller's own monotonic
+//! clock) and returns actions for its caller to carry out, so the same code runs in the daemon and
+//! under the virtual clock of the bench.
+
+pub mod batch;
+pub mod profile;
+pub mod request;
+
+/// The types that most users of this crate need.
+pub mod prelude {
+    pub use crate::batch::{
+        Attempt, Cell, CellDelta, CellEffect, JobSpec, Resources, TaskId, TaskState, WorkerId,
+        WorkerSpec,
+    };
+    pub use crate::profile::{ConfigDoc, Profile, ProfileClass, Service, Team};
+    pub use crate::request::{
+        Action, Outcome, Refusal, RequestHead, RequestPolicy, Ticket, UpstreamId, UpstreamSpec,
+    };
+}
+
+/// Derives the set that every plain value type of the workspace carries.
+#[macro_export]
+macro_rules! value_type {
+    ($(#[$meta:meta])* $vis:vis struct $name:ident { $($body:tt)* }) => {
+        #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+        $(#[$meta])*
+        $vis struct $name { $($body)* }
+    };
+    ($(#[$meta:meta])* $vis:vis enum $name:ident { $($body:tt)* }) => {
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[derive(serde::Serialize, serde::Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        $(#[$meta])*
+        $vis enum $name { $($body)* }
+    };
+}
--- /dev/null
+++ b/crates/agatesill_standin/src/store.rs
@@ -0,0 +1,305 @@
+//! The key-value service: compare-and-swap, leases, watches, a value limit and call counters.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use agatesill_policy::value_type;
+use agatesill_wire::http::{read_json, respond, serve};
+use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
+use agatesill_wire::prelude::*;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Largest value that a key may hold.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+value_type! {
+    /// Faults that can be switched while the service runs.
+    #[derive(Default)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct StoreFaults {
+        /// Every call is refused.
+        pub outage: bool,
+        /// Delay before each answer.
+        pub delay_ms: u64,
+        /// Share of writes whose answer is lost after they took effect, in percent.
+        pub lose_answers_percent: u32,
+        /// Watches answer nothing.
+        pub break_watches: bool,
+        /// Leases end after this share of their time, in percent; 0 means in full.
+        pub lease_percent: u32,
+    }
+}
+
+value_type! {
+    /// Calls that the service has counted.
+    #[derive(Default)]
+    pub struct StoreBooks {
+        /// Writes, grants, renewals and revocations.
+        pub writes: u64,
+        /// Reads and watches.
+        pub reads: u64,
+        /// Bytes of values written.
+        pub written_bytes: u64,
+    }
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    entries: BTreeMap<String, (Entry, u64)>,
+    leases: BTreeMap<u64, Lease>,
+    deleted: BTreeMap<String, u64>,
+    faults: StoreFaults,
+    books: StoreBooks,
+}
+
+/// The service; clones share one state.
+#[derive(Clone, Debug)]
+pub struct StoreStandin {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl Default for StoreStandin {
+    fn default() -> Self {
+        Self { state: Arc::default(), changed: Arc::new(watch::Sender::new(0)) }
+    }
+}
+
+impl StoreStandin {
+    /// Serves on `listener` until `stop` is cancelled.
+    pub async fn run(self, listener: TcpListener, stop: CancellationToken) {
+        serve(listener, stop, move |request| {
+            let store = self.clone();
+            async move {
+                match request.uri().path() {
+                    "/admin/faults" => respond(
+                        read_json(request.into_body()).await.map(|faults| store.set_faults(faults)),
+                    ),
+                    "/admin/books" => respond(Ok(store.books())),
+                    _ => match read_json(request.into_body()).await {
+                        Ok(call) => respond(store.call(call).await),
+                        Err(error) => respond::<()>(Err(error)),
+                    },
+                }
+            }
+        })
+        .await;
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Calls counted so far.
+    pub fn books(&self) -> StoreBooks {
+        self.lock().books.clone()
+    }
+
+    /// Answers one call, as over the network.
+    pub async fn call(&self, call: StoreCall) -> Result<StoreReply, Error> {
+        let faults = self.lock().faults.clone();
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.outage {
+            return Err(Error::new(ErrorKind::StoreUnavailable, "outage"));
+        }
+        if let StoreCall::Watch { prefix, after_revision, wait_ms } = call {
+            let wait = Duration::from_millis(wait_ms);
+            return self.watch(&prefix, after_revision, wait, faults.break_watches).await;
+        }
+        let reply = self.lock().answer(call)?;
+        if reply.applied {
+            self.changed.send_replace(reply.revision);
+            if rand::rng().random_range(0..100) < faults.lose_answers_percent {
+                return Err(Error::new(ErrorKind::StoreUnavailable, "answer lost"));
+            }
+        }
+        Ok(reply)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after_revision: u64,
+        wait: Duration,
+        broken: bool,
+    ) -> Result<StoreReply, Error> {
+        self.lock().books.reads += 1;
+        let mut changed = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let reply = self.lock().changes(prefix, after_revision);
+            if !broken && reply.applied {
+                return Ok(reply);
+            }
+            if tokio::time::timeout_at(until, changed.changed()).await.is_err() {
+                return Ok(StoreReply { applied: false, ..reply });
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn answer(&mut self, call: StoreCall) -> Result<StoreReply, Error> {
+        self.end_leases();
+        match call {
+            StoreCall::Range { prefix } => {
+                self.books.reads += 1;
+                let entries = under(&self.entries, &prefix).map(|(entry, _)| entry.clone());
+                let entries = entries.collect();
+                Ok(StoreReply { revision: self.revision, entries, ..StoreReply::default() })
+            }
+            StoreCall::Cas { key, expect_version, value, lease_id } => {
+                self.cas(key, expect_version, value, lease_id)
+            }
+            StoreCall::Grant { ttl_ms } => {
+                self.books.writes += 1;
+                self.revision += 1;
+                let ttl = Duration::from_millis(ttl_ms);
+                let lease = Lease { ttl, ends: Instant::now() + self.shortened(ttl) };
+                self.leases.insert(self.revision, lease);
+                Ok(self.applied(self.revision))
+            }
+            StoreCall::Renew { lease_id } => {
+                self.books.writes += 1;
+                let Some(ttl) = self.leases.get(&lease_id).map(|lease| lease.ttl) else {
+                    return Ok(StoreReply { revision: self.revision, ..StoreReply::default() });
+                };
+                let ends = Instant::now() + self.shortened(ttl);
+                self.leases.insert(lease_id, Lease { ttl, ends });
+                Ok(self.applied(lease_id))
+            }
+            StoreCall::Revoke { lease_id } => {
+                self.books.writes += 1;
+                self.end_lease(lease_id);
+                Ok(self.applied(lease_id))
+            }
+            StoreCall::Watch { .. } => Err(Error::new(ErrorKind::BadRequest, "watch")),
+        }
+    }
+
+    fn cas(
+        &mut self,
+        key: String,
+        expect_version: u64,
+        value: Option<String>,
+        lease_id: u64,
+    ) -> Result<StoreReply, Error> {
+        self.books.writes += 1;
+        let size_bytes = value.as_ref().map_or(0, String::len);
+        if size_bytes > MAX_VALUE_BYTES {
+            let what = format!("{key}: {size_bytes} bytes, limit {MAX_VALUE_BYTES}");
+            return Err(Error::new(ErrorKind::TooLarge, what));
+        }
+        let found = self.entries.get(&key);
+        let lease_gone = lease_id != 0 && !self.leases.contains_key(&lease_id);
+        if lease_gone || found.map_or(0, |(entry, _)| entry.version) != expect_version {
+            let entries = found.map(|(entry, _)| entry.clone()).into_iter().collect();
+            return Ok(StoreReply { revision: self.revision, entries, ..StoreReply::default() });
+        }
+        self.revision += 1;
+        self.books.written_bytes += size_bytes as u64;
+        let mut reply = self.applied(0);
+        match value {
+            Some(value) => {
+                let entry = Entry { key: key.clone(), value, version: self.revision };
+                reply.entries.push(entry.clone());
+                self.entries.insert(key, (entry, lease_id));
+            }
+            None => {
+                self.entries.remove(&key);
+                self.deleted.insert(key, self.revision);
+            }
+        }
+        Ok(reply)
+    }
+
+    fn applied(&self, lease_id: u64) -> StoreReply {
+        StoreReply { revision: self.revision, applied: true, lease_id, ..StoreReply::default() }
+    }
+
+    fn changes(&mut self, prefix: &str, after_revision: u64) -> StoreReply {
+        self.end_leases();
+        let newer = |entry: &&(Entry, u64)| entry.0.version > after_revision;
+        let entries: Vec<Entry> =
+            under(&self.entries, prefix).filter(newer).map(|(entry, _)| entry.clone()).collect();
+        let deleted = self
+            .deleted
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .any(|(_, revision)| *revision > after_revision);
+        let applied = deleted || !entries.is_empty();
+        StoreReply { revision: self.revision, applied, entries, lease_id: 0 }
+    }
+
+    fn shortened(&self, ttl: Duration) -> Duration {
+        match self.faults.lease_percent {
+            0 => ttl,
+            percent => ttl * percent / 100,
+        }
+    }
+
+    fn end_leases(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, lease)| lease.ends <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, lease_id: u64) {
+        self.leases.remove(&lease_id);
+        let gone: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, (_, lease))| *lease == lease_id)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in gone {
+            self.revision += 1;
+            self.entries.remove(&key);
+            self.deleted.insert(key, self.revision);
+        }
+    }
+}
+
+fn under<'a>(
+    entries: &'a BTreeMap<String, (Entry, u64)>,
+    prefix: &'a str,
+) -> impl Iterator<Item = &'a (Entry, u64)> {
+    entries
+        .range(prefix.to_owned()..)
+        .take_while(move |(key, _)| key.starts_with(prefix))
+        .map(|(_, value)| value)
+}
+
+/// Starts the service on a free loopback port.
+pub async fn start_store(
+    store: &StoreStandin,
+    addr: SocketAddr,
+    stop: &CancellationToken,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(addr).await?;
+    let local = listener.local_addr()?;
+    tokio::spawn(store.clone().run(listener, stop.clone()));
+    Ok(local)
+}
--- /dev/null
+++ b/crates/agatesill_wire/src/http.rs
@@ -0,0 +1,171 @@
+//! JSON over HTTP/1: one client call and one serving loop, for all control interfaces.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::api::ErrorBody;
+use crate::error::{Error, ErrorKind};
+
+/// Largest body of a control call: two values of the store's limit.
+pub const MAX_BODY_BYTES: usize = 2 << 20;
+
+/// Header that names the operator of a call.
+pub const OPERATOR_HEADER: &str = "x-agatesill-operator";
+
+/// How long an idle control connection is kept.
+const IDLE_CONNECTION: Duration = Duration::from_secs(20);
+
+/// How long a caller may take over a request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Calls a JSON interface and keeps its connections.
+#[derive(Clone, Debug)]
+pub struct JsonClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for JsonClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(1)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_CONNECTION)
+            .build(connector);
+        Self { client }
+    }
+}
+
+impl JsonClient {
+    /// Sends `body` and returns the decoded answer, or the error that the answer carries.
+    ///
+    /// [`ErrorKind::Unreachable`] means that no answer came within `limit`; the call may have
+    /// taken effect.
+    pub async fn call<B: Serialize, R: DeserializeOwned>(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: &B,
+        limit: Duration,
+    ) -> Result<R, Error> {
+        let reached = |what: &dyn std::fmt::Display| {
+            Error::new(ErrorKind::Unreachable, format!("{addr}{path}: {what}"))
+        };
+        let body = serde_json::to_vec(body).map_err(|error| malformed(&error))?;
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| malformed(&error))?;
+        let exchange = async {
+            let answer = self.client.request(request).await.map_err(|error| reached(&error))?;
+            let status = answer.status();
+            let bytes = Limited::new(answer.into_body(), MAX_BODY_BYTES)
+                .collect()
+                .await
+                .map_err(|error| reached(&error))?
+                .to_bytes();
+            Ok::<_, Error>((status, bytes))
+        };
+        let (status, bytes) = tokio::time::timeout(limit, exchange)
+            .await
+            .map_err(|_| reached(&format!("no answer within {} ms", limit.as_millis())))??;
+        if status.is_success() {
+            return serde_json::from_slice(&bytes).map_err(|error| malformed(&error));
+        }
+        let body: ErrorBody = serde_json::from_slice(&bytes).map_err(|error| malformed(&error))?;
+        Err(body.into())
+    }
+}
+
+fn malformed(error: &dyn std::fmt::Display) -> Error {
+    Error::new(ErrorKind::Protocol, format!("malformed message: {error}"))
+}
+
+/// Serves `handler` on `listener` until `stop` is cancelled; requests in flight finish.
+pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let exchanges = TaskTracker::new();
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!(event = "accept_failed"; "{error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            },
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let stop = stop.clone();
+        exchanges.spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = handler(request);
+                async move { Ok::<_, std::convert::Infallible>(answer.await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            tokio::select! {
+                _ = connection.as_mut() => {}
+                () = stop.cancelled() => {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
+            }
+        });
+    }
+    exchanges.close();
+    exchanges.wait().await;
+}
+
+/// Reads and decodes a JSON body within the limit.
+pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Error> {
+    let bytes = Limited::new(body, MAX_BODY_BYTES)
+        .collect()
+        .await
+        .map_err(|error| Error::new(ErrorKind::TooLarge, format!("body: {error}")))?
+        .to_bytes();
+    serde_json::from_slice(&bytes)
+        .map_err(|error| Error::new(ErrorKind::BadRequest, format!("body: {error}")))
+}
+
+/// Encodes the answer to a control call.
+pub fn respond<T: Serialize>(answer: Result<T, Error>) -> Response<Full<Bytes>> {
+    let (status, body) = match &answer {
+        Ok(value) => (200, serde_json::to_vec(value)),
+        Err(error) => (error.kind.row().status, serde_json::to_vec(&ErrorBody::from(error))),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body.unwrap_or_default())));
+    *response.status_mut() =
+        hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    response
+        .headers_mut()
+        .insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/agatesill_wire/src/peer.rs
@@ -0,0 +1,142 @@
+//! Messages between daemons: prost bodies in length-delimited frames.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::error::{Error, ErrorKind};
+
+/// Version of the peer protocol; a peer with another major version is refused.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Largest frame: a configuration of the store's value limit and its envelope.
+pub const MAX_FRAME_BYTES: usize = 2 << 20;
+
+/// One frame from one daemon to another.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// What it carries.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
+    pub body: Option<Body>,
+}
+
+/// What a frame carries.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// First frame on a connection.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// Sent at the heartbeat interval.
+    #[prost(message, tag = "2")]
+    Heartbeat(Heartbeat),
+    /// A configuration that the sender has in force.
+    #[prost(message, tag = "3")]
+    Config(ConfigPush),
+    /// Asks for the configuration in force.
+    #[prost(message, tag = "4")]
+    ConfigWanted(ConfigWanted),
+}
+
+/// First frame on a connection.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// Version of the sender's protocol.
+    #[prost(uint32, tag = "1")]
+    pub protocol_version: u32,
+    /// Sender.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// Sender's availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+}
+
+/// Sent at the heartbeat interval.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Rises by one with every heartbeat of a process.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Version of the configuration in force at the sender.
+    #[prost(uint64, tag = "2")]
+    pub config_version: u64,
+    /// Requests of the sender in flight.
+    #[prost(message, repeated, tag = "3")]
+    pub loads: Vec<UpstreamLoad>,
+    /// Upstreams that the sender saw leaving.
+    #[prost(uint32, repeated, tag = "4")]
+    pub leaving: Vec<u32>,
+    /// Whether the sender is stopping.
+    #[prost(bool, tag = "5")]
+    pub stopping: bool,
+}
+
+/// The sender's requests in flight at one upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct UpstreamLoad {
+    /// The upstream.
+    #[prost(uint32, tag = "1")]
+    pub upstream: u32,
+    /// Requests in flight.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+}
+
+/// A configuration that the sender has in force.
+#[derive(Clone, PartialEq, Message)]
+pub struct ConfigPush {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The versioned configuration as JSON.
+    #[prost(string, tag = "2")]
+    pub json: String,
+}
+
+/// Asks for the configuration in force.
+#[derive(Clone, PartialEq, Message)]
+pub struct ConfigWanted {
+    /// Version that the asker has.
+    #[prost(uint64, tag = "1")]
+    pub have_version: u64,
+}
+
+/// Frames on a byte stream.
+#[derive(Debug)]
+pub struct FrameCodec {
+    frames: LengthDelimitedCodec,
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        let frames = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        Self { frames }
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, Error> {
+        let Some(bytes) = self.frames.decode(src)? else { return Ok(None) };
+        let frame = Frame::decode(bytes)
+            .map_err(|error| Error::new(ErrorKind::Protocol, format!("peer frame: {error}")))?;
+        Ok(Some(frame))
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = Error;
+
+    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), Error> {
+        self.frames.encode(Bytes::from(frame.encode_to_vec()), dst)?;
+        Ok(())
+    }
+}
+
+impl From<std::io::Error> for Error {
+    fn from(error: std::io::Error) -> Self {
+        Error::new(ErrorKind::Protocol, format!("peer connection: {error}"))
+    }
+}
--- /dev/null
+++ b/crates/agatesilld/src/admin.rs
@@ -0,0 +1,152 @@
+//! The operators' interface: health, metrics, configuration, jobs and status.
+
+use agatesill_coord::prelude::*;
+use agatesill_policy::prelude::*;
+use agatesill_wire::api::{ConfigChange, StatusReport};
+use agatesill_wire::http::{read_json, respond, serve};
+use agatesill_wire::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::cells::{CellCall, now_ms};
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// The operators' interface; clones share one state.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    instance: String,
+    zone: String,
+    config: ConfigStore,
+    shared: Shared,
+    metrics: Metrics,
+    cells: mpsc::Sender<CellCall>,
+    drain: CancellationToken,
+}
+
+impl Admin {
+    /// Prepares the interface; `drain` begins a planned stop.
+    pub fn new(
+        settings: &Settings,
+        store: Store,
+        shared: Shared,
+        metrics: Metrics,
+        cells: mpsc::Sender<CellCall>,
+        drain: CancellationToken,
+    ) -> Self {
+        Self {
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            config: ConfigStore::new(store),
+            shared,
+            metrics,
+            cells,
+            drain,
+        }
+    }
+
+    /// Serves operators until `stop` is cancelled.
+    pub async fn run(self, listener: TcpListener, stop: CancellationToken) {
+        serve(listener, stop, move |request| {
+            let admin = self.clone();
+            async move { admin.handle(request).await }
+        })
+        .await;
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path().to_owned();
+        let job = path.strip_prefix("/v1/jobs/").map(str::to_owned);
+        match (request.method(), path.as_str(), job) {
+            (&Method::GET, "/healthz", _) => respond(Ok("ok")),
+            (&Method::GET, "/readyz", _) => respond(self.ready()),
+            (&Method::GET, "/metrics", _) => Response::new(self.metrics.text().into()),
+            (&Method::GET, "/v1/status", _) => respond(Ok(self.status())),
+            (&Method::GET, "/v1/config", _) => respond(Ok((*self.shared.config()).clone())),
+            (&Method::POST, "/v1/config", _) => respond(self.change(request).await),
+            (&Method::GET, "/v1/jobs", _) => respond(self.list().await),
+            (&Method::POST, "/v1/jobs", _) => respond(self.submit(request).await),
+            (&Method::GET, _, Some(id)) => {
+                respond(self.ask(|reply| CellCall::Show(id, reply)).await)
+            }
+            (&Method::DELETE, _, Some(id)) => {
+                respond(self.ask(|reply| CellCall::Cancel(id, reply)).await)
+            }
+            (&Method::POST, "/v1/drain", _) => {
+                self.drain.cancel();
+                respond(Ok("draining"))
+            }
+            (method, path, _) => {
+                respond::<()>(Err(Error::new(ErrorKind::NotFound, format!("{method} {path}"))))
+            }
+        }
+    }
+
+    fn ready(&self) -> Result<&'static str, Error> {
+        if self.shared.is_stopping() {
+            return Err(Error::new(ErrorKind::Stopping, "draining"));
+        }
+        if self.shared.config().version == 0 {
+            return Err(Error::new(ErrorKind::NoUpstream, "no configuration yet"));
+        }
+        Ok("ready")
+    }
+
+    fn status(&self) -> StatusReport {
+        StatusReport {
+            instance: self.instance.clone(),
+            zone: self.zone.clone(),
+            config_version: self.shared.config().version,
+            peers: self.shared.peers().clone(),
+            services: self.shared.services().values().cloned().collect(),
+            cells: self.shared.cells().values().cloned().collect(),
+            degraded: Vec::new(),
+        }
+    }
+
+    async fn change(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<agatesill_wire::api::VersionedConfig, Error> {
+        let change: ConfigChange = read_json(request.into_body()).await?;
+        let made = self.config.change(&change, now_ms()).await?;
+        crate::config::apply(&self.shared, made.clone());
+        Ok(made)
+    }
+
+    async fn submit(&self, request: Request<Incoming>) -> Result<JobStatus, Error> {
+        let job: JobSpec = read_json(request.into_body()).await?;
+        self.ask(|reply| CellCall::Submit(job, reply)).await
+    }
+
+    async fn list(&self) -> Result<Vec<JobStatus>, Error> {
+        let (reply, answer) = oneshot::channel();
+        self.offer(CellCall::List(reply))?;
+        answer.await.map_err(|_| stopped())
+    }
+
+    async fn ask(
+        &self,
+        call: impl FnOnce(oneshot::Sender<Result<JobStatus, Error>>) -> CellCall,
+    ) -> Result<JobStatus, Error> {
+        let (reply, answer) = oneshot::channel();
+        self.offer(call(reply))?;
+        answer.await.map_err(|_| stopped())?
+    }
+
+    fn offer(&self, call: CellCall) -> Result<(), Error> {
+        self.cells
+            .try_send(call)
+            .map_err(|_| Error::new(ErrorKind::RingFull, "ring to the batch duty").retry_after(200))
+    }
+}
+
+fn stopped() -> Error {
+    Error::new(ErrorKind::Stopping, "batch duty")
+}
--- /dev/null
+++ b/crates/agatesilld/src/cli.rs
@@ -0,0 +1,30 @@
+//! The daemon's command line.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// The definition, also used for man pages and completions.
+pub fn command() -> Command {
+    Command::new("agatesilld")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Serves requests to upstreams and owns cells of batch workers")
+        .after_help(
+            "Examples:\n  agatesilld --config examples/billfold/daemon.yaml\n  \
+             agatesilld --config examples/billfold/daemon.yaml --check",
+        )
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings in YAML"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Validate the settings, print the effective ones and exit"),
+        )
+}
--- /dev/null
+++ b/crates/agatesilld/src/daemon.rs
@@ -0,0 +1,188 @@
+//! Starts the duties of one daemon and joins them.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use agatesill_coord::prelude::*;
+use agatesill_wire::api::ServiceStatus;
+use agatesill_wire::prelude::*;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::admin::Admin;
+use crate::cells::{CELL_RING_CALLS, Cells};
+use crate::decide::{DecideEvent, Decider};
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::relay::Relay;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// How long the balancer may take to see that this instance is no longer ready.
+const BALANCER_LAG: Duration = Duration::from_millis(200);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Where callers connect.
+    pub entry_addr: SocketAddr,
+    /// Where operators connect.
+    pub admin_addr: SocketAddr,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Waits until every duty has ended.
+    pub fn join(self) {
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts a daemon; cancelling `stop` begins a planned stop.
+pub fn start(settings: &Settings, stop: &CancellationToken) -> Result<Daemon, Error> {
+    let entry = bind("entry.addr", settings.entry.addr)?;
+    let admin = bind("admin.addr", settings.admin.addr)?;
+    let peer = bind("peers.addr", settings.peers.addr)?;
+    let entry_addr = entry.local_addr()?;
+    let admin_addr = admin.local_addr()?;
+    let shared = Shared::default();
+    let metrics = Metrics::new()
+        .map_err(|error| Error::new(ErrorKind::Settings, format!("metrics: {error}")))?;
+    let decider = Decider::start(settings)?;
+    let store = Store::over_http(settings.store.addr);
+    let (calls, cell_calls) = mpsc::channel(CELL_RING_CALLS);
+    let halt = CancellationToken::new();
+
+    let relay = Relay::new(settings, decider.clone(), shared.clone(), metrics.clone());
+    let peers = Peers::new(settings, shared.clone(), decider.clone());
+    let cells = Cells::new(settings, store.clone(), shared.clone());
+    let admin_duty =
+        Admin::new(settings, store.clone(), shared.clone(), metrics, calls, stop.clone());
+
+    let mut threads = Vec::new();
+    let listeners = halt.child_token();
+    let accept = listeners.clone();
+    threads.push(duty("relay", settings.entry.relay_threads, async move {
+        if let Some(listener) = listen(entry) {
+            relay.run(listener, accept).await;
+        }
+    })?);
+    let token = halt.clone();
+    let follower = crate::config::follow(store, shared.clone(), halt.clone());
+    threads.push(duty("store", 1, async move {
+        tokio::join!(follower, cells.run(cell_calls, token));
+    })?);
+    let token = halt.clone();
+    threads.push(duty("peers", 1, async move {
+        if let Some(listener) = listen(peer) {
+            peers.run(listener, token).await;
+        }
+    })?);
+    let token = halt.clone();
+    let (stop, drain_ms) = (stop.clone(), settings.entry.drain_ms);
+    threads.push(duty("admin", 1, async move {
+        let Some(listener) = listen(admin) else { return };
+        let supervisor = supervise(shared, decider, stop, halt, drain_ms);
+        tokio::join!(admin_duty.run(listener, token), supervisor);
+    })?);
+    Ok(Daemon { entry_addr, admin_addr, threads })
+}
+
+async fn supervise(
+    shared: Shared,
+    decider: Decider,
+    stop: CancellationToken,
+    halt: CancellationToken,
+    _drain_ms: u64,
+) {
+    let mut changes = shared.config_changes();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => break,
+            changed = changes.changed() => if changed.is_err() { break },
+        }
+        let config = changes.borrow_and_update().clone();
+        refresh_services(&shared, &config.doc);
+        decider.deliver(DecideEvent::Config(config));
+    }
+    shared.begin_stop();
+    tokio::time::sleep(BALANCER_LAG).await;
+    halt.cancel();
+}
+
+fn refresh_services(shared: &Shared, doc: &agatesill_policy::prelude::ConfigDoc) {
+    let mut services = shared.services();
+    services.retain(|name, _| doc.services.contains_key(name));
+    for (name, service) in &doc.services {
+        let promise_ms = doc.profiles.get(&service.profile).map_or(0, |profile| profile.answer_ms);
+        let status = services.entry(name.clone()).or_insert_with(|| ServiceStatus {
+            name: name.clone(),
+            profile: String::new(),
+            promise_ms: 0,
+            requests: 0,
+            answered: 0,
+            refused: 0,
+            late: 0,
+            waiting: 0,
+        });
+        status.profile.clone_from(&service.profile);
+        status.promise_ms = promise_ms;
+    }
+}
+
+fn bind(key: &str, addr: SocketAddr) -> Result<std::net::TcpListener, Error> {
+    let listener = std::net::TcpListener::bind(addr).map_err(|error| {
+        Error::new(ErrorKind::Settings, format!("{key}: cannot listen on {addr}: {error}"))
+    })?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn listen(listener: std::net::TcpListener) -> Option<TcpListener> {
+    TcpListener::from_std(listener)
+        .map_err(|error| log::error!(event = "listen_failed"; "{error}"))
+        .ok()
+}
+
+fn duty(
+    name: &str,
+    threads: usize,
+    work: impl Future<Output = ()> + Send + 'static,
+) -> Result<JoinHandle<()>, Error> {
+    let mut builder = if threads > 1 {
+        tokio::runtime::Builder::new_multi_thread()
+    } else {
+        tokio::runtime::Builder::new_current_thread()
+    };
+    let runtime = builder.worker_threads(threads).thread_name(name).enable_all().build()?;
+    let thread =
+        std::thread::Builder::new().name(name.to_owned()).spawn(move || runtime.block_on(work))?;
+    Ok(thread)
+}
+
+/// Cancels `stop` at the first SIGTERM or SIGINT and exits at once at the second.
+pub fn stop_on_signals(stop: CancellationToken) -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let (mut term, mut int) = {
+        let _guard = runtime.enter();
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?)
+    };
+    std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        runtime.block_on(async {
+            for nth in 1.. {
+                tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+                if nth > 1 {
+                    std::process::exit(1);
+                }
+                stop.cancel();
+            }
+        });
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/agatesilld/src/main.rs
@@ -0,0 +1,51 @@
+//! Thin program around the daemon library.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use agatesilld::prelude::*;
+use agatesilld::{cli, logging, settings};
+use tokio_util::sync::CancellationToken;
+
+/// Exit code for wrong usage or settings.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let Some(path) = matches.get_one::<PathBuf>("config") else {
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("agatesilld: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        print!("{}", serde_yaml_ng::to_string(&settings).unwrap_or_default());
+        return ExitCode::SUCCESS;
+    }
+    run(&settings)
+}
+
+fn run(settings: &Settings) -> ExitCode {
+    if let Err(error) = logging::init(&settings.log) {
+        eprintln!("agatesilld: log.path: {error}");
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+    let stop = CancellationToken::new();
+    let daemon = match start(settings, &stop) {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("agatesilld: {error}");
+            return ExitCode::from(error.kind.row().exit_code);
+        }
+    };
+    if let Err(error) = agatesilld::daemon::stop_on_signals(stop) {
+        eprintln!("agatesilld: signals: {error}");
+        return ExitCode::FAILURE;
+    }
+    daemon.join();
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/agatesilld/src/metrics.rs
@@ -0,0 +1,52 @@
+//! Metrics by OpenTelemetry, exposed in the Prometheus text format.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Instruments of one daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    duration: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("agatesilld");
+        let requests = meter
+            .u64_counter("agatesill.requests")
+            .with_unit("{request}")
+            .with_description("Requests by service and outcome")
+            .build();
+        let duration = meter
+            .f64_histogram("http.server.request.duration")
+            .with_unit("s")
+            .with_description("Time from a request's head to its answer's head")
+            .build();
+        Ok(Self { registry, _provider: provider, requests, duration })
+    }
+
+    /// Counts one request.
+    pub fn request(&self, service: &str, outcome: &'static str, seconds: f64) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.duration.record(seconds, &labels);
+    }
+
+    /// All instruments in the Prometheus text format.
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/agatesilld/src/settings.rs
@@ -0,0 +1,300 @@
+//! Settings of one daemon, read from a YAML file whose sections these structs mirror.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use agatesill_policy::prelude::*;
+use agatesill_policy::value_type;
+use snafu::Snafu;
+
+value_type! {
+    /// The whole file.
+    pub struct Settings {
+        /// Name of this instance, unique among the daemons.
+        pub instance: String,
+        /// Availability zone of this instance.
+        pub zone: String,
+        /// Entry for callers.
+        pub entry: EntrySettings,
+        /// Entry for operators.
+        pub admin: AdminSettings,
+        /// Links to the other daemons.
+        pub peers: PeerSettings,
+        /// The platform's key-value service.
+        pub store: StoreSettings,
+        /// Pools of upstreams by name.
+        #[serde(default)]
+        pub pools: BTreeMap<String, Vec<UpstreamSettings>>,
+        /// Cells of workers by name.
+        #[serde(default)]
+        pub cells: BTreeMap<String, CellSettings>,
+        /// Logs.
+        #[serde(default)]
+        pub log: LogSettings,
+    }
+}
+
+value_type! {
+    /// Entry for callers.
+    pub struct EntrySettings {
+        /// Where callers connect.
+        pub addr: SocketAddr,
+        /// Threads that relay requests.
+        #[serde(default = "default_relay_threads")]
+        pub relay_threads: usize,
+        /// How long in-flight requests may take to finish at a planned stop.
+        #[serde(default = "default_drain_ms")]
+        pub drain_ms: u64,
+    }
+}
+
+value_type! {
+    /// Entry for operators.
+    pub struct AdminSettings {
+        /// Where operators connect; loopback unless set otherwise.
+        pub addr: SocketAddr,
+    }
+}
+
+value_type! {
+    /// Links to the other daemons.
+    pub struct PeerSettings {
+        /// Where peers connect.
+        pub addr: SocketAddr,
+        /// The other daemons by instance name.
+        #[serde(default)]
+        pub members: BTreeMap<String, SocketAddr>,
+        /// Time between heartbeats.
+        #[serde(default = "default_heartbeat_ms")]
+        pub heartbeat_ms: u64,
+        /// Silence after which a peer counts as gone.
+        #[serde(default = "default_suspect_ms")]
+        pub suspect_ms: u64,
+    }
+}
+
+value_type! {
+    /// The platform's key-value service.
+    pub struct StoreSettings {
+        /// Where it answers.
+        pub addr: SocketAddr,
+        /// Time to live of this instance's lease.
+        #[serde(default = "default_lease_ms")]
+        pub lease_ms: u64,
+        /// Time between renewals.
+        #[serde(default = "default_renew_ms")]
+        pub renew_ms: u64,
+        /// Time over which ledger changes are gathered into one write.
+        #[serde(default = "default_commit_ms")]
+        pub commit_ms: u64,
+    }
+}
+
+value_type! {
+    /// One upstream of a pool.
+    pub struct UpstreamSettings {
+        /// Identity within the pool.
+        pub id: UpstreamId,
+        /// Where it answers.
+        pub addr: SocketAddr,
+        /// Requests that it runs at once.
+        pub slots: u32,
+        /// Its availability zone.
+        pub zone: String,
+    }
+}
+
+value_type! {
+    /// One cell of workers.
+    pub struct CellSettings {
+        /// Where the platform's interface to these workers answers.
+        pub addr: SocketAddr,
+        /// Lease of an attempt.
+        #[serde(default = "default_attempt_lease_ms")]
+        pub attempt_lease_ms: u64,
+        /// Time between calls to one worker.
+        #[serde(default = "default_poll_ms")]
+        pub poll_ms: u64,
+        /// The workers.
+        pub workers: Vec<WorkerSpec>,
+    }
+}
+
+value_type! {
+    /// Logs.
+    pub struct LogSettings {
+        /// Least level that is written: error, warn, info, debug or off.
+        pub level: String,
+        /// File to append to; empty means standard error.
+        #[serde(default)]
+        pub path: String,
+    }
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { level: "info".to_owned(), path: String::new() }
+    }
+}
+
+fn default_relay_threads() -> usize {
+    2
+}
+
+fn default_drain_ms() -> u64 {
+    10_000
+}
+
+fn default_heartbeat_ms() -> u64 {
+    200
+}
+
+fn default_suspect_ms() -> u64 {
+    2_000
+}
+
+fn default_lease_ms() -> u64 {
+    5_000
+}
+
+fn default_renew_ms() -> u64 {
+    1_000
+}
+
+fn default_commit_ms() -> u64 {
+    100
+}
+
+fn default_attempt_lease_ms() -> u64 {
+    15_000
+}
+
+fn default_poll_ms() -> u64 {
+    500
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("{file}: {source}"))]
+    Read {
+        /// The file.
+        file: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The file is not YAML of the right shape.
+    #[snafu(display("{file}: {key}: {message}"))]
+    Shape {
+        /// The file.
+        file: String,
+        /// Path of the key.
+        key: String,
+        /// What is wrong.
+        message: String,
+    },
+    /// A key is not known.
+    #[snafu(display("{file}: {key}: unknown key; the nearest known one is {nearest}"))]
+    UnknownKey {
+        /// The file.
+        file: String,
+        /// Path of the key.
+        key: String,
+        /// The nearest known key.
+        nearest: String,
+    },
+    /// A value lies outside its range.
+    #[snafu(display("{file}: {key}: {value} is outside {range}"))]
+    Range {
+        /// The file.
+        file: String,
+        /// Path of the key.
+        key: String,
+        /// The value.
+        value: String,
+        /// The allowed range.
+        range: String,
+    },
+}
+
+/// Reads and checks a settings file.
+pub fn read(path: &Path) -> Result<Settings, SettingsError> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| SettingsError::Read { file: file.clone(), source })?;
+    parse(&file, &text)
+}
+
+/// Parses and checks settings; `file` only names them in errors.
+pub fn parse(file: &str, text: &str) -> Result<Settings, SettingsError> {
+    let mut unknown = Vec::new();
+    let mut track = serde_path_to_error::Track::new();
+    let deserializer = serde_yaml_ng::Deserializer::from_str(text);
+    let settings: Settings = serde_ignored::deserialize(
+        serde_path_to_error::Deserializer::new(deserializer, &mut track),
+        |path| unknown.push(path.to_string()),
+    )
+    .map_err(|error| SettingsError::Shape {
+        file: file.to_owned(),
+        key: track.path().to_string(),
+        message: error.to_string(),
+    })?;
+    if let Some(key) = unknown.into_iter().next() {
+        return Err(unknown_key(file, key, &settings));
+    }
+    check(file, &settings)?;
+    Ok(settings)
+}
+
+fn unknown_key(file: &str, key: String, settings: &Settings) -> SettingsError {
+    let last = key.rsplit('.').next().unwrap_or_default();
+    let mut known = Vec::new();
+    if let Ok(value) = serde_json::to_value(settings) {
+        collect_keys(&value, &mut known);
+    }
+    let nearest = known
+        .into_iter()
+        .min_by_key(|name| strsim::damerau_levenshtein(name, last))
+        .unwrap_or_default();
+    SettingsError::UnknownKey { file: file.to_owned(), key, nearest }
+}
+
+fn collect_keys(value: &serde_json::Value, known: &mut Vec<String>) {
+    match value {
+        serde_json::Value::Object(map) => {
+            for (key, value) in map {
+                known.push(key.clone());
+                collect_keys(value, known);
+            }
+        }
+        serde_json::Value::Array(values) => {
+            values.iter().for_each(|value| collect_keys(value, known));
+        }
+        _ => {}
+    }
+}
+
+fn check(file: &str, settings: &Settings) -> Result<(), SettingsError> {
+    let within = |key: &str, value: u64, least: u64, most: u64| {
+        if (least..=most).contains(&value) {
+            return Ok(());
+        }
+        Err(SettingsError::Range {
+            file: file.to_owned(),
+            key: key.to_owned(),
+            value: value.to_string(),
+            range: format!("{least}..={most}"),
+        })
+    };
+    let store = &settings.store;
+    within("entry.relay_threads", settings.entry.relay_threads as u64, 1, 64)?;
+    within("entry.drain_ms", settings.entry.drain_ms, 0, 600_000)?;
+    within("peers.heartbeat_ms", settings.peers.heartbeat_ms, 10, 10_000)?;
+    within("peers.suspect_ms", settings.peers.suspect_ms, 3 * settings.peers.heartbeat_ms, 60_000)?;
+    within("store.renew_ms", store.renew_ms, 10, 60_000)?;
+    within("store.lease_ms", store.lease_ms, 2 * store.renew_ms, 600_000)?;
+    within("store.commit_ms", store.commit_ms, 1, 1_000)?;
+    Ok(())
+}
