--- a/crates/agatesill_bench/src/main.rs
+++ b/crates/agatesill_bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use agatesill_bench::scenario::{RunOptions, SCENARIOS};
+use agatesill_bench::scenario::RunOptions;
 use agatesill_bench::{cli, scenario};
 
 /// Exit code for wrong usage.
@@ -15,12 +15,12 @@
         scenario::list();
         return ExitCode::SUCCESS;
     }
-    let Some(scenario) = SCENARIOS.iter().find(|scenario| scenario.name == name) else {
+    let Some(scenario) = scenario::all().find(|scenario| scenario.name == name) else {
         eprintln!("agatesill-bench: no scenario {name:?}; `agatesill-bench list` shows all");
         return ExitCode::from(EXIT_USAGE);
     };
     match RunOptions::from_matches(&matches) {
-        Ok(options) => (scenario.run)(&options),
+        Ok(options) => scenario::run(scenario, &options),
         Err(message) => {
             eprintln!("agatesill-bench: {message}");
             ExitCode::from(EXIT_USAGE)
--- a/crates/agatesill_bench/src/scenario.rs
+++ b/crates/agatesill_bench/src/scenario.rs
@@ -4,10 +4,26 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use comfy_table::Table;
+use indicatif::ProgressBar;
+
+use crate::judge::{Verdict, judge};
+use crate::report;
+use crate::result::SeedResult;
 
 /// Seeds run when none are named.
 const DEFAULT_SEED: u64 = 1;
 
+/// How a scenario runs.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// Under the virtual clock; the same seed gives the same bytes. Given a policy's name, only
+    /// that policy runs and the checks that need others are left out.
+    Virtual(fn(u64, Option<&str>) -> SeedResult),
+    /// With real processes or real time.
+    Real(fn(u64) -> SeedResult),
+}
+
 /// One scenario.
 #[derive(Debug)]
 pub struct Scenario {
@@ -17,10 +33,8 @@
     pub pattern: &'static str,
     /// What must hold, in one line.
     pub bounds: &'static str,
-    /// Whether it runs under the virtual clock, so that a seed fixes its output.
-    pub is_virtual: bool,
-    /// Runs it; fails when a bound does.
-    pub run: fn(&RunOptions) -> ExitCode,
+    /// How it runs.
+    pub kind: Kind,
 }
 
 /// What a run is asked to do.
@@ -62,14 +76,114 @@
 }
 
 /// All scenarios, in the order of `list`.
-pub const SCENARIOS: &[Scenario] = &[];
+pub fn all() -> impl Iterator<Item = &'static Scenario> {
+    crate::requests::SCENARIOS
+        .iter()
+        .chain(crate::batch::SCENARIOS)
+        .chain(crate::control::SCENARIOS)
+        .chain(crate::wire::SCENARIOS)
+}
 
 /// Prints all scenarios.
 pub fn list() {
-    for scenario in SCENARIOS {
-        let clock = if scenario.is_virtual { "virtual clock" } else { "real processes" };
+    for scenario in all() {
+        let clock = match scenario.kind {
+            Kind::Virtual(_) => "virtual clock",
+            Kind::Real(_) => "real time",
+        };
         println!("{} ({clock})", scenario.name);
         println!("    load:   {}", scenario.pattern);
         println!("    bounds: {}", scenario.bounds);
     }
 }
+
+/// Runs a scenario over its seeds and prints the outcome; fails when a bound does.
+pub fn run(scenario: &Scenario, options: &RunOptions) -> ExitCode {
+    let bar = progress(options);
+    let results: Vec<SeedResult> = options
+        .seeds
+        .iter()
+        .map(|seed| {
+            let mut result = match scenario.kind {
+                Kind::Virtual(run) => run(*seed, options.policy.as_deref()),
+                Kind::Real(run) => run(*seed),
+            };
+            result.seed = *seed;
+            bar.inc(1);
+            result
+        })
+        .collect();
+    bar.finish_and_clear();
+    let verdicts = judge(&results);
+    if options.json {
+        print_json(scenario, &results, &verdicts);
+    } else {
+        print_tables(&results, &verdicts);
+    }
+    if let Some(folder) = &options.report
+        && let Err(error) = report::write(folder, scenario, &results, &verdicts)
+    {
+        eprintln!("agatesill-bench: --report {}: {error}", folder.display());
+        return ExitCode::FAILURE;
+    }
+    if verdicts.iter().all(|verdict| verdict.passed) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn progress(options: &RunOptions) -> ProgressBar {
+    if options.json || options.seeds.len() == 1 {
+        return ProgressBar::hidden();
+    }
+    ProgressBar::new(options.seeds.len() as u64)
+}
+
+fn print_json(scenario: &Scenario, results: &[SeedResult], verdicts: &[Verdict]) {
+    let whole = serde_json::json!({
+        "scenario": scenario.name,
+        "results": results,
+        "verdicts": verdicts,
+    });
+    println!("{whole:#}");
+}
+
+fn print_tables(results: &[SeedResult], verdicts: &[Verdict]) {
+    let mut figures = Table::new();
+    figures.set_header(["policy", "figure", "median", "least", "most"]);
+    let names: Vec<(&str, &str)> = results
+        .first()
+        .into_iter()
+        .flat_map(|result| &result.policies)
+        .flat_map(|policy| {
+            policy.figures.keys().map(move |figure| (policy.policy.as_str(), figure.as_str()))
+        })
+        .collect();
+    for (policy, figure) in names {
+        let mut values: Vec<f64> = results
+            .iter()
+            .flat_map(|result| &result.policies)
+            .filter(|one| one.policy == policy)
+            .filter_map(|one| one.figures.get(figure).copied())
+            .collect();
+        values.sort_by(f64::total_cmp);
+        let shown = [values[values.len() / 2], values[0], values[values.len() - 1]];
+        let mut row = vec![policy.to_owned(), figure.to_owned()];
+        row.extend(shown.iter().map(|value| format!("{value:.3}")));
+        figures.add_row(row);
+    }
+    println!("{figures}");
+    for verdict in verdicts {
+        println!(
+            "{} {}: median {:.4}, worst {:.4} (seed {}), bound {} {:.4}",
+            if verdict.passed { "ok    " } else { "FAILED" },
+            verdict.name,
+            verdict.median,
+            verdict.worst,
+            verdict.worst_seed,
+            if verdict.at_most { "<=" } else { ">=" },
+            verdict.bound,
+        );
+    }
+}
