Control client carries an operator's name and token

Cause: the command-line tool has to say who acts, and settings may name tokens. Change: JsonClient::for_operator and TOKEN_HEADER beside OPERATOR_HEADER.

--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -27,6 +27,9 @@
 /// Header that names the operator of a call.
 pub const OPERATOR_HEADER: &str = "x-agatesill-operator";
 
+/// Header that carries the operator's token, where settings name tokens.
+pub const TOKEN_HEADER: &str = "x-agatesill-token";
+
 /// How long an idle control connection is kept.
 const IDLE_CONNECTION: Duration = Duration::from_secs(20);
 
@@ -37,6 +40,8 @@
 #[derive(Clone, Debug)]
 pub struct JsonClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    operator: String,
+    token: String,
 }
 
 impl Default for JsonClient {
@@ -47,11 +52,16 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_CONNECTION)
             .build(connector);
-        Self { client }
+        Self { client, operator: String::new(), token: String::new() }
     }
 }
 
 impl JsonClient {
+    /// A client whose calls carry an operator's name and, unless empty, a token.
+    pub fn for_operator(operator: &str, token: &str) -> Self {
+        Self { operator: operator.to_owned(), token: token.to_owned(), ..Self::default() }
+    }
+
     /// Sends `body` and returns the decoded answer, or the error that the answer carries.
     ///
     /// [`ErrorKind::Unreachable`] means that no answer came within `limit`; the call may have
@@ -68,12 +78,18 @@
             Error::new(ErrorKind::Unreachable, format!("{addr}{path}: {what}"))
         };
         let body = serde_json::to_vec(body).map_err(|error| malformed(&error))?;
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{addr}{path}"))
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|error| malformed(&error))?;
+            .header("content-type", "application/json");
+        if !self.operator.is_empty() {
+            request = request.header(OPERATOR_HEADER, &self.operator);
+        }
+        if !self.token.is_empty() {
+            request = request.header(TOKEN_HEADER, &self.token);
+        }
+        let request =
+            request.body(Full::new(Bytes::from(body))).map_err(|error| malformed(&error))?;
         let exchange = async {
             let answer = self.client.request(request).await.map_err(|error| reached(&error))?;
             let status = answer.status();
