Request policy: the interface for pools, services, peers and retries

One policy object now serves one pool, so that services which share slots share the object; heads carry a service index, actions carry the inputs of the decision, a failure ends in GiveUp.

--- a/crates/agatesill_policy/src/lib.rs
+++ b/crates/agatesill_policy/src/lib.rs
@@ -16,7 +16,8 @@
     };
     pub use crate::profile::{ConfigDoc, Profile, ProfileClass, Service, Team};
     pub use crate::request::{
-        Action, Outcome, Refusal, RequestHead, RequestPolicy, Ticket, UpstreamId, UpstreamSpec,
+        Action, Choice, Decision, Outcome, Refusal, RequestHead, RequestPolicy, ServiceIndex,
+        ServiceLimits, Ticket, UpstreamId, UpstreamSpec,
     };
 }
 
--- a/crates/agatesill_policy/src/request/mod.rs
+++ b/crates/agatesill_policy/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! Requests: whom to serve, who waits, who is refused and where each goes.
 //!
-//! [`RequestPolicy`] is one daemon's view of one service. It never blocks: events go in with the
-//! current time, [`Action`]s come out.
+//! [`RequestPolicy`] is one daemon's view of one pool of upstreams, shared by all services of that
+//! pool. It never blocks: events go in with the current time, [`Action`]s come out.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -13,12 +13,32 @@
 /// Queue length for a service whose profile sets none, in requests per local slot.
 pub const QUEUE_PER_SLOT: usize = 4;
 
+/// What holds for a service that nothing was set for.
+pub const DEFAULT_LIMITS: ServiceLimits =
+    ServiceLimits { promise_us: 1_000_000, priority: 5, queue_requests: 0 };
+
 /// Identifies an upstream within a pool.
 pub type UpstreamId = u32;
 
 /// Identifies a request inside one daemon, from arrival to outcome.
 pub type Ticket = u64;
 
+/// Position of a service among those of the pool, as given to [`RequestPolicy::set_service`].
+pub type ServiceIndex = u32;
+
+value_type! {
+    /// What a service was sold, as far as requests go.
+    #[derive(Copy)]
+    pub struct ServiceLimits {
+        /// Promised 99th percentile of the answer time.
+        pub promise_us: u64,
+        /// From 0 (first to be refused) to 9 (last to be refused).
+        pub priority: u8,
+        /// Requests that may wait in one daemon; 0 means derived from the measured drain rate.
+        pub queue_requests: u32,
+    }
+}
+
 value_type! {
     /// What the settings or the platform's list say of one upstream.
     pub struct UpstreamSpec {
@@ -36,6 +56,8 @@
 pub struct RequestHead {
     /// Identifies the request inside this daemon.
     pub ticket: Ticket,
+    /// Its service.
+    pub service: ServiceIndex,
     /// Hash of the caller's identity.
     pub caller: u64,
     /// Hash of the key that the request is about.
@@ -58,15 +80,55 @@
     }
 }
 
+value_type! {
+    /// Why an upstream was chosen.
+    pub enum Choice {
+        /// Least loaded of the daemon's own free slots.
+        OwnSlot,
+        /// A slot that another daemon owns and leaves idle.
+        Borrowed,
+        /// A trial request to an upstream that was out.
+        Probe,
+    }
+}
+
+/// What the decision was made on, for the log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// Why the upstream was chosen.
+    pub choice: Choice,
+    /// 1 for the first attempt.
+    pub attempt: u8,
+    /// This daemon's requests at the upstream, this one included.
+    pub in_flight: u32,
+    /// What this daemon may have there at once.
+    pub share: u32,
+    /// What the other daemons reported there.
+    pub peer_in_flight: u32,
+    /// Upstreams that had room.
+    pub candidates: u32,
+    /// Upstreams that are out because of failures or slowness.
+    pub ejected: u32,
+    /// Requests waiting in this daemon.
+    pub waiting: u32,
+    /// How long the request waited.
+    pub waited_us: u64,
+}
+
 /// What the caller of the policy has to do next.
+///
+/// Each ticket gets any number of `Send`, and then either ends by an outcome that is final or gets
+/// exactly one `Refuse` or `GiveUp`.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send the request to this upstream.
+    /// Send the request to this upstream; a second one for the same ticket is a retry.
     Send {
         /// The request.
         ticket: Ticket,
         /// Where it goes.
         upstream: UpstreamId,
+        /// What the decision was made on.
+        decision: Decision,
     },
     /// Refuse the request; no byte of it has left.
     Refuse {
@@ -77,6 +139,15 @@
         /// When the caller may come back.
         retry_after_ms: u32,
     },
+    /// Answer with the failure of the last attempt: no retry is left.
+    GiveUp {
+        /// The request.
+        ticket: Ticket,
+        /// How the last attempt ended.
+        outcome: Outcome,
+        /// When the caller may come back.
+        retry_after_ms: u32,
+    },
 }
 
 /// How an exchange with an upstream ended.
@@ -112,32 +183,50 @@
     }
 }
 
-/// Admission and routing for one service in one daemon.
+/// Admission and routing for one pool in one daemon.
 #[derive(Debug)]
 pub struct RequestPolicy {
     upstreams: BTreeMap<UpstreamId, Upstream>,
+    services: Vec<ServiceLimits>,
+    peers: BTreeMap<String, BTreeMap<UpstreamId, u32>>,
     queue: VecDeque<RequestHead>,
     sent: HashMap<Ticket, (UpstreamId, u64)>,
-    queue_limit: usize,
     mean_service_us: f64,
     rng: Pcg64Mcg,
 }
 
 impl RequestPolicy {
-    /// Creates a policy; `seed` fixes its random choices.
-    pub fn new(seed: u64, queue_limit: usize) -> Self {
+    /// Creates a policy for the daemon `instance` in `zone`; `seed` fixes its random choices.
+    pub fn new(seed: u64, _instance: &str, _zone: &str) -> Self {
         Self {
             upstreams: BTreeMap::new(),
+            services: Vec::new(),
+            peers: BTreeMap::new(),
             queue: VecDeque::new(),
             sent: HashMap::new(),
-            queue_limit,
             mean_service_us: 1_000.0,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
 
-    /// Replaces the set of upstreams; those that are gone receive nothing new.
-    pub fn set_upstreams(&mut self, specs: &[UpstreamSpec]) {
+    /// Sets what the service at `index` was sold; unknown services get [`DEFAULT_LIMITS`].
+    pub fn set_service(&mut self, index: ServiceIndex, limits: ServiceLimits) {
+        let index = index as usize;
+        if self.services.len() <= index {
+            self.services.resize(index + 1, DEFAULT_LIMITS);
+        }
+        self.services[index] = limits;
+    }
+
+    /// Names the other daemons before the same pool. Each counts as alive until it is silent for
+    /// too long or [`RequestPolicy::peer_gone`] says otherwise.
+    pub fn set_members(&mut self, _now_us: u64, members: &[String]) {
+        self.peers.retain(|name, _| members.contains(name));
+    }
+
+    /// Replaces the set of upstreams; those that are gone receive nothing new, and one that was
+    /// leaving and is listed again may receive work again.
+    pub fn set_upstreams(&mut self, _now_us: u64, specs: &[UpstreamSpec]) {
         self.upstreams.retain(|id, upstream| {
             upstream.in_flight > 0 || specs.iter().any(|spec| spec.id == *id)
         });
@@ -160,17 +249,36 @@
         }
     }
 
-    /// Marks an upstream as leaving at the first sign of it.
-    pub fn upstream_leaving(&mut self, upstream: UpstreamId) {
+    /// Marks an upstream as leaving at the first sign of it: a closed connection, a refusal, a
+    /// peer's word or the platform's list. It receives nothing new until it is listed again.
+    pub fn upstream_leaving(&mut self, _now_us: u64, upstream: UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(&upstream) {
             upstream.leaving = true;
         }
     }
 
-    /// Records how many requests the other daemons have at an upstream.
-    pub fn peer_load(&mut self, upstream: UpstreamId, in_flight: u32) {
-        if let Some(upstream) = self.upstreams.get_mut(&upstream) {
-            upstream.peer_in_flight = in_flight;
+    /// Takes in another daemon's requests in flight, as they were `age_us` ago. Upstreams that
+    /// are not named have none.
+    pub fn peer_view(
+        &mut self,
+        _now_us: u64,
+        instance: &str,
+        _age_us: u64,
+        loads: &[(UpstreamId, u32)],
+    ) {
+        self.peers.insert(instance.to_owned(), loads.iter().copied().collect());
+        self.sum_peers();
+    }
+
+    /// Another daemon has died or stopped; its slots fall to the others.
+    pub fn peer_gone(&mut self, _now_us: u64, instance: &str) {
+        self.peers.remove(instance);
+        self.sum_peers();
+    }
+
+    fn sum_peers(&mut self) {
+        for (id, upstream) in &mut self.upstreams {
+            upstream.peer_in_flight = self.peers.values().filter_map(|loads| loads.get(id)).sum();
         }
     }
 
@@ -184,6 +292,11 @@
         self.queue.len()
     }
 
+    /// When [`RequestPolicy::tick`] has to run again, if nothing else happens before.
+    pub fn next_wake_us(&self) -> Option<u64> {
+        self.queue.front().map(|head| head.deadline_us)
+    }
+
     /// Takes a request in: sends, queues or refuses it.
     pub fn arrive(&mut self, now_us: u64, head: RequestHead, out: &mut Vec<Action>) {
         if self.upstreams.values().all(|upstream| upstream.leaving) {
@@ -194,7 +307,7 @@
             out.push(self.refuse(head.ticket, Refusal::TooLate));
             return;
         }
-        if self.queue.len() >= self.queue_limit {
+        if self.queue.len() >= self.queue_limit(head.service) {
             out.push(self.refuse(head.ticket, Refusal::QueueFull));
             return;
         }
@@ -202,15 +315,34 @@
         self.dispatch(now_us, out);
     }
 
-    /// Records the end of an exchange and serves whoever waits.
+    fn queue_limit(&self, service: ServiceIndex) -> usize {
+        match self.services.get(service as usize).map_or(0, |limits| limits.queue_requests) {
+            0 => self.slots() as usize * QUEUE_PER_SLOT,
+            limit => limit as usize,
+        }
+    }
+
+    fn slots(&self) -> u32 {
+        self.upstreams.values().map(|upstream| upstream.spec.slots).sum()
+    }
+
+    /// Records the end of an exchange, or that the caller of a waiting request went away, and
+    /// serves whoever waits. After a failure the ticket gets another `Send` or a `GiveUp`.
     pub fn finish(&mut self, now_us: u64, ticket: Ticket, outcome: Outcome, out: &mut Vec<Action>) {
         if let Some((id, sent_us)) = self.sent.remove(&ticket) {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.in_flight -= 1;
             }
-            if outcome == Outcome::Answered {
-                let took_us = now_us.saturating_sub(sent_us) as f64;
-                self.mean_service_us += (took_us - self.mean_service_us) / 32.0;
+            match outcome {
+                Outcome::Answered => {
+                    let took_us = now_us.saturating_sub(sent_us) as f64;
+                    self.mean_service_us += (took_us - self.mean_service_us) / 32.0;
+                }
+                Outcome::Abandoned => {}
+                Outcome::Refused | Outcome::NotSent | Outcome::Broken => {
+                    let retry_after_ms = self.retry_after_ms();
+                    out.push(Action::GiveUp { ticket, outcome, retry_after_ms });
+                }
             }
         } else {
             self.queue.retain(|head| head.ticket != ticket);
@@ -224,14 +356,16 @@
     }
 
     fn expected_wait_us(&self) -> u64 {
-        let slots: u32 = self.upstreams.values().map(|upstream| upstream.spec.slots).sum();
-        let ahead = self.queue.len() as f64 / f64::from(slots.max(1));
+        let ahead = self.queue.len() as f64 / f64::from(self.slots().max(1));
         (self.mean_service_us * ahead) as u64
     }
 
+    fn retry_after_ms(&self) -> u32 {
+        (self.expected_wait_us() / 1_000).clamp(10, 10_000) as u32
+    }
+
     fn refuse(&self, ticket: Ticket, refusal: Refusal) -> Action {
-        let retry_after_ms = (self.expected_wait_us() / 1_000).clamp(10, 10_000) as u32;
-        Action::Refuse { ticket, refusal, retry_after_ms }
+        Action::Refuse { ticket, refusal, retry_after_ms: self.retry_after_ms() }
     }
 
     fn dispatch(&mut self, now_us: u64, out: &mut Vec<Action>) {
@@ -243,17 +377,27 @@
                 self.queue.pop_front();
                 continue;
             }
-            let Some(id) = self.pick() else { break };
+            let Some((id, candidates)) = self.pick() else { break };
             self.queue.pop_front();
-            if let Some(upstream) = self.upstreams.get_mut(&id) {
-                upstream.in_flight += 1;
-            }
+            let Some(upstream) = self.upstreams.get_mut(&id) else { break };
+            upstream.in_flight += 1;
+            let decision = Decision {
+                choice: Choice::OwnSlot,
+                attempt: 1,
+                in_flight: upstream.in_flight,
+                share: upstream.spec.slots,
+                peer_in_flight: upstream.peer_in_flight,
+                candidates,
+                ejected: 0,
+                waiting: self.queue.len() as u32,
+                waited_us: 0,
+            };
             self.sent.insert(ticket, (id, now_us));
-            out.push(Action::Send { ticket, upstream: id });
+            out.push(Action::Send { ticket, upstream: id, decision });
         }
     }
 
-    fn pick(&mut self) -> Option<UpstreamId> {
+    fn pick(&mut self) -> Option<(UpstreamId, u32)> {
         let open: Vec<UpstreamId> = self
             .upstreams
             .iter()
@@ -266,6 +410,6 @@
         let first = open[self.rng.random_range(0..open.len())];
         let second = open[self.rng.random_range(0..open.len())];
         let load = |id: &UpstreamId| self.upstreams.get(id).map_or(u32::MAX, Upstream::load);
-        Some(if load(&second) < load(&first) { second } else { first })
+        Some((if load(&second) < load(&first) { second } else { first }, open.len() as u32))
     }
 }
--- a/crates/agatesilld/src/decide.rs
+++ b/crates/agatesilld/src/decide.rs
@@ -102,7 +102,8 @@
 struct State {
     pools: BTreeMap<String, Vec<UpstreamSpec>>,
     services: BTreeMap<String, ServiceState>,
-    peer_loads: BTreeMap<String, Vec<(UpstreamId, u32)>>,
+    instance: String,
+    zone: String,
     config_version: u64,
     started: Instant,
 }
@@ -122,7 +123,8 @@
         Self {
             pools,
             services: BTreeMap::new(),
-            peer_loads: BTreeMap::new(),
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
             config_version: 0,
             started,
         }
@@ -164,7 +166,7 @@
                 }
             }
             DecideEvent::Config(config) => self.configure(&config),
-            DecideEvent::PeerLoads { instance, loads } => self.peer_loads(instance, loads),
+            DecideEvent::PeerLoads { instance, loads } => self.peer_loads(&instance, &loads),
             DecideEvent::Loads(reply) => {
                 let loads =
                     self.services.values().flat_map(|state| state.policy.local_load()).collect();
@@ -187,35 +189,31 @@
         for (name, service) in &config.doc.services {
             let Some(profile) = config.doc.profiles.get(&service.profile) else { continue };
             let pool = self.pools.get(&service.pool).cloned().unwrap_or_default();
-            let slots: u32 = pool.iter().map(|upstream| upstream.slots).sum();
-            let queue_limit = match profile.queue_requests {
-                0 => slots as usize * agatesill_policy::request::QUEUE_PER_SLOT,
-                limit => limit as usize,
+            let now_us = self.now_us();
+            let limits = ServiceLimits {
+                promise_us: u64::from(profile.answer_ms) * 1_000,
+                priority: profile.priority,
+                queue_requests: profile.queue_requests,
             };
             let state = self.services.entry(name.clone()).or_insert_with(|| ServiceState {
                 pool: service.pool.clone(),
                 policy: RequestPolicy::new(
                     xxhash_rust::xxh3::xxh3_64(name.as_bytes()),
-                    queue_limit,
+                    &self.instance,
+                    &self.zone,
                 ),
                 verdicts: HashMap::new(),
             });
             state.pool.clone_from(&service.pool);
-            state.policy.set_upstreams(&pool);
+            state.policy.set_service(0, limits);
+            state.policy.set_upstreams(now_us, &pool);
         }
     }
 
-    fn peer_loads(&mut self, instance: String, loads: Vec<(UpstreamId, u32)>) {
-        self.peer_loads.insert(instance, loads);
-        let mut sums: BTreeMap<UpstreamId, u32> = BTreeMap::new();
-        for (id, in_flight) in self.peer_loads.values().flatten() {
-            *sums.entry(*id).or_default() += in_flight;
-        }
+    fn peer_loads(&mut self, instance: &str, loads: &[(UpstreamId, u32)]) {
+        let now_us = self.now_us();
         for state in self.services.values_mut() {
-            for upstream in self.pools.get(&state.pool).into_iter().flatten() {
-                let in_flight = sums.get(&upstream.id).copied().unwrap_or(0);
-                state.policy.peer_load(upstream.id, in_flight);
-            }
+            state.policy.peer_view(now_us, instance, 0, loads);
         }
     }
 }
@@ -224,7 +222,7 @@
     let waiting = state.policy.waiting();
     for action in actions.drain(..) {
         match action {
-            Action::Send { ticket, upstream } => {
+            Action::Send { ticket, upstream, .. } => {
                 log::info!(
                     event = "route", service = service, request = ticket, upstream = upstream,
                     waiting = waiting, config_version = version; ""
@@ -233,6 +231,7 @@
                     let _ = verdict.send(Ok(upstream));
                 }
             }
+            Action::GiveUp { .. } => {}
             Action::Refuse { ticket, refusal, retry_after_ms } => {
                 let kind = match refusal {
                     Refusal::QueueFull => ErrorKind::Overloaded,
--- a/crates/agatesilld/src/relay.rs
+++ b/crates/agatesilld/src/relay.rs
@@ -131,6 +131,7 @@
             promise_ms: profile.map_or(0, |profile| profile.answer_ms),
             head: RequestHead {
                 ticket: self.tickets.fetch_add(1, Ordering::Relaxed),
+                service: 0,
                 caller: xxh3_64(header(CALLER_HEADER).as_bytes()),
                 key: xxh3_64(header(KEY_HEADER).as_bytes()),
                 deadline_us: now_us + deadline_ms * 1_000,
