--- /dev/null
+++ b/crates/agatesill/src/commands/mod.rs
@@ -0,0 +1,80 @@
+//! The subcommands.
+
+mod config;
+mod explain;
+mod job;
+mod status;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use agatesill_wire::prelude::*;
+use clap::ArgMatches;
+use serde::de::DeserializeOwned;
+
+use crate::cli;
+use crate::client::Admin;
+use crate::output::Output;
+
+/// Prints an error with what to do about it, and gives the exit code of its kind.
+pub fn fail(error: &Error) -> ExitCode {
+    eprintln!("agatesill: {error}");
+    if error.retry_after_ms > 0 {
+        eprintln!("agatesill: try again in {} ms", error.retry_after_ms);
+    }
+    ExitCode::from(error.kind.row().exit_code)
+}
+
+/// Runs the subcommand that `matches` names.
+pub async fn run(matches: &ArgMatches, admin: &Admin, output: Output) -> Result<(), Error> {
+    match matches.subcommand() {
+        Some(("profile", args)) => config::profile(args, admin, output).await,
+        Some(("service", args)) => config::service(args, admin, output).await,
+        Some(("team", args)) => config::team(args, admin, output).await,
+        Some(("config", args)) => config::document(args, admin, output).await,
+        Some(("job", args)) => job::run(args, admin, output).await,
+        Some(("status", args)) => status::run(args, admin, output).await,
+        Some(("explain", args)) => explain::run(args, admin, output).await,
+        Some(("drain", _)) => drain(admin).await,
+        Some(("completions", args)) => completions(args),
+        Some(("man", args)) => man(args),
+        _ => Err(Error::new(ErrorKind::BadRequest, "no subcommand")),
+    }
+}
+
+async fn drain(admin: &Admin) -> Result<(), Error> {
+    let answer: String = admin.post("/v1/drain", &()).await?;
+    println!("{answer}");
+    Ok(())
+}
+
+fn completions(args: &ArgMatches) -> Result<(), Error> {
+    let Some(shell) = args.get_one::<clap_complete::Shell>("shell").copied() else {
+        return Err(Error::new(ErrorKind::BadRequest, "no shell"));
+    };
+    clap_complete::generate(shell, &mut cli::command(), "agatesill", &mut std::io::stdout());
+    Ok(())
+}
+
+fn man(args: &ArgMatches) -> Result<(), Error> {
+    let Some(folder) = args.get_one::<std::path::PathBuf>("folder") else {
+        return Err(Error::new(ErrorKind::BadRequest, "no folder"));
+    };
+    let written = std::fs::create_dir_all(folder)
+        .and_then(|()| clap_mangen::generate_to(cli::command(), folder));
+    written
+        .map_err(|error| Error::new(ErrorKind::Settings, format!("{}: {error}", folder.display())))
+}
+
+/// Reads a YAML file; the error names the file and the place in it.
+fn read_yaml<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let wrong = |error: &dyn std::fmt::Display| {
+        Error::new(ErrorKind::Settings, format!("{}: {error}", path.display()))
+    };
+    let text = std::fs::read_to_string(path).map_err(|error| wrong(&error))?;
+    serde_yaml_ng::from_str(&text).map_err(|error| wrong(&error))
+}
+
+fn text<'a>(args: &'a ArgMatches, name: &str) -> &'a str {
+    args.get_one::<String>(name).map_or("", String::as_str)
+}
