Batch ledger: the interface for cells, with typed outcomes and every transition

The ledger knew four deltas and rescanned all workers after each. It now has a delta for each transition that the batch duty needs (evict, typed ends, park, quarantine, workers joining and leaving, forward and import), frees a reservation only by a certain end, and asserts capacity, one live attempt and single release on the worker concerned only. The cancel test counts the new JobClosed effect beside the two stops: as strict as before. No measurement yet.

--- a/crates/agatesill_policy/src/batch/mod.rs
+++ b/crates/agatesill_policy/src/batch/mod.rs
@@ -1,11 +1,23 @@
 //! Batch work: the ledger of one cell of workers and the decisions on it.
 //!
 //! A [`Cell`] changes only through [`CellDelta`]s, each committed before its effects are carried
-//! out. `plan` proposes deltas, `apply` takes a committed one and returns the effects.
+//! out. A [`BatchPolicy`] beside it holds what is learned and proposes deltas; all of it can be
+//! rebuilt from the ledger after a takeover.
 
 mod cell;
+mod cell_transitions;
+mod delta;
+mod policy;
+mod task;
 
-pub use cell::{Cell, CellDelta, CellEffect, TaskState, TaskView};
+pub use cell::{Cell, Worker};
+pub use delta::{
+    AttemptOutcome, CellDelta, CellEffect, EvictReason, FailureKind, JobOutcome, WorkerState,
+};
+pub use policy::{
+    BatchConfig, BatchPolicy, Explanation, Plan, ServiceUsage, TaskUsage, Throttle, UsageReport,
+};
+pub use task::{Job, Settled, TaskState, TaskView, split_task};
 
 use crate::value_type;
 
@@ -97,5 +109,8 @@
         /// Whether tasks go before all others.
         #[serde(default)]
         pub urgent: bool,
+        /// Jobs of the same cell that must be done first.
+        #[serde(default)]
+        pub after: Vec<String>,
     }
 }
--- a/crates/agatesill_policy/src/lib.rs
+++ b/crates/agatesill_policy/src/lib.rs
@@ -11,8 +11,10 @@
 /// The types that most users of this crate need.
 pub mod prelude {
     pub use crate::batch::{
-        Attempt, Cell, CellDelta, CellEffect, JobSpec, Resources, TaskId, TaskState, WorkerId,
-        WorkerSpec,
+        Attempt, AttemptOutcome, BatchConfig, BatchPolicy, Cell, CellDelta, CellEffect,
+        EvictReason, FailureKind, Job, JobOutcome, JobSpec, Plan, Resources, ServiceUsage, TaskId,
+        TaskState, TaskUsage, TaskView, Throttle, UsageReport, Worker, WorkerId, WorkerSpec,
+        WorkerState,
     };
     pub use crate::profile::{ConfigDoc, Profile, ProfileClass, Service, Team};
     pub use crate::request::{
--- a/crates/agatesill_policy/tests/cell_ledger.rs
+++ b/crates/agatesill_policy/tests/cell_ledger.rs
@@ -18,11 +18,13 @@
         run_ms: 1_000,
         deadline_ms: 0,
         urgent: false,
+        after: Vec::new(),
     }
 }
 
 fn place_all(cell: &mut Cell) -> usize {
-    let deltas = cell.plan(100);
+    let config = BatchConfig::new(&ConfigDoc::default(), 100);
+    let deltas = BatchPolicy::default().plan(0, cell, &config).deltas;
     deltas.iter().for_each(|delta| {
         cell.apply(delta);
     });
@@ -35,7 +37,7 @@
     cell.apply(&CellDelta::Accept { job: job("a", 6), at_ms: 0 });
     assert_eq!(place_all(&mut cell), 4);
     assert_eq!(place_all(&mut cell), 0);
-    let end = CellDelta::End { task: "a/0".to_owned(), attempt: 1, done: true, checkpoint_ms: 0 };
+    let end = CellDelta::End { task: "a/0".to_owned(), attempt: 1, outcome: AttemptOutcome::Done };
     cell.apply(&end);
     assert_eq!(place_all(&mut cell), 1);
     // A late second report of the same end frees nothing more.
@@ -49,10 +51,12 @@
     cell.apply(&CellDelta::Accept { job: job("a", 3), at_ms: 0 });
     assert_eq!(place_all(&mut cell), 2);
     let effects = cell.apply(&CellDelta::Cancel { job: "a".to_owned() });
-    assert_eq!(effects.len(), 2);
+    let stops = effects.iter().filter(|effect| matches!(effect, CellEffect::Stop { .. })).count();
+    assert_eq!((stops, effects.len()), (2, 3), "two stops and the job's one outcome");
     cell.apply(&CellDelta::Accept { job: job("b", 1), at_ms: 0 });
     assert_eq!(place_all(&mut cell), 0, "freed before the stop was confirmed");
-    let end = CellDelta::End { task: "a/0".to_owned(), attempt: 1, done: false, checkpoint_ms: 0 };
+    let outcome = AttemptOutcome::Stopped { checkpoint_ms: 0 };
+    let end = CellDelta::End { task: "a/0".to_owned(), attempt: 1, outcome };
     cell.apply(&end);
     assert_eq!(place_all(&mut cell), 1);
 }
--- a/crates/agatesilld/src/cells.rs
+++ b/crates/agatesilld/src/cells.rs
@@ -7,7 +7,7 @@
 use agatesill_policy::prelude::*;
 use agatesill_wire::api::{CellStatus, JobStatus, JobTask};
 use agatesill_wire::http::JsonClient;
-use agatesill_wire::platform::{AttemptState, WorkerCall, WorkerReply};
+use agatesill_wire::platform::{AttemptReport, AttemptState, WorkerCall, WorkerReply};
 use agatesill_wire::prelude::*;
 use hyper::Method;
 use tokio::sync::{mpsc, oneshot};
@@ -41,6 +41,7 @@
 struct Owned {
     log: CommitLog,
     cell: Cell,
+    policy: BatchPolicy,
     pending: Vec<CellDelta>,
     polled: Instant,
 }
@@ -120,14 +121,15 @@
         match taken.await {
             Ok((log, replay)) => {
                 let mut cell: Cell = replay.snapshot.unwrap_or_default();
-                cell.set_workers(&self.settings[name].workers);
                 for delta in &replay.deltas {
                     cell.apply(delta);
                 }
+                let pending = cell.worker_deltas(&self.settings[name].workers);
+                let mut policy = BatchPolicy::default();
+                policy.rebuild(now_ms(), &cell);
                 log::info!(event = "cell_taken", cell = name, epoch = log.epoch(); "");
                 let polled = Instant::now();
-                self.owned
-                    .insert(name.to_owned(), Owned { log, cell, pending: Vec::new(), polled });
+                self.owned.insert(name.to_owned(), Owned { log, cell, policy, pending, polled });
             }
             Err(error) => log::warn!(event = "takeover_failed", cell = name; "{error}"),
         }
@@ -156,14 +158,15 @@
             poll_workers(&self.workers, settings, owned).await;
         }
         let mut deltas = std::mem::take(&mut owned.pending);
-        deltas.extend(owned.cell.plan(PLACEMENTS_PER_COMMIT));
+        let config = BatchConfig::new(&ConfigDoc::default(), PLACEMENTS_PER_COMMIT);
+        deltas.extend(owned.policy.plan(now_ms(), &owned.cell, &config).deltas);
         if !deltas.is_empty() {
             if let Err(error) = owned.log.append(&deltas).await {
                 owned.pending = deltas;
                 return Err(error);
             }
             for delta in &deltas {
-                let effects = owned.cell.apply(delta);
+                let effects = owned.policy.apply(now_ms(), &mut owned.cell, delta);
                 log_delta(name, delta);
                 for effect in effects {
                     carry_out(&self.workers, settings, owned.log.epoch(), &owned.cell, effect)
@@ -189,7 +192,7 @@
             }
             CellCall::List(reply) => {
                 let jobs = self.owned.iter().flat_map(|(name, owned)| {
-                    owned.cell.jobs().map(|(spec, tasks)| job_status(name, spec, tasks))
+                    owned.cell.jobs().map(|job| job_status(name, &job.spec, &job.tasks))
                 });
                 let _ = reply.send(jobs.collect());
             }
@@ -223,7 +226,7 @@
         self.owned
             .iter()
             .find_map(|(name, owned)| {
-                owned.cell.job(id).map(|(spec, tasks)| job_status(name, spec, tasks))
+                owned.cell.job(id).map(|job| job_status(name, &job.spec, &job.tasks))
             })
             .ok_or_else(|| Error::new(ErrorKind::NotFound, format!("job {id}")))
     }
@@ -257,10 +260,9 @@
                 .any(|(task, attempt)| *task == report.task && *attempt == report.attempt);
             if known && report.state != AttemptState::Running {
                 owned.pending.push(CellDelta::End {
+                    outcome: outcome(&report),
                     task: report.task,
                     attempt: report.attempt,
-                    done: report.state == AttemptState::Done,
-                    checkpoint_ms: report.checkpoint_ms,
                 });
             }
         }
@@ -275,14 +277,14 @@
     effect: CellEffect,
 ) {
     let (worker, call) = match effect {
-        CellEffect::Start { worker, task, attempt, checkpoint_ms } => {
-            let job = task.rsplit_once('/').and_then(|(job, _)| cell.job(job));
-            let Some((spec, _)) = job else { return };
+        CellEffect::Start { worker, task, attempt, checkpoint_ms, reserve } => {
+            let Some((job, _)) = cell.locate(&task) else { return };
+            let spec = &job.spec;
             let call = WorkerCall::Start {
                 task: task.clone(),
                 attempt,
                 epoch,
-                need: spec.need,
+                need: reserve,
                 class: spec.class.clone(),
                 run_ms: spec.run_ms,
                 checkpoint_ms,
@@ -290,9 +292,10 @@
             };
             (worker, call)
         }
-        CellEffect::Stop { worker, task, attempt } => {
-            (worker, WorkerCall::Stop { epoch, task, attempt, checkpoint: true })
+        CellEffect::Stop { worker, task, attempt, checkpoint } => {
+            (worker, WorkerCall::Stop { epoch, task, attempt, checkpoint })
         }
+        CellEffect::JobClosed { .. } => return,
     };
     if let Err(error) = call_worker(client, settings, worker, &call).await {
         log::warn!(event = "worker_call_failed", worker = worker; "{error}");
@@ -314,17 +317,28 @@
         CellDelta::Accept { job, .. } => {
             log::info!(event = "job_accepted", cell = cell, job = job.id.as_str(); "");
         }
-        CellDelta::Place { task, attempt, worker } => log::info!(
+        CellDelta::Place { task, attempt, worker, .. } => log::info!(
             event = "place", cell = cell, task = task.as_str(), attempt = attempt,
             worker = worker; ""
         ),
-        CellDelta::End { task, attempt, done, .. } => log::info!(
+        CellDelta::End { task, attempt, outcome } => log::info!(
             event = "attempt_ended", cell = cell, task = task.as_str(), attempt = attempt,
-            done = done; ""
+            outcome:? = outcome; ""
         ),
         CellDelta::Cancel { job } => {
             log::info!(event = "job_cancelled", cell = cell, job = job.as_str(); "");
         }
+        other => log::info!(event = "ledger_change", cell = cell, delta:? = other; ""),
+    }
+}
+
+fn outcome(report: &AttemptReport) -> AttemptOutcome {
+    match report.state {
+        AttemptState::Done => AttemptOutcome::Done,
+        AttemptState::Failed => AttemptOutcome::Failed { kind: FailureKind::TaskError },
+        AttemptState::Running | AttemptState::Stopped => {
+            AttemptOutcome::Stopped { checkpoint_ms: report.checkpoint_ms }
+        }
     }
 }
 
@@ -332,7 +346,9 @@
     match state {
         TaskState::Waiting { .. } => "waiting",
         TaskState::Placed { .. } => "placed",
+        TaskState::Evicting { .. } => "evicting",
         TaskState::Done => "done",
+        TaskState::Failed => "failed",
         TaskState::Cancelled => "cancelled",
     }
 }
@@ -347,10 +363,7 @@
         .map(|task| JobTask {
             state: state_name(&task.state).to_owned(),
             attempt: task.attempt,
-            worker: match task.state {
-                TaskState::Placed { worker } => Some(worker),
-                _ => None,
-            },
+            worker: task.state.worker(),
         })
         .collect();
     JobStatus { spec: spec.clone(), cell: cell.to_owned(), tasks }
@@ -361,7 +374,7 @@
         owned
             .cell
             .jobs()
-            .flat_map(|(_, tasks)| tasks)
+            .flat_map(|job| &job.tasks)
             .filter(|task| state_name(&task.state) == wanted)
             .count() as u64
     };
