Relay: streamed bodies, a shared connection budget, records of non-repeatable requests

Cause: the relay held every body whole, opened connections without bound, never retried, dropped slots when a caller left, and knew nothing of an earlier attempt at another daemon.

Change: the relay is split by job (entry limits, intake, attempts, one exchange, connections, records, lookup at peers). Small bodies are held for retries, larger ones are streamed with at most four pieces in flight. One policy serves a pool; a failure asks it for another send. Only the first attempt of an idempotency key makes the permission to run; a later one runs only where the record says that the earlier one did not, and takes the permission with it. A planned stop goes readiness, balancer lag, listener, drain limit.

--- a/crates/agatesill_wire/src/error.rs
+++ b/crates/agatesill_wire/src/error.rs
@@ -47,6 +47,8 @@
         Settings,
         /// The process cannot be reached.
         Unreachable,
+        /// It ran before; its answer is no longer at hand.
+        AlreadyRun,
     }
 }
 
@@ -91,7 +93,7 @@
 }
 
 /// The table; one row for each kind, in the order of the list.
-pub const TABLE: [Row; 20] = [
+pub const TABLE: [Row; 21] = [
     row(ErrorKind::BadRequest, "bad_request", 400, WasRun::No, Level::Info, 2),
     row(ErrorKind::Forbidden, "forbidden", 403, WasRun::No, Level::Warn, 1),
     row(ErrorKind::NotFound, "not_found", 404, WasRun::No, Level::Info, 1),
@@ -112,6 +114,7 @@
     row(ErrorKind::Protocol, "protocol", 500, WasRun::Unknown, Level::Error, 1),
     row(ErrorKind::Settings, "settings", 500, WasRun::No, Level::Error, 2),
     row(ErrorKind::Unreachable, "unreachable", 503, WasRun::Unknown, Level::Error, 1),
+    row(ErrorKind::AlreadyRun, "already_run", 409, WasRun::Yes, Level::Info, 1),
 ];
 
 impl ErrorKind {
--- a/crates/agatesill_wire/src/lib.rs
+++ b/crates/agatesill_wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod peer;
 pub mod platform;
+pub mod record;
 
 /// The types that most users of this crate need.
 pub mod prelude {
--- a/crates/agatesill_wire/src/peer.rs
+++ b/crates/agatesill_wire/src/peer.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What it carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 20, 21")]
     pub body: Option<Body>,
 }
 
@@ -35,6 +35,12 @@
     /// Asks for the configuration in force.
     #[prost(message, tag = "4")]
     ConfigWanted(ConfigWanted),
+    /// Asks what became of a non-repeatable request.
+    #[prost(message, tag = "20")]
+    RecordWanted(crate::record::RecordWanted),
+    /// Says so.
+    #[prost(message, tag = "21")]
+    RecordKnown(crate::record::RecordKnown),
 }
 
 /// First frame on a connection.
--- a/crates/agatesilld/src/daemon.rs
+++ b/crates/agatesilld/src/daemon.rs
@@ -9,7 +9,7 @@
 use agatesill_wire::api::ServiceStatus;
 use agatesill_wire::prelude::*;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::admin::Admin;
@@ -21,9 +21,6 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 
-/// How long the balancer may take to see that this instance is no longer ready.
-const BALANCER_LAG: Duration = Duration::from_millis(200);
-
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -50,10 +47,10 @@
     let peer = bind("peers.addr", settings.peers.addr)?;
     let entry_addr = entry.local_addr()?;
     let admin_addr = admin.local_addr()?;
-    let shared = Shared::default();
+    let shared = Shared::new(&settings.records);
     let metrics = Metrics::new()
         .map_err(|error| Error::new(ErrorKind::Settings, format!("metrics: {error}")))?;
-    let decider = Decider::start(settings)?;
+    let decider = Decider::start(settings, &shared)?;
     let store = Store::over_http(settings.store.addr);
     let (calls, cell_calls) = mpsc::channel(CELL_RING_CALLS);
     let halt = CancellationToken::new();
@@ -65,12 +62,14 @@
         Admin::new(settings, store.clone(), shared.clone(), metrics, calls, stop.clone());
 
     let mut threads = Vec::new();
-    let listeners = halt.child_token();
-    let accept = listeners.clone();
+    let (drain, cut) = (CancellationToken::new(), CancellationToken::new());
+    let (accept, cut_off) = (drain.clone(), cut.clone());
+    let (drained, all_drained) = oneshot::channel();
     threads.push(duty("relay", settings.entry.relay_threads, async move {
         if let Some(listener) = listen(entry) {
-            relay.run(listener, accept).await;
+            relay.run(listener, accept, cut_off).await;
         }
+        let _ = drained.send(());
     })?);
     let token = halt.clone();
     let follower = crate::config::follow(store, shared.clone(), halt.clone());
@@ -84,26 +83,39 @@
         }
     })?);
     let token = halt.clone();
-    let (stop, drain_ms) = (stop.clone(), settings.entry.drain_ms);
+    let planned = PlannedStop {
+        stop: stop.clone(),
+        drain,
+        cut,
+        halt,
+        all_drained,
+        balancer_lag: Duration::from_millis(settings.entry.balancer_lag_ms),
+        drain_limit: Duration::from_millis(settings.entry.drain_ms),
+    };
     threads.push(duty("admin", 1, async move {
         let Some(listener) = listen(admin) else { return };
-        let supervisor = supervise(shared, decider, stop, halt, drain_ms);
+        let supervisor = supervise(shared, decider, planned);
         tokio::join!(admin_duty.run(listener, token), supervisor);
     })?);
     Ok(Daemon { entry_addr, admin_addr, threads })
 }
 
-async fn supervise(
-    shared: Shared,
-    decider: Decider,
+/// Tokens and times of a planned stop.
+struct PlannedStop {
     stop: CancellationToken,
+    drain: CancellationToken,
+    cut: CancellationToken,
     halt: CancellationToken,
-    _drain_ms: u64,
-) {
+    all_drained: oneshot::Receiver<()>,
+    balancer_lag: Duration,
+    drain_limit: Duration,
+}
+
+async fn supervise(shared: Shared, decider: Decider, planned: PlannedStop) {
     let mut changes = shared.config_changes();
     loop {
         tokio::select! {
-            () = stop.cancelled() => break,
+            () = planned.stop.cancelled() => break,
             changed = changes.changed() => if changed.is_err() { break },
         }
         let config = changes.borrow_and_update().clone();
@@ -111,8 +123,30 @@
         decider.deliver(DecideEvent::Config(config));
     }
     shared.begin_stop();
-    tokio::time::sleep(BALANCER_LAG).await;
-    halt.cancel();
+    log::info!(event = "stopping", phase = "not_ready"; "");
+    let late_changes = async {
+        while changes.changed().await.is_ok() {
+            let config = changes.borrow_and_update().clone();
+            decider.deliver(DecideEvent::Config(config));
+        }
+    };
+    tokio::select! {
+        () = wind_down(planned) => {}
+        () = late_changes => {}
+    }
+}
+
+/// Guards against a planned stop that cuts requests off: readiness has gone first, callers that
+/// the balancer still sends are served until it has noticed, then the listener closes, and the
+/// other duties end only after the last exchange or the drain limit.
+async fn wind_down(planned: PlannedStop) {
+    tokio::time::sleep(planned.balancer_lag).await;
+    log::info!(event = "stopping", phase = "listener_closed"; "");
+    planned.drain.cancel();
+    let drained = tokio::time::timeout(planned.drain_limit, planned.all_drained).await;
+    log::info!(event = "stopping", phase = "drained", in_time = drained.is_ok(); "");
+    planned.cut.cancel();
+    planned.halt.cancel();
 }
 
 fn refresh_services(shared: &Shared, doc: &agatesill_policy::prelude::ConfigDoc) {
--- a/crates/agatesilld/src/metrics.rs
+++ b/crates/agatesilld/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics by OpenTelemetry, exposed in the Prometheus text format.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -12,6 +12,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     duration: Histogram<f64>,
+    connections: Gauge<u64>,
 }
 
 impl Metrics {
@@ -32,7 +33,12 @@
             .with_unit("s")
             .with_description("Time from a request's head to its answer's head")
             .build();
-        Ok(Self { registry, _provider: provider, requests, duration })
+        let connections = meter
+            .u64_gauge("http.client.open_connections")
+            .with_unit("{connection}")
+            .with_description("Open connections to upstreams")
+            .build();
+        Ok(Self { registry, _provider: provider, requests, duration, connections })
     }
 
     /// Counts one request.
@@ -43,6 +49,11 @@
         self.duration.record(seconds, &labels);
     }
 
+    /// Sets the number of open connections to upstreams.
+    pub fn set_connections(&self, open: u64) {
+        self.connections.record(open, &[]);
+    }
+
     /// All instruments in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut bytes = Vec::new();
--- a/crates/agatesilld/src/peers.rs
+++ b/crates/agatesilld/src/peers.rs
@@ -138,7 +138,7 @@
                 .filter(|(_, in_flight)| *in_flight > 0)
                 .map(|(upstream, in_flight)| UpstreamLoad { upstream, in_flight })
                 .collect(),
-            leaving: Vec::new(),
+            leaving: self.shared.leaving().iter().copied().collect(),
             stopping: self.shared.is_stopping(),
         }
     }
@@ -164,7 +164,13 @@
                 _ if from.is_empty() => return,
                 Body::Heartbeat(heartbeat) => self.heard(&from, &heartbeat),
                 Body::Config(push) => self.config_pushed(&push),
-                Body::ConfigWanted(_) => {}
+                Body::ConfigWanted(_) | Body::RecordKnown(_) => {}
+                Body::RecordWanted(wanted) => {
+                    let known = crate::relay::answer_lookup(&self.shared, &wanted);
+                    if link.send(frame(Body::RecordKnown(known))).await.is_err() {
+                        return;
+                    }
+                }
             }
         }
     }
@@ -190,6 +196,12 @@
             loads: loads.into_iter().collect(),
         };
         let _ = self.decider.offer(event);
+        if heartbeat.stopping {
+            let _ = self.decider.offer(DecideEvent::PeerGone(from.to_owned()));
+        }
+        for upstream in heartbeat.leaving.iter().copied() {
+            let _ = self.decider.offer(DecideEvent::Leaving { upstream, is_first_hand: false });
+        }
     }
 
     fn config_pushed(&self, push: &ConfigPush) {
--- a/crates/agatesilld/src/settings.rs
+++ b/crates/agatesilld/src/settings.rs
@@ -29,6 +29,12 @@
         /// Cells of workers by name.
         #[serde(default)]
         pub cells: BTreeMap<String, CellSettings>,
+        /// Connections to upstreams.
+        #[serde(default)]
+        pub upstreams: UpstreamLimits,
+        /// Records of non-repeatable requests.
+        #[serde(default)]
+        pub records: RecordSettings,
         /// Logs.
         #[serde(default)]
         pub log: LogSettings,
@@ -46,6 +52,72 @@
         /// How long in-flight requests may take to finish at a planned stop.
         #[serde(default = "default_drain_ms")]
         pub drain_ms: u64,
+        /// How long the balancer may take to see that this instance is no longer ready; callers
+        /// are accepted for that long after a planned stop began.
+        #[serde(default = "default_balancer_lag_ms")]
+        pub balancer_lag_ms: u64,
+        /// Connections of callers at once.
+        #[serde(default = "default_max_connections")]
+        pub max_connections: usize,
+        /// How long a caller may take over a head, and how long an idle connection is kept.
+        #[serde(default = "default_head_ms")]
+        pub head_ms: u64,
+        /// How long a caller may take over the buffered part of a body.
+        #[serde(default = "default_body_ms")]
+        pub body_ms: u64,
+        /// How long a caller may take nothing of an answer that waits for it.
+        #[serde(default = "default_stall_ms")]
+        pub stall_ms: u64,
+        /// Largest body of a request.
+        #[serde(default = "default_max_body_bytes")]
+        pub max_body_bytes: u64,
+        /// Bodies up to this are held, so that a repeatable request can be sent again; larger ones
+        /// are passed on as they arrive.
+        #[serde(default = "default_buffer_bytes")]
+        pub buffer_bytes: usize,
+    }
+}
+
+value_type! {
+    /// Connections to upstreams.
+    pub struct UpstreamLimits {
+        /// Connections to one upstream, shared by all live daemons.
+        #[serde(default = "default_connections")]
+        pub connections: usize,
+        /// How long a connection may take to open.
+        #[serde(default = "default_connect_ms")]
+        pub connect_ms: u64,
+    }
+}
+
+impl Default for UpstreamLimits {
+    fn default() -> Self {
+        Self { connections: default_connections(), connect_ms: default_connect_ms() }
+    }
+}
+
+value_type! {
+    /// Records of non-repeatable requests.
+    pub struct RecordSettings {
+        /// How long the outcome of one is kept for repeats.
+        #[serde(default = "default_keep_ms")]
+        pub keep_ms: u64,
+        /// Memory for kept answers.
+        #[serde(default = "default_record_bytes")]
+        pub max_bytes: usize,
+        /// How long one may run on after its caller's deadline, so that its outcome is known.
+        #[serde(default = "default_settle_ms")]
+        pub settle_ms: u64,
+    }
+}
+
+impl Default for RecordSettings {
+    fn default() -> Self {
+        Self {
+            keep_ms: default_keep_ms(),
+            max_bytes: default_record_bytes(),
+            settle_ms: default_settle_ms(),
+        }
     }
 }
 
@@ -146,6 +218,54 @@
     10_000
 }
 
+fn default_balancer_lag_ms() -> u64 {
+    2_000
+}
+
+fn default_max_connections() -> usize {
+    2_048
+}
+
+fn default_head_ms() -> u64 {
+    10_000
+}
+
+fn default_body_ms() -> u64 {
+    10_000
+}
+
+fn default_stall_ms() -> u64 {
+    10_000
+}
+
+fn default_max_body_bytes() -> u64 {
+    8 << 20
+}
+
+fn default_buffer_bytes() -> usize {
+    16 << 10
+}
+
+fn default_connections() -> usize {
+    60
+}
+
+fn default_connect_ms() -> u64 {
+    500
+}
+
+fn default_keep_ms() -> u64 {
+    600_000
+}
+
+fn default_record_bytes() -> usize {
+    32 << 20
+}
+
+fn default_settle_ms() -> u64 {
+    30_000
+}
+
 fn default_heartbeat_ms() -> u64 {
     200
 }
--- a/crates/agatesilld/src/shared.rs
+++ b/crates/agatesilld/src/shared.rs
@@ -1,12 +1,46 @@
 //! What the threads of one daemon share: the configuration in force and counters.
 
-use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
+use agatesill_policy::prelude::UpstreamId;
 use agatesill_wire::api::{CellStatus, ServiceStatus, VersionedConfig};
 use tokio::sync::watch;
 
+use crate::relay::record::{Claim, Records, Settled};
+use crate::settings::RecordSettings;
+
+/// A count that several threads raise.
+#[derive(Debug, Default)]
+pub struct Count(AtomicU64);
+
+impl Count {
+    /// Raises the count by one.
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The count since the start.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// What the rings and limits of one daemon turned away since its start.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests refused because the ring to the deciding thread was full.
+    pub decide_ring_full: Count,
+    /// Calls refused because the ring to the batch duty was full.
+    pub cell_ring_full: Count,
+    /// Connections refused because `entry.max_connections` was reached.
+    pub connections_refused: Count,
+    /// Connections closed because no whole head came in time.
+    pub heads_timed_out: Count,
+}
+
 /// State that several threads of one daemon read; clones share it.
 #[derive(Clone, Debug)]
 pub struct Shared {
@@ -15,11 +49,20 @@
     cells: Arc<Mutex<BTreeMap<String, CellStatus>>>,
     peers: Arc<Mutex<Vec<String>>>,
     stopping: Arc<AtomicBool>,
+    leaving: Arc<Mutex<BTreeSet<UpstreamId>>>,
+    records: Arc<Mutex<Records>>,
+    counters: Arc<Counters>,
+    started: Instant,
 }
 
-impl Default for Shared {
-    fn default() -> Self {
+impl Shared {
+    /// Nothing in force yet; records within the limits of `records`.
+    pub fn new(records: &RecordSettings) -> Self {
         Self {
+            leaving: Arc::default(),
+            records: Arc::new(Mutex::new(Records::new(records.keep_ms, records.max_bytes))),
+            counters: Arc::default(),
+            started: Instant::now(),
             config: Arc::new(watch::Sender::new(Arc::default())),
             services: Arc::default(),
             cells: Arc::default(),
@@ -27,9 +70,46 @@
             stopping: Arc::default(),
         }
     }
-}
 
-impl Shared {
+    /// What was turned away.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Upstreams that gave this daemon itself a sign of leaving.
+    pub fn leaving(&self) -> MutexGuard<'_, BTreeSet<UpstreamId>> {
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a first attempt in; see [`Records::begin`].
+    pub fn begin_record(&self, key: &str, fingerprint: u64) -> Claim {
+        self.records().begin(key, fingerprint, self.now_ms())
+    }
+
+    /// Answers a later attempt; see [`Records::claim`].
+    pub fn claim_record(&self, key: &str, fingerprint: u64) -> Claim {
+        self.records().claim(key, fingerprint, self.now_ms())
+    }
+
+    /// Opens a record for a granted attempt; see [`Records::adopt`].
+    pub fn adopt_record(&self, key: &str, fingerprint: u64) -> bool {
+        self.records().adopt(key, fingerprint)
+    }
+
+    /// Records how a run ended; see [`Records::settle`].
+    pub fn settle_record(&self, key: &str, how: Settled) {
+        self.records().settle(key, how, self.now_ms());
+    }
+
+    /// Records of non-repeatable requests.
+    pub fn records(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Arc<VersionedConfig> {
         self.config.borrow().clone()
