--- a/crates/agatesill_standin/src/demo.rs
+++ b/crates/agatesill_standin/src/demo.rs
@@ -29,6 +29,9 @@
 /// Longest time for all parts of the demo together.
 const DEMO_LIMIT: Duration = Duration::from_secs(50);
 
+/// When the profile is changed, from the start of the trace.
+const HALFWAY: Duration = Duration::from_secs(2);
+
 /// Longest wait for one control call.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 
@@ -289,17 +292,14 @@
     for job in &jobs {
         submit(&client, daemons, job).await?;
     }
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    change(&client, daemons, &mut config, &halfway(&doc)).await?;
-    let mut replies = Vec::new();
-    for sender in senders {
-        replies.push(
-            sender
-                .await
-                .map_err(|error| Error::new(ErrorKind::Protocol, format!("sender: {error}")))?,
-        );
-    }
-    let batch = await_jobs(&jobs, floor, started).await;
+    let requests = async {
+        tokio::time::sleep(HALFWAY).await;
+        change(&client, daemons, &mut config, &halfway(&doc)).await?;
+        let replies = futures::future::try_join_all(senders).await;
+        replies.map_err(|error| Error::new(ErrorKind::Protocol, format!("sender: {error}")))
+    };
+    let (replies, batch) = tokio::join!(requests, await_jobs(&jobs, floor, started));
+    let replies = replies?;
     Ok(report(&doc, &jobs, &replies, floor, batch, config))
 }
 
