--- a/crates/agatesill_standin/src/lib.rs
+++ b/crates/agatesill_standin/src/lib.rs
@@ -1,8 +1,10 @@
 //! Small stand-ins for what the platform provides, each with books of its own and faults that can
 //! be switched while it runs.
 
+pub mod caller;
 pub mod cli;
 pub mod demo;
+pub mod rig;
 pub mod store;
 pub mod trace;
 pub mod upstreams;
--- /dev/null
+++ b/crates/agatesill_standin/src/rig.rs
@@ -0,0 +1,274 @@
+//! A store, some upstreams and the settings of some daemons on loopback, for tests and
+//! measurements of the request path. Daemons run in this process or as processes of their own.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use agatesill_policy::prelude::*;
+use agatesill_wire::api::{ConfigChange, VersionedConfig};
+use agatesill_wire::http::JsonClient;
+use agatesill_wire::prelude::*;
+use agatesilld::prelude::Settings;
+use agatesilld::settings::UpstreamSettings;
+use hyper::Method;
+use tokio_util::sync::CancellationToken;
+
+use crate::store::{StoreStandin, start_store};
+use crate::upstreams::{UpstreamFaults, UpstreamStandin, start_upstream};
+
+/// Service of the rig.
+pub const SERVICE: &str = "limits";
+
+/// Path whose requests are non-repeatable, with any method.
+pub const ONCE_PATH: &str = "/decisions";
+
+/// Longest wait for a daemon to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Longest wait for one control call.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Sizes of a rig.
+#[derive(Clone, Copy, Debug)]
+pub struct RigSizes {
+    /// Daemons.
+    pub daemons: usize,
+    /// Upstreams, over three zones.
+    pub upstreams: usize,
+    /// Slots of each.
+    pub slots: u32,
+    /// Median service time.
+    pub service_us: u64,
+}
+
+/// Store, upstreams and settings.
+#[derive(Debug)]
+pub struct Rig {
+    /// The store.
+    pub store: StoreStandin,
+    /// The upstreams.
+    pub upstreams: Vec<UpstreamStandin>,
+    /// Where they answer.
+    pub upstream_addrs: Vec<SocketAddr>,
+    /// Settings by daemon.
+    pub settings: Vec<Settings>,
+    /// Stops store and upstreams.
+    pub stop: CancellationToken,
+}
+
+impl Rig {
+    /// Starts store and upstreams, and makes settings that `adjust` may change.
+    pub async fn start(sizes: RigSizes, adjust: impl Fn(&mut Settings)) -> Result<Self, Error> {
+        let stop = CancellationToken::new();
+        let store = StoreStandin::default();
+        let store_addr = start_store(&store, loopback(), &stop).await?;
+        let mut upstreams = Vec::new();
+        let mut pool = Vec::new();
+        for nth in 0..sizes.upstreams {
+            let faults =
+                UpstreamFaults { service_us: sizes.service_us, ..UpstreamFaults::default() };
+            let standin = UpstreamStandin::new(sizes.slots as usize, faults);
+            let addr = start_upstream(&standin, loopback(), &stop).await?;
+            let zone = format!("zone-{}", nth % 3);
+            pool.push(UpstreamSettings { id: nth as u32 + 1, addr, slots: sizes.slots, zone });
+            upstreams.push(standin);
+        }
+        let upstream_addrs = pool.iter().map(|one| one.addr).collect();
+        let mut settings = make_settings(sizes.daemons, store_addr, &pool)?;
+        settings.iter_mut().for_each(adjust);
+        Ok(Self { store, upstreams, upstream_addrs, settings, stop })
+    }
+
+    /// Waits until every daemon is ready, then puts a profile and the service in force everywhere.
+    pub async fn configure(&self) -> Result<(), Error> {
+        let client = JsonClient::default();
+        let change = first_change();
+        let admin = |settings: &Settings| settings.admin.addr;
+        until(|| {
+            let (client, change) = (client.clone(), change.clone());
+            let addr = admin(&self.settings[0]);
+            async move {
+                let made: Result<VersionedConfig, Error> =
+                    client.call(Method::POST, addr, "/v1/config", &change, CALL_LIMIT).await;
+                made.is_ok()
+            }
+        })
+        .await?;
+        for settings in &self.settings {
+            self.ready(settings).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one daemon is ready.
+    pub async fn ready(&self, settings: &Settings) -> Result<(), Error> {
+        let client = JsonClient::default();
+        let addr = settings.admin.addr;
+        until(|| {
+            let client = client.clone();
+            async move {
+                let ready: Result<String, Error> =
+                    client.call(Method::GET, addr, "/readyz", &(), CALL_LIMIT).await;
+                ready.is_ok()
+            }
+        })
+        .await
+    }
+
+    /// How often each request really ran, over all upstreams.
+    pub fn ran(&self) -> BTreeMap<String, u32> {
+        let mut ran = BTreeMap::new();
+        for (id, times) in self.upstreams.iter().flat_map(|one| one.books().ran) {
+            *ran.entry(id).or_default() += times;
+        }
+        ran
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Tries until `done` says so.
+pub async fn until<F: Future<Output = bool>>(done: impl Fn() -> F) -> Result<(), Error> {
+    let started = Instant::now();
+    while !done().await {
+        if started.elapsed() > READY_LIMIT {
+            return Err(Error::new(ErrorKind::Unreachable, "not in time"));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
+fn first_change() -> ConfigChange {
+    let profile = Profile {
+        class: ProfileClass::LatencyCritical,
+        answer_ms: 500,
+        priority: 7,
+        queue_requests: 0,
+        evictions_per_hour: 0,
+        throttle_percent: 100,
+    };
+    let service = Service {
+        profile: "quick".to_owned(),
+        pool: "limits".to_owned(),
+        non_repeatable: vec![format!("POST {ONCE_PATH}"), format!("PUT {ONCE_PATH}")],
+    };
+    ConfigChange {
+        operation_id: "rig".to_owned(),
+        base_version: 0,
+        author: "rig".to_owned(),
+        reason: "rig".to_owned(),
+        profiles: [("quick".to_owned(), Some(profile))].into(),
+        services: [(SERVICE.to_owned(), Some(service))].into(),
+        teams: BTreeMap::new(),
+    }
+}
+
+fn make_settings(
+    daemons: usize,
+    store: SocketAddr,
+    pool: &[UpstreamSettings],
+) -> Result<Vec<Settings>, Error> {
+    let peers = (0..daemons)
+        .map(|nth| Ok((format!("entry-{nth}"), free_port()?)))
+        .collect::<Result<BTreeMap<String, SocketAddr>, Error>>()?;
+    let one = |(nth, (name, addr)): (usize, (&String, &SocketAddr))| {
+        let mut members = peers.clone();
+        members.remove(name);
+        let text = serde_json::json!({
+            "instance": name,
+            "zone": format!("zone-{}", nth % 3),
+            "entry": { "addr": free_port()?, "balancer_lag_ms": 100 },
+            "admin": { "addr": free_port()? },
+            "peers": { "addr": addr, "members": members, "heartbeat_ms": 50, "suspect_ms": 500 },
+            "store": { "addr": store, "lease_ms": 1_000, "renew_ms": 200 },
+            "pools": { "limits": pool },
+            "log": { "level": "off" },
+        });
+        serde_json::from_value(text)
+            .map_err(|error| Error::new(ErrorKind::Settings, error.to_string()))
+    };
+    peers.iter().enumerate().map(one).collect()
+}
+
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn free_port() -> Result<SocketAddr, Error> {
+    Ok(TcpListener::bind(loopback())?.local_addr()?)
+}
+
+/// A daemon as a process of its own; killed when dropped.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    child: Child,
+    settings_file: PathBuf,
+}
+
+impl DaemonProcess {
+    /// Starts `binary` with `settings`, which are written to a file in `folder`.
+    pub fn start(binary: &Path, settings: &Settings, folder: &Path) -> Result<Self, Error> {
+        let settings_file = folder.join(format!("{}.yaml", settings.instance));
+        let text = serde_yaml_ng::to_string(settings)
+            .map_err(|error| Error::new(ErrorKind::Settings, error.to_string()))?;
+        std::fs::write(&settings_file, text)?;
+        let child = Command::new(binary)
+            .arg("--config")
+            .arg(&settings_file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self { child, settings_file })
+    }
+
+    /// Process identity.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends it without notice.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops its threads where they are.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets them go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Begins a planned stop.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Its exit code, once it has ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().and_then(|status| status.code())
+    }
+
+    fn signal(&self, signal: &str) {
+        let _ = Command::new("kill").arg(signal).arg(self.id().to_string()).status();
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_file(&self.settings_file);
+    }
+}
