--- a/crates/agatesill_policy/src/batch/cell.rs
+++ b/crates/agatesill_policy/src/batch/cell.rs
@@ -112,7 +112,7 @@
     }
 
     /// All workers.
-    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+    pub fn workers(&self) -> impl ExactSizeIterator<Item = &Worker> {
         self.workers.values()
     }
 
@@ -126,10 +126,19 @@
         })
     }
 
+    /// Open jobs that wait for `id`.
+    pub fn dependents(&self, id: &str) -> Vec<String> {
+        self.dependents.get(id).into_iter().flatten().cloned().collect()
+    }
+
+    /// Whether any active worker could hold `need` when empty.
+    pub fn holds_somewhere(&self, need: &Resources) -> bool {
+        self.shapes.keys().any(|shape| from_shape(*shape).holds(need))
+    }
+
     /// Why `need` could never be met here, naming the nearest limit, or `None` when it could.
     pub fn impossible(&self, job: &JobSpec) -> Option<String> {
-        let holds = |shape: &(u64, u64, u64)| from_shape(*shape).holds(&job.need);
-        if self.shapes.keys().any(holds) {
+        if self.holds_somewhere(&job.need) {
             return None;
         }
         Some(nearest_limit(&job.need, self.shapes.keys().map(|shape| from_shape(*shape))))
--- a/crates/agatesill_policy/tests/cell_ledger.rs
+++ b/crates/agatesill_policy/tests/cell_ledger.rs
@@ -24,7 +24,9 @@
 
 fn place_all(cell: &mut Cell) -> usize {
     let config = BatchConfig::new(&ConfigDoc::default(), 100);
-    let deltas = BatchPolicy::default().plan(0, cell, &config).deltas;
+    let mut policy = BatchPolicy::default();
+    policy.rebuild(0, cell);
+    let deltas = policy.plan(0, cell, &config).deltas;
     deltas.iter().for_each(|delta| {
         cell.apply(delta);
     });
