Store client: deadline, call budget, bounded queue, jittered pause, stale reads refused

Cause: in an outage every caller tried again at its own interval and all at once at its end; a lagging replica's answer was taken as news. Conclusion: what a daemon asks of the service is bounded, whatever its parts do.

--- a/crates/agatesill_coord/src/config.rs
+++ b/crates/agatesill_coord/src/config.rs
@@ -10,6 +10,9 @@
 
 use crate::store::Store;
 
+/// Prefix of all keys of the configuration.
+pub const CONFIG_PREFIX: &str = "config/";
+
 /// The key that holds the configuration.
 pub const CONFIG_KEY: &str = "config/head";
 
--- /dev/null
+++ b/crates/agatesill_coord/src/store/gate.rs
@@ -0,0 +1,208 @@
+//! What stands between the callers of one process and the service: a call budget, a bound on calls
+//! under way, urgent calls first, and a growing, jittered pause while calls fail.
+//!
+//! Without the pause, every daemon's ledger tries its commit again at each interval of 100 ms
+//! through an outage, and all of them at the moment when the service returns. With it one call at
+//! a time probes the service; the others wait for its outcome, and then for the budget.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use agatesill_wire::prelude::*;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Calls under way at once, watches aside. At 2 ms a call this is far above any budget; a slow
+/// service meets it first.
+const IN_FLIGHT_CALLS: u32 = 32;
+
+/// Callers that may wait; beyond this a call is refused at once.
+const WAITING_CALLS: u32 = 256;
+
+/// Longest wait before a call; longer ones would answer nobody who still listens.
+const WAIT_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Pause after the first failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Shortest wait for the budget: rounding must not turn waiting into a busy loop.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(1);
+
+/// Longest pause before jitter. A lease of 5 s must survive an outage of 2 s, so the service's
+/// return has to be noticed well within the second that is left.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Seconds of budget that may be saved up for a burst.
+const BURST_S: f64 = 2.0;
+
+/// Seconds of budget that urgent calls may borrow, so that a burst of reads never costs a lease.
+const BORROW_S: f64 = 1.0;
+
+/// How a call goes through the gate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Class {
+    /// Leases and ledger records: what keeps running work as it is.
+    Urgent,
+    /// Everything else.
+    Normal,
+    /// A waiting watch; it counts as a call and occupies nothing.
+    Watch,
+}
+
+#[derive(Debug)]
+struct State {
+    tokens: f64,
+    filled: Instant,
+    in_flight: u32,
+    waiting: u32,
+    urgent_waiting: u32,
+    failures: u32,
+    paused_until: Instant,
+    is_probing: bool,
+}
+
+/// The gate of one process.
+#[derive(Debug)]
+pub(super) struct Gate {
+    calls_per_s: f64,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// Leave to make one call; say how it ended with [`Permit::done`].
+#[derive(Debug)]
+pub(super) struct Permit<'a> {
+    gate: &'a Gate,
+    class: Class,
+    is_probe: bool,
+}
+
+/// Counts a waiting caller for as long as it waits, also when it is cancelled.
+struct Waiter<'a> {
+    gate: &'a Gate,
+    class: Class,
+}
+
+impl Gate {
+    /// A gate that lets `calls_per_s` through.
+    pub(super) fn new(calls_per_s: u32) -> Self {
+        let calls_per_s = f64::from(calls_per_s);
+        let now = Instant::now();
+        let state = State {
+            tokens: calls_per_s * BURST_S,
+            filled: now,
+            in_flight: 0,
+            waiting: 0,
+            urgent_waiting: 0,
+            failures: 0,
+            paused_until: now,
+            is_probing: false,
+        };
+        Self { calls_per_s, state: Mutex::new(state), changed: Notify::new() }
+    }
+
+    /// Waits for leave to make a call.
+    pub(super) async fn enter(&self, class: Class) -> Result<Permit<'_>, Error> {
+        let until = Instant::now() + WAIT_LIMIT;
+        let _waiter = self.start_waiting(class)?;
+        loop {
+            let changed = self.changed.notified();
+            let pause = match self.try_enter(class) {
+                Ok(permit) => return Ok(permit),
+                Err(pause) => pause,
+            };
+            let now = Instant::now();
+            if now >= until {
+                let what = "not sent: the service fails or the call budget is used up";
+                return Err(Error::new(ErrorKind::StoreUnavailable, what).retry_after(1_000));
+            }
+            let next = (now + pause).min(until);
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(next) => {}
+            }
+        }
+    }
+
+    fn start_waiting(&self, class: Class) -> Result<Waiter<'_>, Error> {
+        let mut state = self.lock();
+        if state.waiting >= WAITING_CALLS {
+            let what = format!("not sent: {WAITING_CALLS} calls wait already");
+            return Err(Error::new(ErrorKind::StoreUnavailable, what).retry_after(1_000));
+        }
+        state.waiting += 1;
+        state.urgent_waiting += u32::from(class == Class::Urgent);
+        Ok(Waiter { gate: self, class })
+    }
+
+    /// A permit, or how long to wait before asking again.
+    fn try_enter(&self, class: Class) -> Result<Permit<'_>, Duration> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let since_s = now.saturating_duration_since(state.filled).as_secs_f64();
+        state.tokens = (state.tokens + since_s * self.calls_per_s).min(self.calls_per_s * BURST_S);
+        state.filled = now;
+        if now < state.paused_until {
+            return Err(state.paused_until - now);
+        }
+        let least = match class {
+            Class::Urgent => 1.0 - BORROW_S * self.calls_per_s,
+            Class::Normal | Class::Watch => 1.0,
+        };
+        if state.tokens < least {
+            let pause = Duration::from_secs_f64((least - state.tokens) / self.calls_per_s);
+            return Err(pause.max(SHORTEST_PAUSE));
+        }
+        let is_probe = state.failures > 0 && class != Class::Watch;
+        let is_behind = class == Class::Normal && state.urgent_waiting > 0;
+        let is_full = class != Class::Watch && state.in_flight >= IN_FLIGHT_CALLS;
+        if (is_probe && state.is_probing) || is_behind || is_full {
+            return Err(WAIT_LIMIT);
+        }
+        state.tokens -= 1.0;
+        state.in_flight += u32::from(class != Class::Watch);
+        state.is_probing |= is_probe;
+        Ok(Permit { gate: self, class, is_probe })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Permit<'_> {
+    /// Says whether the service answered.
+    pub(super) fn done(self, answered: bool) {
+        let mut state = self.gate.lock();
+        if answered {
+            state.failures = 0;
+            return;
+        }
+        let pause = FIRST_PAUSE * (1 << state.failures.min(8));
+        let jitter = 0.5 + rand::random::<f64>();
+        state.failures += 1;
+        state.paused_until = Instant::now() + pause.min(LONGEST_PAUSE).mul_f64(jitter);
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        state.in_flight -= u32::from(self.class != Class::Watch);
+        if self.is_probe {
+            state.is_probing = false;
+        }
+        drop(state);
+        self.gate.changed.notify_waiters();
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        state.waiting -= 1;
+        state.urgent_waiting -= u32::from(self.class == Class::Urgent);
+        drop(state);
+        self.gate.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -0,0 +1,196 @@
+//! The adapter to the platform's key-value service.
+//!
+//! A [`Transport`] is the only thing to replace for another service: one function from a call to
+//! an answer. Around it stand a deadline for each call, a budget of calls a second, a bounded
+//! queue in which leases and ledger records go first, a jittered pause while calls fail, counters,
+//! and a check against stale reads: the service's revision never falls for one client.
+
+mod follow;
+mod gate;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use agatesill_wire::http::JsonClient;
+use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
+use agatesill_wire::prelude::*;
+use hyper::Method;
+
+pub use self::follow::{WATCH_MS, follow};
+use self::gate::{Class, Gate};
+
+/// Answers of the service that take longer than this count as an outage.
+pub const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Calls a second that one process may make unless told otherwise. Eight daemons at this rate stay
+/// below the service's two thousand reads and several hundred writes.
+pub const CALLS_PER_S: u32 = 100;
+
+/// Readings of one call that may turn out stale before it fails.
+const STALE_TRIES: usize = 3;
+
+/// What a transport returns.
+pub type ReplyFuture = Pin<Box<dyn Future<Output = Result<StoreReply, Error>> + Send>>;
+
+/// How calls reach the service; replace this to talk to another one.
+pub type Transport = Arc<dyn Fn(StoreCall, Duration) -> ReplyFuture + Send + Sync>;
+
+/// Calls by direction since the start.
+#[derive(Debug, Default)]
+pub struct CallCounts {
+    /// Writes, grants, renewals and revocations.
+    pub writes: AtomicU64,
+    /// Reads and watches.
+    pub reads: AtomicU64,
+    /// Calls that failed or ran out of time.
+    pub failures: AtomicU64,
+    /// Calls that were not sent: queue full, service failing, or budget used up.
+    pub unsent: AtomicU64,
+    /// Readings that were older than what this process had seen.
+    pub stale: AtomicU64,
+}
+
+/// The key-value service as the other parts see it.
+#[derive(Clone)]
+pub struct Store {
+    transport: Transport,
+    counts: Arc<CallCounts>,
+    gate: Arc<Gate>,
+    revision: Arc<AtomicU64>,
+}
+
+impl std::fmt::Debug for Store {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Store").field("counts", &self.counts).finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// Uses the service at `addr` over HTTP.
+    pub fn over_http(addr: SocketAddr) -> Self {
+        let client = JsonClient::default();
+        Self::over(Arc::new(move |call, limit| {
+            let client = client.clone();
+            Box::pin(async move { client.call(Method::POST, addr, "/v1/kv", &call, limit).await })
+        }))
+    }
+
+    /// Uses any transport.
+    pub fn over(transport: Transport) -> Self {
+        Self {
+            transport,
+            counts: Arc::default(),
+            gate: Arc::new(Gate::new(CALLS_PER_S)),
+            revision: Arc::default(),
+        }
+    }
+
+    /// The same with a budget of `calls_per_s`, shared by all clones made from here on.
+    pub fn with_budget(self, calls_per_s: u32) -> Self {
+        Self { gate: Arc::new(Gate::new(calls_per_s)), ..self }
+    }
+
+    /// Calls since the start.
+    pub fn counts(&self) -> &CallCounts {
+        &self.counts
+    }
+
+    /// Makes one call. An error says nothing about whether it took effect.
+    pub async fn call(&self, call: StoreCall) -> Result<StoreReply, Error> {
+        for _ in 0..STALE_TRIES {
+            // Guards against a stale read, as from a replica that lags: it would bring back a
+            // configuration or an owner that this process knows to be past.
+            let seen = self.revision.load(Ordering::Acquire);
+            let reply = self.call_once(call.clone()).await?;
+            if reply.revision >= seen {
+                self.revision.fetch_max(reply.revision, Ordering::AcqRel);
+                return Ok(reply);
+            }
+            self.counts.stale.fetch_add(1, Ordering::Relaxed);
+            if !is_read(&call) {
+                return Ok(reply);
+            }
+        }
+        Err(Error::new(ErrorKind::StoreUnavailable, "stale readings").retry_after(500))
+    }
+
+    async fn call_once(&self, call: StoreCall) -> Result<StoreReply, Error> {
+        let limit = match &call {
+            StoreCall::Watch { wait_ms, .. } => CALL_LIMIT + Duration::from_millis(*wait_ms),
+            _ => CALL_LIMIT,
+        };
+        let permit = self.gate.enter(class_of(&call)).await.inspect_err(|_| {
+            self.counts.unsent.fetch_add(1, Ordering::Relaxed);
+        })?;
+        let count = if is_read(&call) { &self.counts.reads } else { &self.counts.writes };
+        count.fetch_add(1, Ordering::Relaxed);
+        let outcome = tokio::time::timeout(limit, (self.transport)(call, limit)).await;
+        let outcome = outcome.unwrap_or_else(|_| {
+            let what = format!("no answer within {} ms", limit.as_millis());
+            Err(Error::new(ErrorKind::Unreachable, what))
+        });
+        let answered = match &outcome {
+            Ok(_) => true,
+            // The service's own word that the call can never be done.
+            Err(error) => matches!(error.kind, ErrorKind::TooLarge | ErrorKind::BadRequest),
+        };
+        permit.done(answered);
+        outcome.map_err(|error| {
+            self.counts.failures.fetch_add(1, Ordering::Relaxed);
+            if answered {
+                return error;
+            }
+            Error::new(ErrorKind::StoreUnavailable, error.detail).retry_after(1_000)
+        })
+    }
+
+    /// Reads one key.
+    pub async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        let reply = self.call(StoreCall::Range { prefix: key.to_owned() }).await?;
+        Ok(reply.entries.into_iter().find(|entry| entry.key == key))
+    }
+
+    /// Reads all keys under `prefix`, in order.
+    pub async fn range(&self, prefix: &str) -> Result<Vec<Entry>, Error> {
+        Ok(self.call(StoreCall::Range { prefix: prefix.to_owned() }).await?.entries)
+    }
+
+    /// Deletes `key` if its version is `expect_version`; true when it did.
+    pub async fn delete(&self, key: &str, expect_version: u64) -> Result<bool, Error> {
+        let call = StoreCall::Cas { key: key.to_owned(), expect_version, value: None, lease_id: 0 };
+        Ok(self.call(call).await?.applied)
+    }
+
+    /// Writes `key` if its version is `expect_version`; returns the service's answer.
+    pub async fn cas(
+        &self,
+        key: &str,
+        expect_version: u64,
+        value: String,
+        lease_id: u64,
+    ) -> Result<StoreReply, Error> {
+        let value = Some(value);
+        self.call(StoreCall::Cas { key: key.to_owned(), expect_version, value, lease_id }).await
+    }
+}
+
+fn is_read(call: &StoreCall) -> bool {
+    matches!(call, StoreCall::Range { .. } | StoreCall::Watch { .. })
+}
+
+fn class_of(call: &StoreCall) -> Class {
+    match call {
+        StoreCall::Watch { .. } => Class::Watch,
+        StoreCall::Grant { .. } | StoreCall::Renew { .. } | StoreCall::Revoke { .. } => {
+            Class::Urgent
+        }
+        StoreCall::Cas { key, .. } if !key.starts_with(crate::config::CONFIG_PREFIX) => {
+            Class::Urgent
+        }
+        StoreCall::Cas { .. } | StoreCall::Range { .. } => Class::Normal,
+    }
+}
--- /dev/null
+++ b/crates/agatesill_coord/tests/store_client.rs
@@ -0,0 +1,89 @@
+//! The store client against a service that is down, slow, lossy or behind.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use agatesill_wire::platform::StoreCall;
+use agatesill_wire::prelude::*;
+use support::{Faults, MemStore};
+use tokio::time::Instant;
+
+/// The service is down for a minute while 40 callers each try again at once after every failure.
+/// It returns and would meet all of them in the same moment. The client must let few calls
+/// through while it fails and keep to its budget afterwards.
+#[tokio::test(start_paused = true)]
+async fn outage_ends_without_a_storm() {
+    let mem = MemStore::default();
+    let client = mem.client(1);
+    let store = client.store.clone().with_budget(50);
+    client.set(Faults { outage: true, delay_ms: 5, ..Faults::default() });
+    for _ in 0..40 {
+        let store = store.clone();
+        tokio::spawn(async move {
+            loop {
+                let _ = store.get("config/head").await;
+            }
+        });
+    }
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    let sent = store.counts().reads.load(Ordering::Relaxed);
+    assert!(sent < 200, "{sent} calls in an outage of 60 s");
+    client.set(Faults { delay_ms: 5, ..Faults::default() });
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let after = store.counts().reads.load(Ordering::Relaxed) - sent;
+    assert!((100..=50 * 12).contains(&after), "{after} calls in 10 s at a budget of 50 a second");
+}
+
+/// A burst of reads uses the budget up just when a lease has to be renewed. Were the renewal to
+/// queue behind them, the daemon would lose its cells to its own statistics.
+#[tokio::test(start_paused = true)]
+async fn renewal_goes_before_a_burst_of_reads() {
+    let client = MemStore::default().client(1);
+    let store = client.store.clone().with_budget(10);
+    let lease_id = store.call(StoreCall::Grant { ttl_ms: 5_000 }).await.unwrap().lease_id;
+    for _ in 0..100 {
+        let store = store.clone();
+        tokio::spawn(async move { store.get("config/head").await.map(|_| ()) });
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let started = Instant::now();
+    assert!(store.call(StoreCall::Renew { lease_id }).await.unwrap().applied);
+    assert!(started.elapsed() < Duration::from_millis(50), "{:?}", started.elapsed());
+}
+
+/// A replica lags and answers a read with what stood there before this process's own write. An
+/// operator would see an accepted change vanish; the client must not return such an answer.
+#[tokio::test(start_paused = true)]
+async fn stale_reads_are_not_returned() {
+    let mem = MemStore::default();
+    let client = mem.client(1);
+    client.store.cas("config/head", 0, "old".to_owned(), 0).await.unwrap();
+    mem.remember_as_stale();
+    let found = client.store.get("config/head").await.unwrap().unwrap();
+    client.store.cas("config/head", found.version, "new".to_owned(), 0).await.unwrap();
+    client.set(Faults { stale_reads: true, ..Faults::default() });
+    let error = client.store.get("config/head").await.unwrap_err();
+    assert_eq!(error.kind, ErrorKind::StoreUnavailable);
+    client.set(Faults::default());
+    assert_eq!(client.store.get("config/head").await.unwrap().unwrap().value, "new");
+}
+
+/// Answers take ten seconds. A caller must hear within its deadline, and callers beyond the queue
+/// at once, so that nothing piles up behind a slow service.
+#[tokio::test(start_paused = true)]
+async fn slow_service_keeps_deadlines_and_a_bounded_queue() {
+    let client = MemStore::default().client(1);
+    client.set(Faults { lost_calls_percent: 100, ..Faults::default() });
+    let started = Instant::now();
+    let calls = (0..1_000).map(|_| client.store.get("config/head"));
+    let outcomes = futures::future::join_all(calls).await;
+    assert!(outcomes.iter().all(Result::is_err));
+    assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+    let counts = client.store.counts();
+    assert!(counts.reads.load(Ordering::Relaxed) <= 300);
+    assert!(counts.unsent.load(Ordering::Relaxed) >= 700);
+}
--- a/crates/agatesill_coord/tests/support/mod.rs
+++ b/crates/agatesill_coord/tests/support/mod.rs
@@ -33,14 +33,17 @@
     pub lease_percent: u32,
 }
 
+/// Entries with their leases, by key.
+type Entries = BTreeMap<String, (Entry, u64)>;
+
 #[derive(Default)]
 struct State {
     revision: u64,
-    entries: BTreeMap<String, (Entry, u64)>,
+    entries: Entries,
     leases: BTreeMap<u64, (Duration, Instant)>,
     writes: u64,
     reads: u64,
-    old: Option<BTreeMap<String, (Entry, u64)>>,
+    old: Option<(u64, Entries)>,
 }
 
 /// The store; clones share one state.
@@ -173,7 +176,7 @@
     /// Keeps what stands there now for stale reads.
     pub fn remember_as_stale(&self) {
         let mut state = self.state.lock().unwrap();
-        state.old = Some(state.entries.clone());
+        state.old = Some((state.revision, state.entries.clone()));
     }
 
     /// Writes and reads answered so far.
@@ -208,7 +211,10 @@
         match call {
             StoreCall::Range { prefix } => {
                 let entries = match &self.old {
-                    Some(old) if faults.stale_reads => old,
+                    Some((revision, old)) if faults.stale_reads => {
+                        reply.revision = *revision;
+                        old
+                    }
                     _ => &self.entries,
                 };
                 reply.entries = entries
