Settings: operators' tokens, refusal beyond the floor, call budget

Cause: the store's budget and operators' rights need settings that operators can see and change. Conclusion: daemons take their budget from settings.

--- a/crates/agatesilld/src/daemon.rs
+++ b/crates/agatesilld/src/daemon.rs
@@ -51,7 +51,7 @@
     let metrics = Metrics::new()
         .map_err(|error| Error::new(ErrorKind::Settings, format!("metrics: {error}")))?;
     let decider = Decider::start(settings, &shared)?;
-    let store = Store::over_http(settings.store.addr);
+    let store = Store::over_http(settings.store.addr).with_budget(settings.store.calls_per_s);
     let (calls, cell_calls) = mpsc::channel(CELL_RING_CALLS);
     let halt = CancellationToken::new();
 
--- a/crates/agatesilld/src/settings.rs
+++ b/crates/agatesilld/src/settings.rs
@@ -126,6 +126,13 @@
     pub struct AdminSettings {
         /// Where operators connect; loopback unless set otherwise.
         pub addr: SocketAddr,
+        /// Tokens by operator's name; empty means that names alone are believed.
+        /// Never written out again, so that `--check` shows no secret.
+        #[serde(default, skip_serializing)]
+        pub tokens: BTreeMap<String, String>,
+        /// Whether a change that sells more than the floor holds is refused, not only warned of.
+        #[serde(default)]
+        pub refuse_beyond_floor: bool,
     }
 }
 
@@ -160,6 +167,9 @@
         /// Time over which ledger changes are gathered into one write.
         #[serde(default = "default_commit_ms")]
         pub commit_ms: u64,
+        /// Calls a second that this daemon may make.
+        #[serde(default = "default_calls_per_s")]
+        pub calls_per_s: u32,
     }
 }
 
@@ -282,6 +292,10 @@
     1_000
 }
 
+fn default_calls_per_s() -> u32 {
+    agatesill_coord::store::CALLS_PER_S
+}
+
 fn default_commit_ms() -> u64 {
     100
 }
@@ -415,6 +429,7 @@
     within("peers.suspect_ms", settings.peers.suspect_ms, 3 * settings.peers.heartbeat_ms, 60_000)?;
     within("store.renew_ms", store.renew_ms, 10, 60_000)?;
     within("store.lease_ms", store.lease_ms, 2 * store.renew_ms, 600_000)?;
+    within("store.calls_per_s", u64::from(store.calls_per_s), 10, 10_000)?;
     within("store.commit_ms", store.commit_ms, 1, 1_000)?;
     Ok(())
 }
