Fault runner over real daemons, and workers that keep and book every rule

Cause: nothing brought about deaths, pauses, partitions and lost answers against real daemon processes, and the workers stand-in could not tell a doubled or lost run from a right one (an unwatched worker finished work after its lease had ended).

--- a/crates/agatesill_bench/src/lib.rs
+++ b/crates/agatesill_bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod batch;
 pub mod cli;
 pub mod control;
+pub mod faults;
 pub mod judge;
 pub mod report;
 pub mod requests;
--- a/crates/agatesill_bench/src/scenario.rs
+++ b/crates/agatesill_bench/src/scenario.rs
@@ -82,6 +82,7 @@
         .chain(crate::batch::SCENARIOS)
         .chain(crate::control::SCENARIOS)
         .chain(crate::wire::SCENARIOS)
+        .chain(crate::faults::SCENARIOS)
 }
 
 /// Prints all scenarios.
--- a/crates/agatesill_standin/src/lib.rs
+++ b/crates/agatesill_standin/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod caller;
 pub mod cli;
 pub mod demo;
+pub mod faults;
+pub mod gate;
 pub mod rig;
 pub mod store;
 pub mod trace;
--- a/crates/agatesill_wire/src/platform.rs
+++ b/crates/agatesill_wire/src/platform.rs
@@ -80,7 +80,8 @@
     }
 }
 
-/// A call to a worker; each is idempotent by task and attempt.
+/// A call to a worker; each is idempotent by task and attempt. A worker refuses a call with a lower
+/// epoch than it has seen, with [`crate::error::ErrorKind::Conflict`].
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case", tag = "call")]
 pub enum WorkerCall {
@@ -109,6 +110,10 @@
         epoch: u64,
         /// Attempts to keep.
         attempts: Vec<(TaskId, Attempt)>,
+        /// Ended attempts whose end is recorded; the worker reports them no more, but still
+        /// refuses to start them.
+        #[serde(default)]
+        settled: Vec<(TaskId, Attempt)>,
         /// Their lease from receipt.
         lease_ms: u64,
     },
--- a/crates/agatesilld/src/cells.rs
+++ b/crates/agatesilld/src/cells.rs
@@ -269,6 +269,7 @@
         let call = WorkerCall::Renew {
             epoch,
             attempts: attempts.clone(),
+            settled: Vec::new(),
             lease_ms: settings.attempt_lease_ms,
         };
         (attempts, call_worker(client, settings, worker, &call).await)
