--- a/crates/agatesill_standin/src/upstreams.rs
+++ b/crates/agatesill_standin/src/upstreams.rs
@@ -161,10 +161,9 @@
         Self { state: Arc::new(Mutex::new(state)), slots: Arc::new(Semaphore::new(slots)) }
     }
 
-    /// The same without a list of what ran, for long measurements.
-    pub fn without_books(self) -> Self {
+    /// Keeps no list of what ran any more, for long measurements.
+    pub fn keep_no_books(&self) {
         self.lock().keeps_books = false;
-        self
     }
 
     /// Serves on `listener` until `stop` is cancelled.
