--- /dev/null
+++ b/crates/agatesill_policy/src/request/policy.rs
@@ -0,0 +1,600 @@
+//! [`RequestPolicy`]: the events of one daemon before one pool, and the actions that follow.
+
+use std::collections::{HashMap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::admission::{Durations, expected_wait_us, expires_us, queue_limit};
+use super::fair::{FairQueue, Waiting, eviction_margin};
+use super::limit::ConcurrencyLimit;
+use super::pool::Pool;
+use super::retry::{MAX_ATTEMPTS, RetryBudget, permits};
+use super::shares::{Member, member_hash};
+use super::{
+    Action, Choice, DEFAULT_LIMITS, Decision, Outcome, Refusal, RequestHead, ServiceIndex,
+    ServiceLimits, Ticket, UpstreamId, UpstreamSpec,
+};
+
+/// Pause between two looks at the queue while something waits.
+const LOOK_US: u64 = 5_000;
+
+/// Answers before an upstream can be called slow: a 95th percentile with ten answers beyond it.
+const SLOW_MIN_SAMPLES: u32 = 200;
+
+/// Weight of the newest request in the share of refused ones: about the last 64.
+const REFUSED_WEIGHT: f64 = 1.0 / 64.0;
+
+/// How much longer a refused caller is asked to stay away when all are refused.
+const STAY_AWAY: f64 = 8.0;
+
+#[derive(Debug)]
+struct Service {
+    limits: ServiceLimits,
+    durations: Durations,
+    budget: RetryBudget,
+}
+
+impl Service {
+    fn new(limits: ServiceLimits) -> Self {
+        Self { limits, durations: Durations::default(), budget: RetryBudget::default() }
+    }
+}
+
+#[derive(Debug)]
+struct Peer {
+    name: String,
+    zone: String,
+    live: bool,
+    loads: Vec<(UpstreamId, u32)>,
+}
+
+#[derive(Debug)]
+struct Exchange {
+    head: RequestHead,
+    arrived_us: u64,
+    upstream: UpstreamId,
+    sent_us: u64,
+    attempts: u8,
+    worst: Option<Outcome>,
+    counted_slow: bool,
+}
+
+#[derive(Debug)]
+enum Place {
+    Waiting(u32),
+    Sent(Exchange),
+}
+
+/// Admission and routing for one pool in one daemon.
+#[derive(Debug)]
+pub struct RequestPolicy {
+    pool: Pool,
+    services: Vec<Service>,
+    peers: Vec<Peer>,
+    members: Vec<Member>,
+    own: usize,
+    queue: FairQueue,
+    places: HashMap<Ticket, Place>,
+    ageing: VecDeque<(u64, Ticket, u64)>,
+    durations: Durations,
+    limit: ConcurrencyLimit,
+    refused_share: f64,
+    expired: Vec<u32>,
+    next_expiry_us: u64,
+    looked_us: u64,
+    rng: Pcg64Mcg,
+}
+
+impl RequestPolicy {
+    /// Creates a policy for the daemon `instance` in `zone`; `seed` fixes its random choices.
+    pub fn new(seed: u64, instance: &str, zone: &str) -> Self {
+        Self {
+            pool: Pool::new(zone),
+            services: Vec::new(),
+            peers: Vec::new(),
+            members: vec![Member {
+                hash: member_hash(instance),
+                zone: zone.to_owned(),
+                live: true,
+            }],
+            own: 0,
+            queue: FairQueue::default(),
+            places: HashMap::new(),
+            ageing: VecDeque::new(),
+            durations: Durations::default(),
+            limit: ConcurrencyLimit::default(),
+            refused_share: 0.0,
+            expired: Vec::new(),
+            next_expiry_us: u64::MAX,
+            looked_us: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets what the service at `index` was sold; unknown services get [`DEFAULT_LIMITS`].
+    pub fn set_service(&mut self, index: ServiceIndex, limits: ServiceLimits) {
+        self.service(index).limits = limits;
+    }
+
+    /// Names the other daemons before the same pool. Each counts as alive, and keeps its slots,
+    /// until [`RequestPolicy::peer_gone`] says otherwise.
+    pub fn set_members(&mut self, now_us: u64, members: &[String]) {
+        let gone: Vec<String> = self
+            .peers
+            .iter()
+            .filter(|peer| !members.contains(&peer.name))
+            .map(|peer| peer.name.clone())
+            .collect();
+        gone.iter().for_each(|name| self.peer_gone(now_us, name));
+        self.peers.retain(|peer| members.contains(&peer.name));
+        for name in members {
+            self.peer(name);
+        }
+        self.share_out();
+    }
+
+    /// Says in which availability zone another daemon is; until then it counts as in none.
+    pub fn set_member_zone(&mut self, _now_us: u64, instance: &str, zone: &str) {
+        let at = self.peer(instance);
+        if self.peers[at].zone != zone {
+            zone.clone_into(&mut self.peers[at].zone);
+            self.share_out();
+        }
+    }
+
+    /// Replaces the set of upstreams; those that are gone receive nothing new, and one that was
+    /// leaving and is listed again may receive work again.
+    pub fn set_upstreams(&mut self, _now_us: u64, specs: &[UpstreamSpec]) {
+        self.pool.set_upstreams(specs, &self.members, self.own);
+    }
+
+    /// Marks an upstream as leaving at the first sign of it: a closed connection, a refusal, a
+    /// peer's word or the platform's list. It receives nothing new until it is listed again.
+    pub fn upstream_leaving(&mut self, _now_us: u64, upstream: UpstreamId) {
+        self.pool.set_leaving(upstream);
+    }
+
+    /// Takes in another daemon's requests in flight, as they were `age_us` ago. Upstreams that
+    /// are not named have none. A daemon that was gone is back and has its slots again.
+    pub fn peer_view(
+        &mut self,
+        _now_us: u64,
+        instance: &str,
+        _age_us: u64,
+        loads: &[(UpstreamId, u32)],
+    ) {
+        let at = self.peer(instance);
+        self.add_loads(at, -1);
+        let peer = &mut self.peers[at];
+        peer.loads.clear();
+        peer.loads.extend_from_slice(loads);
+        let back = !std::mem::replace(&mut peer.live, true);
+        self.add_loads(at, 1);
+        if back {
+            self.share_out();
+        }
+    }
+
+    /// Another daemon has died or stopped; its slots fall to the others.
+    pub fn peer_gone(&mut self, _now_us: u64, instance: &str) {
+        let at = self.peer(instance);
+        self.add_loads(at, -1);
+        self.peers[at].loads.clear();
+        self.peers[at].live = false;
+        self.share_out();
+    }
+
+    /// This daemon's own requests in flight, by upstream.
+    pub fn local_load(&self) -> impl Iterator<Item = (UpstreamId, u32)> + '_ {
+        self.pool.iter().map(|upstream| (upstream.spec.id, upstream.in_flight))
+    }
+
+    /// This daemon's own slots, by upstream.
+    pub fn local_share(&self) -> impl Iterator<Item = (UpstreamId, u32)> + '_ {
+        self.pool.iter().map(|upstream| (upstream.spec.id, upstream.share))
+    }
+
+    /// Requests waiting in this daemon.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// When [`RequestPolicy::tick`] has to run again, if nothing else happens before.
+    pub fn next_wake_us(&self) -> Option<u64> {
+        let ageing_us = self.ageing.front().map(|(due_us, _, _)| *due_us);
+        let queue_us =
+            (!self.queue.is_empty()).then(|| self.next_expiry_us.min(self.looked_us + LOOK_US));
+        ageing_us.into_iter().chain(queue_us).min()
+    }
+
+    /// Takes a request in: sends, queues or refuses it.
+    pub fn arrive(&mut self, now_us: u64, head: RequestHead, out: &mut Vec<Action>) {
+        let service = head.service;
+        let limits = self.service(service).limits;
+        let median_us = self.service(service).durations.median_us(limits.promise_us);
+        if self.pool.usable() == 0 {
+            return self.refuse(service, head.ticket, Refusal::NoUpstream, out);
+        }
+        if now_us + median_us > head.deadline_us {
+            return self.refuse(service, head.ticket, Refusal::TooLate, out);
+        }
+        self.dispatch(now_us, out);
+        let tag = self.queue.tag(&head);
+        let expires_us =
+            expires_us(&self.service(service).durations, &limits, now_us, head.deadline_us);
+        let waiting = Waiting {
+            head,
+            arrived_us: now_us,
+            expires_us,
+            attempts: 0,
+            avoid: None,
+            worst: None,
+            tag,
+        };
+        if self.queue.is_empty()
+            && let Some((at, choice)) = self.choose(now_us, &waiting)
+        {
+            self.queue.charge(&waiting.head, limits.priority);
+            return self.send(now_us, at, choice, waiting, out);
+        }
+        self.enqueue(now_us, waiting, limits, out);
+    }
+
+    fn enqueue(
+        &mut self,
+        now_us: u64,
+        waiting: Waiting,
+        limits: ServiceLimits,
+        out: &mut Vec<Action>,
+    ) {
+        let (service, ticket) = (waiting.head.service, waiting.head.ticket);
+        let slots = self.serving_slots();
+        let wait_us = expected_wait_us(&self.durations, &limits, self.queue.len(), slots);
+        let median_us = self.service(service).durations.median_us(limits.promise_us);
+        if now_us + wait_us + median_us > waiting.head.deadline_us {
+            return self.refuse(service, ticket, Refusal::TooLate, out);
+        }
+        let most = queue_limit(&self.service(service).durations, &limits, slots);
+        if self.queue.len() >= most {
+            let last_tag = self.queue.last_tag().unwrap_or(0);
+            if last_tag <= waiting.tag + eviction_margin(limits.priority) {
+                return self.refuse(service, ticket, Refusal::QueueFull, out);
+            }
+            let services = &self.services;
+            let evicted = self.queue.evict(|head| priority(services, head.service));
+            if let Some(evicted) = evicted {
+                self.end_wait(evicted, Refusal::QueueFull, out);
+            }
+        }
+        self.queue.charge(&waiting.head, limits.priority);
+        self.put(waiting);
+    }
+
+    fn put(&mut self, waiting: Waiting) {
+        let ticket = waiting.head.ticket;
+        self.next_expiry_us = self.next_expiry_us.min(waiting.expires_us);
+        let place = self.queue.push(waiting);
+        self.places.insert(ticket, Place::Waiting(place));
+    }
+
+    /// Records the end of an exchange, or that the caller of a waiting request went away, and
+    /// serves whoever waits. After a failure the ticket gets another `Send` or a `GiveUp`.
+    pub fn finish(&mut self, now_us: u64, ticket: Ticket, outcome: Outcome, out: &mut Vec<Action>) {
+        match self.places.remove(&ticket) {
+            None => return,
+            Some(Place::Waiting(place)) => {
+                self.queue.take(place);
+            }
+            Some(Place::Sent(exchange)) => self.end_exchange(now_us, exchange, outcome, out),
+        }
+        self.dispatch(now_us, out);
+    }
+
+    fn end_exchange(
+        &mut self,
+        now_us: u64,
+        exchange: Exchange,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let took_us = now_us.saturating_sub(exchange.sent_us);
+        if let Some(at) = self.pool.at(exchange.upstream) {
+            self.pool.leave(at);
+            self.learn(now_us, at, &exchange, outcome, took_us);
+        }
+        match outcome {
+            Outcome::Answered => self.service(exchange.head.service).budget.deposit(),
+            Outcome::Abandoned => {}
+            Outcome::Refused | Outcome::NotSent | Outcome::Broken => {
+                self.retry(now_us, exchange, outcome, out);
+            }
+        }
+    }
+
+    fn learn(
+        &mut self,
+        now_us: u64,
+        at: usize,
+        exchange: &Exchange,
+        outcome: Outcome,
+        took_us: u64,
+    ) {
+        match outcome {
+            Outcome::Abandoned => return,
+            Outcome::Refused | Outcome::NotSent | Outcome::Broken => {
+                return self.pool.ended(at, now_us, true);
+            }
+            Outcome::Answered => self.pool.ended(at, now_us, false),
+        }
+        let judged = self.durations.measured(SLOW_MIN_SAMPLES);
+        let probe = self.pool.get(at).health.is_out();
+        if !exchange.counted_slow {
+            let slow = judged && took_us > self.durations.p95_us();
+            self.pool.timed(at, now_us, slow);
+        }
+        self.pool.record_latency(at, took_us);
+        if !probe {
+            self.durations.record(took_us);
+            let service = self.service(exchange.head.service);
+            service.durations.record(took_us);
+            let promise_us = service.limits.promise_us;
+            self.limit.record(now_us, took_us, promise_us);
+        }
+    }
+
+    fn retry(&mut self, now_us: u64, exchange: Exchange, outcome: Outcome, out: &mut Vec<Action>) {
+        let Exchange { head, arrived_us, upstream, attempts, worst, .. } = exchange;
+        let worst = worst_of(worst, outcome);
+        let usable = self.pool.usable() > 0;
+        let service = self.service(head.service);
+        let median_us = service.durations.median_us(service.limits.promise_us);
+        let wanted = permits(outcome, head.repeatable)
+            && attempts < MAX_ATTEMPTS
+            && usable
+            && now_us + median_us <= head.deadline_us;
+        if !wanted || !service.budget.withdraw() {
+            return self.give_up(head.service, head.ticket, worst, out);
+        }
+        let expires_us = expires_us(&service.durations, &service.limits, now_us, head.deadline_us);
+        let avoid = Some(upstream);
+        // Tag 0 puts it before all others: its wait is behind it and its budget is paid.
+        let waiting =
+            Waiting { head, arrived_us, expires_us, attempts, avoid, worst: Some(worst), tag: 0 };
+        self.put(waiting);
+    }
+
+    /// Lets time pass: refuses what has become too late and sends what may go.
+    pub fn tick(&mut self, now_us: u64, out: &mut Vec<Action>) {
+        self.dispatch(now_us, out);
+    }
+
+    fn dispatch(&mut self, now_us: u64, out: &mut Vec<Action>) {
+        self.age(now_us);
+        if self.queue.is_empty() {
+            return;
+        }
+        self.looked_us = now_us;
+        self.expire(now_us, out);
+        while let Some(waiting) = self.queue.peek() {
+            let (repeatable, attempts, avoid) =
+                (waiting.head.repeatable, waiting.attempts, waiting.avoid);
+            let Some((at, choice)) = self.choose_for(now_us, repeatable, attempts, avoid) else {
+                break;
+            };
+            let Some(waiting) = self.queue.pop() else { break };
+            self.queue.begin(waiting.tag);
+            self.send(now_us, at, choice, waiting, out);
+        }
+    }
+
+    fn choose(&mut self, now_us: u64, waiting: &Waiting) -> Option<(usize, Choice)> {
+        self.choose_for(now_us, waiting.head.repeatable, waiting.attempts, waiting.avoid)
+    }
+
+    fn choose_for(
+        &mut self,
+        now_us: u64,
+        repeatable: bool,
+        attempts: u8,
+        avoid: Option<UpstreamId>,
+    ) -> Option<(usize, Choice)> {
+        if repeatable
+            && attempts == 0
+            && let Some(at) = self.pool.probe(now_us)
+        {
+            return Some((at, Choice::Probe));
+        }
+        if self.pool.in_flight() >= self.serving_slots() {
+            return None;
+        }
+        let own = self.pool.pick(now_us, &mut self.rng, avoid).map(|at| (at, Choice::OwnSlot));
+        own.or_else(|| self.pool.borrow(&mut self.rng).map(|at| (at, Choice::Borrowed)))
+    }
+
+    fn send(
+        &mut self,
+        now_us: u64,
+        at: usize,
+        choice: Choice,
+        waiting: Waiting,
+        out: &mut Vec<Action>,
+    ) {
+        let candidates = self.pool.open() as u32;
+        let promise_us = self.service(waiting.head.service).limits.promise_us;
+        self.pool.enter(at, now_us, self.durations.median_us(promise_us) as f64);
+        let upstream = self.pool.get(at);
+        let decision = Decision {
+            choice,
+            attempt: waiting.attempts + 1,
+            in_flight: upstream.in_flight,
+            share: upstream.share,
+            peer_in_flight: upstream.peer_in_flight,
+            candidates,
+            ejected: self.pool.out() as u32,
+            waiting: self.queue.len() as u32,
+            waited_us: now_us - waiting.arrived_us,
+        };
+        let (ticket, id) = (waiting.head.ticket, upstream.spec.id);
+        let exchange = Exchange {
+            head: waiting.head,
+            arrived_us: waiting.arrived_us,
+            upstream: id,
+            sent_us: now_us,
+            attempts: waiting.attempts + 1,
+            worst: waiting.worst,
+            counted_slow: false,
+        };
+        self.places.insert(ticket, Place::Sent(exchange));
+        if self.durations.measured(SLOW_MIN_SAMPLES) {
+            self.ageing.push_back((now_us + self.durations.p95_us(), ticket, now_us));
+        }
+        self.refused_share -= self.refused_share * REFUSED_WEIGHT;
+        out.push(Action::Send { ticket, upstream: id, decision });
+    }
+
+    /// Counts requests as slow as soon as they have taken longer than the pool's 95th percentile.
+    ///
+    /// Guards against an upstream that hangs: it never answers, so it would never be found slow.
+    fn age(&mut self, now_us: u64) {
+        while let Some((due_us, ticket, sent_us)) = self.ageing.front().copied() {
+            if due_us > now_us {
+                break;
+            }
+            self.ageing.pop_front();
+            let Some(Place::Sent(exchange)) = self.places.get_mut(&ticket) else { continue };
+            if exchange.sent_us != sent_us {
+                continue;
+            }
+            exchange.counted_slow = true;
+            if let Some(at) = self.pool.at(exchange.upstream) {
+                self.pool.timed(at, now_us, true);
+            }
+        }
+    }
+
+    fn expire(&mut self, now_us: u64, out: &mut Vec<Action>) {
+        let unusable = self.pool.usable() == 0;
+        if now_us < self.next_expiry_us && !unusable {
+            return;
+        }
+        let mut expired = std::mem::take(&mut self.expired);
+        self.next_expiry_us = u64::MAX;
+        for (place, waiting) in self.queue.iter() {
+            if unusable || waiting.expires_us <= now_us {
+                expired.push(place);
+            } else {
+                self.next_expiry_us = self.next_expiry_us.min(waiting.expires_us);
+            }
+        }
+        let refusal = if unusable { Refusal::NoUpstream } else { Refusal::TooLate };
+        for place in expired.drain(..) {
+            if let Some(waiting) = self.queue.take(place) {
+                self.end_wait(waiting, refusal, out);
+            }
+        }
+        self.expired = expired;
+    }
+
+    /// Ends a wait without another attempt.
+    ///
+    /// Guards against a false `not run`: a request that was sent before and waits for a retry
+    /// ends with the failure of its attempts, never as a refusal.
+    fn end_wait(&mut self, waiting: Waiting, refusal: Refusal, out: &mut Vec<Action>) {
+        let (service, ticket) = (waiting.head.service, waiting.head.ticket);
+        self.places.remove(&ticket);
+        match waiting.worst {
+            Some(outcome) => self.give_up(service, ticket, outcome, out),
+            None => self.refuse(service, ticket, refusal, out),
+        }
+    }
+
+    fn give_up(
+        &mut self,
+        service: ServiceIndex,
+        ticket: Ticket,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let retry_after_ms = self.retry_after_ms(service);
+        out.push(Action::GiveUp { ticket, outcome, retry_after_ms });
+    }
+
+    fn refuse(
+        &mut self,
+        service: ServiceIndex,
+        ticket: Ticket,
+        refusal: Refusal,
+        out: &mut Vec<Action>,
+    ) {
+        self.refused_share += (1.0 - self.refused_share) * REFUSED_WEIGHT;
+        let retry_after_ms = self.retry_after_ms(service);
+        out.push(Action::Refuse { ticket, refusal, retry_after_ms });
+    }
+
+    /// The promise, longer the more are refused, and spread so that callers that were refused
+    /// together don't come back together.
+    fn retry_after_ms(&mut self, service: ServiceIndex) -> u32 {
+        let promise_us = self.service(service).limits.promise_us as f64;
+        let spread = self.rng.random_range(0.5..1.5);
+        let pause_us = promise_us * (1.0 + self.refused_share * STAY_AWAY) * spread;
+        ((pause_us / 1_000.0) as u32).clamp(10, 10_000)
+    }
+
+    fn serving_slots(&self) -> u32 {
+        ((f64::from(self.pool.serving_slots()) * self.limit.share()) as u32).max(1)
+    }
+
+    fn service(&mut self, index: ServiceIndex) -> &mut Service {
+        let index = index as usize;
+        while self.services.len() <= index {
+            self.services.push(Service::new(DEFAULT_LIMITS));
+        }
+        &mut self.services[index]
+    }
+
+    fn peer(&mut self, instance: &str) -> usize {
+        let found = self.peers.iter().position(|peer| peer.name == instance);
+        found.unwrap_or_else(|| {
+            let peer = Peer {
+                name: instance.to_owned(),
+                zone: String::new(),
+                live: true,
+                loads: Vec::new(),
+            };
+            self.peers.push(peer);
+            self.share_out();
+            self.peers.len() - 1
+        })
+    }
+
+    fn add_loads(&mut self, peer: usize, sign: i64) {
+        for (id, in_flight) in &self.peers[peer].loads {
+            self.pool.add_peer_load(*id, sign * i64::from(*in_flight));
+        }
+    }
+
+    fn share_out(&mut self) {
+        let own = self.members[self.own].clone();
+        let hash = own.hash;
+        self.members.clear();
+        self.members.push(own);
+        self.members.extend(self.peers.iter().map(|peer| Member {
+            hash: member_hash(&peer.name),
+            zone: peer.zone.clone(),
+            live: peer.live,
+        }));
+        self.members.sort_by_key(|member| member.hash);
+        self.own = self.members.iter().position(|member| member.hash == hash).unwrap_or(0);
+        self.pool.set_members(&self.members, self.own);
+    }
+}
+
+fn priority(services: &[Service], service: ServiceIndex) -> u8 {
+    services.get(service as usize).map_or(DEFAULT_LIMITS.priority, |one| one.limits.priority)
+}
+
+/// The outcome that says the least about not having run.
+fn worst_of(before: Option<Outcome>, now: Outcome) -> Outcome {
+    if before == Some(Outcome::Broken) { Outcome::Broken } else { now }
+}
