Configuration: archive, rollback, field diffs, floor arithmetic, true refusals

Cause: history beyond 64 entries was lost and with it the ids that recognise a late retry; a change whose write might still land was reported refused; losers of a race saw no values. Change: segments are written before the head is trimmed; entries carry what stood before, so any kept version can be restored as a new one; outcome_unknown while a write may still land; quotas are added up against the floor, warned of or refused by a setting. Conclusion: accepted, refused and unknown now mean what they say.

--- /dev/null
+++ b/crates/agatesill_coord/tests/config.rs
@@ -0,0 +1,144 @@
+//! The versioned configuration under races, lost answers and late retries.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use agatesill_coord::config::{Floor, HISTORY_KEPT};
+use agatesill_coord::prelude::*;
+use agatesill_policy::prelude::Team;
+use agatesill_wire::api::ConfigChange;
+use agatesill_wire::prelude::*;
+use support::{Faults, MemStore};
+
+fn team(operation_id: &str, name: &str, weight: u32) -> ConfigChange {
+    let team = Team { weight, quota_cpu_milli: 0 };
+    ConfigChange {
+        operation_id: operation_id.to_owned(),
+        base_version: 0,
+        author: "nora".to_owned(),
+        reason: "test".to_owned(),
+        profiles: BTreeMap::new(),
+        services: BTreeMap::new(),
+        teams: BTreeMap::from([(name.to_owned(), Some(team))]),
+    }
+}
+
+/// Sixteen operators race through two daemons while answers are lost and calls land late. Every
+/// change reported accepted must be in the history once; one reported refused must not be there.
+#[tokio::test(start_paused = true)]
+async fn racing_operators_with_lost_answers() {
+    let mem = MemStore::default();
+    let daemons = [mem.client(1), mem.client(2)];
+    for daemon in &daemons {
+        daemon.set(Faults {
+            delay_ms: 5,
+            lost_answers_percent: 5,
+            late_calls_percent: 2,
+            ..Faults::default()
+        });
+    }
+    let configs =
+        daemons.each_ref().map(|daemon| ConfigStore::new(daemon.store.clone().with_budget(10_000)));
+    let operators = (0..16_u32).map(|operator| {
+        let config = configs[operator as usize % 2].clone();
+        tokio::spawn(async move {
+            let mut outcomes = Vec::new();
+            for nth in 0..12 {
+                let id = format!("{operator}-{nth}");
+                let change = team(&id, &format!("team-{operator}"), nth + 1);
+                let kind = loop {
+                    match config.change(&change, 0).await.map_err(|error| error.kind) {
+                        Err(ErrorKind::OutcomeUnknown) => {}
+                        other => break other.err(),
+                    }
+                };
+                outcomes.push((id, kind));
+            }
+            outcomes
+        })
+    });
+    let mut outcomes = Vec::new();
+    for operator in operators.collect::<Vec<_>>() {
+        outcomes.extend(operator.await.unwrap());
+    }
+    tokio::time::sleep(std::time::Duration::from_secs(30)).await;
+    let history = ConfigStore::new(mem.client(3).store).history().await.unwrap();
+    let versions: Vec<u64> = history.iter().map(|entry| entry.version).collect();
+    assert_eq!(versions, (1..=history.len() as u64).collect::<Vec<u64>>());
+    for (id, refused) in outcomes {
+        let times = history.iter().filter(|entry| entry.operation_id == id).count();
+        assert_eq!(times, usize::from(refused.is_none()), "{id}: {refused:?}");
+    }
+    assert!(history.len() > HISTORY_KEPT);
+}
+
+/// An operator's tool retries a change hours later, after hundreds of others. Without the archive
+/// it would be made a second time and undo what was set since.
+#[tokio::test(start_paused = true)]
+async fn very_late_retry_is_recognised() {
+    let mem = MemStore::default();
+    let config = ConfigStore::new(mem.client(1).store);
+    config.change(&team("first", "ledger", 1), 0).await.unwrap();
+    for nth in 0..5 * HISTORY_KEPT as u32 {
+        config.change(&team(&format!("later-{nth}"), "ledger", nth + 2), 0).await.unwrap();
+    }
+    let other_daemon = ConfigStore::new(mem.client(2).store);
+    let found = other_daemon.change(&team("first", "ledger", 1), 0).await.unwrap();
+    assert_eq!(found.version, 5 * HISTORY_KEPT as u64 + 1);
+    assert_ne!(found.doc.teams["ledger"].weight, 1);
+    let history = other_daemon.history().await.unwrap();
+    assert_eq!(history.len() as u64, found.version);
+}
+
+/// A change made days ago turns out wrong. Going back must give that document as a new version,
+/// also when the entries between stand in the archive.
+#[tokio::test(start_paused = true)]
+async fn rollback_is_a_new_version() {
+    let config = ConfigStore::new(MemStore::default().client(1).store);
+    for nth in 0..3 * HISTORY_KEPT as u32 {
+        let name = format!("team-{}", nth % 7);
+        config.change(&team(&format!("{nth}"), &name, nth + 1), 0).await.unwrap();
+    }
+    let before = config.read().await.unwrap();
+    let made = config.rollback(10, &team("back", "ignored", 1), 0).await.unwrap();
+    assert_eq!(made.version, before.version + 1);
+    let weights: Vec<u32> = made.doc.teams.values().map(|team| team.weight).collect();
+    assert_eq!(weights, [8, 9, 10, 4, 5, 6, 7]);
+    let again = config.rollback(before.version, &team("forth", "ignored", 1), 0).await.unwrap();
+    assert_eq!(again.doc, before.doc);
+    let missing = config.rollback(10_000, &team("never", "ignored", 1), 0).await.unwrap_err();
+    assert_eq!(missing.kind, ErrorKind::NotFound);
+}
+
+/// Two operators read version 1; the slower one's change must not silently undo the faster one's.
+#[tokio::test(start_paused = true)]
+async fn loser_learns_who_won_and_what_differs() {
+    let config = ConfigStore::new(MemStore::default().client(1).store);
+    config.change(&team("a", "ledger", 1), 0).await.unwrap();
+    let change = |id: &str, weight| ConfigChange { base_version: 1, ..team(id, "ledger", weight) };
+    config.change(&change("b", 5), 0).await.unwrap();
+    let error = config.change(&change("c", 7), 0).await.unwrap_err();
+    assert_eq!(error.kind, ErrorKind::Conflict);
+    assert!(error.detail.contains("version 2 by nora: team ledger changed: weight 1 -> 5"));
+}
+
+/// Quotas sold to two teams exceed the processors there are; the operator hears the arithmetic.
+#[tokio::test(start_paused = true)]
+async fn selling_beyond_the_floor_is_said() {
+    let store = MemStore::default().client(1).store;
+    let mut change = team("a", "ledger", 1);
+    for (name, quota_cpu_milli) in [("ledger", 600), ("bills", 500)] {
+        change.teams.insert(name.to_owned(), Some(Team { weight: 1, quota_cpu_milli }));
+    }
+    let floor = Floor { cpu_milli: 1_000, ..Floor::default() };
+    let strict =
+        ConfigStore::new(store.clone()).with_floor(Floor { refuse: true, ..floor.clone() });
+    let refused = strict.change(&change, 0).await.unwrap_err();
+    assert_eq!(refused.kind, ErrorKind::Impossible);
+    assert!(refused.detail.contains("bills 500 + ledger 600 = 1100, the floor holds 1000"));
+    let made = ConfigStore::new(store).with_floor(floor).change(&change, 0).await.unwrap();
+    assert!(made.history[0].changes.iter().any(|line| line.starts_with("warning: quotas")));
+}
--- a/crates/agatesill_wire/src/api.rs
+++ b/crates/agatesill_wire/src/api.rs
@@ -40,6 +40,22 @@
     }
 }
 
+value_type! {
+    /// What stood there before a change, by name; absent means that nothing did.
+    #[derive(Default)]
+    pub struct Undo {
+        /// Profiles.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        pub profiles: BTreeMap<String, Option<Profile>>,
+        /// Services.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        pub services: BTreeMap<String, Option<Service>>,
+        /// Teams.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        pub teams: BTreeMap<String, Option<Team>>,
+    }
+}
+
 value_type! {
     /// One accepted change of the configuration.
     pub struct HistoryEntry {
@@ -55,6 +71,9 @@
         pub at_ms: u64,
         /// What changed, one line each.
         pub changes: Vec<String>,
+        /// What stood there before, so that any version of the history can be restored.
+        #[serde(default)]
+        pub undo: Undo,
     }
 }
 
