--- a/crates/agatesill_bench/src/wire/mod.rs
+++ b/crates/agatesill_bench/src/wire/mod.rs
@@ -6,8 +6,8 @@
 //! first and through the daemon afterwards. `AGATESILL_WIRE_SECONDS` sets the length of the last
 //! phase, in which the daemon is driven as hard as the generator can; the default is short.
 
-mod load;
-mod process;
+pub(crate) mod load;
+pub(crate) mod process;
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
--- a/crates/agatesill_coord/src/config/mod.rs
+++ b/crates/agatesill_coord/src/config/mod.rs
@@ -145,8 +145,8 @@
                 Err(error) if error.kind == ErrorKind::TooLarge => return Err(error),
                 Err(_) => unresolved = Some(head.key_version),
             }
-            let pause_ms = RACE_PAUSE_MS * u64::from(tries + 1);
-            tokio::time::sleep(Duration::from_millis(rand::random_range(0..=pause_ms))).await;
+            let pause = Duration::from_millis(RACE_PAUSE_MS * u64::from(tries + 1));
+            tokio::time::sleep(pause.mul_f64(self.store.jitter())).await;
         }
         let lost = Error::new(ErrorKind::Conflict, "lost the race too often").retry_after(200);
         Err(unless_sent(lost, unresolved))
--- a/crates/agatesill_coord/src/store/gate.rs
+++ b/crates/agatesill_coord/src/store/gate.rs
@@ -171,17 +171,16 @@
 }
 
 impl Permit<'_> {
-    /// Says whether the service answered.
-    pub(super) fn done(self, answered: bool) {
+    /// Says whether the service answered; `jitter` from 0 to 1 spreads the pause if it did not.
+    pub(super) fn done(self, answered: bool, jitter: f64) {
         let mut state = self.gate.lock();
         if answered {
             state.failures = 0;
             return;
         }
         let pause = FIRST_PAUSE * (1 << state.failures.min(8));
-        let jitter = 0.5 + rand::random::<f64>();
         state.failures += 1;
-        state.paused_until = Instant::now() + pause.min(LONGEST_PAUSE).mul_f64(jitter);
+        state.paused_until = Instant::now() + pause.min(LONGEST_PAUSE).mul_f64(0.5 + jitter);
     }
 }
 
--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -11,14 +11,16 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use agatesill_wire::http::JsonClient;
 use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
 use agatesill_wire::prelude::*;
 use hyper::Method;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 pub use self::follow::{WATCH_MS, follow};
 use self::gate::{Class, Gate};
@@ -61,6 +63,7 @@
     counts: Arc<CallCounts>,
     gate: Arc<Gate>,
     revision: Arc<AtomicU64>,
+    random: Arc<Mutex<Pcg64Mcg>>,
 }
 
 impl std::fmt::Debug for Store {
@@ -86,6 +89,7 @@
             counts: Arc::default(),
             gate: Arc::new(Gate::new(CALLS_PER_S)),
             revision: Arc::default(),
+            random: Arc::new(Mutex::new(Pcg64Mcg::seed_from_u64(rand::random()))),
         }
     }
 
@@ -94,6 +98,16 @@
         Self { gate: Arc::new(Gate::new(calls_per_s)), ..self }
     }
 
+    /// The same with pauses drawn from `seed`, for runs that can be repeated.
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self { random: Arc::new(Mutex::new(Pcg64Mcg::seed_from_u64(seed))), ..self }
+    }
+
+    /// A number from 0 to 1, for pauses that should differ between callers.
+    pub fn jitter(&self) -> f64 {
+        self.random.lock().unwrap_or_else(PoisonError::into_inner).random()
+    }
+
     /// Calls since the start.
     pub fn counts(&self) -> &CallCounts {
         &self.counts
@@ -138,7 +152,7 @@
             // The service's own word that the call can never be done.
             Err(error) => matches!(error.kind, ErrorKind::TooLarge | ErrorKind::BadRequest),
         };
-        permit.done(answered);
+        permit.done(answered, self.jitter());
         outcome.map_err(|error| {
             self.counts.failures.fetch_add(1, Ordering::Relaxed);
             if answered {
