--- a/crates/agatesill_bench/src/lib.rs
+++ b/crates/agatesill_bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scenarios under a virtual clock and measurements over the wire.
 
 pub mod batch;
+pub mod capacity;
 pub mod cli;
 pub mod control;
 pub mod faults;
--- a/crates/agatesill_bench/src/scenario.rs
+++ b/crates/agatesill_bench/src/scenario.rs
@@ -83,6 +83,7 @@
         .chain(crate::control::SCENARIOS)
         .chain(crate::wire::SCENARIOS)
         .chain(crate::faults::SCENARIOS)
+        .chain(crate::capacity::SCENARIOS)
 }
 
 /// Prints all scenarios.
