Daemon: serves a configuration that arrived before the deciding duty listened

Cause: tests of the relay failed now and then with not_found for a known service or an address in use. (1) The supervising duty subscribed after the store duty had applied a version, so that it never saw it: the daemon answered not_found until the next change, yet was ready. (2) Ports were chosen, freed and taken by outgoing connections of other tests. Change: the version in force at the start is handled too; readiness asks for the version by which requests are decided; stand-ins hand out addresses of a block of their own in the loopback range. Ruled out: load alone (it only moved the race). Conclusion: both causes mended.

--- a/crates/agatesill_standin/src/demo.rs
+++ b/crates/agatesill_standin/src/demo.rs
@@ -18,6 +18,7 @@
 use hyper::Method;
 use tokio_util::sync::CancellationToken;
 
+use crate::addresses::fresh_address;
 use crate::store::{StoreStandin, start_store};
 use crate::trace::{Reply, TraceRow, read_trace, send};
 use crate::upstreams::{UpstreamFaults, UpstreamStandin, start_upstream};
@@ -244,7 +245,7 @@
 
 fn daemon_settings(base: &Settings, floor: &Floor) -> Result<Vec<Settings>, Error> {
     let members: BTreeMap<String, SocketAddr> = (1..=DAEMONS)
-        .map(|nth| Ok((format!("entry-{nth}"), free_port()?)))
+        .map(|nth| Ok((format!("entry-{nth}"), fresh_address())))
         .collect::<Result<_, Error>>()?;
     let one = |(name, addr): (&String, &SocketAddr)| {
         let mut settings = base.clone();
@@ -261,10 +262,6 @@
     Ok(members.iter().map(one).collect())
 }
 
-fn free_port() -> Result<SocketAddr, Error> {
-    Ok(std::net::TcpListener::bind(loopback())?.local_addr()?)
-}
-
 async fn play(
     deployments: &[Deployment],
     daemons: &[Daemon],
--- a/crates/agatesill_standin/src/faults/world.rs
+++ b/crates/agatesill_standin/src/faults/world.rs
@@ -16,6 +16,7 @@
 
 use super::schedule::{SHORT_LEASE_PERCENT, SLOW_MS};
 use super::{DaemonProcess, Fault, FaultKind, Trace};
+use crate::addresses::fresh_address;
 use crate::gate::{Gate, GateMode};
 use crate::store::{StoreFaults, StoreStandin};
 use crate::workers::{WorkersStandin, start_workers_behind};
@@ -26,15 +27,6 @@
 /// Longest wait for one answer of a daemon.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 
-/// Ports that daemons of runs listen on.
-const FIRST_PORT: u16 = 10_000;
-
-/// How many there are.
-const PORTS: u64 = 20_000;
-
-/// How far the first ports of two processes lie apart.
-const PORTS_PER_PROCESS: u64 = 197;
-
 /// Numbers the worlds of one process, for their folders.
 static WORLDS: AtomicU64 = AtomicU64::new(0);
 
@@ -104,8 +96,8 @@
         let (store_gate, workers_gate) = (Gate::default(), Gate::default());
         let mut settings = options.base.clone();
         settings.instance = instance(nth);
-        settings.entry.addr = free_address()?;
-        settings.admin.addr = free_address()?;
+        settings.entry.addr = fresh_address();
+        settings.admin.addr = fresh_address();
         settings.peers.addr = peers[&settings.instance];
         settings.peers.members = peers.clone();
         settings.peers.members.remove(&settings.instance);
@@ -270,30 +262,13 @@
 }
 
 fn addresses(daemons: usize) -> Result<BTreeMap<String, SocketAddr>, Error> {
-    (0..daemons).map(|nth| Ok((instance(nth), free_address()?))).collect()
+    (0..daemons).map(|nth| Ok((instance(nth), fresh_address()))).collect()
 }
 
 fn loopback() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
-/// A port that a daemon may take again after it was killed.
-///
-/// Guards against a port taken in between by somebody's outgoing connection, which would show as a
-/// daemon that cannot start again: ports come from below the range that systems give out.
-fn free_address() -> Result<SocketAddr, Error> {
-    static NEXT: AtomicU64 = AtomicU64::new(0);
-    let first = u64::from(std::process::id()) * PORTS_PER_PROCESS;
-    for _ in 0..PORTS {
-        let nth = first + NEXT.fetch_add(1, Ordering::Relaxed);
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + (nth % PORTS) as u16));
-        if std::net::TcpListener::bind(addr).is_ok() {
-            return Ok(addr);
-        }
-    }
-    Err(Error::new(ErrorKind::Settings, "no free port"))
-}
-
 /// The program `agatesilld` beside the running one, where a build puts both.
 pub fn daemon_beside_this_program() -> Option<PathBuf> {
     let this = std::env::current_exe().ok()?;
--- a/crates/agatesill_standin/src/lib.rs
+++ b/crates/agatesill_standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for what the platform provides, each with books of its own and faults that can
 //! be switched while it runs.
 
+pub mod addresses;
 pub mod caller;
 pub mod cli;
 pub mod demo;
--- a/crates/agatesill_standin/src/rig.rs
+++ b/crates/agatesill_standin/src/rig.rs
@@ -2,7 +2,7 @@
 //! measurements of the request path. Daemons run in this process or as processes of their own.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -16,6 +16,7 @@
 use hyper::Method;
 use tokio_util::sync::CancellationToken;
 
+use crate::addresses::fresh_address;
 use crate::store::{StoreStandin, start_store};
 use crate::upstreams::{UpstreamFaults, UpstreamStandin, start_upstream};
 
@@ -177,7 +178,7 @@
     pool: &[UpstreamSettings],
 ) -> Result<Vec<Settings>, Error> {
     let peers = (0..daemons)
-        .map(|nth| Ok((format!("entry-{nth}"), free_port()?)))
+        .map(|nth| Ok((format!("entry-{nth}"), fresh_address())))
         .collect::<Result<BTreeMap<String, SocketAddr>, Error>>()?;
     let one = |(nth, (name, addr)): (usize, (&String, &SocketAddr))| {
         let mut members = peers.clone();
@@ -185,8 +186,8 @@
         let text = serde_json::json!({
             "instance": name,
             "zone": format!("zone-{}", nth % 3),
-            "entry": { "addr": free_port()?, "balancer_lag_ms": 100 },
-            "admin": { "addr": free_port()? },
+            "entry": { "addr": fresh_address(), "balancer_lag_ms": 100 },
+            "admin": { "addr": fresh_address() },
             "peers": { "addr": addr, "members": members, "heartbeat_ms": 50, "suspect_ms": 500 },
             "store": { "addr": store, "lease_ms": 1_000, "renew_ms": 200 },
             "pools": { "limits": pool },
@@ -202,10 +203,6 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
-fn free_port() -> Result<SocketAddr, Error> {
-    Ok(TcpListener::bind(loopback())?.local_addr()?)
-}
-
 /// A daemon as a process of its own; killed when dropped.
 #[derive(Debug)]
 pub struct DaemonProcess {
--- a/crates/agatesilld/src/admin.rs
+++ b/crates/agatesilld/src/admin.rs
@@ -113,7 +113,9 @@
         if self.shared.is_stopping() {
             return Err(Error::new(ErrorKind::Stopping, "draining"));
         }
-        if self.shared.config().version == 0 {
+        // Guards against a ready daemon that answers `not_found` for a known service, in the moment
+        // between a version's arrival and the deciding thread's acting by it.
+        if self.shared.served_version() == 0 {
             return Err(Error::new(ErrorKind::NoUpstream, "no configuration yet"));
         }
         Ok("ready")
--- a/crates/agatesilld/src/daemon.rs
+++ b/crates/agatesilld/src/daemon.rs
@@ -114,6 +114,9 @@
 
 async fn supervise(shared: Shared, decider: Decider, planned: PlannedStop) {
     let mut changes = shared.config_changes();
+    // Guards against a version that arrived before this duty listened, which showed as a daemon
+    // that answers `not_found` for every service until the next change.
+    changes.mark_changed();
     loop {
         tokio::select! {
             () = planned.stop.cancelled() => break,
@@ -121,7 +124,14 @@
         }
         let config = changes.borrow_and_update().clone();
         refresh_services(&shared, &config.doc);
+        let version = config.version;
         decider.deliver(DecideEvent::Config(config));
+        // The ring keeps its order: an answer to a later event means that this one is in force.
+        let (reply, answered) = oneshot::channel();
+        decider.deliver(DecideEvent::Loads(reply));
+        if answered.await.is_ok() {
+            shared.set_served_version(version);
+        }
     }
     shared.begin_stop();
     log::info!(event = "stopping", phase = "not_ready"; "");
--- a/crates/agatesilld/src/shared.rs
+++ b/crates/agatesilld/src/shared.rs
@@ -49,6 +49,7 @@
     cells: Arc<Mutex<BTreeMap<String, CellStatus>>>,
     peers: Arc<Mutex<Vec<String>>>,
     stopping: Arc<AtomicBool>,
+    served_version: Arc<AtomicU64>,
     leaving: Arc<Mutex<BTreeSet<UpstreamId>>>,
     records: Arc<Mutex<Records>>,
     counters: Arc<Counters>,
@@ -68,6 +69,7 @@
             cells: Arc::default(),
             peers: Arc::default(),
             stopping: Arc::default(),
+            served_version: Arc::default(),
         }
     }
 
@@ -154,6 +156,16 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Version by which the deciding thread serves; 0 before the first.
+    pub fn served_version(&self) -> u64 {
+        self.served_version.load(Ordering::Relaxed)
+    }
+
+    /// Records that the deciding thread serves by `version`.
+    pub fn set_served_version(&self, version: u64) {
+        self.served_version.fetch_max(version, Ordering::Relaxed);
+    }
+
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
