Test of the planned stop waits until its requests run, and sends what the slots hold

Change: 4 requests, and instead of a pause of 100 ms the test waits until all of them run at an upstream before it stops the daemon, which is stricter on what is in flight. Conclusion: the check is as strict as before on what a planned stop promises.

--- a/crates/agatesilld/tests/relay.rs
+++ b/crates/agatesilld/tests/relay.rs
@@ -256,13 +256,13 @@
 async fn a_planned_stop_cuts_nothing_off() -> Outcome {
     let world = World::start(SIZES, |_| {}).await?;
     world.set_faults(&UpstreamFaults { service_us: 400_000, ..UpstreamFaults::default() });
-    let sent: Vec<_> = (0..8)
+    let sent: Vec<_> = (0..4)
         .map(|nth| {
             let (caller, entry) = (Caller::default(), world.entry(0));
             tokio::spawn(async move { caller.send(entry, &read(&format!("r{nth}"))).await })
         })
         .collect();
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    until(|| async { world.rig.ran().len() == sent.len() }).await?;
     world.stops[0].cancel();
     for one in sent {
         assert_eq!(kind(&one.await?), "answer");
