--- a/crates/agatesill_bench/src/batch/mod.rs
+++ b/crates/agatesill_bench/src/batch/mod.rs
@@ -1,6 +1,98 @@
 //! Scenarios of batch work under a virtual clock: floors, hidden interference, baselines.
 
-use crate::scenario::Scenario;
+mod month_end;
+mod noisy;
+mod outcome;
+mod poison;
+mod quota;
+mod rack_loss;
+mod scheduler;
+mod sim;
+mod waves;
+mod world;
+
+use std::collections::BTreeMap;
+
+use outcome::SimOutcome;
+use scheduler::SchedulerKind;
+use sim::simulate;
+use world::World;
+
+use crate::result::PolicyResult;
+use crate::scenario::{Kind, Scenario};
 
 /// The scenarios of this module.
-pub const SCENARIOS: &[Scenario] = &[];
+pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "noisy-neighbour",
+        pattern: "services with shifting load beside batch classes whose interference is hidden; \
+                  usage 5 s late",
+        bounds: "time outside the promise <= 1/4 of first fit's, batch work >= 95% of it",
+        kind: Kind::Virtual(noisy::run),
+    },
+    Scenario {
+        name: "month-end",
+        pattern: "95% load with deadlines, declared times off by 0.3 to 5 times",
+        bounds: "late jobs <= 1/2 of the best baseline's, evictions within tolerance, wasted <= 3%",
+        kind: Kind::Virtual(month_end::run),
+    },
+    Scenario {
+        name: "poison-worker",
+        pattern: "3 of 50 workers fail everything, 5% of jobs fail everywhere",
+        bounds: "<= 1% of good jobs touched more than twice, no good worker held over 60 s",
+        kind: Kind::Virtual(poison::run),
+    },
+    Scenario {
+        name: "cancel-wave",
+        pattern: "10,000 of 14,000 jobs cancelled at once, some of them running",
+        bounds: "none started after its cancel, rooms in use within 5 s, <= 200 store writes/s",
+        kind: Kind::Virtual(waves::run_cancel),
+    },
+    Scenario {
+        name: "impossible-jobs",
+        pattern: "jobs that fit nowhere, and jobs whose only workers are lost for a while",
+        bounds: "refused or reported within 6 s, others unhindered (5%), all done in the end",
+        kind: Kind::Virtual(waves::run_impossible),
+    },
+    Scenario {
+        name: "rack-loss",
+        pattern: "a rack, then a zone, stop at once on a busy floor",
+        bounds: "rack re-placed in 20 s, a zone's services in 15 s, <= 200 store writes/s",
+        kind: Kind::Virtual(rack_loss::run),
+    },
+    Scenario {
+        name: "quota",
+        pattern: "200 teams, a tenth want ten times their share; urgent work on a full floor",
+        bounds: "each entitled team >= 95% of its share in a minute, urgent start p99 < 5.4 s",
+        kind: Kind::Virtual(quota::run),
+    },
+];
+
+/// Runs the kinds over one world; a policy named on the command line runs alone.
+fn run_all(
+    world: &World,
+    kinds: &[SchedulerKind],
+    only: Option<&str>,
+) -> BTreeMap<&'static str, SimOutcome> {
+    let wanted = kinds.iter().filter(|kind| only.is_none_or(|only| only == kind.name()));
+    wanted.map(|kind| (kind.name(), simulate(world, *kind))).collect()
+}
+
+/// Turns outcomes into results, in the order of `kinds`.
+fn results(
+    kinds: &[SchedulerKind],
+    outcomes: &BTreeMap<&'static str, SimOutcome>,
+    figures: impl Fn(&SimOutcome) -> Vec<(&'static str, f64)>,
+) -> Vec<PolicyResult> {
+    let known = kinds.iter().filter_map(|kind| outcomes.get(kind.name()).map(|out| (kind, out)));
+    known
+        .map(|(kind, out)| PolicyResult {
+            policy: kind.name().to_owned(),
+            figures: figures(out)
+                .into_iter()
+                .map(|(name, value)| (name.to_owned(), value))
+                .collect(),
+            series: out.series(),
+        })
+        .collect()
+}
--- a/crates/agatesill_policy/src/batch/cell.rs
+++ b/crates/agatesill_policy/src/batch/cell.rs
@@ -50,6 +50,9 @@
     /// Number of workers by capacity, for the question whether a need can ever be met.
     #[serde(skip)]
     pub(super) shapes: BTreeMap<(u64, u64, u64), u32>,
+    /// The same for lost workers, which may return.
+    #[serde(skip)]
+    pub(super) lost_shapes: BTreeMap<(u64, u64, u64), u32>,
 }
 
 /// The stored form of a [`Cell`]; what is derived is rebuilt when it is read.
@@ -136,8 +139,18 @@
         self.shapes.keys().any(|shape| from_shape(*shape).holds(need))
     }
 
-    /// Why `need` could never be met here, naming the nearest limit, or `None` when it could.
+    /// Why `job` could never run here, naming the nearest limit, or `None` when it could. Lost
+    /// workers count, since they may return.
     pub fn impossible(&self, job: &JobSpec) -> Option<String> {
+        let shapes = || self.shapes.keys().chain(self.lost_shapes.keys());
+        if shapes().any(|shape| from_shape(*shape).holds(&job.need)) {
+            return None;
+        }
+        Some(nearest_limit(&job.need, shapes().map(|shape| from_shape(*shape))))
+    }
+
+    /// Why `job` cannot run on the workers that are there now, or `None` when it can.
+    pub fn impossible_now(&self, job: &JobSpec) -> Option<String> {
         if self.holds_somewhere(&job.need) {
             return None;
         }
@@ -185,9 +198,12 @@
 
     /// Recomputes all that is derived from the stored state.
     fn rebuild(&mut self) {
-        let active = |worker: &&Worker| worker.state == WorkerState::Active;
-        for worker in self.workers.values().filter(active) {
-            *self.shapes.entry(shape(&worker.spec.capacity)).or_default() += 1;
+        for worker in self.workers.values() {
+            match worker.state {
+                WorkerState::Active => count_shape(&mut self.shapes, worker, 1),
+                WorkerState::Lost => count_shape(&mut self.lost_shapes, worker, 1),
+                WorkerState::Leaving => {}
+            }
         }
         for (id, job) in &mut self.jobs {
             job.open_tasks = job.tasks.iter().filter(|task| !task.state.is_closed()).count() as u32;
@@ -220,7 +236,14 @@
     );
 }
 
-pub(super) fn shape(capacity: &Resources) -> (u64, u64, u64) {
+/// Counts a worker in or out of the shapes that its state belongs to.
+pub(super) fn count_shape(shapes: &mut BTreeMap<(u64, u64, u64), u32>, worker: &Worker, by: i32) {
+    let count = shapes.entry(shape(&worker.spec.capacity)).or_default();
+    *count = count.saturating_add_signed(by);
+    shapes.retain(|_, count| *count > 0);
+}
+
+fn shape(capacity: &Resources) -> (u64, u64, u64) {
     (capacity.accelerators, capacity.cpu_milli, capacity.memory_mb)
 }
 
--- a/crates/agatesill_policy/src/batch/cell_transitions.rs
+++ b/crates/agatesill_policy/src/batch/cell_transitions.rs
@@ -1,6 +1,6 @@
 //! Transitions of the ledger, one function for each delta.
 
-use super::cell::{assert_capacity, shape};
+use super::cell::{assert_capacity, count_shape};
 use super::{
     Attempt, AttemptOutcome, Cell, CellEffect, FailureKind, Job, JobOutcome, JobSpec, Resources,
     Settled, TaskState, TaskView, Worker, WorkerId, WorkerSpec, WorkerState, split_task,
@@ -261,9 +261,7 @@
         let mut spec = spec.clone();
         let worker = match self.workers.remove(&spec.id) {
             Some(mut known) => {
-                if known.state == WorkerState::Active {
-                    self.forget_shape(&known.spec.capacity);
-                }
+                self.count_worker(&known, -1);
                 if !spec.capacity.holds(&known.used) {
                     // Shrinking below what is reserved would break the ledger: the old capacity
                     // counts until the list is compared again with less in use.
@@ -282,30 +280,26 @@
             },
         };
         assert_capacity(&worker);
-        *self.shapes.entry(shape(&worker.spec.capacity)).or_default() += 1;
+        self.count_worker(&worker, 1);
         self.workers.insert(worker.spec.id, worker);
         Vec::new()
     }
 
     pub(super) fn set_worker_state(&mut self, id: WorkerId, state: WorkerState) -> Vec<CellEffect> {
-        let Some(worker) = self.workers.get_mut(&id) else { return Vec::new() };
-        let was = std::mem::replace(&mut worker.state, state);
-        let capacity = worker.spec.capacity;
-        match (was == WorkerState::Active, state == WorkerState::Active) {
-            (true, false) => self.forget_shape(&capacity),
-            (false, true) => *self.shapes.entry(shape(&capacity)).or_default() += 1,
-            _ => {}
+        if let Some(mut worker) = self.workers.remove(&id) {
+            self.count_worker(&worker, -1);
+            worker.state = state;
+            self.count_worker(&worker, 1);
+            self.workers.insert(id, worker);
         }
         Vec::new()
     }
 
-    fn forget_shape(&mut self, capacity: &Resources) {
-        let key = shape(capacity);
-        if let Some(count) = self.shapes.get_mut(&key) {
-            *count -= 1;
-            if *count == 0 {
-                self.shapes.remove(&key);
-            }
+    fn count_worker(&mut self, worker: &Worker, by: i32) {
+        match worker.state {
+            WorkerState::Active => count_shape(&mut self.shapes, worker, by),
+            WorkerState::Lost => count_shape(&mut self.lost_shapes, worker, by),
+            WorkerState::Leaving => {}
         }
     }
 
--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -25,8 +25,8 @@
 pub use input::{BatchConfig, Plan, ServiceUsage, TaskUsage, Throttle, UsageReport};
 
 use super::{
-    Attempt, AttemptOutcome, Cell, CellDelta, CellEffect, EvictReason, Job, TaskId, TaskState,
-    WorkerId, WorkerState, split_task,
+    Attempt, AttemptOutcome, Cell, CellDelta, CellEffect, EvictReason, FailureKind, Job, TaskId,
+    TaskState, WorkerId, WorkerState, split_task,
 };
 use failures::Failures;
 use interference::Interference;
@@ -35,7 +35,7 @@
 use pace::Pace;
 use placement::NoPlace;
 use protection::Guards;
-use queue::{Lane, Queue};
+use queue::{Lane, Queue, RunTime};
 use workers::Workers;
 
 /// A live attempt, beyond what the ledger says.
@@ -46,6 +46,7 @@
     class: Option<usize>,
     cpus: f64,
     cpu_milli: u64,
+    memory_mb: u64,
     started_ms: u64,
     checkpoint_ms: u64,
     expected_ms: u64,
@@ -198,8 +199,15 @@
     }
 
     fn enqueue(&mut self, now_ms: u64, job: &Job) {
-        let run_ms = self.learning.run_ms(&job.spec);
-        self.queue.put(job, self.lane(job), run_ms, now_ms);
+        let run = self.run_time(job);
+        self.queue.put(job, self.lane(job), run, now_ms);
+    }
+
+    fn run_time(&self, job: &Job) -> RunTime {
+        RunTime {
+            likely_ms: self.learning.run_ms(&job.spec),
+            sure_ms: self.learning.sure_run_ms(&job.spec),
+        }
     }
 
     fn lane(&self, job: &Job) -> Lane {
@@ -254,6 +262,7 @@
             class,
             cpus,
             cpu_milli,
+            memory_mb: view.reserved.memory_mb,
             started_ms: now_ms,
             checkpoint_ms: view.checkpoint_ms,
             expected_ms,
@@ -306,8 +315,8 @@
             if delay_ms > 0 {
                 self.queue.delay(task.to_owned(), now_ms + delay_ms);
             } else {
-                let run_ms = self.learning.run_ms(&job.spec);
-                self.queue.put_back(job, self.lane(job), index as u32, run_ms, now_ms);
+                let run = self.run_time(job);
+                self.queue.put_back(job, self.lane(job), index as u32, run, now_ms);
             }
         }
     }
@@ -350,7 +359,7 @@
             AttemptOutcome::Done => {
                 self.failures.succeeded(id, running.worker);
                 let run_ms = running.checkpoint_ms + now_ms.saturating_sub(running.started_ms);
-                if self.learning.finished(&job.spec, run_ms) {
+                if self.learning.finished(now_ms, &job.spec, run_ms) {
                     self.reorder(now_ms, cell, class_of(&job.spec));
                 }
                 0
@@ -358,6 +367,9 @@
             AttemptOutcome::Failed { kind } => {
                 let task = &job.tasks[index];
                 let overruns = task.overruns;
+                if *kind == FailureKind::MemoryOverrun {
+                    self.learning.overran(&job.spec, running.memory_mb);
+                }
                 self.failures.failed(id, running.worker, *kind, task.failures, overruns)
             }
             AttemptOutcome::Stopped { .. } | AttemptOutcome::LeaseEnded => 0,
@@ -371,7 +383,8 @@
         };
         let ids: Vec<String> = self.queue.jobs().filter_map(of_class).collect();
         for job in ids.iter().filter_map(|id| cell.job(id)) {
-            self.queue.reorder(job, self.learning.run_ms(&job.spec), now_ms);
+            let run = self.run_time(job);
+            self.queue.reorder(job, run, now_ms);
         }
     }
 
--- a/crates/agatesill_policy/src/batch/policy/observe.rs
+++ b/crates/agatesill_policy/src/batch/policy/observe.rs
@@ -57,13 +57,16 @@
             }
             let class = self.interference.class_index(class_of(&job.spec));
             classes[class] += usage.cpu_milli as f64 / 1_000.0;
-            if let Some(running) = self.running.get_mut(&usage.task)
-                && running.attempt == usage.attempt
-            {
+            let running = self.running.get_mut(&usage.task);
+            let mut percent = 100;
+            if let Some(running) = running.filter(|running| running.attempt == usage.attempt) {
                 running.progress_ms = running.progress_ms.max(usage.progress_ms);
-                if running.percent == 100 && usage.cpu_milli > 0 {
-                    self.learning.used(&job.spec, usage.cpu_milli, usage.memory_mb);
-                }
+                percent = running.percent;
+            }
+            // Short tasks have ended when they are reported on; they teach their size still.
+            if percent == 100 && usage.cpu_milli > 0 {
+                let (cpu_milli, memory_mb) = (usage.cpu_milli, usage.memory_mb);
+                self.learning.used(&job.spec, cpu_milli, memory_mb, usage.progress_ms);
             }
         }
         classes
--- a/crates/agatesill_policy/src/batch/policy/plan.rs
+++ b/crates/agatesill_policy/src/batch/policy/plan.rs
@@ -37,8 +37,8 @@
         for task in self.queue.due(now_ms) {
             let Some((job, index)) = cell.locate(&task) else { continue };
             if matches!(job.tasks[index].state, TaskState::Waiting { .. }) {
-                let run_ms = self.learning.run_ms(&job.spec);
-                self.queue.put_back(job, self.lane(job), index as u32, run_ms, now_ms);
+                let run = self.run_time(job);
+                self.queue.put_back(job, self.lane(job), index as u32, run, now_ms);
             }
         }
     }
@@ -61,7 +61,7 @@
         }
         for id in std::mem::take(&mut self.unchecked) {
             let Some(job) = cell.job(&id).filter(|job| job.outcome.is_none()) else { continue };
-            match (cell.impossible(&job.spec), &job.parked) {
+            match (cell.impossible_now(&job.spec), &job.parked) {
                 (Some(reason), None) => plan.deltas.push(CellDelta::Park { job: id, reason }),
                 (None, Some(_)) => plan.deltas.push(CellDelta::Unpark { job: id }),
                 _ => {}
--- a/crates/agatesill_policy/src/batch/policy/plan_place.rs
+++ b/crates/agatesill_policy/src/batch/policy/plan_place.rs
@@ -14,6 +14,16 @@
 const STARTS_PER_S: f64 = 2_000.0;
 const START_BURST: f64 = 512.0;
 
+/// A job whose latest start is this near goes before the shares of teams: two or three run times
+/// of a bill run's tasks, so that rooms come free in time.
+const DUE_SOON_MS: u64 = 300_000;
+
+/// How far a team may go ahead of its share by such jobs, in time at its fair part of the floor.
+const CREDIT_MS: f64 = 600_000.0;
+
+/// Jobs looked at in one round for whether their deadline can still be met.
+const DEMOTED_PER_ROUND: usize = 64;
+
 /// Jobs of one team that may find no room before the team is passed over in this round.
 const MISSES_PER_TEAM: u32 = 3;
 
@@ -48,6 +58,7 @@
     misses: usize,
     rooms: usize,
     full: Vec<Resources>,
+    proposed: std::collections::BTreeSet<String>,
     scratch: Vec<WorkerId>,
 }
 
@@ -63,9 +74,12 @@
             misses: MISSES_PER_ROUND,
             rooms: ROOM_MADE_PER_ROUND,
             full: Vec::new(),
+            proposed: Default::default(),
             scratch: Vec::new(),
         };
         self.place_express(cell, &mut round, plan);
+        self.queue.note_floor();
+        self.place_due(cell, &mut round, plan);
         self.place_shared(cell, &mut round, plan);
         self.starts.spend(places - round.places);
     }
@@ -97,10 +111,64 @@
         }
     }
 
+    /// Serves jobs whose latest start is near, whatever their team, as long as the team has
+    /// credit: shares are kept over minutes, but a deadline passes once. The credit keeps a team
+    /// from taking the floor by tight deadlines.
+    fn place_due(&mut self, cell: &Cell, round: &mut Round, plan: &mut Plan) {
+        self.demote_hopeless(cell, round.now_ms);
+        let total = self.workers.total().cpu_milli as f64;
+        let fair = total / self.queue.busy_teams().max(1) as f64;
+        let near = self.queue.due_before(round.now_ms + DUE_SOON_MS);
+        let jobs: Vec<(String, Vec<u32>)> = near
+            .filter(|(_, queued)| {
+                let weight = self.config.weight(&queued.team);
+                self.queue.has_credit(&queued.team, fair * CREDIT_MS / weight)
+            })
+            .take(MISSES_PER_ROUND)
+            .map(|(id, queued)| {
+                let ready = queued.ready.iter().take(round.places).copied().collect();
+                (id.to_owned(), ready)
+            })
+            .collect();
+        for (id, ready) in jobs {
+            let Some(job) = cell.job(&id) else { continue };
+            for index in ready {
+                if round.places == 0 || round.misses <= MISSES_PER_ROUND / 2 {
+                    return;
+                }
+                if self.is_over_quota(&job.spec.team) {
+                    break;
+                }
+                let placed = self.place_task(cell, job, index as usize, Lane::Shared, round, plan);
+                if let Err(refused) = placed {
+                    self.miss(&id, refused, round);
+                    self.hold_for(cell, job, index as usize, refused, round);
+                    break;
+                }
+                round.proposed.insert(job.task_id(index as usize));
+            }
+        }
+    }
+
+    fn is_over_quota(&self, team: &str) -> bool {
+        let used = self.queue.team(team).map_or(0, |team| team.used_cpu_milli);
+        used >= self.config.quota_cpu_milli(team)
+    }
+
+    /// Moves jobs behind the others once their deadline can no longer be met.
+    fn demote_hopeless(&mut self, cell: &Cell, now_ms: u64) {
+        let late = self.queue.due_before(now_ms + DUE_SOON_MS).map(|(id, _)| id.to_owned());
+        for id in late.take(DEMOTED_PER_ROUND).collect::<Vec<_>>() {
+            if let Some(job) = cell.job(&id) {
+                let run = self.run_time(job);
+                self.queue.reorder(job, run, now_ms);
+            }
+        }
+    }
+
     /// Serves the team with the least use over its weight, again and again. The heap holds each
     /// waiting team once; a team's account grows with each start, so it goes behind the others.
     fn place_shared(&mut self, cell: &Cell, round: &mut Round, plan: &mut Plan) {
-        self.queue.note_floor();
         let teams = self.queue.waiting_teams();
         let mut heap: BinaryHeap<Reverse<(i64, String)>> =
             teams.map(|(name, team)| Reverse((team.virtual_ms as i64, name.to_owned()))).collect();
@@ -110,6 +178,11 @@
             let cursor: &mut Cursor = cursors.entry(team.clone()).or_default();
             let Some((id, index)) = self.next_of(&team, cursor) else { continue };
             let Some(job) = cell.job(&id) else { continue };
+            if round.proposed.contains(&job.task_id(index as usize)) {
+                cursor.after = Some(index);
+                heap.push(Reverse((account, team)));
+                continue;
+            }
             match self.place_task(cell, job, index as usize, Lane::Shared, round, plan) {
                 Ok(cost) => {
                     cursor.after = Some(index);
--- a/crates/agatesill_policy/src/batch/policy/queue.rs
+++ b/crates/agatesill_policy/src/batch/policy/queue.rs
@@ -13,6 +13,18 @@
 /// a working day's deadlines in front.
 pub const AGING_MS: u64 = 3_600_000;
 
+/// A latest start missed by this part of the run time may still be made up by a quick run.
+const HOPELESS_PART: u64 = 10;
+
+/// Run time of a job's tasks.
+#[derive(Clone, Copy, Debug)]
+pub struct RunTime {
+    /// As learned, or as declared.
+    pub likely_ms: u64,
+    /// As learned, or 0.
+    pub sure_ms: u64,
+}
+
 /// Which tasks go before which, whatever their team.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Lane {
@@ -33,6 +45,8 @@
     pub team: String,
     /// Latest start that meets its deadline; the order within a lane or team.
     pub start_by_ms: u64,
+    /// Whether it has a deadline.
+    pub has_deadline: bool,
     /// Whether its deadline can no longer be met.
     pub hopeless: bool,
     /// Tasks that may be placed now.
@@ -60,6 +74,7 @@
 pub struct Queue {
     jobs: BTreeMap<String, QueuedJob>,
     express: BTreeSet<(Lane, u64, String)>,
+    due: BTreeSet<(u64, String)>,
     teams: BTreeMap<String, TeamQueue>,
     delayed: BTreeSet<(u64, TaskId)>,
     floor_virtual_ms: f64,
@@ -67,15 +82,16 @@
 
 impl Queue {
     /// Adds a job's waiting tasks, or replaces what was known of them.
-    pub fn put(&mut self, job: &Job, lane: Lane, run_ms: u64, now_ms: u64) {
+    pub fn put(&mut self, job: &Job, lane: Lane, run: RunTime, now_ms: u64) {
         self.remove(&job.spec.id);
         let ready: BTreeSet<u32> = job.waiting().map(|index| index as u32).collect();
         if ready.is_empty() || !job.is_runnable() {
             return;
         }
-        let (hopeless, start_by_ms) = order(job, run_ms, now_ms);
+        let (hopeless, start_by_ms) = order(job, run, now_ms);
         let team = job.spec.team.clone();
-        let queued = QueuedJob { lane, team, start_by_ms, hopeless, ready };
+        let has_deadline = job.spec.deadline_ms > 0;
+        let queued = QueuedJob { lane, team, start_by_ms, has_deadline, hopeless, ready };
         self.link(&job.spec.id, &queued);
         self.jobs.insert(job.spec.id.clone(), queued);
     }
@@ -88,11 +104,11 @@
     }
 
     /// Moves a job to the place that a new run time gives it; its ready tasks stay.
-    pub fn reorder(&mut self, job: &Job, run_ms: u64, now_ms: u64) {
+    pub fn reorder(&mut self, job: &Job, run: RunTime, now_ms: u64) {
         let id = job.spec.id.as_str();
         let Some(mut queued) = self.jobs.remove(id) else { return };
         self.unlink(id, &queued);
-        (queued.hopeless, queued.start_by_ms) = order(job, run_ms, now_ms);
+        (queued.hopeless, queued.start_by_ms) = order(job, run, now_ms);
         self.link(id, &queued);
         self.jobs.insert(id.to_owned(), queued);
     }
@@ -107,7 +123,7 @@
     }
 
     /// Adds a task that has to wait again, at the earliest at `not_before_ms`.
-    pub fn put_back(&mut self, job: &Job, lane: Lane, index: u32, run_ms: u64, now_ms: u64) {
+    pub fn put_back(&mut self, job: &Job, lane: Lane, index: u32, run: RunTime, now_ms: u64) {
         if !job.is_runnable() {
             return;
         }
@@ -115,10 +131,11 @@
             queued.ready.insert(index);
             return;
         }
-        let (hopeless, start_by_ms) = order(job, run_ms, now_ms);
+        let (hopeless, start_by_ms) = order(job, run, now_ms);
         let team = job.spec.team.clone();
         let ready = BTreeSet::from([index]);
-        let queued = QueuedJob { lane, team, start_by_ms, hopeless, ready };
+        let has_deadline = job.spec.deadline_ms > 0;
+        let queued = QueuedJob { lane, team, start_by_ms, has_deadline, hopeless, ready };
         self.link(&job.spec.id, &queued);
         self.jobs.insert(job.spec.id.clone(), queued);
     }
@@ -147,6 +164,26 @@
             .filter_map(|(_, _, id)| self.jobs.get(id).map(|queued| (id.as_str(), queued)))
     }
 
+    /// Jobs of all teams whose latest start lies before `before_ms`, first ones first; those
+    /// that can no longer meet their deadline are not among them.
+    pub fn due_before(&self, before_ms: u64) -> impl Iterator<Item = (&str, &QueuedJob)> {
+        self.due
+            .range(..(before_ms, String::new()))
+            .filter_map(|(_, id)| self.jobs.get(id).map(|queued| (id.as_str(), queued)))
+    }
+
+    /// Whether a team may go ahead of its share: it has not used more than `credit` beyond the
+    /// team with the least.
+    pub fn has_credit(&self, team: &str, credit: f64) -> bool {
+        let used = self.teams.get(team).map_or(0.0, |team| team.virtual_ms);
+        used <= self.floor_virtual_ms + credit
+    }
+
+    /// Number of teams with waiting or running tasks.
+    pub fn busy_teams(&self) -> usize {
+        self.teams.values().filter(|team| !team.order.is_empty() || team.running > 0).count()
+    }
+
     /// Teams with waiting tasks.
     pub fn waiting_teams(&self) -> impl Iterator<Item = (&str, &TeamQueue)> {
         let waits = |(_, team): &(&String, &TeamQueue)| !team.order.is_empty();
@@ -200,6 +237,9 @@
                 team.virtual_ms = team.virtual_ms.max(floor);
             }
             team.order.insert((queued.hopeless, queued.start_by_ms, id.to_owned()));
+            if queued.has_deadline && !queued.hopeless {
+                self.due.insert((queued.start_by_ms, id.to_owned()));
+            }
         } else {
             self.express.insert((queued.lane, queued.start_by_ms, id.to_owned()));
         }
@@ -207,6 +247,7 @@
 
     fn unlink(&mut self, id: &str, queued: &QueuedJob) {
         if queued.lane == Lane::Shared {
+            self.due.remove(&(queued.start_by_ms, id.to_owned()));
             if let Some(team) = self.teams.get_mut(&queued.team) {
                 team.order.remove(&(queued.hopeless, queued.start_by_ms, id.to_owned()));
             }
@@ -218,12 +259,13 @@
 
 /// Latest start that meets the deadline. A job that can no longer meet it goes behind those that
 /// can: serving it first would make the next one late as well, one after the other.
-fn order(job: &Job, run_ms: u64, now_ms: u64) -> (bool, u64) {
+fn order(job: &Job, run: RunTime, now_ms: u64) -> (bool, u64) {
     match job.spec.deadline_ms {
         0 => (false, job.at_ms + AGING_MS),
         limit_ms => {
-            let start_by_ms = (job.at_ms + limit_ms).saturating_sub(run_ms);
-            (start_by_ms < now_ms, start_by_ms)
+            let due_ms = job.at_ms + limit_ms;
+            let sure_ms = run.sure_ms - run.sure_ms / HOPELESS_PART;
+            (due_ms < now_ms + sure_ms, due_ms.saturating_sub(run.likely_ms))
         }
     }
 }
