Request faults: reads and decisions re-sent while daemons, store and upstreams fail

Change: a requests scenario on the project's one fault runner, with upstream faults beside those of daemons and store; every attempt has its own identity in the upstreams' books, so that each `not run` is judged by itself. A share of connections now grows only 30 s after fewer daemons are heard.

--- a/crates/agatesill_bench/src/faults.rs
+++ b/crates/agatesill_bench/src/faults.rs
@@ -1,23 +1,56 @@
 //! Randomised fault runs over real daemons; `docs/TESTING.md` says how to replay one.
 
-use agatesill_standin::faults::{RunReport, batch, daemon_beside_this_program, run_seed};
+use std::future::Future;
+use std::path::PathBuf;
+
+use agatesill_standin::faults::{
+    RunReport, Schedule, ScheduleLimits, batch, daemon_beside_this_program, requests, run_seed,
+};
 
 use crate::result::{Check, PolicyResult, SeedResult};
 use crate::scenario::{Kind, Scenario};
 
 /// The scenarios of this module.
-pub const SCENARIOS: &[Scenario] = &[Scenario {
-    name: "faults",
-    pattern: "batch jobs while daemons, store, workers and the network between them fail, alone, \
+pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "faults",
+        pattern: "batch jobs while daemons, store, workers and the network between them fail, alone, \
               together or twice",
-    bounds: "no task in two places, no worker beyond its capacity, evicted tasks resume once, \
+        bounds: "no task in two places, no worker beyond its capacity, evicted tasks resume once, \
              every accepted job ends in one outcome",
-    kind: Kind::Real(batch_faults),
-}];
+        kind: Kind::Real(batch_faults),
+    },
+    Scenario {
+        name: "request-faults",
+        pattern: "reads and non-repeatable decisions, re-sent to other daemons while daemons, \
+                  store and upstreams fail, alone, together or twice",
+        bounds: "no decision runs twice, `not run` is never false, no wrong or short answer looks \
+                 whole, every daemon serves again afterwards",
+        kind: Kind::Real(request_faults),
+    },
+];
 
 fn batch_faults(seed: u64) -> SeedResult {
-    let report = run_batch(seed)
-        .unwrap_or_else(|why| RunReport { violations: vec![why], ..RunReport::default() });
+    judged(
+        seed,
+        run(seed, &batch::limits(), |binary, schedule| async move {
+            batch::run(&binary, schedule).await
+        }),
+    )
+}
+
+fn request_faults(seed: u64) -> SeedResult {
+    judged(
+        seed,
+        run(seed, &requests::limits(), |binary, schedule| async move {
+            requests::run(&binary, schedule).await
+        }),
+    )
+}
+
+fn judged(seed: u64, report: Result<RunReport, String>) -> SeedResult {
+    let report =
+        report.unwrap_or_else(|why| RunReport { violations: vec![why], ..RunReport::default() });
     let figures = report.figures.iter().map(|(name, value)| ((*name).to_owned(), *value));
     SeedResult {
         seed,
@@ -30,7 +63,11 @@
     }
 }
 
-fn run_batch(seed: u64) -> Result<RunReport, String> {
+fn run<F, R>(seed: u64, limits: &ScheduleLimits, scenario: F) -> Result<RunReport, String>
+where
+    F: Fn(PathBuf, Schedule) -> R,
+    R: Future<Output = RunReport>,
+{
     let binary = daemon_beside_this_program()
         .ok_or("no agatesilld beside this program; run `cargo build -p agatesilld` first")?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -38,8 +75,8 @@
         .enable_all()
         .build()
         .map_err(|error| error.to_string())?;
-    let report = runtime
-        .block_on(run_seed(seed, &batch::limits(), |schedule| batch::run(&binary, schedule)));
+    let report =
+        runtime.block_on(run_seed(seed, limits, |schedule| scenario(binary.clone(), schedule)));
     for violation in &report.violations {
         eprintln!("seed {seed}: {violation}");
     }
--- a/crates/agatesill_standin/src/caller.rs
+++ b/crates/agatesill_standin/src/caller.rs
@@ -36,8 +36,11 @@
     pub deadline_ms: u64,
     /// Its body.
     pub body: String,
-    /// Number of the attempt, sent with the identity as idempotency key; 0 sends neither.
+    /// Number of the attempt, sent with an idempotency key; 0 sends neither.
     pub attempt: u32,
+    /// Idempotency key; empty takes the identity. Otherwise an answer may carry the identity of
+    /// any attempt: the key, `#` and its number.
+    pub once: String,
 }
 
 /// What came back.
@@ -107,8 +110,8 @@
             .header(DEADLINE_HEADER, ask.deadline_ms)
             .header(REQUEST_ID_HEADER, &ask.id);
         if ask.attempt > 0 {
-            request =
-                request.header(IDEMPOTENCY_HEADER, &ask.id).header(ATTEMPT_HEADER, ask.attempt);
+            let key = if ask.once.is_empty() { &ask.id } else { &ask.once };
+            request = request.header(IDEMPOTENCY_HEADER, key).header(ATTEMPT_HEADER, ask.attempt);
         }
         let request = request.body(Full::new(Bytes::from(ask.body.clone())))?;
         let answer = self.client.request(request).await?;
@@ -123,10 +126,17 @@
     {
         return Heard::Failed(error);
     }
-    let start = format!("{}:{}", ask.id, ask.body);
+    let ids: Vec<String> = if ask.once.is_empty() {
+        vec![ask.id.clone()]
+    } else {
+        (1..=ask.attempt).map(|attempt| format!("{}#{attempt}", ask.once)).collect()
+    };
     let extra_bytes = ask.path.strip_prefix("/bytes/").and_then(|text| text.parse().ok());
-    let length = start.len() + extra_bytes.unwrap_or(0);
-    if body.len() == length && body.starts_with(start.as_bytes()) {
+    let is_own = ids.iter().any(|id| {
+        let start = format!("{id}:{}", ask.body);
+        body.len() == start.len() + extra_bytes.unwrap_or(0) && body.starts_with(start.as_bytes())
+    });
+    if is_own {
         return Heard::Answer(status, body);
     }
     Heard::Wrong(status, body)
--- a/crates/agatesill_standin/src/faults/mod.rs
+++ b/crates/agatesill_standin/src/faults/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod batch;
 mod process;
+pub mod requests;
 mod schedule;
 mod shrink;
 mod trace;
--- a/crates/agatesill_standin/src/faults/schedule.rs
+++ b/crates/agatesill_standin/src/faults/schedule.rs
@@ -40,11 +40,32 @@
         WorkerUnreachable,
         /// A worker fails everything that it starts.
         WorkerFailsAll,
+        /// An upstream runs requests and dies in the middle of half of its answers.
+        UpstreamDies,
+        /// An upstream runs requests and closes half of the connections without an answer.
+        UpstreamLosesAnswers,
+        /// An upstream refuses everything because it is leaving.
+        UpstreamLeaves,
+        /// An upstream is slow.
+        UpstreamSlow,
     }
 }
 
 impl FaultKind {
-    /// All kinds.
+    /// What can strike requests.
+    pub const REQUESTS: [FaultKind; 9] = [
+        FaultKind::KillDaemon,
+        FaultKind::PauseDaemon,
+        FaultKind::CutStore,
+        FaultKind::LoseStoreAnswers,
+        FaultKind::StoreOutage,
+        FaultKind::UpstreamDies,
+        FaultKind::UpstreamLosesAnswers,
+        FaultKind::UpstreamLeaves,
+        FaultKind::UpstreamSlow,
+    ];
+
+    /// What can strike batch work.
     pub const ALL: [FaultKind; 12] = [
         FaultKind::KillDaemon,
         FaultKind::PauseDaemon,
--- a/crates/agatesill_standin/src/faults/world.rs
+++ b/crates/agatesill_standin/src/faults/world.rs
@@ -19,6 +19,7 @@
 use crate::addresses::fresh_address;
 use crate::gate::{Gate, GateMode};
 use crate::store::{StoreFaults, StoreStandin};
+use crate::upstreams::{UpstreamFaults, UpstreamStandin, start_upstream};
 use crate::workers::{WorkersStandin, start_workers_behind};
 
 /// Longest wait for a daemon that was started.
@@ -27,6 +28,9 @@
 /// Longest wait for one answer of a daemon.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 
+/// How much slower a slow upstream is: its answers come after the callers' patience.
+const UPSTREAM_SLOWNESS: u32 = 300;
+
 /// Numbers the worlds of one process, for their folders.
 static WORLDS: AtomicU64 = AtomicU64::new(0);
 
@@ -48,6 +52,8 @@
     pub store: StoreStandin,
     /// All workers.
     pub workers: WorkersStandin,
+    /// All upstreams, in the order of the settings.
+    pub upstreams: Vec<UpstreamStandin>,
     /// The daemons.
     pub daemons: Vec<DaemonProcess>,
     /// What happened.
@@ -69,6 +75,7 @@
         let mut world = Self {
             store: StoreStandin::default(),
             workers: WorkersStandin::new(&specs),
+            upstreams: Vec::new(),
             daemons: Vec::new(),
             trace: Trace::default(),
             worker_ids: specs.iter().map(|spec| spec.id).collect(),
@@ -76,8 +83,10 @@
             stop: CancellationToken::new(),
         };
         let peers = addresses(options.daemons)?;
+        let mut options = options.clone();
+        world.start_upstreams(&mut options.base).await?;
         for nth in 0..options.daemons {
-            let daemon = world.prepare(options, &peers, nth).await?;
+            let daemon = world.prepare(&options, &peers, nth).await?;
             daemon.start()?;
             world.daemons.push(daemon);
         }
@@ -87,6 +96,15 @@
         Ok(world)
     }
 
+    async fn start_upstreams(&mut self, base: &mut Settings) -> Result<(), Error> {
+        for upstream in base.pools.values_mut().flatten() {
+            let standin = UpstreamStandin::new(upstream.slots as usize, UpstreamFaults::default());
+            upstream.addr = start_upstream(&standin, loopback(), &self.stop).await?;
+            self.upstreams.push(standin);
+        }
+        Ok(())
+    }
+
     async fn prepare(
         &self,
         options: &WorldOptions,
@@ -165,6 +183,10 @@
             FaultKind::WorkerUnreachable | FaultKind::WorkerFailsAll => {
                 self.set_worker(worker, fault.kind, true);
             }
+            FaultKind::UpstreamDies
+            | FaultKind::UpstreamLosesAnswers
+            | FaultKind::UpstreamLeaves
+            | FaultKind::UpstreamSlow => self.set_upstream(fault, true),
         }
     }
 
@@ -188,6 +210,10 @@
             FaultKind::WorkerUnreachable | FaultKind::WorkerFailsAll => {
                 self.set_worker(worker, fault.kind, false);
             }
+            FaultKind::UpstreamDies
+            | FaultKind::UpstreamLosesAnswers
+            | FaultKind::UpstreamLeaves
+            | FaultKind::UpstreamSlow => self.set_upstream(fault, false),
         }
     }
 
@@ -204,6 +230,9 @@
             self.set_worker(Some(*worker), FaultKind::WorkerUnreachable, false);
             self.set_worker(Some(*worker), FaultKind::WorkerFailsAll, false);
         }
+        for upstream in &self.upstreams {
+            upstream.set_faults(UpstreamFaults::default());
+        }
         self.trace.note("all faults over");
     }
 
@@ -218,6 +247,19 @@
         }
     }
 
+    fn set_upstream(&self, fault: Fault, on: bool) {
+        let index = fault.target % self.upstreams.len().max(1);
+        let Some(upstream) = self.upstreams.get(index) else { return };
+        let none = UpstreamFaults::default();
+        upstream.set_faults(match fault.kind {
+            _ if !on => none,
+            FaultKind::UpstreamDies => UpstreamFaults { die_mid_answer_percent: 50, ..none },
+            FaultKind::UpstreamLosesAnswers => UpstreamFaults { lose_answer_percent: 50, ..none },
+            FaultKind::UpstreamLeaves => UpstreamFaults { leaving: true, ..none },
+            _ => UpstreamFaults { slowness: UPSTREAM_SLOWNESS, ..none },
+        });
+    }
+
     fn set_worker(&self, worker: Option<WorkerId>, kind: FaultKind, on: bool) {
         let Some(worker) = worker else { return };
         let mut faults = self.workers.faults(worker);
@@ -235,6 +277,12 @@
                 let index = fault.target % self.worker_ids.len().max(1);
                 format!("worker {}", self.worker_ids.get(index).copied().unwrap_or_default())
             }
+            FaultKind::UpstreamDies
+            | FaultKind::UpstreamLosesAnswers
+            | FaultKind::UpstreamLeaves
+            | FaultKind::UpstreamSlow => {
+                format!("upstream {}", fault.target % self.upstreams.len().max(1) + 1)
+            }
             _ => self.daemons[fault.target % self.daemons.len()].name.clone(),
         }
     }
--- a/crates/agatesill_standin/src/trace.rs
+++ b/crates/agatesill_standin/src/trace.rs
@@ -104,6 +104,7 @@
         deadline_ms: row.deadline_ms,
         body: row.body,
         attempt: 0,
+        once: String::new(),
     };
     let (heard, took_us) = Caller::default().timed(entry, &ask).await;
     Reply {
--- a/crates/agatesilld/src/relay/mod.rs
+++ b/crates/agatesilld/src/relay/mod.rs
@@ -30,6 +30,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -68,6 +69,10 @@
 /// Time between two looks at how many daemons share the connections.
 const SHARE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How long fewer daemons must be heard before this one takes over their share: several times what
+/// a pause or a lost link lasts.
+const GROW_AFTER: Duration = Duration::from_secs(30);
+
 /// The relaying duty; clones share one state.
 #[derive(Clone, Debug)]
 pub struct Relay {
@@ -83,7 +88,6 @@
     tasks: TaskTracker,
     settle_limit: Duration,
     members: usize,
-    suspect_after: Duration,
 }
 
 impl Relay {
@@ -107,7 +111,6 @@
             tasks: TaskTracker::new(),
             settle_limit: Duration::from_millis(settings.records.settle_ms),
             members: settings.peers.members.len(),
-            suspect_after: Duration::from_millis(settings.peers.suspect_ms),
         }
     }
 
@@ -129,13 +132,19 @@
         tokio::select! { () = serving => {}, () = sharing => {} }
     }
 
-    /// Keeps this daemon's share of the connections in step with the daemons that live; until
-    /// peers could be heard, all members count as living.
+    /// Keeps this daemon's share of the connections in step with the daemons that live.
+    ///
+    /// Guards against more connections at an upstream than it takes, which it would show as
+    /// refused or slow ones: a daemon that is not heard may only be paused or cut off, and keeps
+    /// its connections. A share shrinks at once and grows only after [`GROW_AFTER`]; until peers
+    /// could be heard, all members count as living.
     async fn share_connections(self, cut: CancellationToken) {
-        let started = tokio::time::Instant::now();
+        let (mut others, mut since) = (self.members, Instant::now());
         while !cut.is_cancelled() {
             let heard = self.shared.peers().len();
-            let others = if started.elapsed() < self.suspect_after { self.members } else { heard };
+            if heard >= others || since.elapsed() > GROW_AFTER {
+                (others, since) = (heard, Instant::now());
+            }
             self.connections.share_among(others + 1);
             self.metrics.set_connections(self.connections.open() as u64);
             tokio::time::sleep(SHARE_INTERVAL).await;
--- a/crates/agatesilld/tests/relay.rs
+++ b/crates/agatesilld/tests/relay.rs
@@ -73,6 +73,7 @@
         deadline_ms: 5_000,
         body: String::new(),
         attempt: 0,
+        once: String::new(),
     }
 }
 
