--- a/crates/agatesill_bench/src/requests/burst.rs
+++ b/crates/agatesill_bench/src/requests/burst.rs
@@ -2,7 +2,7 @@
 //!
 //! Utilisation 70%, then 350% for 2 s, then 70%. Lognormal service times (sigma 0.8), the brief's
 //! network, heartbeats every 200 ms. What fits is what the same policy answers in promise when
-//! one daemon sees all slots and gets every request.
+//! one daemon sees all slots, gets every request and has no zone to cross.
 
 use super::engine::Decides;
 use super::load::{Deployment, Phase};
--- a/crates/agatesill_bench/src/requests/engine.rs
+++ b/crates/agatesill_bench/src/requests/engine.rs
@@ -29,7 +29,7 @@
 pub enum Decides {
     /// The product's policy in every daemon.
     Agatesill,
-    /// The product's policy in one daemon that gets every request: what fits.
+    /// The product's policy in one daemon that gets every request and is in every zone: what fits.
     Central,
     /// A baseline in every daemon.
     Baseline(Way),
@@ -182,6 +182,7 @@
 /// A run of one policy over one load.
 pub struct Engine<'a> {
     deployment: Deployment,
+    nowhere_far: bool,
     load: Load,
     faults: Vec<(u64, Fault)>,
     ends_us: u64,
@@ -258,6 +259,7 @@
             now_us: 0,
             sequence: 0,
             heap: BinaryHeap::new(),
+            nowhere_far: decides == Decides::Central,
             daemons: (0..count)
                 .map(|index| daemon(index, &names, seed, decides, deployment))
                 .collect(),
@@ -371,10 +373,15 @@
             self.watched.attempts.resize(bucket + 1, 0);
         }
         self.watched.attempts[bucket] += 1;
-        let way_us = self.deployment.way_us(zone, zone_of(upstream as usize, &self.deployment));
+        let way_us = self.way_us(zone, upstream);
         self.at(self.now_us + way_us, Event::AtUpstream(index, upstream));
     }
 
+    fn way_us(&self, zone: usize, upstream: u32) -> u64 {
+        let to = zone_of(upstream as usize, &self.deployment);
+        self.deployment.way_us(if self.nowhere_far { to } else { zone }, to)
+    }
+
     fn end(&mut self, index: u32, ended: Ended) {
         let request = self.requests[index as usize];
         (self.finished)(&Finished {
@@ -428,7 +435,7 @@
     fn done(&mut self, index: u32, upstream: u32) {
         self.servers[upstream as usize].busy -= 1;
         let zone = self.daemons[self.requests[index as usize].daemon].zone;
-        let way_us = self.deployment.way_us(zone, zone_of(upstream as usize, &self.deployment));
+        let way_us = self.way_us(zone, upstream);
         self.at(self.now_us + way_us, Event::Back(index, Outcome::Answered));
         self.serve(upstream);
     }
--- a/crates/agatesill_bench/src/requests/mod.rs
+++ b/crates/agatesill_bench/src/requests/mod.rs
@@ -11,6 +11,7 @@
 pub mod long;
 pub mod measure;
 pub mod overload;
+pub mod route_cost;
 pub mod slow;
 pub mod storm;
 pub mod views;
@@ -72,4 +73,10 @@
         bounds: "<= 10% beyond the slots at any upstream, tail back within 3 s",
         kind: Kind::Virtual(views::seed),
     },
+    Scenario {
+        name: "route-cost",
+        pattern: "one decision after another at 70% load, at 50, 500 and 2,000 upstreams",
+        bounds: "<= 2 us at 50 and <= 4 us at 2,000 upstreams",
+        kind: Kind::Real(route_cost::seed),
+    },
 ];
--- a/crates/agatesill_policy/src/request/mod.rs
+++ b/crates/agatesill_policy/src/request/mod.rs
@@ -3,6 +3,7 @@
 //! [`RequestPolicy`] is one daemon's view of one pool of upstreams, shared by all services of that
 //! pool. It never blocks: events go in with the current time, [`Action`]s come out.
 //!
+//! - [`peers`]: the other daemons and what they reported.
 //! - [`shares`]: which slots of which upstream are this daemon's.
 //! - [`pool`]: the choice among upstreams that have room.
 //! - [`health`]: slow or failing upstreams leave the choice and come back slowly.
@@ -15,6 +16,7 @@
 pub mod health;
 pub mod histogram;
 pub mod limit;
+pub mod peers;
 pub mod policy;
 pub mod pool;
 pub mod retry;
--- a/crates/agatesill_policy/src/request/policy.rs
+++ b/crates/agatesill_policy/src/request/policy.rs
@@ -8,9 +8,9 @@
 use super::admission::{Durations, expected_wait_us, expires_us, queue_limit};
 use super::fair::{FairQueue, Waiting, eviction_margin};
 use super::limit::ConcurrencyLimit;
+use super::peers::Peers;
 use super::pool::Pool;
 use super::retry::{MAX_ATTEMPTS, RetryBudget, permits};
-use super::shares::{Member, member_hash};
 use super::{
     Action, Choice, DEFAULT_LIMITS, Decision, Outcome, Refusal, RequestHead, ServiceIndex,
     ServiceLimits, Ticket, UpstreamId, UpstreamSpec,
@@ -41,14 +41,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Peer {
-    name: String,
-    zone: String,
-    live: bool,
-    loads: Vec<(UpstreamId, u32)>,
-}
-
 #[derive(Debug)]
 struct Exchange {
     head: RequestHead,
@@ -71,9 +63,7 @@
 pub struct RequestPolicy {
     pool: Pool,
     services: Vec<Service>,
-    peers: Vec<Peer>,
-    members: Vec<Member>,
-    own: usize,
+    peers: Peers,
     queue: FairQueue,
     places: HashMap<Ticket, Place>,
     ageing: VecDeque<(u64, Ticket, u64)>,
@@ -92,13 +82,7 @@
         Self {
             pool: Pool::new(zone),
             services: Vec::new(),
-            peers: Vec::new(),
-            members: vec![Member {
-                hash: member_hash(instance),
-                zone: zone.to_owned(),
-                live: true,
-            }],
-            own: 0,
+            peers: Peers::new(instance, zone),
             queue: FairQueue::default(),
             places: HashMap::new(),
             ageing: VecDeque::new(),
@@ -119,26 +103,14 @@
 
     /// Names the other daemons before the same pool. Each counts as alive, and keeps its slots,
     /// until [`RequestPolicy::peer_gone`] says otherwise.
-    pub fn set_members(&mut self, now_us: u64, members: &[String]) {
-        let gone: Vec<String> = self
-            .peers
-            .iter()
-            .filter(|peer| !members.contains(&peer.name))
-            .map(|peer| peer.name.clone())
-            .collect();
-        gone.iter().for_each(|name| self.peer_gone(now_us, name));
-        self.peers.retain(|peer| members.contains(&peer.name));
-        for name in members {
-            self.peer(name);
-        }
+    pub fn set_members(&mut self, _now_us: u64, members: &[String]) {
+        self.peers.set_names(members, &mut self.pool);
         self.share_out();
     }
 
     /// Says in which availability zone another daemon is; until then it counts as in none.
     pub fn set_member_zone(&mut self, _now_us: u64, instance: &str, zone: &str) {
-        let at = self.peer(instance);
-        if self.peers[at].zone != zone {
-            zone.clone_into(&mut self.peers[at].zone);
+        if self.peers.set_zone(instance, zone) {
             self.share_out();
         }
     }
@@ -146,7 +118,7 @@
     /// Replaces the set of upstreams; those that are gone receive nothing new, and one that was
     /// leaving and is listed again may receive work again.
     pub fn set_upstreams(&mut self, _now_us: u64, specs: &[UpstreamSpec]) {
-        self.pool.set_upstreams(specs, &self.members, self.own);
+        self.pool.set_upstreams(specs, self.peers.members(), self.peers.own());
     }
 
     /// Marks an upstream as leaving at the first sign of it: a closed connection, a refusal, a
@@ -164,24 +136,14 @@
         _age_us: u64,
         loads: &[(UpstreamId, u32)],
     ) {
-        let at = self.peer(instance);
-        self.add_loads(at, -1);
-        let peer = &mut self.peers[at];
-        peer.loads.clear();
-        peer.loads.extend_from_slice(loads);
-        let back = !std::mem::replace(&mut peer.live, true);
-        self.add_loads(at, 1);
-        if back {
+        if self.peers.heard(instance, loads, &mut self.pool) {
             self.share_out();
         }
     }
 
     /// Another daemon has died or stopped; its slots fall to the others.
     pub fn peer_gone(&mut self, _now_us: u64, instance: &str) {
-        let at = self.peer(instance);
-        self.add_loads(at, -1);
-        self.peers[at].loads.clear();
-        self.peers[at].live = false;
+        self.peers.gone(instance, &mut self.pool);
         self.share_out();
     }
 
@@ -553,40 +515,8 @@
         &mut self.services[index]
     }
 
-    fn peer(&mut self, instance: &str) -> usize {
-        let found = self.peers.iter().position(|peer| peer.name == instance);
-        found.unwrap_or_else(|| {
-            let peer = Peer {
-                name: instance.to_owned(),
-                zone: String::new(),
-                live: true,
-                loads: Vec::new(),
-            };
-            self.peers.push(peer);
-            self.share_out();
-            self.peers.len() - 1
-        })
-    }
-
-    fn add_loads(&mut self, peer: usize, sign: i64) {
-        for (id, in_flight) in &self.peers[peer].loads {
-            self.pool.add_peer_load(*id, sign * i64::from(*in_flight));
-        }
-    }
-
     fn share_out(&mut self) {
-        let own = self.members[self.own].clone();
-        let hash = own.hash;
-        self.members.clear();
-        self.members.push(own);
-        self.members.extend(self.peers.iter().map(|peer| Member {
-            hash: member_hash(&peer.name),
-            zone: peer.zone.clone(),
-            live: peer.live,
-        }));
-        self.members.sort_by_key(|member| member.hash);
-        self.own = self.members.iter().position(|member| member.hash == hash).unwrap_or(0);
-        self.pool.set_members(&self.members, self.own);
+        self.pool.set_members(self.peers.members(), self.peers.own());
     }
 }
 
