Slots by zone only where every zone is known; a healthy upstream is called slow less often

Zones of members were known to nobody in the daemon, so each would have owned slots by its own zone alone and by another table than the others. Now the settings name them (peers.zones) or they play no part, and a daemon listed among its own members is passed over.

--- a/crates/agatesill_policy/src/request/health.rs
+++ b/crates/agatesill_policy/src/request/health.rs
@@ -9,9 +9,10 @@
 //! a load that slows the whole pool accuses nobody. A walk goes up by one for a slow request and
 //! down by one for any other. An upstream that is out gets single repeatable requests as probes.
 
-/// Height of the walk at which an upstream is out. A healthy one gets there about 7 times in a
-/// million requests ((1/19)^3 / 20); one that is ten times slower within its first five.
-const SLOW_WALK: u8 = 4;
+/// Height of the walk at which an upstream is out. A healthy one gets there about once in 50
+/// million requests ((1/19)^5 / 20); one that is ten times slower within its first eight. At 4, a
+/// busy daemon had up to 2 of 50 healthy upstreams out.
+const SLOW_WALK: u8 = 6;
 
 /// Step up of the walk of failures for a failure; a success steps down by one. Three failures in
 /// a row reach [`FAILING_WALK`], and so does a failure rate above one third, in the end.
--- a/crates/agatesill_policy/src/request/peers.rs
+++ b/crates/agatesill_policy/src/request/peers.rs
@@ -18,13 +18,14 @@
     peers: Vec<Peer>,
     members: Vec<Member>,
     own: usize,
+    own_zone: String,
 }
 
 impl Peers {
     /// This daemon alone.
     pub fn new(instance: &str, zone: &str) -> Self {
         let own = Member { hash: member_hash(instance), zone: zone.to_owned(), live: true };
-        Self { peers: Vec::new(), members: vec![own], own: 0 }
+        Self { peers: Vec::new(), members: vec![own], own: 0, own_zone: zone.to_owned() }
     }
 
     /// All daemons, in the same order in each of them.
@@ -37,7 +38,7 @@
         self.own
     }
 
-    /// Replaces the others; a new one counts as alive.
+    /// Replaces the others; a new one counts as alive. This daemon's own name is passed over.
     pub fn set_names(&mut self, names: &[String], pool: &mut Pool) {
         for at in 0..self.peers.len() {
             if !names.contains(&self.peers[at].name) {
@@ -45,7 +46,8 @@
             }
         }
         self.peers.retain(|peer| names.contains(&peer.name));
-        for name in names {
+        let own = self.members[self.own].hash;
+        for name in names.iter().filter(|name| member_hash(name) != own) {
             self.at(name);
         }
         self.sort();
@@ -107,9 +109,13 @@
     }
 
     /// Puts the members into an order that all daemons share, so that they compute one table.
+    ///
+    /// Guards against tables that differ by what each daemon knows of the others' zones: two
+    /// daemons would own the same slot, and an upstream would queue. Zones count only where the
+    /// zone of every member is known, which the settings decide for all daemons alike.
     fn sort(&mut self) {
-        let own = self.members[self.own].clone();
-        let hash = own.hash;
+        let hash = self.members[self.own].hash;
+        let own = Member { hash, zone: self.own_zone.clone(), live: true };
         self.members.clear();
         self.members.push(own);
         self.members.extend(self.peers.iter().map(|peer| Member {
@@ -118,6 +124,9 @@
             live: peer.live,
         }));
         self.members.sort_by_key(|member| member.hash);
+        if self.members.iter().any(|member| member.zone.is_empty()) {
+            self.members.iter_mut().for_each(|member| member.zone.clear());
+        }
         self.own = self.members.iter().position(|member| member.hash == hash).unwrap_or(0);
     }
 }
--- a/crates/agatesill_policy/src/request/policy.rs
+++ b/crates/agatesill_policy/src/request/policy.rs
@@ -108,7 +108,8 @@
         self.share_out();
     }
 
-    /// Says in which availability zone another daemon is; until then it counts as in none.
+    /// Says in which availability zone another daemon is. While that of any is unknown, zones play
+    /// no part in the ownership of slots.
     pub fn set_member_zone(&mut self, _now_us: u64, instance: &str, zone: &str) {
         if self.peers.set_zone(instance, zone) {
             self.share_out();
--- a/crates/agatesilld/src/decide/state.rs
+++ b/crates/agatesilld/src/decide/state.rs
@@ -67,6 +67,10 @@
             let seed = xxh3_64(format!("{}/{name}", settings.instance).as_bytes());
             let mut policy = RequestPolicy::new(seed, &settings.instance, &settings.zone);
             policy.set_members(0, &members);
+            for name in &members {
+                let zone = settings.peers.zones.get(name).map_or("", String::as_str);
+                policy.set_member_zone(0, name, zone);
+            }
             policy.set_upstreams(0, &upstreams);
             Pool { name: name.clone(), upstreams, policy, services: Vec::new() }
         };
--- a/crates/agatesilld/src/settings/mod.rs
+++ b/crates/agatesilld/src/settings/mod.rs
@@ -149,6 +149,10 @@
         /// The other daemons by instance name.
         #[serde(default)]
         pub members: BTreeMap<String, SocketAddr>,
+        /// Their availability zones. Slots are owned by zone only where that of every member is
+        /// named, and all daemons must name the same.
+        #[serde(default)]
+        pub zones: BTreeMap<String, String>,
         /// Time between heartbeats.
         #[serde(default = "default_heartbeat_ms")]
         pub heartbeat_ms: u64,
