Explain and degraded: recent decisions kept in memory, and what is wrong in words

Cause: an operator could not ask why a request was refused, and status never said what was degraded. Change: the log thread keeps the newest 4 MB of decision lines; explain finds those of a request or worker and tells a profile's versions and counts; status names the store's failures, silent peers, full rings and lost lines. Conclusion: nothing is added on the request path.

--- a/crates/agatesill_coord/src/store/gate.rs
+++ b/crates/agatesill_coord/src/store/gate.rs
@@ -165,6 +165,11 @@
         Ok(Permit { gate: self, class, is_probe })
     }
 
+    /// Calls that failed since the last one that was answered.
+    pub(super) fn failed_in_a_row(&self) -> u32 {
+        self.lock().failures
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -113,6 +113,11 @@
         &self.counts
     }
 
+    /// Calls that failed since the last one that was answered.
+    pub fn failed_in_a_row(&self) -> u32 {
+        self.gate.failed_in_a_row()
+    }
+
     /// Makes one call. An error says nothing about whether it took effect.
     pub async fn call(&self, call: StoreCall) -> Result<StoreReply, Error> {
         for _ in 0..STALE_TRIES {
--- a/crates/agatesilld/src/admin.rs
+++ b/crates/agatesilld/src/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' interface: health, metrics, configuration, jobs and status.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use agatesill_coord::prelude::*;
@@ -17,12 +18,17 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cells::{CellCall, now_ms};
+use crate::degraded::degraded;
+use crate::explain::explain;
 use crate::metrics::Metrics;
 use crate::rights;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
-/// Path of a rollback, followed by the version.
+/// Path of explanations; kind and identity follow.
+const EXPLAIN_PATH: &str = "/v1/explain/";
+
+/// Path of rollbacks; the version follows.
 const ROLLBACK_PATH: &str = "/v1/config/rollback/";
 
 /// The operators' interface; clones share one state.
@@ -36,6 +42,8 @@
     cells: mpsc::Sender<CellCall>,
     drain: CancellationToken,
     tokens: Arc<BTreeMap<String, String>>,
+    store: Store,
+    members: Arc<BTreeMap<String, SocketAddr>>,
 }
 
 impl Admin {
@@ -51,7 +59,9 @@
         Self {
             instance: settings.instance.clone(),
             zone: settings.zone.clone(),
-            config: ConfigStore::new(store).with_floor(crate::config::floor(settings)),
+            config: ConfigStore::new(store.clone()).with_floor(crate::config::floor(settings)),
+            store,
+            members: Arc::new(settings.peers.members.clone()),
             shared,
             metrics,
             cells,
@@ -91,6 +101,10 @@
             (&Method::POST, _, None) if path.starts_with(ROLLBACK_PATH) => {
                 respond(self.rollback(request, operator, &path[ROLLBACK_PATH.len()..]).await)
             }
+            (&Method::GET, _, None) if path.starts_with(EXPLAIN_PATH) => {
+                let (kind, id) = path[EXPLAIN_PATH.len()..].split_once('/').unwrap_or_default();
+                respond(explain(&self.shared, kind, id))
+            }
             (&Method::GET, "/v1/jobs", _) => respond(self.list().await),
             (&Method::POST, "/v1/jobs", _) => respond(self.submit(request).await),
             (&Method::GET, explain, _) if explain.starts_with("/v1/explain/job/") => {
@@ -133,7 +147,7 @@
             peers: self.shared.peers().clone(),
             services: self.shared.services().values().cloned().collect(),
             cells: self.shared.cells().values().cloned().collect(),
-            degraded: Vec::new(),
+            degraded: degraded(&self.shared, &self.store, &self.members),
         }
     }
 
--- a/crates/agatesilld/src/logging.rs
+++ b/crates/agatesilld/src/logging.rs
@@ -13,11 +13,15 @@
 use log::kv::{Key, Value, VisitSource};
 use log::{Level, LevelFilter, Record};
 
+use crate::recent;
 use crate::settings::LogSettings;
 
 /// Lines that may wait for the writer: two seconds at 15,000 requests a second.
 pub const LOG_RING_LINES: usize = 32_768;
 
+/// Lines written between two flushes at most.
+const BATCH_LINES: usize = 1_024;
+
 /// Room for a routing line without growing.
 const LINE_BYTES: usize = 512;
 
@@ -136,11 +140,14 @@
 
 fn write_lines(lines: &Receiver<Vec<u8>>, mut output: impl Write) {
     let mut told = 0;
+    let mut batch = Vec::new();
     while let Ok(line) = lines.recv() {
-        let _ = output.write_all(&line);
-        while let Ok(line) = lines.try_recv() {
-            let _ = output.write_all(&line);
+        batch.push(line);
+        batch.extend(lines.try_iter().take(BATCH_LINES));
+        for line in &batch {
+            let _ = output.write_all(line);
         }
+        recent::keep(batch.drain(..));
         let lost = lost_lines();
         if lost > told {
             let _ =
