--- a/crates/agatesilld/src/admin.rs
+++ b/crates/agatesilld/src/admin.rs
@@ -101,16 +101,16 @@
             (&Method::POST, _, None) if path.starts_with(ROLLBACK_PATH) => {
                 respond(self.rollback(request, operator, &path[ROLLBACK_PATH.len()..]).await)
             }
+            (&Method::GET, explain, _) if explain.starts_with("/v1/explain/job/") => {
+                let id = explain.trim_start_matches("/v1/explain/job/").to_owned();
+                respond(self.explain_job(id).await)
+            }
             (&Method::GET, _, None) if path.starts_with(EXPLAIN_PATH) => {
                 let (kind, id) = path[EXPLAIN_PATH.len()..].split_once('/').unwrap_or_default();
                 respond(explain(&self.shared, kind, id))
             }
             (&Method::GET, "/v1/jobs", _) => respond(self.list().await),
             (&Method::POST, "/v1/jobs", _) => respond(self.submit(request).await),
-            (&Method::GET, explain, _) if explain.starts_with("/v1/explain/job/") => {
-                let id = explain.trim_start_matches("/v1/explain/job/").to_owned();
-                respond(self.explain_job(id).await)
-            }
             (&Method::GET, _, Some(id)) => {
                 respond(self.ask(|reply| CellCall::Show(id, reply)).await)
             }
