--- a/crates/agatesill_bench/src/control/outage.rs
+++ b/crates/agatesill_bench/src/control/outage.rs
@@ -66,8 +66,7 @@
     let steady_per_s = rate(fleet, STEADY).await.0;
     fleet.faults(StoreFaults { outage: true, ..StoreFaults::default() });
     let began = Instant::now();
-    fleet.daemons[0].kill();
-    fleet.daemons[0] = fleet.spawn(0)?;
+    fleet.replace(0)?;
     let started = Instant::now();
     fleet.in_force_at(0, version).await?;
     let restarted_after_ms = started.elapsed().as_secs_f64() * 1e3;
--- a/crates/agatesill_bench/src/control/ownership.rs
+++ b/crates/agatesill_bench/src/control/ownership.rs
@@ -60,7 +60,7 @@
     fleet.daemons[victim].kill();
     all_owned(fleet, Some(victim)).await?;
     let took_ms = began.elapsed().as_secs_f64() * 1e3;
-    fleet.daemons[victim] = fleet.spawn(victim)?;
+    fleet.replace(victim)?;
     fleet.rig.ready(&fleet.rig.settings[victim]).await?;
     tokio::time::sleep(CALM).await;
     Ok(took_ms)
@@ -90,8 +90,7 @@
     all_owned(fleet, Some(victim)).await?;
     let took_ms = began.elapsed().as_secs_f64() * 1e3;
     tokio::time::sleep(CALM).await;
-    fleet.daemons[victim].kill();
-    fleet.daemons[victim] = fleet.spawn(victim)?;
+    fleet.replace(victim)?;
     fleet.rig.ready(&fleet.rig.settings[victim]).await?;
     tokio::time::sleep(CALM).await;
     Ok(took_ms)
--- a/crates/agatesill_bench/src/control/rig.rs
+++ b/crates/agatesill_bench/src/control/rig.rs
@@ -62,6 +62,15 @@
         DaemonProcess::start(&binary()?, &self.rig.settings[nth], &self.folder)
     }
 
+    /// Kills the process of one daemon and starts another in its place.
+    pub fn replace(&mut self, nth: usize) -> Result<(), Error> {
+        // The old one's settings file goes with it, so it has to go first.
+        drop(self.daemons.remove(nth));
+        let daemon = self.spawn(nth)?;
+        self.daemons.insert(nth, daemon);
+        Ok(())
+    }
+
     /// The store answers in its usual time.
     pub fn well(&self) {
         self.faults(StoreFaults::default());
--- /dev/null
+++ b/crates/agatesill_coord/examples/counter.rs
@@ -0,0 +1,104 @@
+//! A counter that outlives its owner: claim a range, commit deltas, take over, be fenced.
+//!
+//! Run it with `cargo run -p agatesill_coord --example counter`. It needs no service: the transport
+//! below keeps everything in memory, and is all that another key-value service would have to be.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use agatesill_coord::prelude::*;
+use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
+use agatesill_wire::prelude::*;
+
+/// Time to live of an owner's lease.
+const TTL: Duration = Duration::from_secs(5);
+
+#[derive(Default)]
+struct Memory {
+    revision: u64,
+    entries: BTreeMap<String, Entry>,
+}
+
+impl Memory {
+    fn answer(&mut self, call: StoreCall) -> StoreReply {
+        let mut reply = StoreReply { applied: true, ..StoreReply::default() };
+        match call {
+            StoreCall::Range { prefix } => {
+                let under = self.entries.values().filter(|entry| entry.key.starts_with(&prefix));
+                reply.entries = under.cloned().collect();
+            }
+            StoreCall::Cas { key, expect_version, value, .. } => {
+                let found = self.entries.get(&key);
+                if found.map_or(0, |entry| entry.version) == expect_version {
+                    self.revision += 1;
+                    self.entries.remove(&key);
+                    let version = self.revision;
+                    let entry = value.map(|value| Entry { key: key.clone(), value, version });
+                    self.entries.extend(entry.clone().map(|entry| (key, entry)));
+                    reply.entries.extend(entry);
+                } else {
+                    reply.applied = false;
+                    reply.entries.extend(found.cloned());
+                }
+            }
+            StoreCall::Grant { .. } => {
+                self.revision += 1;
+                reply.lease_id = self.revision;
+            }
+            // Leases never end here; the real service ends them and deletes their keys.
+            StoreCall::Renew { lease_id } | StoreCall::Revoke { lease_id } => {
+                reply.lease_id = lease_id;
+            }
+            StoreCall::Watch { .. } => reply.applied = false,
+        }
+        reply.revision = self.revision;
+        reply
+    }
+}
+
+fn store(memory: &Arc<Mutex<Memory>>) -> Store {
+    let memory = memory.clone();
+    Store::over(Arc::new(move |call, _limit| {
+        let reply = memory.lock().unwrap_or_else(PoisonError::into_inner).answer(call);
+        Box::pin(async move { Ok(reply) })
+    }))
+}
+
+/// Takes the counter over and returns its log with the total so far.
+async fn take(store: &Store, instance: &str) -> Result<(CommitLog, i64), Error> {
+    let taken = CommitLog::take_over::<i64, i64>(store.clone(), "counter/a", instance).await?;
+    let (log, replay) = taken;
+    let total = replay.snapshot.unwrap_or(0) + replay.deltas.iter().sum::<i64>();
+    println!("{instance} owns the counter in epoch {} at {total}", log.epoch());
+    Ok((log, total))
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<(), Error> {
+    let memory = Arc::default();
+    let (first, second) = (store(&memory), store(&memory));
+    let mut ownership = Ownership::new(first.clone(), "first", TTL);
+    ownership.renew().await?;
+    println!("first claims the counter: {}", ownership.claim("counter/a").await?);
+    let mut rival = Ownership::new(second.clone(), "second", TTL);
+    rival.renew().await?;
+    println!("second claims it as well: {}", rival.claim("counter/a").await?);
+
+    let (mut log, mut total) = take(&first, "first").await?;
+    for delta in [5, 7, -2] {
+        log.append(&[delta]).await?;
+        total += delta;
+    }
+    log.snapshot(&total).await?;
+
+    ownership.give_up("counter/a").await?;
+    println!("second claims it again: {}", rival.claim("counter/a").await?);
+    take(&second, "second").await?;
+    // The first owner has not noticed; the store does.
+    match log.append(&[100_i64]).await {
+        Ok(()) => println!("first wrote after the takeover"),
+        Err(error) => println!("first is refused: {error}"),
+    }
+    Ok(())
+}
--- a/crates/agatesill_coord/src/lib.rs
+++ b/crates/agatesill_coord/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod lease;
 pub mod membership;
+pub mod peer_calls;
 pub mod spread;
 pub mod store;
 
--- a/crates/agatesill_wire/src/peer.rs
+++ b/crates/agatesill_wire/src/peer.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What it carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 20, 21, 30, 31")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 20, 21, 30, 31")]
     pub body: Option<Body>,
 }
 
@@ -38,6 +38,12 @@
     /// Asks for the configuration in force.
     #[prost(message, tag = "4")]
     ConfigWanted(ConfigWanted),
+    /// A call that expects an answer.
+    #[prost(message, tag = "5")]
+    Call(PeerCall),
+    /// The answer to a call.
+    #[prost(message, tag = "6")]
+    Answer(PeerAnswer),
     /// Asks what became of a non-repeatable request.
     #[prost(message, tag = "20")]
     RecordWanted(crate::record::RecordWanted),
@@ -64,6 +70,37 @@
     /// Sender's availability zone.
     #[prost(string, tag = "3")]
     pub zone: String,
+    /// Whether the connection carries calls and answers only.
+    #[prost(bool, tag = "4")]
+    pub for_calls: bool,
+}
+
+/// A call that expects an answer; so far there is one kind, for a newer configuration.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerCall {
+    /// Identity of the call on its connection.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// How long the caller waits.
+    #[prost(uint64, tag = "2")]
+    pub limit_ms: u64,
+    /// Version that the caller has.
+    #[prost(uint64, tag = "3")]
+    pub have_version: u64,
+}
+
+/// The answer to a call.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerAnswer {
+    /// Identity of the call.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The configuration in force, if it is newer.
+    #[prost(message, optional, tag = "2")]
+    pub config: Option<ConfigPush>,
+    /// Why the call was not answered; empty otherwise.
+    #[prost(string, tag = "3")]
+    pub failure: String,
 }
 
 /// Sent at the heartbeat interval.
--- a/crates/agatesill_wire/tests/decoders.rs
+++ b/crates/agatesill_wire/tests/decoders.rs
@@ -8,7 +8,7 @@
 use agatesill_wire::api::{ConfigChange, VersionedConfig};
 use agatesill_wire::peer::{
     Body, ConfigPush, Frame, FrameCodec, Heartbeat, Hello, MAX_FRAME_BYTES, MAX_HELLO_BYTES,
-    UpstreamLoad,
+    PeerAnswer, PeerCall, UpstreamLoad,
 };
 use agatesill_wire::platform::{StoreCall, StoreReply};
 use bytes::{BufMut, BytesMut};
@@ -45,11 +45,18 @@
             })
         });
     let hello = (any::<u32>(), ".{0,16}", ".{0,16}").prop_map(|(version, instance, zone)| {
-        Body::Hello(Hello { protocol_version: version, instance, zone })
+        Body::Hello(Hello { protocol_version: version, instance, zone, for_calls: false })
     });
     let push = (any::<u64>(), ".{0,64}")
         .prop_map(|(version, json)| Body::Config(ConfigPush { version, json }));
-    prop_oneof![hello, heartbeat, push].prop_map(|body| Frame { body: Some(body) })
+    let call = any::<(u64, u64, u64)>().prop_map(|(id, limit_ms, have_version)| {
+        Body::Call(PeerCall { id, limit_ms, have_version })
+    });
+    let answer = (any::<u64>(), any::<bool>(), ".{0,16}").prop_map(|(id, is_newer, failure)| {
+        let config = is_newer.then(|| ConfigPush { version: id, json: failure.clone() });
+        Body::Answer(PeerAnswer { id, config, failure })
+    });
+    prop_oneof![hello, heartbeat, push, call, answer].prop_map(|body| Frame { body: Some(body) })
 }
 
 /// Decodes until the bytes end or are refused; the buffer must not grow beyond the limit.
--- a/crates/agatesilld/src/peers.rs
+++ b/crates/agatesilld/src/peers.rs
@@ -12,6 +12,7 @@
 
 use agatesill_coord::lease::{MEMBER_RANGE, OWNER_PREFIX};
 use agatesill_coord::membership::{Membership, PLATFORM_PREFIX, Peer};
+use agatesill_coord::peer_calls::{Link, answer_calls, fetch_config};
 use agatesill_coord::prelude::*;
 use agatesill_coord::store;
 use agatesill_wire::api::VersionedConfig;
@@ -43,6 +44,9 @@
 /// How long a connection may take to say who it is.
 const HELLO_LIMIT: Duration = Duration::from_secs(2);
 
+/// How long a peer may take to send its configuration.
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
+
 /// Shortest time between two pushes to a peer that stays behind.
 const PUSH_PAUSE: Duration = Duration::from_secs(1);
 
@@ -53,8 +57,6 @@
 /// Connections taken in besides, from strangers that have not yet said who they are.
 const STRANGER_CONNECTIONS: usize = 8;
 
-type Link = Framed<TcpStream, FrameCodec>;
-
 /// The links of one daemon; clones share one state.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -70,6 +72,7 @@
     behind: Arc<BTreeMap<String, Notify>>,
     /// Version and digest of the document that was digested last.
     digested: Arc<Mutex<(u64, u64)>>,
+    fetching: Arc<Semaphore>,
 }
 
 impl Peers {
@@ -93,6 +96,7 @@
             behind: Arc::new(members.map(|name| (name.clone(), Notify::new())).collect()),
             digested: Arc::default(),
             cells,
+            fetching: Arc::new(Semaphore::new(1)),
             membership: Arc::new(Mutex::new(Membership::new(suspect_after))),
         }
     }
@@ -169,12 +173,7 @@
         mut link: Link,
         stop: &CancellationToken,
     ) -> Result<(), Error> {
-        let hello = Hello {
-            protocol_version: PROTOCOL_VERSION,
-            instance: self.instance.clone(),
-            zone: self.zone.clone(),
-        };
-        send(&mut link, Body::Hello(hello)).await?;
+        send(&mut link, Body::Hello(self.hello())).await?;
         let mut beat = tokio::time::interval(Duration::from_millis(self.settings.heartbeat_ms));
         let mut changes = self.shared.config_changes();
         let mut sequence = 0;
@@ -199,6 +198,34 @@
         }
     }
 
+    fn hello(&self) -> Hello {
+        Hello {
+            protocol_version: PROTOCOL_VERSION,
+            instance: self.instance.clone(),
+            zone: self.zone.clone(),
+            for_calls: false,
+        }
+    }
+
+    /// Asks `from` for the configuration that its heartbeat names, one question at a time.
+    fn fetch_newer(&self, from: &str) {
+        let Some(addr) = self.settings.members.get(from).copied() else { return };
+        let Ok(permit) = self.fetching.clone().try_acquire_owned() else { return };
+        let peers = self.clone();
+        let from = from.to_owned();
+        tokio::spawn(async move {
+            let have_version = peers.shared.config().version;
+            match fetch_config(addr, peers.hello(), have_version, FETCH_LIMIT).await {
+                Ok(Some(push)) => peers.config_pushed(&push),
+                Ok(None) => {}
+                Err(error) => {
+                    log::debug!(event = "config_fetch_failed", peer = from.as_str(); "{error}");
+                }
+            }
+            drop(permit);
+        });
+    }
+
     async fn wait_behind(&self, name: &str) {
         match self.behind.get(name) {
             Some(behind) => behind.notified().await,
@@ -209,18 +236,22 @@
     /// Sends what is in force, with its last history entry only: peers need no more, and the whole
     /// history is some ten times the document.
     async fn push_config(&self, link: &mut Link) -> Result<(), Error> {
+        let Some(push) = self.newer_than(0) else { return Ok(()) };
+        send(link, Body::Config(push)).await
+    }
+
+    fn newer_than(&self, have_version: u64) -> Option<ConfigPush> {
         let config = self.shared.config();
-        if config.version == 0 {
-            return Ok(());
+        if config.version <= have_version {
+            return None;
         }
         let brief = VersionedConfig {
             version: config.version,
             doc: config.doc.clone(),
             history: config.history.last().cloned().into_iter().collect(),
         };
-        let json = serde_json::to_string(&brief)
-            .map_err(|error| Error::new(ErrorKind::Protocol, error.to_string()))?;
-        send(link, Body::Config(ConfigPush { version: config.version, json })).await
+        let json = serde_json::to_string(&brief).ok()?;
+        Some(ConfigPush { version: config.version, json })
     }
 
     /// Digest of what is in force; a document is digested once and not with every heartbeat.
@@ -273,6 +304,14 @@
             return;
         }
         link.codec_mut().trust();
+        if hello.for_calls {
+            let peers = self.clone();
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = answer_calls(link, move |have_version| peers.newer_than(have_version)) => {}
+            }
+            return;
+        }
         let from = hello.instance;
         loop {
             let received = tokio::select! {
@@ -346,12 +385,15 @@
     }
 
     /// Guards against a push that was lost with its link: the version in a heartbeat shows it, and
-    /// whoever is behind gets the newest again.
+    /// whoever is behind gets the newest, by asking for it and by being sent it.
     fn compare(&self, from: &str, version: u64, digest: u64) {
         let config = self.shared.config();
         if version < config.version {
             self.wake(from);
         }
+        if version > config.version {
+            self.fetch_newer(from);
+        }
         // 0: an earlier release that sends no digest.
         if version == config.version && digest != 0 && digest != self.digest() {
             log::error!(event = "config_digest_differs", peer = from, config_version = version; "");
--- a/crates/agatesilld/src/relay/lookup.rs
+++ b/crates/agatesilld/src/relay/lookup.rs
@@ -39,6 +39,7 @@
                 protocol_version: PROTOCOL_VERSION,
                 instance: settings.instance.clone(),
                 zone: settings.zone.clone(),
+                for_calls: false,
             },
             members: others.map(|(_, addr)| *addr).collect(),
             room: Arc::new(Semaphore::new(MOST_AT_ONCE)),
