Ticks missed in an outage are not made up for

Cause: each lease renewal took seconds while the store was down, and the ticks missed meanwhile all followed at once when it returned: 629 calls in one second from four daemons. Forwarded job calls name their kind of link.

--- a/crates/agatesilld/src/cells/forward.rs
+++ b/crates/agatesilld/src/cells/forward.rs
@@ -44,6 +44,7 @@
                 protocol_version: PROTOCOL_VERSION,
                 instance: settings.instance.clone(),
                 zone: settings.zone.clone(),
+                for_calls: false,
             },
             members: Arc::new(members),
             shared,
--- a/crates/agatesilld/src/peers.rs
+++ b/crates/agatesilld/src/peers.rs
@@ -24,6 +24,7 @@
 use futures::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
+use tokio::time::MissedTickBehavior;
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
@@ -175,6 +176,7 @@
     ) -> Result<(), Error> {
         send(&mut link, Body::Hello(self.hello())).await?;
         let mut beat = tokio::time::interval(Duration::from_millis(self.settings.heartbeat_ms));
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut changes = self.shared.config_changes();
         let mut sequence = 0;
         let mut pushed = Instant::now();
