--- a/crates/agatesilld/src/admin.rs
+++ b/crates/agatesilld/src/admin.rs
@@ -140,13 +140,18 @@
     }
 
     fn status(&self) -> StatusReport {
+        // Guards against a deadlock, which showed as an admin address that answers nothing any
+        // more: a guard taken within the literal lives until its end, and `degraded` locks again.
+        let peers = self.shared.peers().clone();
+        let services = self.shared.services().values().cloned().collect();
+        let cells = self.shared.cells().values().cloned().collect();
         StatusReport {
             instance: self.instance.clone(),
             zone: self.zone.clone(),
             config_version: self.shared.config().version,
-            peers: self.shared.peers().clone(),
-            services: self.shared.services().values().cloned().collect(),
-            cells: self.shared.cells().values().cloned().collect(),
+            peers,
+            services,
+            cells,
             degraded: degraded(&self.shared, &self.store, &self.members),
         }
     }
--- /dev/null
+++ b/crates/agatesilld/tests/status.rs
@@ -0,0 +1,72 @@
+//! What an operator reads of a daemon: status, what is degraded, explanations.
+
+use std::time::Duration;
+
+use agatesill_standin::rig::{Rig, RigSizes, SERVICE, until};
+use agatesill_standin::store::StoreFaults;
+use agatesill_wire::http::JsonClient;
+use agatesill_wire::prelude::*;
+use agatesilld::prelude::*;
+use hyper::Method;
+use tokio_util::sync::CancellationToken;
+
+const SIZES: RigSizes = RigSizes { daemons: 2, upstreams: 3, slots: 4, service_us: 1_000 };
+
+/// Generous: no verdict depends on how fast the machine is.
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+
+type Outcome = Result<(), Box<dyn std::error::Error>>;
+
+async fn status(settings: &Settings) -> Result<StatusReport, Error> {
+    let client = JsonClient::default();
+    client.call(Method::GET, settings.admin.addr, "/v1/status", &(), CALL_LIMIT).await
+}
+
+/// An operator asks for the status twice. The first answer once took a lock that it asked for again
+/// while it held it, and the admin address, metrics and health with it, never answered any more.
+/// Then the store goes down: the status has to say so in words, and clear it afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_answers_again_and_again_and_names_an_outage() -> Outcome {
+    let rig = Rig::start(SIZES, |_| {}).await?;
+    let stop = CancellationToken::new();
+    for settings in &rig.settings {
+        start(settings, &stop)?;
+    }
+    rig.configure().await?;
+    let first = status(&rig.settings[0]).await?;
+    assert_eq!(first.services[0].name, SERVICE);
+    let says_outage = |report: Result<StatusReport, Error>| {
+        report.is_ok_and(|one| one.degraded.iter().any(|line| line.contains("the store has not")))
+    };
+    rig.store.set_faults(StoreFaults { outage: true, ..StoreFaults::default() });
+    until(|| async { says_outage(status(&rig.settings[0]).await) }).await?;
+    rig.store.set_faults(StoreFaults::default());
+    until(|| async { !says_outage(status(&rig.settings[0]).await) }).await?;
+    stop.cancel();
+    Ok(())
+}
+
+/// An operator asks about a request that never came here, and about a profile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn explain_says_what_it_cannot_know() -> Outcome {
+    let rig = Rig::start(SIZES, |_| {}).await?;
+    let stop = CancellationToken::new();
+    for settings in &rig.settings {
+        start(settings, &stop)?;
+    }
+    rig.configure().await?;
+    let client = JsonClient::default();
+    let addr = rig.settings[0].admin.addr;
+    let asked: Result<Vec<String>, Error> =
+        client.call(Method::GET, addr, "/v1/explain/request/never", &(), CALL_LIMIT).await;
+    assert_eq!(asked.map_err(|error| error.kind), Err(ErrorKind::NotFound));
+    let config = agatesill_wire::api::VersionedConfig::clone(
+        &client.call(Method::GET, addr, "/v1/config", &(), CALL_LIMIT).await?,
+    );
+    let profile = &config.doc.services[SERVICE].profile;
+    let path = format!("/v1/explain/profile/{profile}");
+    let lines: Vec<String> = client.call(Method::GET, addr, &path, &(), CALL_LIMIT).await?;
+    assert!(lines.iter().any(|line| line.contains("promise: 99% of answers")), "{lines:?}");
+    stop.cancel();
+    Ok(())
+}
