--- a/crates/agatesilld/src/cells/mod.rs
+++ b/crates/agatesilld/src/cells/mod.rs
@@ -1,7 +1,7 @@
 //! The batch duty: owns cells, commits ledger changes in groups and calls workers.
 //!
 //! One loop holds all state and never waits for the network: lease renewals and takeovers
-//! ([`owner`]), writes to the log ([`commit`]) and calls to workers ([`workers`]) run beside it and
+//! (`owner`), writes to the log (`commit`) and calls to workers (`workers`) run beside it and
 //! come back as events over a bounded ring. A slow worker or store therefore delays nothing but
 //! what waits for it. `docs/JOBS.md` weighs the design.
 
