A daemon without a configuration tells callers to come back

Cause: tried as a new user with no store, a request heard not_found with no time to come back, as if its service did not exist. Change: no_upstream, not run, retry after 500 ms, the same on /readyz. Conclusion: a caller is sent to another daemon and not away for good.

--- a/crates/agatesilld/src/admin.rs
+++ b/crates/agatesilld/src/admin.rs
@@ -134,7 +134,8 @@
         // Guards against a ready daemon that answers `not_found` for a known service, in the moment
         // between a version's arrival and the deciding thread's acting by it.
         if self.shared.served_version() == 0 {
-            return Err(Error::new(ErrorKind::NoUpstream, "no configuration yet"));
+            let what = "no configuration is in force here yet";
+            return Err(Error::new(ErrorKind::NoUpstream, what).retry_after(500));
         }
         Ok("ready")
     }
--- a/crates/agatesilld/src/relay/call.rs
+++ b/crates/agatesilld/src/relay/call.rs
@@ -14,6 +14,10 @@
     REQUEST_ID_HEADER, Relay, SERVICE_HEADER,
 };
 
+/// When a caller may come back to a daemon without a configuration: a peer or the store brings one
+/// within a heartbeat or a read.
+const NO_CONFIG_RETRY_MS: u32 = 500;
+
 /// Patience of a caller that states none.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 
@@ -58,6 +62,10 @@
         };
         check_form(request)?;
         let config = self.shared.config();
+        if config.version == 0 {
+            let what = "no configuration is in force here yet";
+            return Err(Error::new(ErrorKind::NoUpstream, what).retry_after(NO_CONFIG_RETRY_MS));
+        }
         let name = header(SERVICE_HEADER);
         let service = config.doc.services.get(name).ok_or_else(|| {
             Error::new(ErrorKind::NotFound, format!("{SERVICE_HEADER}: no service {name:?}"))
--- a/crates/agatesilld/tests/status.rs
+++ b/crates/agatesilld/tests/status.rs
@@ -70,3 +70,23 @@
     stop.cancel();
     Ok(())
 }
+
+/// A daemon is born in an outage of the store and has no peer. A caller must not hear that its
+/// service does not exist, which would send it away for good, but when to come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_without_configuration_tells_callers_to_come_back() -> Outcome {
+    let rig = Rig::start(RigSizes { daemons: 1, ..SIZES }, |_| {}).await?;
+    rig.store.set_faults(StoreFaults { outage: true, ..StoreFaults::default() });
+    let stop = CancellationToken::new();
+    start(&rig.settings[0], &stop)?;
+    let client = JsonClient::default();
+    let addr = rig.settings[0].entry.addr;
+    let asked: Result<String, Error> =
+        client.call(Method::GET, addr, "/limits", &(), CALL_LIMIT).await;
+    let error = asked.err().ok_or("an answer without a configuration")?;
+    assert_eq!(error.kind, ErrorKind::NoUpstream);
+    assert_eq!(error.kind.row().was_run, WasRun::No);
+    assert!(error.retry_after_ms > 0);
+    stop.cancel();
+    Ok(())
+}
