Colocation: learn which image presses which, keep harmful pairs apart

Change: ridge regression for each serving image; placement avoids harmful pairs, lasting tasks are packed by image, pressed tasks are relieved of what presses them, a guard stops the rest.

--- /dev/null
+++ b/crates/agatesill_policy/src/fleet/colocation/balance.rs
@@ -0,0 +1,232 @@
+//! What a look at tails changes: what is learned, and the pace of tasks that fill.
+
+use crate::fleet::US_PER_MS;
+use crate::fleet::job::{TaskRef, TaskState};
+use crate::fleet::orders::OrderKind;
+use crate::fleet::state::Fleet;
+use crate::fleet::worker::{RunRow, WorkerIndex};
+
+use super::pressure::{HARMFUL, MAX_IMAGES, Usage};
+
+/// Figures cover half a second; looks that come sooner show the same ones again.
+const SAMPLE_US: u64 = 450 * US_PER_MS;
+
+/// Tail over target from which what presses most is slowed.
+const PRESSED: f64 = 0.9;
+
+/// Tail over target below which what was slowed is let go again.
+const RELAXED: f64 = 0.6;
+
+/// Tail over target that slowing aims at.
+const AIM: f64 = 0.75;
+
+/// A step back towards full pace.
+const PACE_STEP_PERCENT: u32 = 25;
+
+/// Part of the allowed time over target after which everything that fills on the worker stands
+/// still. Half of it is left for the order, for the pace to take effect and for a lost answer.
+const STAND_STILL_PERCENT: u64 = 40;
+
+/// Part after which it is slowed to a quarter, whatever is known of its images.
+const SLOW_ALL_PERCENT: u64 = 20;
+
+/// A filling task on a worker.
+struct Filler {
+    at: TaskRef,
+    image: String,
+    cores: f64,
+    pace_percent: u32,
+    saves_progress: bool,
+    percent: u32,
+}
+
+/// A serving task on a worker.
+struct Server {
+    image: String,
+    ratio: f64,
+}
+
+impl Fleet {
+    /// Reacts to the tails that a worker reported.
+    pub(in crate::fleet) fn balance(&mut self, index: WorkerIndex, rows: &[RunRow], now_us: u64) {
+        let (servers, fillers) = self.sort_rows(index, rows);
+        self.trace(index, &servers, &fillers);
+        let worst = servers.iter().map(|server| server.ratio).fold(0.0, f64::max);
+        let worker = &mut self.workers[index as usize];
+        worker.worst_tail = worst;
+        if servers.is_empty() {
+            worker.over_since_us = 0;
+            return;
+        }
+        if now_us.saturating_sub(worker.sampled_us) < SAMPLE_US {
+            return;
+        }
+        worker.sampled_us = now_us;
+        self.learn(&servers, &fillers);
+        if worst > PRESSED {
+            self.relieve(index, &servers, &fillers);
+        } else if worst < RELAXED {
+            self.let_go(index, &servers, &fillers, worst);
+        }
+        self.guard(index, &fillers, worst, now_us);
+    }
+
+    fn sort_rows(&self, index: WorkerIndex, rows: &[RunRow]) -> (Vec<Server>, Vec<Filler>) {
+        let (mut servers, mut fillers) = (Vec::new(), Vec::new());
+        for row in rows {
+            let Some(slot) = self.by_id.get(&row.task.job).copied() else { continue };
+            let Some(job) = self.job(slot) else { continue };
+            let Some(place) = job.find(row.task.occurrence, row.task.step, row.task.index) else {
+                continue;
+            };
+            let (step, task) = (job.step(place), &job.tasks[place as usize]);
+            if task.state != TaskState::Running(index) {
+                continue;
+            }
+            if step.target_ms > 0 && row.percent >= 100 {
+                let ratio = row.figure as f64 / step.target_ms as f64;
+                servers.push(Server { image: step.image.clone(), ratio });
+            } else if step.fills {
+                fillers.push(Filler {
+                    at: TaskRef { job: slot, task: place },
+                    image: step.image.clone(),
+                    cores: row.figure as f64 / 1_000.0,
+                    pace_percent: task.pace_percent,
+                    saves_progress: step.saves_progress,
+                    percent: row.percent,
+                });
+            }
+        }
+        (servers, fillers)
+    }
+
+    fn trace(&self, index: WorkerIndex, servers: &[Server], fillers: &[Filler]) {
+        if servers.is_empty() || !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let tails: Vec<String> =
+            servers.iter().map(|s| format!("{}:{:.2}", short(&s.image), s.ratio)).collect();
+        let beside: Vec<String> = fillers
+            .iter()
+            .map(|f| format!("{}:{}:{:.1}", short(&f.image), f.pace_percent, f.cores))
+            .collect();
+        log::debug!(event = "beside", worker = self.workers[index as usize].entry.id.as_str(),
+            tails = tails.join(" ").as_str(), filling = beside.join(" ").as_str(); "");
+    }
+
+    fn learn(&mut self, servers: &[Server], fillers: &[Filler]) {
+        let mut usage: Usage = [0.0; MAX_IMAGES];
+        for filler in fillers {
+            usage[self.pressure.place(&filler.image)] += filler.cores;
+        }
+        for server in servers {
+            self.pressure.learn(&server.image, &usage, server.ratio);
+        }
+    }
+
+    /// Slows what presses the tasks over [`PRESSED`], the most pressing first, until the tails
+    /// should come down to [`AIM`]. What is known to be harmful here is moved instead.
+    fn relieve(&mut self, index: WorkerIndex, servers: &[Server], fillers: &[Filler]) {
+        let pressed: Vec<&Server> =
+            servers.iter().filter(|server| server.ratio > PRESSED).collect();
+        let mut excess =
+            pressed.iter().map(|server| (server.ratio / AIM).ln()).fold(0.0, f64::max);
+        let mut pressing: Vec<(f64, &Filler)> = fillers
+            .iter()
+            .map(|filler| {
+                let weight = |server: &&Server| self.pressure.weight(&server.image, &filler.image);
+                (pressed.iter().map(weight).fold(0.0, f64::max), filler)
+            })
+            .filter(|(weight, filler)| *weight > 0.0 && filler.pace_percent > 0)
+            .collect();
+        pressing.sort_by(|a, b| (b.0 * b.1.cores).total_cmp(&(a.0 * a.1.cores)));
+        for (weight, filler) in pressing {
+            if excess <= 0.0 {
+                return;
+            }
+            excess -= weight * filler.cores;
+            if weight >= HARMFUL {
+                self.move_away(index, filler);
+            } else {
+                self.set_pace(index, filler.at, 0);
+            }
+        }
+    }
+
+    /// Takes a harmful task off the worker if that loses little; else it stands still.
+    fn move_away(&mut self, index: WorkerIndex, filler: &Filler) {
+        if filler.saves_progress || filler.percent < 30 {
+            log::info!(event = "task_moved", job = self.job_id(filler.at.job),
+                task = filler.at.task, image = filler.image.as_str(),
+                worker = self.workers[index as usize].entry.id.as_str(); "it harms what serves");
+            self.set_pace(index, filler.at, 0);
+            let now_us = self.workers[index as usize].sampled_us;
+            self.stop(filler.at, now_us);
+        } else {
+            self.set_pace(index, filler.at, 0);
+        }
+    }
+
+    /// Lets slowed tasks go faster again, one step for each look, if that keeps the tails in bounds.
+    fn let_go(&mut self, index: WorkerIndex, servers: &[Server], fillers: &[Filler], worst: f64) {
+        let mut room = (AIM / worst.max(0.05)).ln();
+        for filler in fillers.iter().filter(|filler| filler.pace_percent < 100) {
+            let weight = servers
+                .iter()
+                .map(|server| self.pressure.weight(&server.image, &filler.image))
+                .fold(0.0, f64::max);
+            let step = f64::from(PACE_STEP_PERCENT) / 100.0 * self.cores_wanted(filler.at);
+            if weight * step > room {
+                continue;
+            }
+            room -= weight * step;
+            let percent = (filler.pace_percent + PACE_STEP_PERCENT).min(100);
+            self.set_pace(index, filler.at, percent);
+        }
+    }
+
+    fn cores_wanted(&self, at: TaskRef) -> f64 {
+        self.job(at.job).map_or(0.0, |job| job.step(at.task).need.cpu_milli as f64 / 1_000.0)
+    }
+
+    /// The last resort, whatever is known: nothing that fills works on beside a task that has been
+    /// over its target for long.
+    fn guard(&mut self, index: WorkerIndex, fillers: &[Filler], worst: f64, now_us: u64) {
+        let limit_us = self.bounds.harm_ms * US_PER_MS;
+        let worker = &mut self.workers[index as usize];
+        if worst <= 1.0 {
+            worker.over_since_us = 0;
+            return;
+        }
+        if worker.over_since_us == 0 {
+            worker.over_since_us = now_us;
+        }
+        let over_us = now_us - worker.over_since_us;
+        let most = if over_us * 100 > limit_us * STAND_STILL_PERCENT {
+            0
+        } else if over_us * 100 > limit_us * SLOW_ALL_PERCENT {
+            PACE_STEP_PERCENT
+        } else {
+            return;
+        };
+        for filler in fillers {
+            self.set_pace(index, filler.at, filler.pace_percent.min(most));
+        }
+    }
+
+    fn set_pace(&mut self, index: WorkerIndex, at: TaskRef, percent: u32) {
+        let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
+        let task = &mut job.tasks[at.task as usize];
+        if percent == task.pace_percent || task.state != TaskState::Running(index) {
+            return;
+        }
+        task.pace_percent = percent;
+        self.counts.paced += 1;
+        self.order(at, index, OrderKind::Pace { percent });
+    }
+}
+
+/// The last characters of an image's name, enough to tell images apart in a trace.
+fn short(image: &str) -> &str {
+    image.get(image.len().saturating_sub(4)..).unwrap_or(image)
+}
--- /dev/null
+++ b/crates/agatesill_policy/src/fleet/colocation/mod.rs
@@ -0,0 +1,13 @@
+//! Tasks that fill beside tasks that serve.
+//!
+//! Load pattern: month-end tasks run on processors that lasting tasks reserve and do not use. Most
+//! images do no harm there; each harmful one raises the tails of a third of the serving images,
+//! twenty times within a second. Without this module the harm of one such task costs more than
+//! the work of three is worth; slowing everything beside a pressed task wastes the slack of the
+//! harmless ones.
+
+mod balance;
+mod pressure;
+mod room;
+
+pub(super) use self::pressure::Pressure;
--- /dev/null
+++ b/crates/agatesill_policy/src/fleet/colocation/pressure.rs
@@ -0,0 +1,131 @@
+//! How much each filling image presses each serving image, learned from what looks report.
+//!
+//! For each serving image the logarithm of tail over target is taken as a constant and a weight for
+//! each filling image, times the processors that tasks of this image used in the same half second.
+//! Ridge regression, updated with each sample, fits the weights. The serving task's own load moves
+//! its tail slowly and by about a factor of two: it is the noise of the fit, while a harmful pair
+//! shows at once, at two or three times that.
+
+use std::collections::BTreeMap;
+
+/// Filling images told apart; further ones share the last place, which bounds the cost of a sample.
+pub const MAX_IMAGES: usize = 16;
+
+/// A constant and the filling images.
+const FEATURES: usize = 1 + MAX_IMAGES;
+
+/// Variance of a weight before any sample, over that of the noise: as if five samples with one
+/// processor had shown no effect.
+const PRIOR: f64 = 0.2;
+
+/// The same for the constant, of which nothing is known before.
+const PRIOR_CONSTANT: f64 = 10.0;
+
+/// Weight for each processor from which a pair counts as harmful. Harmless pairs fit within 0.06,
+/// harmful ones at 0.1 to 0.6 (two days of 12,000 samples each).
+pub const HARMFUL: f64 = 0.09;
+
+/// Processors of one image by which its weight must have been seen before it counts.
+const LEAST_SEEN: f64 = 3.0;
+
+/// Processors used by each filling image on one worker.
+pub type Usage = [f64; MAX_IMAGES];
+
+#[derive(Debug)]
+struct Fit {
+    weights: [f64; FEATURES],
+    covariance: [[f64; FEATURES]; FEATURES],
+    seen: Usage,
+}
+
+impl Fit {
+    fn new() -> Self {
+        let mut covariance = [[0.0; FEATURES]; FEATURES];
+        for (index, row) in covariance.iter_mut().enumerate() {
+            row[index] = if index == 0 { PRIOR_CONSTANT } else { PRIOR };
+        }
+        let mut weights = [0.0; FEATURES];
+        weights[0] = -1.0;
+        Self { weights, covariance, seen: [0.0; MAX_IMAGES] }
+    }
+
+    fn learn(&mut self, usage: &Usage, value: f64) {
+        let features = features(usage);
+        let mut spread = [0.0; FEATURES];
+        for (out, row) in spread.iter_mut().zip(&self.covariance) {
+            *out = dot(row, &features);
+        }
+        let scale = 1.0 + dot(&spread, &features);
+        let error = value - dot(&self.weights, &features);
+        for (weight, spread) in self.weights.iter_mut().zip(&spread) {
+            *weight += spread / scale * error;
+        }
+        for (row, a) in self.covariance.iter_mut().zip(&spread) {
+            for (cell, b) in row.iter_mut().zip(&spread) {
+                *cell -= a * b / scale;
+            }
+        }
+        for (seen, cores) in self.seen.iter_mut().zip(usage) {
+            *seen += cores;
+        }
+    }
+}
+
+fn features(usage: &Usage) -> [f64; FEATURES] {
+    let mut features = [1.0; FEATURES];
+    features[1..].copy_from_slice(usage);
+    features
+}
+
+fn dot(a: &[f64; FEATURES], b: &[f64; FEATURES]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| a * b).sum()
+}
+
+/// What is learned about all pairs of images.
+#[derive(Debug, Default)]
+pub struct Pressure {
+    fits: BTreeMap<String, Fit>,
+    images: BTreeMap<String, usize>,
+}
+
+impl Pressure {
+    /// The place of a filling image in a [`Usage`].
+    pub fn place(&mut self, image: &str) -> usize {
+        if let Some(place) = self.images.get(image) {
+            return *place;
+        }
+        let place = self.images.len().min(MAX_IMAGES - 1);
+        self.images.insert(image.to_owned(), place);
+        place
+    }
+
+    /// Takes in a tail of a serving image, over its target, beside `usage`.
+    pub fn learn(&mut self, serving: &str, usage: &Usage, ratio: f64) {
+        if !self.fits.contains_key(serving) {
+            self.fits.insert(serving.to_owned(), Fit::new());
+        }
+        if let Some(fit) = self.fits.get_mut(serving) {
+            fit.learn(usage, ratio.max(0.01).ln());
+        }
+    }
+
+    /// By how much one processor of a filling image raises the logarithm of a serving image's tail;
+    /// 0 while too little of the pair was seen.
+    pub fn weight(&self, serving: &str, filling: &str) -> f64 {
+        let (Some(fit), Some(place)) = (self.fits.get(serving), self.images.get(filling)) else {
+            return 0.0;
+        };
+        if fit.seen[*place] < LEAST_SEEN {
+            return 0.0;
+        }
+        fit.weights[1 + place].max(0.0)
+    }
+
+    /// Whether enough of a pair was seen to tell whether it is harmful.
+    pub fn is_known(&self, serving: &str, filling: &str) -> bool {
+        let (Some(fit), Some(place)) = (self.fits.get(serving), self.images.get(filling)) else {
+            return false;
+        };
+        fit.seen[*place] >= LEAST_SEEN
+    }
+}
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -53,7 +53,7 @@
         let room = if step.fills {
             self.filling_score(step, index, worker)
         } else {
-            packing_score(step, worker)
+            self.packing_score(step, index, worker)
         };
         distance + room
     }
@@ -68,10 +68,22 @@
         && (step.label.is_empty() || worker.entry.labels.contains(&step.label))
 }
 
-/// Best fit on processors. Lasting tasks go beside others of their kind first.
-fn packing_score(step: &Step, worker: &Worker) -> f64 {
-    let capacity = worker.entry.capacity.cpu_milli.max(1) as f64;
-    let left = worker.free().cpu_milli.saturating_sub(step.need.cpu_milli) as f64 / capacity;
-    let empty = if step.is_lasting && worker.lasting == 0 { 1.0 } else { 0.0 };
-    left + empty
+/// Added to the score of a lasting task for each serving image on the worker that is not its own.
+const OTHER_IMAGE: f64 = 0.5;
+
+impl Fleet {
+    /// Best fit on processors. Lasting tasks go beside others of their kind first, those of their
+    /// own image before all: the fewer serving images a worker has, the more images that fill are
+    /// harmless there.
+    fn packing_score(&self, step: &Step, index: WorkerIndex, worker: &Worker) -> f64 {
+        let capacity = worker.entry.capacity.cpu_milli.max(1) as f64;
+        let left = worker.free().cpu_milli.saturating_sub(step.need.cpu_milli) as f64 / capacity;
+        if !step.is_lasting {
+            return left;
+        }
+        let images = self.serving_images(index);
+        let others = images.keys().filter(|image| **image != step.image).count();
+        let is_empty = if images.is_empty() { 0.6 * OTHER_IMAGE } else { 0.0 };
+        left + others as f64 * OTHER_IMAGE + is_empty
+    }
 }
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::colocation::Colocation;
+use super::colocation::Pressure;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
 use super::orders::{JobWrite, Order, OrderKind};
 use super::record::ProgressRecord;
@@ -61,7 +61,7 @@
     pub(super) dirty: BTreeSet<u32>,
     pub(super) orders: Vec<Order>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
-    pub(super) colocation: Colocation,
+    pub(super) pressure: Pressure,
     pub(super) counts: Counts,
 }
 
@@ -80,7 +80,7 @@
             dirty: BTreeSet::new(),
             orders: Vec::new(),
             ended_jobs: Vec::new(),
-            colocation: Colocation::default(),
+            pressure: Pressure::default(),
             counts: Counts::default(),
         }
     }
@@ -240,6 +240,7 @@
         worker.used = worker.used.plus(&need);
         worker.filling_cpu_milli += if fills { cpu } else { 0 };
         worker.lasting += u32::from(lasts);
+        worker.lasting_cpu_milli += if lasts { cpu } else { 0 };
         worker.tasks.push(at);
     }
 
@@ -256,7 +257,11 @@
                 worker.filling_cpu_milli =
                     worker.filling_cpu_milli.saturating_sub(step.need.cpu_milli);
             }
-            worker.lasting -= u32::from(step.is_lasting).min(worker.lasting);
+            if step.is_lasting {
+                worker.lasting = worker.lasting.saturating_sub(1);
+                worker.lasting_cpu_milli =
+                    worker.lasting_cpu_milli.saturating_sub(step.need.cpu_milli);
+            }
             worker.tasks.retain(|other| *other != at);
         }
         let is_active = job.phase == JobPhase::Active;
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -128,6 +128,12 @@
     pub filling_cpu_milli: u64,
     /// Lasting tasks there.
     pub lasting: u32,
+    /// Processors reserved by them.
+    pub lasting_cpu_milli: u64,
+    /// Highest tail over target among its serving tasks at the last look.
+    pub worst_tail: f64,
+    /// When its figures were last taken in.
+    pub sampled_us: u64,
     /// Tasks that are charged.
     pub tasks: Vec<TaskRef>,
     /// Newest end that was taken into the ledger.
@@ -166,6 +172,9 @@
             used: Resources::default(),
             filling_cpu_milli: 0,
             lasting: 0,
+            lasting_cpu_milli: 0,
+            worst_tail: 0.0,
+            sampled_us: 0,
             tasks: Vec::new(),
             seen_end: 0,
             acked_end: 0,
--- a/crates/agatesilld/src/cli.rs
+++ b/crates/agatesilld/src/cli.rs
@@ -28,6 +28,15 @@
                 .conflicts_with_all(["config", "check"])
                 .help("Run on the users' platform, whose settings file the environment names"),
         )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .value_name("LEVEL")
+                .requires("platform")
+                .value_parser(["error", "warn", "info", "debug", "off"])
+                .default_value("info")
+                .help("Least level that is logged on the platform; debug adds what each look saw"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- a/crates/agatesilld/src/main.rs
+++ b/crates/agatesilld/src/main.rs
@@ -13,7 +13,8 @@
 fn main() -> ExitCode {
     let matches = cli::command().get_matches();
     if matches.get_flag("platform") {
-        return run_on_platform();
+        let level = matches.get_one::<String>("log-level").map_or("info", String::as_str);
+        return run_on_platform(level);
     }
     let Some(path) = matches.get_one::<PathBuf>("config") else {
         return ExitCode::from(EXIT_SETTINGS);
@@ -33,7 +34,7 @@
 }
 
 /// Runs on the users' platform, whose settings file the environment names.
-fn run_on_platform() -> ExitCode {
+fn run_on_platform(level: &str) -> ExitCode {
     let settings = match agatesill_platform::settings::read() {
         Ok(settings) => settings,
         Err(error) => {
@@ -41,7 +42,10 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    let log = settings::LogSettings { path: logging::STANDARD_OUTPUT.to_owned(), ..Default::default() };
+    let log = settings::LogSettings {
+        level: level.to_owned(),
+        path: logging::STANDARD_OUTPUT.to_owned(),
+    };
     if let Err(error) = logging::init(&log) {
         eprintln!("agatesilld: log: {error}");
         return ExitCode::from(EXIT_SETTINGS);
