Colocation: one trial of an unknown pair at a time, crowding bounded beside lasting tasks

Cause: at Carpatia seven tasks of one unknown image were placed beside eight serving ones at once, and tails rose when serving and filling load together filled a worker.

Ruled out: acting below the target (it slowed harmless images by their tiny weights).

--- a/crates/agatesill_policy/src/fleet/colocation/balance.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/balance.rs
@@ -12,16 +12,19 @@
 const SAMPLE_US: u64 = 450 * US_PER_MS;
 
 /// Tail over target from which what presses most is slowed.
-const PRESSED: f64 = 0.9;
+const PRESSED: f64 = 1.0;
 
 /// Tail over target below which what was slowed is let go again.
-const RELAXED: f64 = 0.6;
+const RELAXED: f64 = 0.85;
 
 /// Tail over target that slowing aims at.
 const AIM: f64 = 0.75;
 
 /// A step back towards full pace.
-const PACE_STEP_PERCENT: u32 = 25;
+const PACE_STEP_PERCENT: u32 = 50;
+
+/// Pace of everything while the cause of a pressed task is not known.
+const SLOW_PERCENT: u32 = 25;
 
 /// Part of the allowed time over target after which everything that fills on the worker stands
 /// still. Half of it is left for the order, for the pace to take effect and for a lost answer.
@@ -137,7 +140,7 @@
                 let weight = |server: &&Server| self.pressure.weight(&server.image, &filler.image);
                 (pressed.iter().map(weight).fold(0.0, f64::max), filler)
             })
-            .filter(|(weight, filler)| *weight > 0.0 && filler.pace_percent > 0)
+            .filter(|(weight, filler)| *weight >= HARMFUL / 2.0 && filler.pace_percent > 0)
             .collect();
         pressing.sort_by(|a, b| (b.0 * b.1.cores).total_cmp(&(a.0 * a.1.cores)));
         for (weight, filler) in pressing {
@@ -205,7 +208,7 @@
         let most = if over_us * 100 > limit_us * STAND_STILL_PERCENT {
             0
         } else if over_us * 100 > limit_us * SLOW_ALL_PERCENT {
-            PACE_STEP_PERCENT
+            SLOW_PERCENT
         } else {
             return;
         };
--- a/crates/agatesill_policy/src/fleet/colocation/room.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/room.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::fleet::job::Step;
+use crate::fleet::job::{Step, TaskRef};
 use crate::fleet::state::Fleet;
 use crate::fleet::worker::{Worker, WorkerIndex};
 
@@ -18,7 +18,14 @@
 const UNKNOWN_PAIR: f64 = 0.25;
 
 /// A worker whose serving tasks have tails above this share of their target takes no more.
-const NEAR_TARGET: f64 = 0.8;
+const NEAR_TARGET: f64 = 0.95;
+
+/// Beside lasting tasks no more than this part of the processors that they leave is given away:
+/// their load swings by half, and tails rise as soon as the worker is full.
+const MOST_CROWDED_BESIDE: f64 = 0.85;
+
+/// Tasks of one image that may run beside a serving image before the pair is known.
+const TRIAL_TASKS: usize = 1;
 
 /// A worker on which tasks that fill would get less than this part of their processors takes no
 /// more: the work waits better than it crawls.
@@ -48,21 +55,33 @@
         if worker.lasting == 0 {
             return crowding;
         }
-        if worker.worst_tail > NEAR_TARGET {
+        if worker.worst_tail > NEAR_TARGET || crowding > MOST_CROWDED_BESIDE {
             return f64::INFINITY;
         }
         let mut score = crowding + BESIDE_SERVING;
+        let mut is_trial = false;
         for image in self.serving_images(index).keys() {
             if self.pressure.weight(image, &step.image) >= HARMFUL {
                 return f64::INFINITY;
             }
             if !self.pressure.is_known(image, &step.image) {
                 score += UNKNOWN_PAIR;
+                is_trial = true;
             }
         }
+        if is_trial && self.tasks_of_image(worker, &step.image) >= TRIAL_TASKS {
+            return f64::INFINITY;
+        }
         score
     }
 
+    fn tasks_of_image(&self, worker: &Worker, image: &str) -> usize {
+        let is_of_image = |at: &&TaskRef| {
+            self.job(at.job).is_some_and(|job| job.step(at.task).image == image)
+        };
+        worker.tasks.iter().filter(is_of_image).count()
+    }
+
     /// The serving images on a worker, with their tasks.
     pub(in crate::fleet) fn serving_images(&self, index: WorkerIndex) -> BTreeMap<&str, u32> {
         let mut images = BTreeMap::new();
