Planner: an image without a worker holds up no other; a cancel may come before its job

Cause: the search stopped for all tasks that fill once one image found no harmless worker; and a cancel read back before its job (history gone) was forgotten, so the job started after it.

Ruled out: too little room (workers stood idle while month end waited).

--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -17,7 +17,8 @@
 struct Misfit {
     service: String,
     charge: Resources,
-    fills: bool,
+    /// The image of a task that fills: another one may be welcome where this one does harm.
+    fills: Option<String>,
 }
 
 impl Fleet {
@@ -58,9 +59,10 @@
             return;
         }
         let charge = step.charge();
+        let fills = step.fills.then(|| step.image.clone());
         let is_hopeless = |misfit: &Misfit| {
             misfit.service == service
-                && misfit.fills == step.fills
+                && misfit.fills == fills
                 && charge.holds(&misfit.charge)
                 && step.label.is_empty()
         };
@@ -71,7 +73,7 @@
         if placed == tasks.len() {
             self.waiting.remove(&group);
         } else if step.label.is_empty() && step.max_per_worker == 0 && !step.is_gang {
-            misfits.push(Misfit { service, charge, fills: step.fills });
+            misfits.push(Misfit { service, charge, fills });
         }
     }
 
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -1,6 +1,6 @@
 //! The ledger: jobs, workers and what is charged where.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use super::colocation::Pressure;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
@@ -61,6 +61,7 @@
     pub(super) dirty: BTreeSet<u32>,
     pub(super) orders: Vec<Order>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
+    pub(super) cancelled_early: HashSet<JobId>,
     pub(super) pressure: Pressure,
     pub(super) counts: Counts,
 }
@@ -80,6 +81,7 @@
             dirty: BTreeSet::new(),
             orders: Vec::new(),
             ended_jobs: Vec::new(),
+            cancelled_early: HashSet::new(),
             pressure: Pressure::default(),
             counts: Counts::default(),
         }
@@ -110,8 +112,12 @@
         if let Some(slot) = self.by_id.get(&spec.id) {
             return *slot;
         }
+        let was_cancelled = self.cancelled_early.remove(&spec.id);
         let slot = self.insert(Job::new(spec, now_us));
         self.open_rounds(slot, now_us);
+        if was_cancelled {
+            self.finish(slot, JobPhase::Cancelled, now_us);
+        }
         slot
     }
 
@@ -174,8 +180,14 @@
     }
 
     /// Takes in that the caller has cancelled a job.
+    ///
+    /// Guards against a cancel that is heard of before its job, as when both are read back after a
+    /// gap in the store's history, cancels first: the job would start after it was cancelled.
     pub fn cancel(&mut self, id: &str, now_us: u64) {
-        let Some(slot) = self.by_id.get(id).copied() else { return };
+        let Some(slot) = self.by_id.get(id).copied() else {
+            self.cancelled_early.insert(id.to_owned());
+            return;
+        };
         self.finish(slot, JobPhase::Cancelled, now_us);
     }
 
@@ -434,6 +446,7 @@
             }
             let id = job.spec.id.clone();
             self.by_id.remove(&id);
+            self.cancelled_early.remove(&id);
             self.jobs[slot as usize] = None;
             forgotten.push(id);
         }
