--- a/crates/agatesill_policy/src/fleet/colocation/balance.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/balance.rs
@@ -1,6 +1,7 @@
 //! What a look at tails changes: what is learned, and the pace of tasks that fill.
 
 use crate::fleet::US_PER_MS;
+use crate::fleet::images::ImageId;
 use crate::fleet::job::{TaskRef, TaskState};
 use crate::fleet::orders::OrderKind;
 use crate::fleet::state::Fleet;
@@ -33,19 +34,24 @@
 /// Part after which it is slowed to a quarter, whatever is known of its images.
 const SLOW_ALL_PERCENT: u64 = 20;
 
+/// How long a task is slowed before it is moved: three looks, after which tails have come down if
+/// it was the cause. A move costs a stop and a resumption, about a second.
+const SLOWED_LIMIT_US: u64 = 1_600 * US_PER_MS;
+
 /// A filling task on a worker.
 struct Filler {
     at: TaskRef,
-    image: String,
+    image: ImageId,
     cores: f64,
     pace_percent: u32,
     saves_progress: bool,
     percent: u32,
+    slowed_us: u64,
 }
 
 /// A serving task on a worker.
 struct Server {
-    image: String,
+    image: ImageId,
     ratio: f64,
 }
 
@@ -72,6 +78,18 @@
             self.let_go(index, &servers, &fillers, worst);
         }
         self.guard(index, &fillers, worst, now_us);
+        self.move_slowed(index, &fillers, now_us);
+    }
+
+    /// Moves what has been slowed for long and can resume elsewhere: beside a serving task at the
+    /// height of its own load it would stand still for seconds.
+    fn move_slowed(&mut self, index: WorkerIndex, fillers: &[Filler], now_us: u64) {
+        let is_stuck = |filler: &&Filler| {
+            filler.slowed_us > 0
+                && filler.saves_progress
+                && now_us - filler.slowed_us > SLOWED_LIMIT_US
+        };
+        fillers.iter().filter(is_stuck).for_each(|filler| self.move_away(index, filler));
     }
 
     fn sort_rows(&self, index: WorkerIndex, rows: &[RunRow]) -> (Vec<Server>, Vec<Filler>) {
@@ -88,15 +106,16 @@
             }
             if step.target_ms > 0 && row.percent >= 100 {
                 let ratio = row.figure as f64 / step.target_ms as f64;
-                servers.push(Server { image: step.image.clone(), ratio });
+                servers.push(Server { image: job.image(place), ratio });
             } else if step.fills {
                 fillers.push(Filler {
                     at: TaskRef { job: slot, task: place },
-                    image: step.image.clone(),
+                    image: job.image(place),
                     cores: row.figure as f64 / 1_000.0,
                     pace_percent: task.pace_percent,
                     saves_progress: step.saves_progress,
                     percent: row.percent,
+                    slowed_us: task.slowed_us,
                 });
             }
         }
@@ -108,10 +127,10 @@
             return;
         }
         let tails: Vec<String> =
-            servers.iter().map(|s| format!("{}:{:.2}", short(&s.image), s.ratio)).collect();
+            servers.iter().map(|s| format!("{}:{:.2}", s.image, s.ratio)).collect();
         let beside: Vec<String> = fillers
             .iter()
-            .map(|f| format!("{}:{}:{:.1}", short(&f.image), f.pace_percent, f.cores))
+            .map(|f| format!("{}:{}:{:.1}", f.image, f.pace_percent, f.cores))
             .collect();
         log::debug!(event = "beside", worker = self.workers[index as usize].entry.id.as_str(),
             tails = tails.join(" ").as_str(), filling = beside.join(" ").as_str(); "");
@@ -120,10 +139,10 @@
     fn learn(&mut self, servers: &[Server], fillers: &[Filler]) {
         let mut usage: Usage = [0.0; MAX_IMAGES];
         for filler in fillers {
-            usage[self.pressure.place(&filler.image)] += filler.cores;
+            usage[self.pressure.place(filler.image)] += filler.cores;
         }
         for server in servers {
-            self.pressure.learn(&server.image, &usage, server.ratio);
+            self.pressure.learn(server.image, &usage, server.ratio);
         }
     }
 
@@ -137,7 +156,9 @@
         let mut pressing: Vec<(f64, &Filler)> = fillers
             .iter()
             .map(|filler| {
-                let weight = |server: &&Server| self.pressure.weight(&server.image, &filler.image);
+                let weight = |server: &&Server| {
+                    self.pressure.weight(server.image, filler.image).unwrap_or(0.0)
+                };
                 (pressed.iter().map(weight).fold(0.0, f64::max), filler)
             })
             .filter(|(weight, filler)| *weight >= HARMFUL / 2.0 && filler.pace_percent > 0)
@@ -160,7 +181,7 @@
     fn move_away(&mut self, index: WorkerIndex, filler: &Filler) {
         if filler.saves_progress || filler.percent < 30 {
             log::info!(event = "task_moved", job = self.job_id(filler.at.job),
-                task = filler.at.task, image = filler.image.as_str(),
+                task = filler.at.task, image = filler.image,
                 worker = self.workers[index as usize].entry.id.as_str(); "it harms what serves");
             self.set_pace(index, filler.at, 0);
             let now_us = self.workers[index as usize].sampled_us;
@@ -176,7 +197,7 @@
         for filler in fillers.iter().filter(|filler| filler.pace_percent < 100) {
             let weight = servers
                 .iter()
-                .map(|server| self.pressure.weight(&server.image, &filler.image))
+                .map(|server| self.pressure.weight(server.image, filler.image).unwrap_or(0.0))
                 .fold(0.0, f64::max);
             let step = f64::from(PACE_STEP_PERCENT) / 100.0 * self.cores_wanted(filler.at);
             if weight * step > room {
@@ -224,12 +245,13 @@
             return;
         }
         task.pace_percent = percent;
+        let now_us = self.workers[index as usize].sampled_us;
+        task.slowed_us = match (percent, task.slowed_us) {
+            (100, _) => 0,
+            (_, 0) => now_us,
+            (_, since_us) => since_us,
+        };
         self.counts.paced += 1;
         self.order(at, index, OrderKind::Pace { percent });
     }
 }
-
-/// The last characters of an image's name, enough to tell images apart in a trace.
-fn short(image: &str) -> &str {
-    image.get(image.len().saturating_sub(4)..).unwrap_or(image)
-}
--- a/crates/agatesill_policy/src/fleet/colocation/pressure.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pressure.rs
@@ -6,7 +6,7 @@
 //! its tail slowly and by about a factor of two: it is the noise of the fit, while a harmful pair
 //! shows at once, at two or three times that.
 
-use std::collections::BTreeMap;
+use crate::fleet::images::ImageId;
 
 /// Filling images told apart; further ones share the last place, which bounds the cost of a sample.
 pub const MAX_IMAGES: usize = 16;
@@ -84,48 +84,44 @@
 /// What is learned about all pairs of images.
 #[derive(Debug, Default)]
 pub struct Pressure {
-    fits: BTreeMap<String, Fit>,
-    images: BTreeMap<String, usize>,
+    /// By serving image.
+    fits: Vec<Option<Box<Fit>>>,
+    /// Place of each filling image in a [`Usage`].
+    places: Vec<Option<usize>>,
+    known: usize,
 }
 
 impl Pressure {
     /// The place of a filling image in a [`Usage`].
-    pub fn place(&mut self, image: &str) -> usize {
-        if let Some(place) = self.images.get(image) {
-            return *place;
+    pub fn place(&mut self, image: ImageId) -> usize {
+        let index = usize::from(image);
+        if self.places.len() <= index {
+            self.places.resize(index + 1, None);
+        }
+        let next = self.known.min(MAX_IMAGES - 1);
+        let place = self.places[index].unwrap_or(next);
+        if self.places[index].is_none() {
+            self.known += 1;
+            self.places[index] = Some(place);
         }
-        let place = self.images.len().min(MAX_IMAGES - 1);
-        self.images.insert(image.to_owned(), place);
         place
     }
 
     /// Takes in a tail of a serving image, over its target, beside `usage`.
-    pub fn learn(&mut self, serving: &str, usage: &Usage, ratio: f64) {
-        if !self.fits.contains_key(serving) {
-            self.fits.insert(serving.to_owned(), Fit::new());
-        }
-        if let Some(fit) = self.fits.get_mut(serving) {
-            fit.learn(usage, ratio.max(0.01).ln());
+    pub fn learn(&mut self, serving: ImageId, usage: &Usage, ratio: f64) {
+        let index = usize::from(serving);
+        if self.fits.len() <= index {
+            self.fits.resize_with(index + 1, || None);
         }
+        let fit = self.fits[index].get_or_insert_with(|| Box::new(Fit::new()));
+        fit.learn(usage, ratio.max(0.01).ln());
     }
 
     /// By how much one processor of a filling image raises the logarithm of a serving image's tail;
-    /// 0 while too little of the pair was seen.
-    pub fn weight(&self, serving: &str, filling: &str) -> f64 {
-        let (Some(fit), Some(place)) = (self.fits.get(serving), self.images.get(filling)) else {
-            return 0.0;
-        };
-        if fit.seen[*place] < LEAST_SEEN {
-            return 0.0;
-        }
-        fit.weights[1 + place].max(0.0)
-    }
-
-    /// Whether enough of a pair was seen to tell whether it is harmful.
-    pub fn is_known(&self, serving: &str, filling: &str) -> bool {
-        let (Some(fit), Some(place)) = (self.fits.get(serving), self.images.get(filling)) else {
-            return false;
-        };
-        fit.seen[*place] >= LEAST_SEEN
+    /// `None` while too little of the pair was seen.
+    pub fn weight(&self, serving: ImageId, filling: ImageId) -> Option<f64> {
+        let fit = self.fits.get(usize::from(serving))?.as_ref()?;
+        let place = (*self.places.get(usize::from(filling))?)?;
+        (fit.seen[place] >= LEAST_SEEN).then(|| fit.weights[1 + place].max(0.0))
     }
 }
--- a/crates/agatesill_policy/src/fleet/colocation/room.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/room.rs
@@ -1,10 +1,8 @@
 //! Where a task that fills may go, and what it would find there.
 
-use std::collections::BTreeMap;
-
-use crate::fleet::job::{Step, TaskRef};
+use crate::fleet::place::Request;
 use crate::fleet::state::Fleet;
-use crate::fleet::worker::{Worker, WorkerIndex};
+use crate::fleet::worker::Worker;
 
 use super::pressure::HARMFUL;
 
@@ -18,14 +16,14 @@
 const UNKNOWN_PAIR: f64 = 0.25;
 
 /// A worker whose serving tasks have tails above this share of their target takes no more.
-const NEAR_TARGET: f64 = 0.95;
+const NEAR_TARGET: f64 = 0.8;
 
 /// Beside lasting tasks no more than this part of the processors that they leave is given away:
 /// their load swings by half, and tails rise as soon as the worker is full.
 const MOST_CROWDED_BESIDE: f64 = 0.85;
 
 /// Tasks of one image that may run beside a serving image before the pair is known.
-const TRIAL_TASKS: usize = 1;
+const TRIAL_TASKS: u32 = 1;
 
 /// A worker on which tasks that fill would get less than this part of their processors takes no
 /// more: the work waits better than it crawls.
@@ -38,12 +36,8 @@
     /// lasting tasks and one for pairs that are not known. A pair known to be harmful is out of
     /// the question: one serving task over its target for two seconds costs what three month-end
     /// tasks are worth.
-    pub(in crate::fleet) fn filling_score(
-        &self,
-        step: &Step,
-        index: WorkerIndex,
-        worker: &Worker,
-    ) -> f64 {
+    pub(in crate::fleet) fn filling_score(&self, request: &Request<'_>, worker: &Worker) -> f64 {
+        let step = request.step;
         let capacity = worker.entry.capacity.cpu_milli as f64;
         let wanted = (worker.filling_cpu_milli + step.need.cpu_milli) as f64;
         let lasting = worker.lasting_cpu_milli as f64;
@@ -59,39 +53,14 @@
             return f64::INFINITY;
         }
         let mut score = crowding + BESIDE_SERVING;
-        let mut is_trial = false;
-        for image in self.serving_images(index).keys() {
-            if self.pressure.weight(image, &step.image) >= HARMFUL {
-                return f64::INFINITY;
-            }
-            if !self.pressure.is_known(image, &step.image) {
-                score += UNKNOWN_PAIR;
-                is_trial = true;
+        for serving in worker.serving.iter() {
+            match self.pressure.weight(serving, request.image) {
+                Some(weight) if weight >= HARMFUL => return f64::INFINITY,
+                Some(_) => {}
+                None if worker.filling.of(request.image) >= TRIAL_TASKS => return f64::INFINITY,
+                None => score += UNKNOWN_PAIR,
             }
         }
-        if is_trial && self.tasks_of_image(worker, &step.image) >= TRIAL_TASKS {
-            return f64::INFINITY;
-        }
         score
     }
-
-    fn tasks_of_image(&self, worker: &Worker, image: &str) -> usize {
-        let is_of_image = |at: &&TaskRef| {
-            self.job(at.job).is_some_and(|job| job.step(at.task).image == image)
-        };
-        worker.tasks.iter().filter(is_of_image).count()
-    }
-
-    /// The serving images on a worker, with their tasks.
-    pub(in crate::fleet) fn serving_images(&self, index: WorkerIndex) -> BTreeMap<&str, u32> {
-        let mut images = BTreeMap::new();
-        for at in &self.workers[index as usize].tasks {
-            let Some(job) = self.job(at.job) else { continue };
-            let step = job.step(at.task);
-            if step.target_ms > 0 {
-                *images.entry(step.image.as_str()).or_default() += 1;
-            }
-        }
-        images
-    }
 }
--- /dev/null
+++ b/crates/agatesill_policy/src/fleet/images.rs
@@ -0,0 +1,64 @@
+//! Short names for images, so that the search for a worker compares numbers.
+
+use std::collections::HashMap;
+
+/// An image by number.
+pub type ImageId = u16;
+
+/// The image of steps that name none.
+pub const NO_IMAGE: ImageId = 0;
+
+/// All images seen.
+#[derive(Debug, Default)]
+pub struct Images {
+    by_name: HashMap<String, ImageId>,
+}
+
+impl Images {
+    /// The number of an image. Beyond 65,535 images all further ones share the last.
+    pub fn number(&mut self, name: &str) -> ImageId {
+        if name.is_empty() {
+            return NO_IMAGE;
+        }
+        if let Some(number) = self.by_name.get(name) {
+            return *number;
+        }
+        let number = ImageId::try_from(self.by_name.len() + 1).unwrap_or(ImageId::MAX);
+        self.by_name.insert(name.to_owned(), number);
+        number
+    }
+}
+
+/// Tasks by image on one worker; a handful, so a list.
+#[derive(Clone, Debug, Default)]
+pub struct ImageCounts {
+    counts: Vec<(ImageId, u32)>,
+}
+
+impl ImageCounts {
+    /// Counts one more task.
+    pub fn add(&mut self, image: ImageId) {
+        match self.counts.iter_mut().find(|(other, _)| *other == image) {
+            Some((_, count)) => *count += 1,
+            None => self.counts.push((image, 1)),
+        }
+    }
+
+    /// Counts one task less.
+    pub fn remove(&mut self, image: ImageId) {
+        if let Some((_, count)) = self.counts.iter_mut().find(|(other, _)| *other == image) {
+            *count -= 1;
+        }
+        self.counts.retain(|(_, count)| *count > 0);
+    }
+
+    /// Tasks of one image.
+    pub fn of(&self, image: ImageId) -> u32 {
+        self.counts.iter().find(|(other, _)| *other == image).map_or(0, |(_, count)| *count)
+    }
+
+    /// The images.
+    pub fn iter(&self) -> impl Iterator<Item = ImageId> + '_ {
+        self.counts.iter().map(|(image, _)| *image)
+    }
+}
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -3,6 +3,7 @@
 use crate::batch::Resources;
 use crate::value_type;
 
+use super::images::{ImageId, NO_IMAGE};
 use super::worker::WorkerIndex;
 
 /// Identifies a job; chosen by the caller.
@@ -244,6 +245,8 @@
     pub saved: String,
     /// When it entered its state.
     pub since_us: u64,
+    /// Since when it has been slowed; 0 while it is not.
+    pub slowed_us: u64,
     /// Progress that the worker reported last.
     pub percent: u32,
     /// When that progress last rose.
@@ -266,6 +269,7 @@
             failures: 0,
             saved: String::new(),
             since_us: now_us,
+            slowed_us: 0,
             percent: 0,
             progress_us: now_us,
             pace_percent: 100,
@@ -283,6 +287,8 @@
     pub spec: JobSpec,
     /// Where it stands.
     pub phase: JobPhase,
+    /// Image of each step.
+    pub(super) images: Vec<ImageId>,
     /// Tasks: occurrences, then steps, then indices.
     pub tasks: Vec<Task>,
     /// Tasks not yet done, by occurrence and step.
@@ -314,6 +320,7 @@
         let total = a_round * spec.rounds();
         let left = (0..spec.rounds()).flat_map(|_| spec.steps.iter().map(|s| s.count)).collect();
         Self {
+            images: vec![NO_IMAGE; spec.steps.len()],
             tasks: vec![Task::new(TaskState::Blocked, now_us); total as usize],
             left,
             left_total: total,
@@ -348,6 +355,11 @@
         &self.spec.steps[self.locate(task).1 as usize]
     }
 
+    /// The image of a task.
+    pub(super) fn image(&self, task: u32) -> ImageId {
+        self.images[self.locate(task).1 as usize]
+    }
+
     /// Place of the first task of a step.
     pub fn first_of(&self, occurrence: u32, step: u32) -> u32 {
         let before: u32 = self.spec.steps[..step as usize].iter().map(|step| step.count).sum();
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -7,7 +7,9 @@
 
 mod colocation;
 mod ends;
+mod images;
 mod job;
+mod order;
 mod orders;
 mod place;
 mod plan;
--- /dev/null
+++ b/crates/agatesill_policy/src/fleet/order.rs
@@ -0,0 +1,127 @@
+//! Which waiting steps go first.
+//!
+//! Load pattern: more month-end work than the workers can carry for half a minute, after a burst or
+//! while workers are lost. First come, first served makes every job late once the backlog is longer
+//! than a job's objective; then nothing is worth more than a seventh. So within a queue's priority
+//! the order is by worth lost for each core-second: jobs that can still be in time before those
+//! that are late, and among them those with the most worth for the work that is left, so that what
+//! was begun is finished.
+
+use super::job::{Job, JobPhase};
+use super::state::{Fleet, Group};
+
+/// Worth of a late job, as a share of one in time.
+const LATE_SHARE: f64 = 0.15;
+
+/// Worth of a job beyond three times its objective, so that it still finishes some time.
+const LOST_SHARE: f64 = 0.02;
+
+/// A job is late up to this many times its objective.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Part of a job's worth that does not depend on its size.
+const FIXED_SHARE: f64 = 0.3;
+
+/// Weight of a new job in the mean work of its queue: the last fifty count.
+const MEAN_WEIGHT: f64 = 0.02;
+
+/// A waiting group with what it is sorted by.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ranked {
+    /// Urgent queues first.
+    pub priority: u32,
+    /// Worth for each core-second that is left, highest first.
+    pub density: f64,
+    /// The group.
+    pub group: Group,
+}
+
+impl Fleet {
+    /// All waiting groups in the order in which they are placed.
+    pub(super) fn ranked(&self, now_ms: u64) -> Vec<Ranked> {
+        let mut ranked: Vec<Ranked> =
+            self.waiting.iter().filter_map(|group| self.rank(*group, now_ms)).collect();
+        ranked.sort_by(|a, b| {
+            a.priority
+                .cmp(&b.priority)
+                .then(b.density.total_cmp(&a.density))
+                .then(a.group.cmp(&b.group))
+        });
+        ranked
+    }
+
+    fn rank(&self, group: Group, now_ms: u64) -> Option<Ranked> {
+        let job = self.job(group.job).filter(|job| job.phase == JobPhase::Active)?;
+        let terms = self.terms(job);
+        let density = if job.spec.steps[group.step as usize].is_lasting {
+            f64::INFINITY
+        } else {
+            let mean = self.mean_work.get(&job.spec.queue).copied().unwrap_or(1.0);
+            density(job, group.occurrence, terms.stretch, terms.target_ms, mean, now_ms)
+        };
+        Some(Ranked { priority: terms.priority, density, group })
+    }
+
+    /// Takes a new job into the mean work of its queue.
+    pub(super) fn note_work(&mut self, slot: u32) {
+        let Some(job) = self.job(slot) else { return };
+        let work = total_work(job);
+        let queue = job.spec.queue.clone();
+        let mean = self.mean_work.entry(queue).or_insert(work);
+        *mean += (work - *mean) * MEAN_WEIGHT;
+    }
+}
+
+/// Core-milliseconds of one occurrence.
+fn total_work(job: &Job) -> f64 {
+    job.spec.steps.iter().map(|step| f64::from(step.count) * work_of(step)).sum()
+}
+
+fn work_of(step: &super::job::Step) -> f64 {
+    (step.estimate_ms.max(1) * step.need.cpu_milli.max(1)) as f64 / 1_000.0
+}
+
+fn density(
+    job: &Job,
+    occurrence: u32,
+    stretch: f64,
+    target_ms: u64,
+    mean_work: f64,
+    now_ms: u64,
+) -> f64 {
+    let total = total_work(job);
+    let left: f64 = job
+        .spec
+        .steps
+        .iter()
+        .enumerate()
+        .map(|(index, step)| {
+            f64::from(job.left[job.left_index(occurrence, index as u32)]) * work_of(step)
+        })
+        .sum();
+    let worth = FIXED_SHARE * mean_work + (1.0 - FIXED_SHARE) * total;
+    let objective_ms = stretch * chain_ms(job, |_| true) + target_ms as f64;
+    let begun_ms = job.spec.due_ms(occurrence).max(job.spec.accepted_at_ms);
+    let spent_ms = now_ms.saturating_sub(begun_ms) as f64;
+    let is_left = |step: usize| job.left[job.left_index(occurrence, step as u32)] > 0;
+    let end_ms = spent_ms + chain_ms(job, is_left);
+    let share = if end_ms <= objective_ms {
+        1.0
+    } else if end_ms <= objective_ms * LATE_FACTOR {
+        LATE_SHARE
+    } else {
+        LOST_SHARE
+    };
+    share * worth / left.max(1.0)
+}
+
+/// The longest chain of estimated run times over the steps that count.
+fn chain_ms(job: &Job, counts: impl Fn(usize) -> bool) -> f64 {
+    let mut ends: Vec<f64> = Vec::with_capacity(job.spec.steps.len());
+    for (index, step) in job.spec.steps.iter().enumerate() {
+        let begin = step.after.iter().map(|after| ends[*after as usize]).fold(0.0, f64::max);
+        let own = if counts(index) { step.estimate_ms as f64 } else { 0.0 };
+        ends.push(begin + own);
+    }
+    ends.into_iter().fold(0.0, f64::max)
+}
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 
+use super::images::ImageId;
 use super::job::Step;
 use super::state::Fleet;
 use super::worker::{Worker, WorkerIndex};
@@ -18,6 +19,8 @@
     pub step: &'a Step,
     /// Service whose workers may run it.
     pub service: &'a str,
+    /// Number of its image.
+    pub image: ImageId,
     /// Tasks of the same step and occurrence on each worker.
     pub beside: &'a HashMap<WorkerIndex, u32>,
     /// Racks that the step's tasks use already.
@@ -37,13 +40,13 @@
             .enumerate()
             .filter(|(_, worker)| worker.is_open(now_us) && worker.free().holds(&charge))
             .filter(|(index, worker)| may_run(request, *index as WorkerIndex, worker))
-            .map(|(index, worker)| (self.score(request, index as WorkerIndex, worker), index))
+            .map(|(index, worker)| (self.score(request, worker), index))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .filter(|(score, _)| score.is_finite())
             .map(|(_, index)| index as WorkerIndex)
     }
 
-    fn score(&self, request: &Request<'_>, index: WorkerIndex, worker: &Worker) -> f64 {
+    fn score(&self, request: &Request<'_>, worker: &Worker) -> f64 {
         let step = request.step;
         let is_remote = !step.data_rack.is_empty() && step.data_rack != worker.entry.rack;
         let is_off_rack = step.wants_one_rack
@@ -51,9 +54,9 @@
             && !request.chosen_racks.contains(&worker.entry.rack.as_str());
         let distance = if is_remote || is_off_rack { REMOTE_SCORE } else { 0.0 };
         let room = if step.fills {
-            self.filling_score(step, index, worker)
+            self.filling_score(request, worker)
         } else {
-            self.packing_score(step, index, worker)
+            packing_score(request, worker)
         };
         distance + room
     }
@@ -71,19 +74,17 @@
 /// Added to the score of a lasting task for each serving image on the worker that is not its own.
 const OTHER_IMAGE: f64 = 0.5;
 
-impl Fleet {
-    /// Best fit on processors. Lasting tasks go beside others of their kind first, those of their
-    /// own image before all: the fewer serving images a worker has, the more images that fill are
-    /// harmless there.
-    fn packing_score(&self, step: &Step, index: WorkerIndex, worker: &Worker) -> f64 {
-        let capacity = worker.entry.capacity.cpu_milli.max(1) as f64;
-        let left = worker.free().cpu_milli.saturating_sub(step.need.cpu_milli) as f64 / capacity;
-        if !step.is_lasting {
-            return left;
-        }
-        let images = self.serving_images(index);
-        let others = images.keys().filter(|image| **image != step.image).count();
-        let is_empty = if images.is_empty() { 0.6 * OTHER_IMAGE } else { 0.0 };
-        left + others as f64 * OTHER_IMAGE + is_empty
+/// Best fit on processors. Lasting tasks go beside others of their kind first, those of their own
+/// image before all: the fewer serving images a worker has, the more images that fill are harmless
+/// there.
+fn packing_score(request: &Request<'_>, worker: &Worker) -> f64 {
+    let step = request.step;
+    let capacity = worker.entry.capacity.cpu_milli.max(1) as f64;
+    let left = worker.free().cpu_milli.saturating_sub(step.need.cpu_milli) as f64 / capacity;
+    if !step.is_lasting {
+        return left;
     }
+    let others = worker.serving.iter().filter(|image| *image != request.image).count();
+    let is_empty = if worker.lasting == 0 { 0.6 * OTHER_IMAGE } else { 0.0 };
+    left + others as f64 * OTHER_IMAGE + is_empty
 }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -4,41 +4,34 @@
 
 use crate::batch::Resources;
 
+use super::images::ImageId;
 use super::job::{JobPhase, Step, TaskRef, TaskState};
 use super::place::Request;
 use super::state::{Fleet, Group};
 use super::worker::WorkerIndex;
 
-/// What a group is sorted by: urgent queues first, then the job that was accepted first.
-type Rank = (u32, u64, Group);
-
 /// A need that found no worker in this round; no equal or larger one is tried after it.
 #[derive(Debug)]
 struct Misfit {
     service: String,
     charge: Resources,
     /// The image of a task that fills: another one may be welcome where this one does harm.
-    fills: Option<String>,
+    fills: Option<ImageId>,
 }
 
 impl Fleet {
-    /// Chooses workers for as many waiting tasks as fit. What was chosen is ordered once its
-    /// record is committed.
-    pub fn plan(&mut self, now_us: u64) {
-        let mut ranked: Vec<Rank> =
-            self.waiting.iter().filter_map(|group| self.rank(*group)).collect();
-        ranked.sort_unstable();
+    /// Chooses workers for as many waiting tasks as fit; `now_ms` is the wall clock. What was chosen
+    /// is ordered once its record is committed.
+    pub fn plan(&mut self, now_us: u64, now_ms: u64) {
+        if self.waiting.is_empty() {
+            return;
+        }
         let mut misfits = Vec::new();
-        for (_, _, group) in ranked {
-            self.place_group(group, &mut misfits, now_us);
+        for ranked in self.ranked(now_ms) {
+            self.place_group(ranked.group, &mut misfits, now_us);
         }
     }
 
-    fn rank(&self, group: Group) -> Option<Rank> {
-        let job = self.job(group.job)?;
-        Some((self.terms(job).priority, job.spec.accepted_at_ms, group))
-    }
-
     fn place_group(&mut self, group: Group, misfits: &mut Vec<Misfit>, now_us: u64) {
         let Some(job) = self.job(group.job) else {
             self.waiting.remove(&group);
@@ -59,7 +52,8 @@
             return;
         }
         let charge = step.charge();
-        let fills = step.fills.then(|| step.image.clone());
+        let image = job.images[group.step as usize];
+        let fills = step.fills.then_some(image);
         let is_hopeless = |misfit: &Misfit| {
             misfit.service == service
                 && misfit.fills == fills
@@ -69,7 +63,7 @@
         if misfits.iter().any(is_hopeless) {
             return;
         }
-        let placed = self.place_tasks(group, &step, &service, &tasks, now_us);
+        let placed = self.place_tasks(group, &step, image, &service, &tasks, now_us);
         if placed == tasks.len() {
             self.waiting.remove(&group);
         } else if step.label.is_empty() && step.max_per_worker == 0 && !step.is_gang {
@@ -82,6 +76,7 @@
         &mut self,
         group: Group,
         step: &Step,
+        image: ImageId,
         service: &str,
         tasks: &[u32],
         now_us: u64,
@@ -89,7 +84,8 @@
         let mut beside = self.members_by_worker(group);
         let mut chosen: Vec<TaskRef> = Vec::with_capacity(tasks.len());
         for task in tasks {
-            let request = Request { step, service, beside: &beside, chosen_racks: &[] };
+            let request =
+                Request { step, service, image, beside: &beside, chosen_racks: &[] };
             let Some(worker) = self.choose_worker(&request, now_us) else { break };
             let at = TaskRef { job: group.job, task: *task };
             *beside.entry(worker).or_default() += 1;
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use super::colocation::Pressure;
+use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
 use super::orders::{JobWrite, Order, OrderKind};
 use super::record::ProgressRecord;
@@ -62,7 +63,9 @@
     pub(super) orders: Vec<Order>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
     pub(super) cancelled_early: HashSet<JobId>,
+    pub(super) images: Images,
     pub(super) pressure: Pressure,
+    pub(super) mean_work: HashMap<String, f64>,
     pub(super) counts: Counts,
 }
 
@@ -82,7 +85,9 @@
             orders: Vec::new(),
             ended_jobs: Vec::new(),
             cancelled_early: HashSet::new(),
+            images: Images::default(),
             pressure: Pressure::default(),
+            mean_work: HashMap::new(),
             counts: Counts::default(),
         }
     }
@@ -121,10 +126,12 @@
         slot
     }
 
-    pub(super) fn insert(&mut self, job: Job) -> u32 {
+    pub(super) fn insert(&mut self, mut job: Job) -> u32 {
+        job.images = job.spec.steps.iter().map(|step| self.images.number(&step.image)).collect();
         let slot = self.jobs.len() as u32;
         self.by_id.insert(job.spec.id.clone(), slot);
         self.jobs.push(Some(job));
+        self.note_work(slot);
         slot
     }
 
@@ -247,8 +254,15 @@
         let step = job.step(at.task);
         let (need, fills, lasts) = (step.charge(), step.fills, step.is_lasting);
         let cpu = step.need.cpu_milli;
+        let serves = step.target_ms > 0;
+        let image = job.image(at.task);
         job.tasks[at.task as usize].state = state;
         let worker = &mut self.workers[worker as usize];
+        if serves {
+            worker.serving.add(image);
+        } else if fills {
+            worker.filling.add(image);
+        }
         worker.used = worker.used.plus(&need);
         worker.filling_cpu_milli += if fills { cpu } else { 0 };
         worker.lasting += u32::from(lasts);
@@ -265,6 +279,12 @@
         if let Some(worker) = before.worker() {
             let worker = &mut self.workers[worker as usize];
             worker.used = worker.used.minus(&step.charge());
+            let image = job.images[step_index as usize];
+            if step.target_ms > 0 {
+                worker.serving.remove(image);
+            } else if step.fills {
+                worker.filling.remove(image);
+            }
             if step.fills {
                 worker.filling_cpu_milli =
                     worker.filling_cpu_milli.saturating_sub(step.need.cpu_milli);
@@ -284,6 +304,7 @@
         task.unanswered = 0;
         task.answered_us = 0;
         task.pace_percent = 100;
+        task.slowed_us = 0;
         if state == TaskState::Waiting {
             self.waiting.insert(Group { job: at.job, occurrence, step: step_index });
         }
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -5,6 +5,7 @@
 use crate::batch::Resources;
 use crate::value_type;
 
+use super::images::ImageCounts;
 use super::job::{TaskKey, TaskRef};
 
 /// Place of a worker in the ledger. Never used again within one ledger.
@@ -130,6 +131,10 @@
     pub lasting: u32,
     /// Processors reserved by them.
     pub lasting_cpu_milli: u64,
+    /// Serving tasks by image.
+    pub(super) serving: ImageCounts,
+    /// Tasks that fill, by image.
+    pub(super) filling: ImageCounts,
     /// Highest tail over target among its serving tasks at the last look.
     pub worst_tail: f64,
     /// When its figures were last taken in.
@@ -173,6 +178,8 @@
             filling_cpu_milli: 0,
             lasting: 0,
             lasting_cpu_milli: 0,
+            serving: ImageCounts::default(),
+            filling: ImageCounts::default(),
             worst_tail: 0.0,
             sampled_us: 0,
             tasks: Vec::new(),
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -288,7 +288,7 @@
             return;
         }
         let now_us = self.site.clock.now_us();
-        self.fleet.plan(now_us);
+        self.fleet.plan(now_us, wall_ms());
         while self.commits_under_way < MOST_COMMITS && self.fleet.has_writes() {
             let writes = self.fleet.take_writes(commits::MOST_JOBS);
             if writes.is_empty() {
