--- a/crates/agatesill_coord/src/store/gate.rs
+++ b/crates/agatesill_coord/src/store/gate.rs
@@ -32,6 +32,9 @@
 /// return has to be noticed well within the second that is left.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// A call that was answered this shortly ago shows that the service is there.
+const LATELY: Duration = Duration::from_millis(300);
+
 /// Seconds of budget that may be saved up for a burst.
 const BURST_S: f64 = 2.0;
 
@@ -57,6 +60,7 @@
     waiting: u32,
     urgent_waiting: u32,
     failures: u32,
+    answered: Option<Instant>,
     paused_until: Instant,
     is_probing: bool,
 }
@@ -95,6 +99,7 @@
             waiting: 0,
             urgent_waiting: 0,
             failures: 0,
+            answered: None,
             paused_until: now,
             is_probing: false,
         };
@@ -179,13 +184,20 @@
     /// Says whether the service answered; `jitter` from 0 to 1 spreads the pause if it did not.
     pub(super) fn done(self, answered: bool, jitter: f64) {
         let mut state = self.gate.lock();
+        let now = Instant::now();
         if answered {
             state.failures = 0;
+            state.answered = Some(now);
+            return;
+        }
+        // A service that loses some answers and gives others is not away; pausing would stop what
+        // it still does.
+        if state.answered.is_some_and(|answered| now - answered < LATELY) {
             return;
         }
         let pause = FIRST_PAUSE * (1 << state.failures.min(8));
         state.failures += 1;
-        state.paused_until = Instant::now() + pause.min(LONGEST_PAUSE).mul_f64(0.5 + jitter);
+        state.paused_until = now + pause.min(LONGEST_PAUSE).mul_f64(0.5 + jitter);
     }
 }
 
--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -1,6 +1,7 @@
 //! Records on their way to the store.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use agatesill_coord::lease::owner_key;
 use agatesill_policy::fleet::{JobId, JobWrite, ProgressRecord};
@@ -14,6 +15,10 @@
 /// one for the revision that its record must have and one for the record.
 pub const MOST_JOBS: usize = 15;
 
+/// How long a transaction may take. The store answers within 10 ms, a slow one within 300; each that
+/// waits for a lost answer holds up its jobs, and the next try finds out what became of it.
+const LIMIT: Duration = Duration::from_millis(600);
+
 /// Keys deleted in one transaction: three of each job.
 const MOST_FORGOTTEN: usize = 10;
 
@@ -47,7 +52,12 @@
         writes.iter().map(|w| KeyVersion { key: keys::progress(&w.job), version: w.revision }),
     );
     let txn = StoreCall::Txn { expected, puts: puts.clone(), deletes: Vec::new() };
-    match site.store.call(txn).await {
+    let answer = tokio::time::timeout(LIMIT, site.store.call(txn)).await;
+    let answer = answer.unwrap_or_else(|_| {
+        let what = format!("no answer within {} ms", LIMIT.as_millis());
+        Err(Error::new(ErrorKind::StoreUnavailable, what))
+    });
+    match answer {
         Ok(reply) if reply.applied => Committed::Stored(writes, reply.revision),
         Ok(reply) => resolve(&owner, epoch, writes, &puts, &reply.entries),
         Err(error) => {
--- a/crates/agatesilld/src/fleet/lines.rs
+++ b/crates/agatesilld/src/fleet/lines.rs
@@ -34,6 +34,10 @@
 /// Pause after an end came, so that others that are about to come travel with the next look.
 const GATHER_PAUSE: Duration = Duration::from_millis(8);
 
+/// Pause after a look that only brought ends known before. While the store is away they can't be
+/// acknowledged, and every look would return at once.
+const UNCHANGED_PAUSE: Duration = Duration::from_millis(150);
+
 /// Orders that may wait for one worker.
 const RING_ORDERS: usize = 1_024;
 
@@ -187,6 +191,7 @@
     async fn look_for_ever(&self, line: &Line) {
         let mut channel = WorkerChannel::new(line.addr, &line.life);
         let mut wait_ms = 0;
+        let mut newest_end = 0;
         loop {
             let sent_us = self.site.clock.now_us();
             let lease = self.lease_to_ask_ms(line);
@@ -202,8 +207,20 @@
                     look.sent_us = sent_us;
                     look.lease_ms = self.lease_ms;
                     // Right after the first look, which could ask for no lease, comes another.
-                    wait_ms = if lease.is_none() { 0 } else { LOOK_WAIT_MS };
-                    let pause = if look.ended.is_empty() { Duration::ZERO } else { GATHER_PAUSE };
+                    wait_ms = if line.asked_until_ms.load(Ordering::Acquire) == 0 {
+                        0
+                    } else {
+                        LOOK_WAIT_MS
+                    };
+                    let newest = look.ended.iter().map(|end| end.number).max().unwrap_or(0);
+                    let pause = if newest > newest_end {
+                        GATHER_PAUSE
+                    } else if newest > 0 {
+                        UNCHANGED_PAUSE
+                    } else {
+                        Duration::ZERO
+                    };
+                    newest_end = newest.max(newest_end);
                     (Event::Looked(line.worker, Box::new(look)), pause)
                 }
                 Ok(LookOutcome::OtherLife) => (Event::OtherLife(line.worker), LOOK_PAUSE),
--- a/crates/agatesilld/src/fleet/link.rs
+++ b/crates/agatesilld/src/fleet/link.rs
@@ -200,7 +200,7 @@
             }
         }
         Some(FleetQuestion::Pending(queue)) => {
-            if let Some(planner) = site.planner() {
+            if let Some(planner) = site.certain_planner() {
                 let pending = planner.pending(&queue).await;
                 answer.is_known = pending.is_some();
                 answer.pending = pending.unwrap_or_default();
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -6,6 +6,7 @@
 
 use agatesill_coord::lease::{Owner, Ownership, owner_key};
 use agatesill_wire::platform::StoreCall;
+use agatesill_wire::prelude::*;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -17,8 +18,11 @@
 /// meets a slow store must still come in time; the store's shortest is one second.
 const LEASE: Duration = Duration::from_millis(2_000);
 
-/// Time between two renewals: two may be lost before the lease ends.
-const RENEWAL: Duration = Duration::from_millis(500);
+/// Time between the end of one renewal and the next.
+const RENEWAL: Duration = Duration::from_millis(400);
+
+/// How long a renewal may take: two may be lost, and the third still comes before the lease ends.
+const RENEWAL_LIMIT: Duration = Duration::from_millis(500);
 
 /// How long a daemon that does not plan watches the range in one call.
 const WATCH_MS: u64 = 1_500;
@@ -126,7 +130,11 @@
             () = tokio::time::sleep_until(next) => {}
         }
         let sent_us = site.clock.now_us();
-        match ownership.renew_unannounced().await {
+        let renewal = tokio::time::timeout(RENEWAL_LIMIT, ownership.renew_unannounced()).await;
+        let renewed = renewal.unwrap_or_else(|_| {
+            Err(Error::new(ErrorKind::StoreUnavailable, "the renewal was not answered in time"))
+        });
+        match renewed {
             Ok(()) if ownership.lease_id() == lease_id => {
                 site.confirmed_us.store(sent_us, Ordering::Release);
             }
--- a/crates/agatesilld/src/fleet/site.rs
+++ b/crates/agatesilld/src/fleet/site.rs
@@ -12,6 +12,10 @@
 use super::link::Link;
 use super::planner::PlannerHandle;
 
+/// Age of a confirmation of ownership up to which no other daemon can own the planner's range: the
+/// lease of two seconds less a tenth for the rates of clocks.
+const CERTAIN_US: u64 = 1_800_000;
+
 /// Counters of one daemon, for its metrics.
 #[derive(Debug, Default)]
 pub struct SiteCounts {
@@ -83,6 +87,17 @@
         self.planner.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The planner of this daemon, if it is certain to be the only one: ownership was confirmed
+    /// within a lease.
+    ///
+    /// Guards against answers from a planner that was cut off from the store: it does not know the
+    /// jobs that others accepted since, and would count too few.
+    pub fn certain_planner(&self) -> Option<PlannerHandle> {
+        let confirmed_us = self.confirmed_us.load(Ordering::Acquire);
+        let age_us = self.clock.now_us().saturating_sub(confirmed_us);
+        self.planner().filter(|_| age_us < CERTAIN_US)
+    }
+
     /// Says that this daemon runs the planner, or no longer does.
     pub fn set_planner(&self, planner: Option<PlannerHandle>) {
         *self.planner.lock().unwrap_or_else(PoisonError::into_inner) = planner;
--- a/crates/agatesilld/src/fleet/stored.rs
+++ b/crates/agatesilld/src/fleet/stored.rs
@@ -129,7 +129,7 @@
 
 /// A job's state as the planner of this daemon has stored it.
 pub async fn planned_state(site: &Site, id: &str) -> Option<State> {
-    site.planner()?.state_of(id).await
+    site.certain_planner()?.state_of(id).await
 }
 
 /// A job's state, from the planner or else from the store; `None` if there is no such job.
@@ -158,7 +158,7 @@
 
 /// Jobs of a queue that have not begun; `None` while no planner can be asked.
 pub async fn pending(site: &Site, queue: &str) -> Option<u64> {
-    match site.planner() {
+    match site.certain_planner() {
         Some(planner) => planner.pending(queue).await,
         None => {
             let answer = ask_planner(site, FleetQuestion::Pending(queue.to_owned())).await?;
