--- a/crates/agatesilld/src/fleet/stored.rs
+++ b/crates/agatesilld/src/fleet/stored.rs
@@ -2,6 +2,7 @@
 //! daemon where the store turns this one away.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use agatesill_policy::fleet::{JobPhase, JobSpec, ProgressRecord};
 use agatesill_wire::fleet::{FleetAnswer, FleetPhase, FleetQuestion, FleetWrite, JobToStore};
@@ -14,6 +15,13 @@
 /// Daemons that are asked in turn for one question: one may know of a newer planner.
 const MOST_HOPS: usize = 2;
 
+/// How long a write for a caller may take before its outcome is told as unknown. A slow store takes
+/// 300 ms.
+const WRITE_LIMIT: Duration = Duration::from_millis(700);
+
+/// Failed calls in a row from which the store counts as away.
+const FAILING: u32 = 2;
+
 /// A job's phase and whether any of its tasks has started.
 pub type State = (JobPhase, bool);
 
@@ -57,8 +65,17 @@
     create(site, keys::job(id), json).await
 }
 
+/// Whether the store fails call after call: a caller is then told at once to come back instead of
+/// waiting for a call that will not be answered. Followers of the store go on trying it.
+fn is_store_failing(site: &Site) -> bool {
+    site.store.failed_in_a_row() >= FAILING
+}
+
 /// Stores a cancel of a job that is stored.
 pub async fn store_cancel_here(site: &Site, id: &str) -> FleetWrite {
+    if is_store_failing(site) {
+        return FleetWrite::NotStored;
+    }
     match site.store.get(&keys::job(id)).await {
         Ok(Some(_)) => create(site, keys::cancel(id), String::from("{}")).await,
         Ok(None) => FleetWrite::NoSuchJob,
@@ -70,14 +87,21 @@
 }
 
 async fn create(site: &Site, key: String, value: String) -> FleetWrite {
+    if is_store_failing(site) {
+        return FleetWrite::NotStored;
+    }
     let create =
         StoreCall::Cas { key: key.clone(), expect_version: 0, value: Some(value), lease_id: 0 };
-    match site.store.call_telling(create).await {
+    let answer = tokio::time::timeout(WRITE_LIMIT, site.store.call_telling(create)).await;
+    let answer = answer.unwrap_or_else(|_| {
+        Err(Error::new(ErrorKind::OutcomeUnknown, "the store did not answer in time"))
+    });
+    match answer {
         Ok(reply) if reply.applied => FleetWrite::Stored,
         Ok(_) => FleetWrite::Existed,
         Err(error) if error.kind == ErrorKind::OutcomeUnknown => {
-            match site.store.get(&key).await {
-                Ok(Some(_)) => FleetWrite::Stored,
+            match tokio::time::timeout(WRITE_LIMIT, site.store.get(&key)).await {
+                Ok(Ok(Some(_))) => FleetWrite::Stored,
                 _ => FleetWrite::Unknown,
             }
         }
@@ -147,6 +171,9 @@
 }
 
 async fn read_state(site: &Site, id: &str) -> Result<Option<State>, Error> {
+    if is_store_failing(site) {
+        return Err(Error::new(ErrorKind::StoreUnavailable, "it fails").retry_after(1_000));
+    }
     if let Some(entry) = site.store.get(&keys::progress(id)).await? {
         let record: ProgressRecord = serde_json::from_str(&entry.value)
             .map_err(|error| Error::new(ErrorKind::Protocol, format!("progress: {error}")))?;
