A failed run that is listed again counts once

Ruled out: a wrong number of attempts in the configuration (it said three).

Figures: the test fails before the change and passes after.

--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -219,9 +219,11 @@
         let task = &mut job.tasks[at.task as usize];
         let is_here = task.state.worker() == Some(index);
         let is_free = matches!(task.state, TaskState::Waiting | TaskState::Chosen(_));
-        // An end of the newest run counts wherever the ledger thought the run to be: one that was
-        // given up after its lease, and had in fact finished before, is done.
-        if end.run != task.run || !(is_here || is_free) {
+        // A run that was given up after its lease and had in fact finished before is done. Any other
+        // end of a run that is not charged here was taken in before: a worker lists ends until they
+        // are acknowledged, to each planner in turn, and a failure must count once.
+        let counts = is_here || (is_free && end.cause == EndCause::Done);
+        if end.run != task.run || !counts {
             return false;
         }
         if !end.saved.is_empty() {
--- a/crates/agatesill_policy/tests/fleet_takeover.rs
+++ b/crates/agatesill_policy/tests/fleet_takeover.rs
@@ -106,3 +106,24 @@
     assert!(orders.iter().any(|order| order.kind == OrderKind::Stop));
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Cancelled, true)));
 }
+
+/// A task fails once; the end is recorded and not yet acknowledged when the planner dies. The worker
+/// lists the end to the successor again. Counted twice, the job would be shown as failed after two
+/// of its three attempts.
+#[test]
+fn a_failure_that_is_listed_again_counts_once() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    let spec = job("j", vec![step(1)]);
+    rig.fleet.accept(spec.clone(), rig.now_us);
+    rig.settle();
+    let (worker, task, run) = rig.present("j").remove(0);
+    rig.end(worker, &task, run, EndCause::Failed);
+    rig.look_all();
+    rig.commit();
+    for _ in 0..3 {
+        rig.fleet = rig.successor(std::slice::from_ref(&spec), vec![entry("w1", "r1-1")]);
+        rig.look_all();
+        rig.commit();
+    }
+    assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Active, true)));
+}
