--- a/crates/agatesill_coord/examples/counter.rs
+++ b/crates/agatesill_coord/examples/counter.rs
@@ -50,7 +50,9 @@
             StoreCall::Renew { lease_id } | StoreCall::Revoke { lease_id } => {
                 reply.lease_id = lease_id;
             }
-            StoreCall::Watch { .. } | StoreCall::Txn { .. } => reply.applied = false,
+            StoreCall::Watch { .. } | StoreCall::Txn { .. } | StoreCall::Page { .. } => {
+                reply.applied = false;
+            }
         }
         reply.revision = self.revision;
         reply
--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -28,6 +28,9 @@
 /// Answers of the service that take longer than this count as an outage.
 pub const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// The same for a page of up to a megabyte, which takes a second on a link of 10 Mbit/s.
+pub const PAGE_LIMIT: Duration = Duration::from_millis(4_000);
+
 /// Calls a second that one process may make unless told otherwise. Eight daemons at this rate stay
 /// below the service's two thousand reads and several hundred writes.
 pub const CALLS_PER_S: u32 = 100;
@@ -152,6 +155,7 @@
     async fn call_once(&self, call: StoreCall) -> Result<StoreReply, Error> {
         let limit = match &call {
             StoreCall::Watch { wait_ms, .. } => CALL_LIMIT + Duration::from_millis(*wait_ms),
+            StoreCall::Page { .. } => PAGE_LIMIT,
             _ => CALL_LIMIT,
         };
         let permit = self.gate.enter(class_of(&call)).await.inspect_err(|_| {
@@ -215,6 +219,22 @@
 }
 
 impl Store {
+    /// Reads everything under `prefix`, page by page. The pages are no snapshot; the revision of
+    /// the reply is that of the first, so that a watch from there on misses nothing.
+    pub async fn read_all(&self, prefix: &str) -> Result<StoreReply, Error> {
+        let first = StoreCall::Page { prefix: prefix.to_owned(), after: String::new() };
+        let mut all = self.call(first).await?;
+        let mut has_more = all.has_more;
+        while has_more {
+            let Some(last) = all.entries.last() else { break };
+            let next = StoreCall::Page { prefix: prefix.to_owned(), after: last.key.clone() };
+            let page = self.call(next).await?;
+            has_more = page.has_more;
+            all.entries.extend(page.entries);
+        }
+        Ok(all)
+    }
+
     /// Writes and deletes keys together; false in the reply's `applied` if a version differs.
     pub async fn txn(
         &self,
@@ -227,7 +247,10 @@
 }
 
 fn is_read(call: &StoreCall) -> bool {
-    matches!(call, StoreCall::Range { .. } | StoreCall::Watch { .. })
+    matches!(
+        call,
+        StoreCall::Range { .. } | StoreCall::Page { .. } | StoreCall::Watch { .. }
+    )
 }
 
 fn class_of(call: &StoreCall) -> Class {
@@ -240,6 +263,6 @@
             Class::Urgent
         }
         StoreCall::Txn { .. } => Class::Urgent,
-        StoreCall::Cas { .. } | StoreCall::Range { .. } => Class::Normal,
+        StoreCall::Cas { .. } | StoreCall::Range { .. } | StoreCall::Page { .. } => Class::Normal,
     }
 }
--- a/crates/agatesill_coord/tests/support/mod.rs
+++ b/crates/agatesill_coord/tests/support/mod.rs
@@ -200,7 +200,7 @@
     fn answer(&mut self, call: StoreCall, faults: &Faults) -> Result<StoreReply, Error> {
         self.end_leases();
         let mut reply = StoreReply { revision: self.revision, ..StoreReply::default() };
-        if matches!(call, StoreCall::Range { .. }) {
+        if matches!(call, StoreCall::Range { .. } | StoreCall::Page { .. }) {
             self.reads += 1;
         } else {
             self.writes += 1;
@@ -280,6 +280,15 @@
                 }
                 deletes.iter().for_each(|key| drop(self.entries.remove(key)));
             }
+            StoreCall::Page { prefix, after } => {
+                let rest = self.entries.range(prefix.clone()..);
+                let mut rest = rest
+                    .take_while(|(key, _)| key.starts_with(&prefix))
+                    .filter(|(key, _)| **key > after)
+                    .map(|(_, (entry, _))| entry.clone());
+                reply.entries = rest.by_ref().take(2).collect();
+                reply.has_more = rest.next().is_some();
+            }
             StoreCall::Watch { .. } => unreachable!("answered before"),
         }
         Ok(reply)
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -70,6 +70,8 @@
     pub(super) urgent: BTreeSet<u32>,
     pub(super) orders: Vec<Order>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
+    /// Jobs that had ended when this ledger was built, and when that was.
+    pub(super) ended_before: HashMap<JobId, (JobPhase, u64)>,
     pub(super) cancelled_early: HashSet<JobId>,
     pub(super) images: Images,
     pub(super) pressure: Pressure,
@@ -93,6 +95,7 @@
             urgent: BTreeSet::new(),
             orders: Vec::new(),
             ended_jobs: Vec::new(),
+            ended_before: HashMap::new(),
             cancelled_early: HashSet::new(),
             images: Images::default(),
             pressure: Pressure::default(),
@@ -122,9 +125,9 @@
     }
 
     /// Takes in a job that is stored; a job that is known already is left as it is.
-    pub fn accept(&mut self, spec: JobSpec, now_us: u64) -> u32 {
-        if let Some(slot) = self.by_id.get(&spec.id) {
-            return *slot;
+    pub fn accept(&mut self, spec: JobSpec, now_us: u64) {
+        if self.by_id.contains_key(&spec.id) || self.ended_before.contains_key(&spec.id) {
+            return;
         }
         let was_cancelled = self.cancelled_early.remove(&spec.id);
         let slot = self.insert(Job::new(spec, now_us));
@@ -132,7 +135,6 @@
         if was_cancelled {
             self.finish(slot, JobPhase::Cancelled, now_us);
         }
-        slot
     }
 
     pub(super) fn insert(&mut self, mut job: Job) -> u32 {
@@ -200,6 +202,9 @@
     /// Guards against a cancel that is heard of before its job, as when both are read back after a
     /// gap in the store's history, cancels first: the job would start after it was cancelled.
     pub fn cancel(&mut self, id: &str, now_us: u64) {
+        if self.ended_before.contains_key(id) {
+            return;
+        }
         let Some(slot) = self.by_id.get(id).copied() else {
             self.cancelled_early.insert(id.to_owned());
             return;
@@ -450,6 +455,9 @@
 
     /// Phase and whether any task has started, as stored; `None` if the job is not known here.
     pub fn state_of(&self, id: &str) -> Option<(JobPhase, bool)> {
+        if let Some((phase, _)) = self.ended_before.get(id) {
+            return Some((*phase, true));
+        }
         let job = self.by_id.get(id).and_then(|slot| self.job(*slot))?;
         Some((job.committed_phase, job.is_started))
     }
@@ -467,7 +475,14 @@
     /// Jobs that reached their final phase before `before_us`, have nothing running and whose
     /// record is stored; they leave the ledger.
     pub fn forget_ended(&mut self, before_us: u64) -> Vec<JobId> {
-        let mut forgotten = Vec::new();
+        let mut forgotten: Vec<JobId> = Vec::new();
+        self.ended_before.retain(|id, (_, ended_us)| {
+            let is_kept = *ended_us >= before_us;
+            if !is_kept {
+                forgotten.push(id.clone());
+            }
+            is_kept
+        });
         let ended = std::mem::take(&mut self.ended_jobs);
         for (ended_us, slot) in ended {
             let Some(job) = self.job(slot) else { continue };
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Takes in a stored job that has ended. What may still run of it is stopped as a run that the
+    /// ledger does not know.
+    pub fn restore_ended(&mut self, id: &str, phase: JobPhase, now_us: u64) {
+        self.ended_before.insert(id.to_owned(), (phase, now_us));
+    }
+
     fn restore_task(&mut self, slot: u32, record: &TaskRecord, now_us: u64) {
         let Some(job) = self.jobs[slot as usize].as_mut() else { return };
         if record.task as usize >= job.tasks.len() {
--- a/crates/agatesill_standin/src/store.rs
+++ b/crates/agatesill_standin/src/store.rs
@@ -17,6 +17,9 @@
 /// Largest value that a key may hold.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Entries in one page.
+pub const PAGE_ENTRIES: usize = 500;
+
 value_type! {
     /// Faults that can be switched while the service runs.
     #[derive(Default)]
@@ -167,6 +170,17 @@
                 let entries = entries.collect();
                 Ok(StoreReply { revision: self.revision, entries, ..StoreReply::default() })
             }
+            StoreCall::Page { prefix, after } => {
+                self.books.reads += 1;
+                let mut entries: Vec<Entry> = under(&self.entries, &prefix)
+                    .map(|(entry, _)| entry.clone())
+                    .filter(|entry| entry.key > after)
+                    .take(PAGE_ENTRIES + 1)
+                    .collect();
+                let has_more = entries.len() > PAGE_ENTRIES;
+                entries.truncate(PAGE_ENTRIES);
+                Ok(StoreReply { revision: self.revision, entries, has_more, ..StoreReply::default() })
+            }
             StoreCall::Cas { key, expect_version, value, lease_id } => {
                 self.cas(key, expect_version, value, lease_id)
             }
--- a/crates/agatesill_wire/src/platform.rs
+++ b/crates/agatesill_wire/src/platform.rs
@@ -16,6 +16,13 @@
         /// The prefix; a whole key reads that key.
         prefix: String,
     },
+    /// Reads keys under a prefix, as many as one answer holds.
+    Page {
+        /// The prefix.
+        prefix: String,
+        /// Only keys after this one; empty begins at the first.
+        after: String,
+    },
     /// Writes a key if its version is as expected.
     Cas {
         /// The key.
@@ -110,6 +117,9 @@
         pub entries: Vec<Entry>,
         /// The lease granted.
         pub lease_id: u64,
+        /// Whether keys follow after the last entry of a page.
+        #[serde(default)]
+        pub has_more: bool,
         /// Keys that a watch saw deleted.
         #[serde(default)]
         pub deleted: Vec<String>,
--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agatesill_coord::lease::owner_key;
-use agatesill_policy::fleet::{JobId, JobWrite, ProgressRecord};
+use agatesill_policy::fleet::{JobId, JobPhase, JobWrite, ProgressRecord};
 use agatesill_wire::platform::{Entry, KeyVersion, Put, StoreCall};
 use agatesill_wire::prelude::*;
 
@@ -12,8 +12,9 @@
 use super::site::Site;
 
 /// Jobs in one transaction. The store takes 32 entries: one guards the ownership, and each job needs
-/// one for the revision that its record must have and one for the record.
-pub const MOST_JOBS: usize = 15;
+/// one for the revision that its record must have, one for the record, and one that clears the job
+/// if it has ended.
+pub const MOST_JOBS: usize = 10;
 
 /// How long a transaction may take. The store answers within 10 ms, a slow one within 300; each that
 /// waits for a lost answer holds up its jobs, and the next try finds out what became of it.
@@ -39,7 +40,7 @@
 /// revision that each record must have, so it can't undo a newer one; and the next try recognises
 /// its own record when it finds that revision changed.
 pub async fn commit(site: &Site, epoch: u64, writes: Vec<JobWrite>) -> Committed {
-    let puts = match writes.iter().map(put).collect::<Result<Vec<_>, Error>>() {
+    let records = match writes.iter().map(put).collect::<Result<Vec<_>, Error>>() {
         Ok(puts) => puts,
         Err(error) => {
             log::error!(event = "record_unencodable"; "{error}");
@@ -51,7 +52,9 @@
     expected.extend(
         writes.iter().map(|w| KeyVersion { key: keys::progress(&w.job), version: w.revision }),
     );
-    let txn = StoreCall::Txn { expected, puts: puts.clone(), deletes: Vec::new() };
+    let ended = writes.iter().filter(|write| write.record.phase != JobPhase::Active).map(clear);
+    let puts = records.iter().cloned().chain(ended).collect();
+    let txn = StoreCall::Txn { expected, puts, deletes: Vec::new() };
     let answer = tokio::time::timeout(LIMIT, site.store.call(txn)).await;
     let answer = answer.unwrap_or_else(|_| {
         let what = format!("no answer within {} ms", LIMIT.as_millis());
@@ -59,7 +62,7 @@
     });
     match answer {
         Ok(reply) if reply.applied => Committed::Stored(writes, reply.revision),
-        Ok(reply) => resolve(&owner, epoch, writes, &puts, &reply.entries),
+        Ok(reply) => resolve(&owner, epoch, writes, &records, &reply.entries),
         Err(error) => {
             log::warn!(event = "commit_failed", jobs = writes.len(); "{error}");
             Committed::Failed(writes)
@@ -99,6 +102,11 @@
     Ok(Put { key: keys::progress(&write.job), value, lease_id: 0 })
 }
 
+/// Replaces a job that has ended by the mark that it was there.
+fn clear(write: &JobWrite) -> Put {
+    Put { key: keys::job(&write.job), value: keys::ENDED_JOB.to_owned(), lease_id: 0 }
+}
+
 fn encode(record: &ProgressRecord) -> Result<String, Error> {
     serde_json::to_string(record)
         .map_err(|error| Error::new(ErrorKind::Protocol, error.to_string()))
--- a/crates/agatesilld/src/fleet/followers.rs
+++ b/crates/agatesilld/src/fleet/followers.rs
@@ -75,6 +75,7 @@
 
 fn inbox_event(entry: &Entry) -> Option<Event> {
     match keys::inbox(&entry.key)? {
+        InboxKey::Job(_) if entry.value == keys::ENDED_JOB => None,
         InboxKey::Job(_) => job(entry).map(|spec| Event::Accepted(Box::new(spec))),
         InboxKey::Cancel(id) => Some(Event::Cancelled(id.to_owned())),
     }
@@ -94,15 +95,15 @@
     let work = async move {
         let mut after = Some(revision);
         loop {
-            let call = match after {
-                Some(after_revision) => StoreCall::Watch {
-                    prefix: prefix.to_owned(),
-                    after_revision,
-                    wait_ms: WATCH_MS,
-                },
-                None => StoreCall::Range { prefix: prefix.to_owned() },
+            let reply = match after {
+                Some(after_revision) => {
+                    let prefix = prefix.to_owned();
+                    let watch = StoreCall::Watch { prefix, after_revision, wait_ms: WATCH_MS };
+                    site.store.call(watch).await
+                }
+                None => site.store.read_all(prefix).await,
             };
-            match site.store.call(call).await {
+            match reply {
                 Ok(reply) if reply.is_compacted => {
                     log::info!(event = "history_gone", prefix = prefix; "read anew");
                     after = None;
--- a/crates/agatesilld/src/fleet/keys.rs
+++ b/crates/agatesilld/src/fleet/keys.rs
@@ -30,6 +30,10 @@
     format!("{PROGRESS}{id}")
 }
 
+/// What stands in place of a job that has ended: its key must stay, or the job could be handed in
+/// anew, but nobody needs its steps, and a successor need not read them.
+pub const ENDED_JOB: &str = "{}";
+
 /// What a key of the inbox says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum InboxKey<'a> {
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -32,9 +32,9 @@
 
 use self::site::Site;
 
-/// Store calls a second that one daemon may make: the planner's commits and looks at 170 task starts
-/// a second are about 120, and the platform allows 400 writes and 2,000 reads for all.
-const STORE_CALLS_PER_S: u32 = 350;
+/// Store calls a second that one daemon may make, for each write a second that the platform allows
+/// to all: the planner makes nearly all writes, and about as many reads and watches.
+const STORE_CALLS_FOR_WRITE: f64 = 1.25;
 
 /// How long a planned stop waits, not ready but serving, until the balancer sends no one any more:
 /// it asks once a second and believes the second miss.
@@ -58,7 +58,8 @@
     let peers = bind(settings.peer_addr).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let store = store::store(settings.store_addr).with_budget(STORE_CALLS_PER_S);
+    let budget = (settings.store_writes_per_s as f64 * STORE_CALLS_FOR_WRITE).max(100.0);
+    let store = store::store(settings.store_addr).with_budget(budget as u32);
     let site = Arc::new(Site::new(settings, store));
     let tasks = TaskTracker::new();
     let (stop, stop_entry) = (CancellationToken::new(), CancellationToken::new());
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -27,6 +27,13 @@
 /// How long a daemon that does not plan watches the range in one call.
 const WATCH_MS: u64 = 1_500;
 
+/// Longest head start that a daemon gives to bigger ones when the range falls free: claims arrive
+/// within 20 ms of the news.
+const HEAD_START_MS: f64 = 150.0;
+
+/// Share of a processor from which a daemon claims at once.
+const BIG_SHARE: f64 = 0.5;
+
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -70,7 +77,15 @@
     }
 }
 
+/// How long to leave the range to bigger machines: planning needs processor time and a fast link to
+/// read the ledger back.
+fn head_start(site: &Site) -> Duration {
+    let missing = (1.0 - site.settings.cpu_share / BIG_SHARE).clamp(0.0, 1.0);
+    Duration::from_millis((missing * HEAD_START_MS) as u64)
+}
+
 async fn claim(site: &Site, ownership: &mut Ownership) -> bool {
+    tokio::time::sleep(head_start(site)).await;
     let claimed = async {
         ownership.renew_unannounced().await?;
         ownership.claim(PLANNER).await
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -195,7 +195,7 @@
     fn take(&mut self, event: Event) {
         let now_us = self.site.clock.now_us();
         match event {
-            Event::Accepted(spec) => drop(self.fleet.accept(*spec, now_us)),
+            Event::Accepted(spec) => self.fleet.accept(*spec, now_us),
             Event::Cancelled(id) => self.fleet.cancel(&id, now_us),
             Event::Listed(entry) => self.listed(*entry),
             Event::Unlisted(id) => self.fleet.worker_unlisted(&id, now_us),
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -5,7 +5,7 @@
 
 use agatesill_platform::registry;
 use agatesill_policy::fleet::{Fleet, ProgressRecord, WorkerEntry};
-use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
+use agatesill_wire::platform::{Entry, StoreReply};
 use tokio_util::sync::CancellationToken;
 
 use super::followers;
@@ -72,6 +72,11 @@
     let mut cancels = Vec::new();
     for entry in inbox {
         match keys::inbox(&entry.key) {
+            Some(InboxKey::Job(id)) if entry.value == keys::ENDED_JOB => {
+                if let Some((record, _)) = records.remove(id) {
+                    fleet.restore_ended(id, record.phase, now_us);
+                }
+            }
             Some(InboxKey::Job(id)) => {
                 if let Some(spec) = followers::job(entry) {
                     fleet.restore(spec, records.remove(id), now_us);
@@ -87,7 +92,7 @@
 
 async fn read(site: &Site, prefix: &str) -> StoreReply {
     loop {
-        match site.store.call(StoreCall::Range { prefix: prefix.to_owned() }).await {
+        match site.store.read_all(prefix).await {
             Ok(reply) => return reply,
             Err(error) => {
                 log::warn!(event = "ledger_unread", prefix = prefix; "{error}");
