Metrics on their address, advice tickets, racks of gangs

Cause: operators have logs and metrics only; queues whose steps need leave of the advice service would have had every start rejected (test starts_wait_for_the_answer_and_carry_its_ticket).

Ruled out: asking about all workers at once (the service takes longer for each, one call at a time).

--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -247,10 +247,7 @@
 }
 
 fn is_read(call: &StoreCall) -> bool {
-    matches!(
-        call,
-        StoreCall::Range { .. } | StoreCall::Page { .. } | StoreCall::Watch { .. }
-    )
+    matches!(call, StoreCall::Range { .. } | StoreCall::Page { .. } | StoreCall::Watch { .. })
 }
 
 fn class_of(call: &StoreCall) -> Class {
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -98,6 +98,9 @@
         pub stretch: f64,
         /// Added to that.
         pub target_ms: u64,
+        /// Whether the advice service must name the workers that may run a step.
+        #[serde(default)]
+        pub needs_advice: bool,
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! after the record that names it is committed. It knows no network, clock or store; all times are microseconds on the caller's
 //! monotonic clock unless a name says otherwise.
 
+mod advice;
 mod colocation;
 mod ends;
 mod images;
@@ -19,6 +20,7 @@
 mod watchdog;
 mod worker;
 
+pub use advice::AdviceQuestion;
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
 pub use record::{ProgressRecord, TaskRecord};
--- a/crates/agatesill_policy/src/fleet/orders.rs
+++ b/crates/agatesill_policy/src/fleet/orders.rs
@@ -13,6 +13,8 @@
         payload: String,
         /// Checkpoint to resume from; empty if there is none.
         saved: String,
+        /// Leave of the advice service; empty where the queue needs none.
+        ticket: String,
     },
     /// Stop it, and never start it.
     Stop,
@@ -23,6 +25,17 @@
     },
 }
 
+impl OrderKind {
+    /// Its name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            OrderKind::Start { .. } => "start",
+            OrderKind::Stop => "stop",
+            OrderKind::Pace { .. } => "pace",
+        }
+    }
+}
+
 /// An order to a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -9,7 +9,7 @@
 
 use super::images::ImageId;
 use super::job::Step;
-use super::state::Fleet;
+use super::state::{Fleet, Group};
 use super::worker::{Worker, WorkerIndex};
 
 /// A task that needs a worker.
@@ -23,8 +23,10 @@
     pub image: ImageId,
     /// Tasks of the same step and occurrence on each worker.
     pub beside: &'a HashMap<WorkerIndex, u32>,
+    /// The step, if only workers with a ticket may run it.
+    pub advised: Option<Group>,
     /// Racks that the step's tasks use already.
-    pub chosen_racks: &'a [&'a str],
+    pub chosen_racks: &'a [String],
 }
 
 /// Added to the score of a worker off the rack where the data lies: such a run takes a multiple of
@@ -40,6 +42,11 @@
             .enumerate()
             .filter(|(_, worker)| worker.is_open(now_us) && worker.free().holds(&charge))
             .filter(|(index, worker)| may_run(request, *index as WorkerIndex, worker))
+            .filter(|(index, _)| {
+                request
+                    .advised
+                    .is_none_or(|group| self.ticket(group, *index as WorkerIndex, now_us).is_some())
+            })
             .map(|(index, worker)| (self.score(request, worker), index))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .filter(|(score, _)| score.is_finite())
@@ -51,7 +58,7 @@
         let is_remote = !step.data_rack.is_empty() && step.data_rack != worker.entry.rack;
         let is_off_rack = step.wants_one_rack
             && !request.chosen_racks.is_empty()
-            && !request.chosen_racks.contains(&worker.entry.rack.as_str());
+            && !request.chosen_racks.contains(&worker.entry.rack);
         let distance = if is_remote || is_off_rack { REMOTE_SCORE } else { 0.0 };
         let room = if step.fills {
             self.filling_score(request, worker)
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -19,6 +19,15 @@
     fills: Option<ImageId>,
 }
 
+/// What the tasks of one group have in common.
+#[derive(Clone, Copy, Debug)]
+struct Setting<'a> {
+    step: &'a Step,
+    image: ImageId,
+    service: &'a str,
+    advised: Option<Group>,
+}
+
 impl Fleet {
     /// Chooses workers for as many waiting tasks as fit; `now_ms` is the wall clock. What was chosen
     /// is ordered once its record is committed.
@@ -39,6 +48,7 @@
         };
         let step = job.spec.steps[group.step as usize].clone();
         let service = self.terms(job).service.clone();
+        let advised = self.terms(job).needs_advice.then_some(group);
         let tasks: Vec<u32> = job
             .tasks_of(group.occurrence, group.step)
             .filter(|task| job.tasks[*task as usize].state == TaskState::Waiting)
@@ -63,9 +73,12 @@
         if misfits.iter().any(is_hopeless) {
             return;
         }
-        let placed = self.place_tasks(group, &step, image, &service, &tasks, now_us);
+        let setting = Setting { step: &step, image, service: &service, advised };
+        let placed = self.place_tasks(group, &setting, &tasks, now_us);
         if placed == tasks.len() {
             self.waiting.remove(&group);
+        } else if advised.is_some() {
+            self.ask_advice(group, &service, now_us);
         } else if step.label.is_empty() && step.max_per_worker == 0 && !step.is_gang {
             misfits.push(Misfit { service, charge, fills });
         }
@@ -75,28 +88,32 @@
     fn place_tasks(
         &mut self,
         group: Group,
-        step: &Step,
-        image: ImageId,
-        service: &str,
+        setting: &Setting<'_>,
         tasks: &[u32],
         now_us: u64,
     ) -> usize {
         let mut beside = self.members_by_worker(group);
+        let mut racks: Vec<String> = Vec::new();
         let mut chosen: Vec<TaskRef> = Vec::with_capacity(tasks.len());
         for task in tasks {
-            let request = Request { step, service, image, beside: &beside, chosen_racks: &[] };
+            let Setting { step, image, service, advised } = *setting;
+            let request =
+                Request { step, service, image, beside: &beside, advised, chosen_racks: &racks };
             let Some(worker) = self.choose_worker(&request, now_us) else { break };
             let at = TaskRef { job: group.job, task: *task };
             *beside.entry(worker).or_default() += 1;
+            if step.wants_one_rack {
+                racks.push(self.workers[worker as usize].entry.rack.clone());
+            }
             self.charge(at, worker, TaskState::Chosen(worker));
             chosen.push(at);
         }
-        if chosen.len() < tasks.len() && step.is_gang {
+        if chosen.len() < tasks.len() && setting.step.is_gang {
             chosen.iter().for_each(|at| self.release(*at, TaskState::Waiting, now_us));
             return 0;
         }
         if !chosen.is_empty() {
-            self.number_runs(group, &chosen, step.is_gang, now_us);
+            self.number_runs(group, &chosen, setting.step.is_gang, now_us);
         }
         chosen.len()
     }
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
+use super::advice::{Advice, AdviceQuestion};
 use super::colocation::Pressure;
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
@@ -25,7 +26,7 @@
 const RECORD_WAIT_US: u64 = 200 * US_PER_MS;
 
 /// Waiting tasks of one step of one occurrence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct Group {
     pub job: u32,
     pub occurrence: u32,
@@ -75,6 +76,8 @@
     pub(super) cancelled_early: HashSet<JobId>,
     pub(super) images: Images,
     pub(super) pressure: Pressure,
+    pub(super) advice: HashMap<Group, Advice>,
+    pub(super) questions: Vec<AdviceQuestion>,
     pub(super) mean_work: HashMap<String, f64>,
     pub(super) counts: Counts,
 }
@@ -99,6 +102,8 @@
             cancelled_early: HashSet::new(),
             images: Images::default(),
             pressure: Pressure::default(),
+            advice: HashMap::new(),
+            questions: Vec::new(),
             mean_work: HashMap::new(),
             counts: Counts::default(),
         }
@@ -225,6 +230,7 @@
         let id = job.spec.id.clone();
         self.mark_urgent(slot, now_us);
         self.waiting.retain(|group| group.job != slot);
+        self.advice.retain(|group, _| group.job != slot);
         for task in 0..tasks {
             let at = TaskRef { job: slot, task };
             match self.task_state(at) {
@@ -442,11 +448,14 @@
         let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
         let payload = job.spec.payload.clone();
         let saved = saved_for(job, at.task);
+        let (occurrence, step, _) = job.locate(at.task);
         let task = &mut job.tasks[at.task as usize];
         task.percent = 0;
         task.progress_us = now_us;
         self.counts.chosen += 1;
-        self.order(at, worker, OrderKind::Start { payload, saved });
+        let group = Group { job: at.job, occurrence, step };
+        let ticket = self.ticket(group, worker, now_us).unwrap_or_default().to_owned();
+        self.order(at, worker, OrderKind::Start { payload, saved, ticket });
     }
 
     pub(super) fn lease_us(&self) -> u64 {
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -61,6 +61,7 @@
             max_attempts: 3,
             stretch: 2.0,
             target_ms: 1_000,
+            needs_advice: false,
         },
         payload: "price it".to_owned(),
         steps,
--- a/crates/agatesill_standin/src/store.rs
+++ b/crates/agatesill_standin/src/store.rs
@@ -179,7 +179,12 @@
                     .collect();
                 let has_more = entries.len() > PAGE_ENTRIES;
                 entries.truncate(PAGE_ENTRIES);
-                Ok(StoreReply { revision: self.revision, entries, has_more, ..StoreReply::default() })
+                Ok(StoreReply {
+                    revision: self.revision,
+                    entries,
+                    has_more,
+                    ..StoreReply::default()
+                })
             }
             StoreCall::Cas { key, expect_version, value, lease_id } => {
                 self.cas(key, expect_version, value, lease_id)
--- a/crates/agatesilld/src/cli.rs
+++ b/crates/agatesilld/src/cli.rs
@@ -37,6 +37,15 @@
                 .default_value("info")
                 .help("Least level that is logged on the platform; debug adds what each look saw"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .requires("platform")
+                .value_parser(value_parser!(u16))
+                .default_value("9464")
+                .help("Port of the instance's address on which metrics are served"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -7,6 +7,7 @@
 use agatesill_policy::fleet::{JobId, JobPhase, JobWrite, ProgressRecord};
 use agatesill_wire::platform::{Entry, KeyVersion, Put, StoreCall};
 use agatesill_wire::prelude::*;
+use tokio::time::Instant;
 
 use super::keys::{self, PLANNER};
 use super::site::Site;
@@ -55,11 +56,18 @@
     let ended = writes.iter().filter(|write| write.record.phase != JobPhase::Active).map(clear);
     let puts = records.iter().cloned().chain(ended).collect();
     let txn = StoreCall::Txn { expected, puts, deletes: Vec::new() };
+    let begun = Instant::now();
     let answer = tokio::time::timeout(LIMIT, site.store.call(txn)).await;
     let answer = answer.unwrap_or_else(|_| {
         let what = format!("no answer within {} ms", LIMIT.as_millis());
         Err(Error::new(ErrorKind::StoreUnavailable, what))
     });
+    let outcome = match &answer {
+        Ok(reply) if reply.applied => "stored",
+        Ok(_) => "conflict",
+        Err(_) => "failed",
+    };
+    site.metrics.commit(outcome, begun.elapsed());
     match answer {
         Ok(reply) if reply.applied => Committed::Stored(writes, reply.revision),
         Ok(reply) => resolve(&owner, epoch, writes, &records, &reply.entries),
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
 
 use super::clock::wall_ms;
 use super::site::Site;
@@ -22,10 +23,17 @@
 
 type Answer = Response<Full<Bytes>>;
 
-/// Answers one request.
+/// Answers one request and records how long it took.
 pub async fn answer(site: Arc<Site>, request: Request<Incoming>) -> Answer {
+    let begun = Instant::now();
+    let (name, answer) = route(&site, request).await;
+    site.metrics.request(name, answer.status().as_u16(), begun.elapsed());
+    answer
+}
+
+async fn route(site: &Arc<Site>, request: Request<Incoming>) -> (&'static str, Answer) {
     let Some(config) = site.config() else {
-        return refuse(&site, "", &unavailable("no configuration yet", 1_000));
+        return ("none", refuse(site, "", &unavailable("no configuration yet", 1_000)));
     };
     let host = request
         .headers()
@@ -35,15 +43,15 @@
         .to_owned();
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     let Some(call) = front::call(&config, &method, &host, &path) else {
-        return plain(StatusCode::NOT_FOUND, Bytes::new());
+        return ("none", plain(StatusCode::NOT_FOUND, Bytes::new()));
     };
     match call {
         FrontCall::Submit { queue, id } => {
-            submit(&site, queue, id, request, config.max_body_bytes).await
+            ("submit", submit(site, queue, id, request, config.max_body_bytes).await)
         }
-        FrontCall::State { id } => state(&site, id).await,
-        FrontCall::Cancel { id } => cancel(&site, id).await,
-        FrontCall::Pending { queue } => pending(&site, queue).await,
+        FrontCall::State { id } => ("state", state(site, id).await),
+        FrontCall::Cancel { id } => ("cancel", cancel(site, id).await),
+        FrontCall::Pending { queue } => ("pending", pending(site, queue).await),
     }
 }
 
--- a/crates/agatesilld/src/fleet/lines.rs
+++ b/crates/agatesilld/src/fleet/lines.rs
@@ -7,8 +7,11 @@
 use std::time::Duration;
 
 use agatesill_platform::workers::{LookOutcome, WorkerChannel};
-use agatesill_policy::fleet::{Fleet, Order, US_PER_MS, Worker, WorkerIndex, WorkerStanding};
+use agatesill_policy::fleet::{
+    Fleet, Order, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
+};
 use tokio::sync::{Mutex, mpsc};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -255,8 +258,11 @@
             // Without leave to renew, an order carries the lease that was asked for before.
             let until_ms = lease.unwrap_or_else(|| line.asked_until_ms.load(Ordering::Acquire));
             let (task, kind) = (&order.task, &order.kind);
+            let begun = Instant::now();
             let outcome =
                 channel.order(self.epoch, task, order.run, kind, until_ms, ORDER_LIMIT).await;
+            let is_answered = outcome != OrderOutcome::Unanswered;
+            self.site.metrics.order(kind.name(), is_answered, begun.elapsed());
             let asked_us = lease.map(|_| sent_us);
             let event = Event::Answered(Box::new(order), outcome, asked_us);
             if self.events.send(event).await.is_err() {
--- /dev/null
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -0,0 +1,177 @@
+//! Counters and histograms of a daemon on the platform, as Prometheus text.
+//!
+//! `docs/METRICS.md` lists each with its unit and what to do when it moves.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use super::site::Site;
+
+/// Upper bounds of the buckets of times, in seconds: the store answers in 0.01, the desk's
+/// objective is about one.
+const BUCKETS_S: [f64; 12] =
+    [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0];
+
+/// Instruments of one daemon.
+#[derive(Clone, Debug)]
+pub struct FleetMetrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    requests: Histogram<f64>,
+    commits: Histogram<f64>,
+    orders: Histogram<f64>,
+}
+
+impl FleetMetrics {
+    /// Creates the instruments that are written to.
+    pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("agatesilld");
+        let times = |name: &'static str, what: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_boundaries(BUCKETS_S.to_vec())
+                .with_description(what)
+                .build()
+        };
+        let requests =
+            times("http.server.request.duration", "Time to answer a caller, by call and status");
+        let commits = times("agatesill.commit.duration", "Time to store records, by outcome");
+        let orders = times("agatesill.order.duration", "Time to give an order to a worker");
+        Ok(Self { registry, provider, requests, commits, orders })
+    }
+
+    /// Records an answer to a caller.
+    pub fn request(&self, call: &'static str, status: u16, took: Duration) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("status", i64::from(status))];
+        self.requests.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Records a transaction of records.
+    pub fn commit(&self, outcome: &'static str, took: Duration) {
+        self.commits.record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records an order to a worker.
+    pub fn order(&self, order: &'static str, is_answered: bool, took: Duration) {
+        let labels = [KeyValue::new("order", order), KeyValue::new("answered", is_answered)];
+        self.orders.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Creates the instruments that are read when asked for.
+    pub fn observe(&self, site: &Arc<Site>) {
+        let meter = self.provider.meter("agatesilld");
+        observe_ledger(&meter, site);
+        observe_daemon(&meter, site);
+    }
+
+    /// All instruments in the Prometheus text format.
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            log::warn!(event = "metrics_unencodable"; "{error}");
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+fn observe_ledger(meter: &Meter, site: &Arc<Site>) {
+    let counted = site.clone();
+    meter
+        .u64_observable_counter("agatesill.runs")
+        .with_unit("{run}")
+        .with_description("Runs of tasks by what became of them, while this daemon planned")
+        .with_callback(move |counter| {
+            let counts = counted.planned().counts;
+            let what = |name: &'static str| [KeyValue::new("what", name)];
+            counter.observe(counts.chosen, &what("ordered"));
+            counter.observe(counts.done, &what("done"));
+            counter.observe(counts.failed, &what("failed"));
+            counter.observe(counts.lost, &what("lost"));
+            counter.observe(counts.stopped, &what("stopped"));
+            counter.observe(counts.no_room, &what("no_room"));
+            counter.observe(counts.paced, &what("paced"));
+        })
+        .build();
+    let held = site.clone();
+    meter
+        .u64_observable_gauge("agatesill.ledger")
+        .with_description("Sizes of the ledger, while this daemon plans")
+        .with_callback(move |gauge| {
+            let planned = held.planned();
+            let what = |name: &'static str| [KeyValue::new("what", name)];
+            gauge.observe(planned.waiting_steps, &what("waiting_steps"));
+            gauge.observe(planned.workers, &what("workers"));
+            gauge.observe(planned.silent_workers, &what("silent_workers"));
+            gauge.observe(planned.counts.quarantines, &what("quarantines"));
+        })
+        .build();
+}
+
+fn observe_daemon(meter: &Meter, site: &Arc<Site>) {
+    let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
+    let counted = site.clone();
+    meter
+        .u64_observable_counter("agatesill.jobs")
+        .with_unit("{job}")
+        .with_description("Requests of callers by outcome")
+        .with_callback(move |counter| {
+            let what = |name: &'static str| [KeyValue::new("what", name)];
+            counter.observe(load(&counted.counts.accepted), &what("accepted"));
+            counter.observe(load(&counted.counts.refused), &what("refused"));
+            counter.observe(load(&counted.counts.unknown), &what("unknown"));
+        })
+        .build();
+    let stored = site.clone();
+    meter
+        .u64_observable_counter("agatesill.store.calls")
+        .with_unit("{call}")
+        .with_description("Calls to the platform's store, by kind; failures count twice")
+        .with_callback(move |counter| {
+            let kind = |name: &'static str| [KeyValue::new("kind", name)];
+            let counts = stored.store.counts();
+            counter.observe(load(&counts.writes), &kind("write"));
+            counter.observe(load(&counts.reads), &kind("read"));
+            counter.observe(load(&counts.failures), &kind("failure"));
+            counter.observe(load(&counts.unsent), &kind("unsent"));
+        })
+        .build();
+    let config = site.clone();
+    meter
+        .u64_observable_gauge("agatesill.config.version")
+        .with_description("Version of the configuration in force")
+        .with_callback(move |gauge| {
+            gauge.observe(config.config().map_or(0, |config| config.version), &[]);
+        })
+        .build();
+    meter
+        .u64_observable_counter("agatesill.log.lost")
+        .with_unit("{line}")
+        .with_description("Log lines lost")
+        .with_callback(|counter| counter.observe(crate::logging::lost_lines(), &[]))
+        .build();
+}
+
+/// Answers one request for the metrics.
+pub async fn answer(site: Arc<Site>, _request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from(site.metrics.text())));
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+    answer
+}
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! All duties share the one thread that a fraction of a core can use; they are tasks joined by
 //! bounded rings. `docs/DESIGN.md` walks a job through them.
 
+mod advisor;
 mod clock;
 mod commits;
 mod config_watch;
@@ -11,6 +12,7 @@
 mod keys;
 mod lines;
 mod link;
+mod metrics;
 mod ownership;
 mod planner;
 mod ready;
@@ -18,6 +20,7 @@
 mod site;
 mod stored;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +33,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use self::metrics::FleetMetrics;
 use self::site::Site;
 
 /// Store calls a second that one daemon may make, for each write a second that the platform allows
@@ -43,24 +47,29 @@
 /// How long open requests may take after that.
 const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
 
-/// Runs the daemon until it is told to stop.
-pub fn run(settings: NodeSettings) -> Result<(), Error> {
+/// Runs the daemon until it is told to stop; metrics are served on `metrics_port` of its address.
+pub fn run(settings: NodeSettings, metrics_port: u16) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve_site(settings))
+    runtime.block_on(serve_site(settings, metrics_port))
 }
 
-async fn serve_site(settings: NodeSettings) -> Result<(), Error> {
+async fn serve_site(settings: NodeSettings, metrics_port: u16) -> Result<(), Error> {
     log::info!(event = "start", instance = settings.instance.as_str(),
         zone = settings.zone.as_str(), store = settings.store_addr.to_string(),
         version = env!("CARGO_PKG_VERSION"); "");
     let entry = bind(settings.entry_addr).await?;
     let ready = bind(settings.ready_addr).await?;
     let peers = bind(settings.peer_addr).await?;
+    let metrics_addr = SocketAddr::new(settings.entry_addr.ip(), metrics_port);
+    let metrics_listener = bind(metrics_addr).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let budget = (settings.store_writes_per_s as f64 * STORE_CALLS_FOR_WRITE).max(100.0);
     let store = store::store(settings.store_addr).with_budget(budget as u32);
-    let site = Arc::new(Site::new(settings, store));
+    let instruments = FleetMetrics::new()
+        .map_err(|error| Error::new(ErrorKind::Settings, format!("metrics: {error}")))?;
+    let site = Arc::new(Site::new(settings, store, instruments));
+    site.metrics.observe(&site);
     let tasks = TaskTracker::new();
     let (stop, stop_entry) = (CancellationToken::new(), CancellationToken::new());
     tasks.spawn(config_watch::follow(site.clone(), stop_entry.clone()));
@@ -70,6 +79,10 @@
         let site = site.clone();
         move |request| ready::answer(site.clone(), request)
     }));
+    tasks.spawn(serve(metrics_listener, stop_entry.clone(), {
+        let site = site.clone();
+        move |request| metrics::answer(site.clone(), request)
+    }));
     tasks.spawn(serve(entry, stop_entry.clone(), {
         let site = site.clone();
         move |request| front::answer(site.clone(), request)
@@ -96,7 +109,7 @@
     Ok(())
 }
 
-async fn bind(addr: std::net::SocketAddr) -> Result<TcpListener, Error> {
+async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(addr).await.map_err(|error| {
         Error::new(ErrorKind::Settings, format!("cannot listen on {addr}: {error}"))
     })
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatesill_platform::advice::Advised;
 use agatesill_policy::fleet::{
-    Fleet, JobPhase, JobSpec, JobWrite, Look, Order, OrderOutcome, QueueTerms, WorkerEntry,
-    WorkerIndex,
+    AdviceQuestion, Fleet, JobPhase, JobSpec, JobWrite, Look, Order, OrderOutcome, QueueTerms,
+    Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -15,8 +16,8 @@
 use super::clock::wall_ms;
 use super::commits::{self, Committed};
 use super::lines::WorkerLines;
-use super::site::Site;
-use super::{followers, recovery};
+use super::site::{Planned, Site};
+use super::{advisor, followers, recovery};
 
 /// Events that may wait. A look of each of 350 workers with its answers to orders fits ten times.
 const RING_EVENTS: usize = 8_192;
@@ -57,6 +58,8 @@
     Fenced(WorkerIndex),
     /// An order was answered, or not; when it was sent, if it asked for a lease.
     Answered(Box<Order>, OrderOutcome, Option<u64>),
+    /// The advice service answered, or not.
+    Advised(Box<AdviceQuestion>, Option<Advised>),
     /// Records were stored, or not.
     Committed(Committed),
     /// The configuration has changed.
@@ -120,7 +123,10 @@
     // Everything that this planner started ends with it.
     let stop = lost.child_token();
     let lines = WorkerLines::new(site.clone(), epoch, sender.clone(), stop.clone(), tasks.clone());
+    let (questions, asked) = mpsc::channel(advisor::RING_QUESTIONS);
+    tasks.spawn(advisor::run(site.clone(), asked, sender.clone(), stop.clone()));
     let mut planner = Planner {
+        questions,
         site: site.clone(),
         epoch,
         fleet: start.fleet,
@@ -154,6 +160,7 @@
     fleet: Fleet,
     events: mpsc::Sender<Event>,
     lines: WorkerLines,
+    questions: mpsc::Sender<AdviceQuestion>,
     tasks: TaskTracker,
     commits_under_way: usize,
     lost: CancellationToken,
@@ -227,6 +234,11 @@
                     self.lost.cancel();
                 }
             }
+            Event::Advised(question, advised) => {
+                let good = advised.as_ref().map(|advised| advised.good.as_slice());
+                let valid_ms = advised.as_ref().map_or(0, |advised| advised.valid_ms);
+                self.fleet.advised(&question, good, valid_ms, now_us);
+            }
             Event::Committed(committed) => self.committed(committed),
             Event::Queues(queues) => self.fleet.set_queues(queues),
             Event::StateOf(id, reply) => drop(reply.send(self.fleet.state_of(&id))),
@@ -273,6 +285,7 @@
         let now_us = self.site.clock.now_us();
         self.fleet.expire_workers(now_us);
         self.fleet.open_due(wall_ms(), now_us);
+        self.tell();
         if now_us - self.forgotten_us > REMEMBER_US / 10 {
             self.forgotten_us = now_us;
             let forgotten = self.fleet.forget_ended(now_us.saturating_sub(REMEMBER_US));
@@ -282,6 +295,16 @@
         }
     }
 
+    fn tell(&self) {
+        let silent = |worker: &&Worker| worker.standing != WorkerStanding::Good;
+        self.site.set_planned(Planned {
+            counts: self.fleet.counts(),
+            waiting_steps: self.fleet.waiting_groups() as u64,
+            workers: self.fleet.live_workers().count() as u64,
+            silent_workers: self.fleet.live_workers().map(|(_, w)| w).filter(silent).count() as u64,
+        });
+    }
+
     /// Plans, commits what changed and gives the orders that may go out.
     fn act(&mut self) {
         if self.lost.is_cancelled() {
@@ -299,6 +322,12 @@
         for order in self.fleet.take_orders() {
             self.lines.send(order);
         }
+        for question in self.fleet.take_questions() {
+            if let Err(error) = self.questions.try_send(question) {
+                // The question counts as unanswered and is asked again.
+                log::warn!(event = "advice_ring_full"; "{error}");
+            }
+        }
         self.lines.close_gone(&self.fleet);
     }
 
--- a/crates/agatesilld/src/fleet/site.rs
+++ b/crates/agatesilld/src/fleet/site.rs
@@ -7,9 +7,11 @@
 use agatesill_coord::lease::Owner;
 use agatesill_coord::prelude::*;
 use agatesill_platform::prelude::*;
+use agatesill_policy::fleet::Counts;
 
 use super::clock::Clock;
 use super::link::Link;
+use super::metrics::FleetMetrics;
 use super::planner::PlannerHandle;
 
 /// Age of a confirmation of ownership up to which no other daemon can own the planner's range: the
@@ -27,6 +29,19 @@
     pub unknown: AtomicU64,
 }
 
+/// What the planner tells about itself, for metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Planned {
+    /// What happened since it began.
+    pub counts: Counts,
+    /// Steps with tasks that wait.
+    pub waiting_steps: u64,
+    /// Workers whose life is not over.
+    pub workers: u64,
+    /// Those among them that do not answer.
+    pub silent_workers: u64,
+}
+
 /// What the duties of one daemon share.
 #[derive(Debug)]
 pub struct Site {
@@ -38,6 +53,8 @@
     pub clock: Clock,
     /// The way to other daemons.
     pub link: Link,
+    /// Instruments.
+    pub metrics: FleetMetrics,
     /// Counters.
     pub counts: SiteCounts,
     /// When ownership of the planner's range was last confirmed; 0 while it is not owned.
@@ -45,18 +62,21 @@
     config: RwLock<Option<Arc<SiteConfig>>>,
     planner: Mutex<Option<PlannerHandle>>,
     owner: RwLock<Option<Owner>>,
+    planned: Mutex<Planned>,
     is_stopping: AtomicBool,
 }
 
 impl Site {
     /// The shared state of a daemon that starts.
-    pub fn new(settings: NodeSettings, store: Store) -> Self {
+    pub fn new(settings: NodeSettings, store: Store, metrics: FleetMetrics) -> Self {
         Self {
             settings,
             store,
             clock: Clock::start(),
             link: Link::default(),
+            metrics,
             counts: SiteCounts::default(),
+            planned: Mutex::default(),
             confirmed_us: AtomicU64::new(0),
             config: RwLock::default(),
             planner: Mutex::default(),
@@ -122,6 +142,16 @@
         owner.address.parse().ok()
     }
 
+    /// What the planner told last.
+    pub fn planned(&self) -> Planned {
+        *self.planned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in what the planner tells.
+    pub fn set_planned(&self, planned: Planned) {
+        *self.planned.lock().unwrap_or_else(PoisonError::into_inner) = planned;
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/crates/agatesilld/src/main.rs
+++ b/crates/agatesilld/src/main.rs
@@ -10,11 +10,15 @@
 /// Exit code for wrong usage or settings.
 const EXIT_SETTINGS: u8 = 2;
 
+/// Port of the metrics unless told otherwise: the exporter's customary one.
+const METRICS_PORT: u16 = 9_464;
+
 fn main() -> ExitCode {
     let matches = cli::command().get_matches();
     if matches.get_flag("platform") {
         let level = matches.get_one::<String>("log-level").map_or("info", String::as_str);
-        return run_on_platform(level);
+        let port = matches.get_one::<u16>("metrics-port").copied().unwrap_or(METRICS_PORT);
+        return run_on_platform(level, port);
     }
     let Some(path) = matches.get_one::<PathBuf>("config") else {
         return ExitCode::from(EXIT_SETTINGS);
@@ -34,7 +38,7 @@
 }
 
 /// Runs on the users' platform, whose settings file the environment names.
-fn run_on_platform(level: &str) -> ExitCode {
+fn run_on_platform(level: &str, metrics_port: u16) -> ExitCode {
     let settings = match agatesill_platform::settings::read() {
         Ok(settings) => settings,
         Err(error) => {
@@ -50,7 +54,7 @@
         eprintln!("agatesilld: log: {error}");
         return ExitCode::from(EXIT_SETTINGS);
     }
-    match agatesilld::fleet::run(settings) {
+    match agatesilld::fleet::run(settings, metrics_port) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("agatesilld: {error}");
