--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -533,6 +533,7 @@
     /// Takes in one entry of the registry.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now_us: u64) -> WorkerIndex {
         if let Some(index) = self.worker_by_id.get(&entry.id).copied() {
+            self.revive(index, &entry);
             let worker = &mut self.workers[index as usize];
             let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
             worker.entry = entry;
@@ -556,6 +557,17 @@
         index
     }
 
+    /// Takes a life that was given up back, once it registers again: it was cut off for longer than
+    /// its lease and lives. Without this it would never get a task again. A stale entry of a life
+    /// that another one has followed changes nothing.
+    fn revive(&mut self, index: WorkerIndex, entry: &WorkerEntry) {
+        let is_gone = self.workers[index as usize].standing == WorkerStanding::Gone;
+        if is_gone && self.live_at(&entry.address).is_none() {
+            log::info!(event = "worker_back", worker = entry.id.as_str(); "");
+            self.workers[index as usize].standing = WorkerStanding::New;
+        }
+    }
+
     fn live_at(&self, address: &str) -> Option<WorkerIndex> {
         self.live_workers()
             .find(|(_, worker)| worker.entry.address == address)
