--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -26,6 +26,9 @@
 /// failed run in twenty, three in a row come by chance once in 8,000 ends.
 const FAILURES_TO_CLOSE: usize = 3;
 
+/// Age of the last answer to a look up to which a worker counts as answering.
+const LOOKS_LATELY_US: u64 = 1_000 * US_PER_MS;
+
 /// Time after which a stop of a run that is still there is repeated: longer than a stop may take.
 const STOP_AGAIN_US: u64 = 1_200 * US_PER_MS;
 
@@ -526,7 +529,12 @@
     /// An order without an answer may be carried out seconds later. A start is sent again, which is
     /// harmless if it was carried out; after the second time the run is stopped, which bars it.
     fn worker_silent_order(&mut self, order: &Order, now_us: u64) {
-        self.worker_silent(order.worker, now_us);
+        // A worker that answers looks is there; it left one order unanswered, and others need not
+        // keep away from it.
+        let answered_us = self.workers[order.worker as usize].answered_us;
+        if now_us.saturating_sub(answered_us) > LOOKS_LATELY_US {
+            self.worker_silent(order.worker, now_us);
+        }
         let Some(job) = self.jobs.get_mut(order.at.job as usize).and_then(Option::as_mut) else {
             return;
         };
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -15,10 +15,12 @@
 mod place;
 mod plan;
 mod record;
+mod registry;
 mod state;
 mod takeover;
 mod watchdog;
 mod worker;
+mod writes;
 
 pub use advice::AdviceQuestion;
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
--- /dev/null
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -0,0 +1,69 @@
+//! Which workers are registered, and which lives have followed others.
+
+use super::state::Fleet;
+use super::worker::{Worker, WorkerEntry, WorkerIndex, WorkerStanding};
+
+impl Fleet {
+    /// Takes in one entry of the registry.
+    pub fn worker_listed(&mut self, entry: WorkerEntry, now_us: u64) -> WorkerIndex {
+        if let Some(index) = self.worker_by_id.get(&entry.id).copied() {
+            self.revive(index, &entry);
+            let worker = &mut self.workers[index as usize];
+            let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
+            worker.entry = entry;
+            worker.is_listed = true;
+            worker.unlisted_us = 0;
+            if began_to_leave {
+                log::info!(event = "worker_leaving", worker = worker.entry.id.as_str(),
+                    tasks = worker.tasks.len(), leaves_in_ms = worker.entry.leaves_in_ms; "");
+                self.evacuate(index, now_us);
+            }
+            return index;
+        }
+        let index = self.workers.len() as WorkerIndex;
+        self.worker_by_id.insert(entry.id.clone(), index);
+        let before = self.live_at(&entry.address);
+        self.workers.push(Worker::new(entry));
+        // A new life at the same address: the old one is over, whatever the registry still says.
+        if let Some(before) = before {
+            self.worker_gone(before, "another life at its address", now_us);
+        }
+        index
+    }
+
+    /// Takes a life that was given up back, once it registers again: it was cut off for longer than
+    /// its lease and lives. Without this it would never get a task again. A stale entry of a life
+    /// that another one has followed changes nothing.
+    fn revive(&mut self, index: WorkerIndex, entry: &WorkerEntry) {
+        let is_gone = self.workers[index as usize].standing == WorkerStanding::Gone;
+        if is_gone && self.live_at(&entry.address).is_none() {
+            log::info!(event = "worker_back", worker = entry.id.as_str(); "");
+            self.workers[index as usize].standing = WorkerStanding::New;
+        }
+    }
+
+    fn live_at(&self, address: &str) -> Option<WorkerIndex> {
+        self.live_workers()
+            .find(|(_, worker)| worker.entry.address == address)
+            .map(|(index, _)| index)
+    }
+
+    /// Takes in that the registry lists a worker no more. It may still run what it was given.
+    pub fn worker_unlisted(&mut self, id: &str, now_us: u64) {
+        let Some(index) = self.worker_by_id.get(id).copied() else { return };
+        let worker = &mut self.workers[index as usize];
+        if worker.is_listed {
+            worker.is_listed = false;
+            worker.unlisted_us = now_us;
+        }
+    }
+
+    /// The workers that the registry is known to list.
+    pub fn listed(&self) -> Vec<String> {
+        self.workers
+            .iter()
+            .filter(|worker| worker.is_listed && worker.standing != WorkerStanding::Gone)
+            .map(|worker| worker.entry.id.clone())
+            .collect()
+    }
+}
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -6,9 +6,8 @@
 use super::colocation::Pressure;
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
-use super::orders::{JobWrite, Order, OrderKind};
-use super::record::ProgressRecord;
-use super::worker::{Worker, WorkerEntry, WorkerIndex, WorkerStanding};
+use super::orders::{Order, OrderKind};
+use super::worker::{Worker, WorkerIndex, WorkerStanding};
 use super::{FleetBounds, US_PER_MS};
 
 /// Lease that each look and start asks for. Long enough that a successor, who needs about three
@@ -20,11 +19,6 @@
 /// and the time that a call may be under way.
 pub const LEASE_SLACK_MS: u64 = 300;
 
-/// How long a record may wait for company. An end of a task whose step goes on is nothing that
-/// anybody waits for: its worker lists it until it is stored. Writing each at once cost 150
-/// transactions a second at 170 ends a second.
-const RECORD_WAIT_US: u64 = 200 * US_PER_MS;
-
 /// Waiting tasks of one step of one occurrence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct Group {
@@ -260,20 +254,6 @@
         }
     }
 
-    /// Marks a job as changed, so that its record is written before long.
-    pub(super) fn mark(&mut self, slot: u32, now_us: u64) {
-        if let Some(job) = self.jobs[slot as usize].as_mut() {
-            job.touch();
-            self.dirty.entry(slot).or_insert(now_us);
-        }
-    }
-
-    /// The same for a change that something waits for: a start, or the end of the job.
-    pub(super) fn mark_urgent(&mut self, slot: u32, now_us: u64) {
-        self.mark(slot, now_us);
-        self.urgent.insert(slot);
-    }
-
     /// Charges a worker for a task.
     pub(super) fn charge(&mut self, at: TaskRef, worker: WorkerIndex, state: TaskState) {
         let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
@@ -360,104 +340,6 @@
         std::mem::take(&mut self.orders)
     }
 
-    /// Up to `most` records to write together: those that something waits for, urgent queues first,
-    /// and with them as many others as fit. Without any of the first kind, others are written once
-    /// they have waited 200 ms. Each job has one record on its way at most, so that a
-    /// later one never meets an earlier one of unknown outcome.
-    pub fn take_writes(&mut self, most: usize, now_us: u64) -> Vec<JobWrite> {
-        let is_due = !self.urgent.is_empty()
-            || self.dirty.values().any(|since_us| now_us - since_us > RECORD_WAIT_US);
-        if !is_due {
-            return Vec::new();
-        }
-        let mut slots: Vec<(bool, u32, u32)> = self
-            .dirty
-            .keys()
-            .filter_map(|slot| self.job(*slot).map(|job| (job, *slot)))
-            .filter(|(job, _)| !job.is_committing)
-            .map(|(job, slot)| (!self.urgent.contains(&slot), self.terms(job).priority, slot))
-            .collect();
-        slots.sort_unstable();
-        slots.truncate(most);
-        slots.into_iter().filter_map(|(_, _, slot)| self.take_write(slot)).collect()
-    }
-
-    fn take_write(&mut self, slot: u32) -> Option<JobWrite> {
-        self.dirty.remove(&slot);
-        self.urgent.remove(&slot);
-        let job = self.jobs[slot as usize].as_mut()?;
-        job.is_committing = true;
-        Some(JobWrite {
-            job: job.spec.id.clone(),
-            slot,
-            version: job.version,
-            revision: job.revision,
-            record: ProgressRecord::of(job, &self.workers),
-        })
-    }
-
-    /// Takes in that a record is stored at `revision`, and lets the starts out that it names.
-    pub fn committed(&mut self, write: &JobWrite, revision: u64, now_us: u64) {
-        let Some(job) = self.jobs[write.slot as usize].as_mut() else { return };
-        job.is_committing = false;
-        job.revision = revision;
-        job.committed = write.version;
-        job.committed_phase = write.record.phase;
-        job.committed_started = write.record.is_started;
-        if job.version > write.version {
-            self.dirty.entry(write.slot).or_insert(now_us);
-        }
-        let chosen: Vec<(u32, WorkerIndex)> = job
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, task)| task.chosen_version <= write.version)
-            .filter_map(|(index, task)| match task.state {
-                TaskState::Chosen(worker) => Some((index as u32, worker)),
-                _ => None,
-            })
-            .collect();
-        for (task, worker) in chosen {
-            self.order_start(TaskRef { job: write.slot, task }, worker, now_us);
-        }
-        self.acknowledge_ends(write.slot);
-    }
-
-    /// A record could not be stored for now; it is taken again later.
-    pub fn not_committed(&mut self, write: &JobWrite, now_us: u64) {
-        if let Some(job) = self.jobs[write.slot as usize].as_mut() {
-            job.is_committing = false;
-            job.revision = write.revision;
-            self.dirty.entry(write.slot).or_insert(now_us);
-            self.urgent.insert(write.slot);
-        }
-    }
-
-    /// Gives a chosen worker the order to start, unless its life ended or it began to leave since.
-    fn order_start(&mut self, at: TaskRef, worker: WorkerIndex, now_us: u64) {
-        let target = &self.workers[worker as usize];
-        if target.standing == WorkerStanding::Gone || target.entry.is_leaving {
-            self.release(at, TaskState::Waiting, now_us);
-            return;
-        }
-        self.set_state(at, TaskState::Ordered(worker), now_us);
-        self.send_start(at, worker, now_us);
-    }
-
-    pub(super) fn send_start(&mut self, at: TaskRef, worker: WorkerIndex, now_us: u64) {
-        let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
-        let payload = job.spec.payload.clone();
-        let saved = saved_for(job, at.task);
-        let (occurrence, step, _) = job.locate(at.task);
-        let task = &mut job.tasks[at.task as usize];
-        task.percent = 0;
-        task.progress_us = now_us;
-        self.counts.chosen += 1;
-        let group = Group { job: at.job, occurrence, step };
-        let ticket = self.ticket(group, worker, now_us).unwrap_or_default().to_owned();
-        self.order(at, worker, OrderKind::Start { payload, saved, ticket });
-    }
-
     pub(super) fn lease_us(&self) -> u64 {
         (self.lease_ms() * 102 / 100 + LEASE_SLACK_MS) * US_PER_MS
     }
@@ -529,81 +411,4 @@
     pub fn waiting_groups(&self) -> usize {
         self.waiting.len()
     }
-
-    /// Takes in one entry of the registry.
-    pub fn worker_listed(&mut self, entry: WorkerEntry, now_us: u64) -> WorkerIndex {
-        if let Some(index) = self.worker_by_id.get(&entry.id).copied() {
-            self.revive(index, &entry);
-            let worker = &mut self.workers[index as usize];
-            let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
-            worker.entry = entry;
-            worker.is_listed = true;
-            worker.unlisted_us = 0;
-            if began_to_leave {
-                log::info!(event = "worker_leaving", worker = worker.entry.id.as_str(),
-                    tasks = worker.tasks.len(), leaves_in_ms = worker.entry.leaves_in_ms; "");
-                self.evacuate(index, now_us);
-            }
-            return index;
-        }
-        let index = self.workers.len() as WorkerIndex;
-        self.worker_by_id.insert(entry.id.clone(), index);
-        let before = self.live_at(&entry.address);
-        self.workers.push(Worker::new(entry));
-        // A new life at the same address: the old one is over, whatever the registry still says.
-        if let Some(before) = before {
-            self.worker_gone(before, "another life at its address", now_us);
-        }
-        index
-    }
-
-    /// Takes a life that was given up back, once it registers again: it was cut off for longer than
-    /// its lease and lives. Without this it would never get a task again. A stale entry of a life
-    /// that another one has followed changes nothing.
-    fn revive(&mut self, index: WorkerIndex, entry: &WorkerEntry) {
-        let is_gone = self.workers[index as usize].standing == WorkerStanding::Gone;
-        if is_gone && self.live_at(&entry.address).is_none() {
-            log::info!(event = "worker_back", worker = entry.id.as_str(); "");
-            self.workers[index as usize].standing = WorkerStanding::New;
-        }
-    }
-
-    fn live_at(&self, address: &str) -> Option<WorkerIndex> {
-        self.live_workers()
-            .find(|(_, worker)| worker.entry.address == address)
-            .map(|(index, _)| index)
-    }
-
-    /// Takes in that the registry lists a worker no more. It may still run what it was given.
-    pub fn worker_unlisted(&mut self, id: &str, now_us: u64) {
-        let Some(index) = self.worker_by_id.get(id).copied() else { return };
-        let worker = &mut self.workers[index as usize];
-        if worker.is_listed {
-            worker.is_listed = false;
-            worker.unlisted_us = now_us;
-        }
-    }
-
-    /// The workers that the registry is known to list.
-    pub fn listed(&self) -> Vec<String> {
-        self.workers
-            .iter()
-            .filter(|worker| worker.is_listed && worker.standing != WorkerStanding::Gone)
-            .map(|worker| worker.entry.id.clone())
-            .collect()
-    }
-}
-
-/// The checkpoint that a start resumes from. The members of a gang carry the same one; checkpoints
-/// begin with the work that they hold, so the greatest is the newest.
-fn saved_for(job: &Job, task: u32) -> String {
-    let (occurrence, step, _) = job.locate(task);
-    if !job.spec.steps[step as usize].is_gang {
-        return job.tasks[task as usize].saved.clone();
-    }
-    job.tasks_of(occurrence, step)
-        .map(|member| &job.tasks[member as usize].saved)
-        .max()
-        .cloned()
-        .unwrap_or_default()
 }
--- a/crates/agatesill_policy/tests/fleet_random.rs
+++ b/crates/agatesill_policy/tests/fleet_random.rs
@@ -4,6 +4,8 @@
 //! and take over from the stored records; jobs are cancelled and fail. `FLEET_SEEDS` sets how many
 //! seeds are played, `FLEET_SEED` plays one.
 
+#![allow(clippy::unwrap_used)] // A broken assumption of a test ends the test.
+
 mod fleet_support;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -40,6 +40,9 @@
 /// to all: the planner makes nearly all writes, and about as many reads and watches.
 const STORE_CALLS_FOR_WRITE: f64 = 1.25;
 
+/// Calls a second that a daemon has in any case, where the platform states no rate.
+const LEAST_BUDGET: f64 = 100.0;
+
 /// How long a planned stop waits, not ready but serving, until the balancer sends no one any more:
 /// it asks once a second and believes the second miss.
 const LEAVING: Duration = Duration::from_millis(2_400);
@@ -47,39 +50,60 @@
 /// How long open requests may take after that.
 const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
 
-/// Runs the daemon until it is told to stop; metrics are served on `metrics_port` of its address.
+/// Runs the daemon until it gets SIGTERM; metrics are served on `metrics_port` of its address.
 pub fn run(settings: NodeSettings, metrics_port: u16) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve_site(settings, metrics_port))
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let stopping = stop.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => return stopping.cancel(),
+                    // Nothing of this daemon's settings can change while it runs.
+                    _ = hangup.recv() => log::info!(event = "reload"; "read at the next start"),
+                }
+            }
+        });
+        serve_until(settings, metrics_port, stop).await
+    })
 }
 
-async fn serve_site(settings: NodeSettings, metrics_port: u16) -> Result<(), Error> {
+/// Serves until `stop` is cancelled, then leaves as at a planned stop.
+pub async fn serve_until(
+    settings: NodeSettings,
+    metrics_port: u16,
+    stop: CancellationToken,
+) -> Result<(), Error> {
     log::info!(event = "start", instance = settings.instance.as_str(),
         zone = settings.zone.as_str(), store = settings.store_addr.to_string(),
         version = env!("CARGO_PKG_VERSION"); "");
     let entry = bind(settings.entry_addr).await?;
     let ready = bind(settings.ready_addr).await?;
     let peers = bind(settings.peer_addr).await?;
-    let metrics_addr = SocketAddr::new(settings.entry_addr.ip(), metrics_port);
-    let metrics_listener = bind(metrics_addr).await?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    let budget = (settings.store_writes_per_s as f64 * STORE_CALLS_FOR_WRITE).max(100.0);
+    let figures = bind(SocketAddr::new(settings.entry_addr.ip(), metrics_port)).await?;
+    let budget = (settings.store_writes_per_s as f64 * STORE_CALLS_FOR_WRITE).max(LEAST_BUDGET);
     let store = store::store(settings.store_addr).with_budget(budget as u32);
     let instruments = FleetMetrics::new()
         .map_err(|error| Error::new(ErrorKind::Settings, format!("metrics: {error}")))?;
     let site = Arc::new(Site::new(settings, store, instruments));
     site.metrics.observe(&site);
     let tasks = TaskTracker::new();
-    let (stop, stop_entry) = (CancellationToken::new(), CancellationToken::new());
+    let stop_entry = CancellationToken::new();
+    // Whoever drops this future ends the daemon as a crash does: nothing runs on, nothing is given
+    // up.
+    let alive = CancellationToken::new();
+    let _dropped = (stop_entry.clone().drop_guard(), alive.clone().drop_guard());
     tasks.spawn(config_watch::follow(site.clone(), stop_entry.clone()));
-    tasks.spawn(ownership::run(site.clone(), stop.clone()));
+    tasks.spawn(ownership::run(site.clone(), stop.clone(), alive));
     tasks.spawn(link::serve(site.clone(), peers, stop_entry.clone()));
     tasks.spawn(serve(ready, stop_entry.clone(), {
         let site = site.clone();
         move |request| ready::answer(site.clone(), request)
     }));
-    tasks.spawn(serve(metrics_listener, stop_entry.clone(), {
+    tasks.spawn(serve(figures, stop_entry.clone(), {
         let site = site.clone();
         move |request| metrics::answer(site.clone(), request)
     }));
@@ -87,18 +111,15 @@
         let site = site.clone();
         move |request| front::answer(site.clone(), request)
     }));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => {
-                // Nothing of this daemon's settings can change while it runs.
-                log::info!(event = "reload"; "settings are read at the start");
-            }
-        }
-    }
+    stop.cancelled().await;
+    leave(&site, &stop_entry, &tasks).await;
+    Ok(())
+}
+
+/// A planned stop: the planner's range passes on, callers go elsewhere, open requests end.
+async fn leave(site: &Site, stop_entry: &CancellationToken, tasks: &TaskTracker) {
     log::info!(event = "stop", is_planner = site.planner().is_some(); "");
     site.begin_stop();
-    stop.cancel();
     tokio::time::sleep(LEAVING).await;
     stop_entry.cancel();
     tasks.close();
@@ -106,7 +127,6 @@
         log::warn!(event = "stop_cut_short", tasks = tasks.len(); "");
     }
     log::info!(event = "stopped"; "");
-    Ok(())
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -37,14 +37,20 @@
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Claims the planner's range whenever it is free, and plans while it is held.
-pub async fn run(site: Arc<Site>, stop: CancellationToken) {
+/// Claims the planner's range whenever it is free, and plans while it is held, until a planned stop
+/// begins. When `alive` is cancelled everything ends where it is.
+pub async fn run(site: Arc<Site>, stop: CancellationToken, alive: CancellationToken) {
+    let work = claim_and_plan(site, stop, alive.clone());
+    drop(alive.run_until_cancelled(work).await);
+}
+
+async fn claim_and_plan(site: Arc<Site>, stop: CancellationToken, alive: CancellationToken) {
     while !stop.is_cancelled() {
         let address = site.settings.peer_addr.to_string();
         let mut ownership = Ownership::new(site.store.clone(), &site.settings.instance, LEASE)
             .with_address(&address);
         if wait_until_free(&site, &stop).await && claim(&site, &mut ownership).await {
-            plan_while_owned(&site, &mut ownership, &stop).await;
+            plan_while_owned(&site, &mut ownership, &stop, &alive).await;
         }
     }
 }
@@ -102,7 +108,12 @@
 }
 
 /// Plans until the range is lost or a planned stop begins.
-async fn plan_while_owned(site: &Arc<Site>, ownership: &mut Ownership, stop: &CancellationToken) {
+async fn plan_while_owned(
+    site: &Arc<Site>,
+    ownership: &mut Ownership,
+    stop: &CancellationToken,
+    alive: &CancellationToken,
+) {
     let Some(epoch) = ownership.epoch(PLANNER) else { return };
     log::info!(event = "planner_owned", epoch = epoch; "");
     site.confirmed_us.store(site.clock.now_us(), Ordering::Release);
@@ -111,7 +122,7 @@
         lease_id: ownership.lease_id(),
         address: site.settings.peer_addr.to_string(),
     }));
-    let lost = CancellationToken::new();
+    let lost = alive.child_token();
     let running = tokio::spawn(planner::run(site.clone(), epoch, lost.clone()));
     renew_while_held(site, ownership, &lost, stop).await;
     lost.cancel();
@@ -119,8 +130,8 @@
         log::error!(event = "planner_failed"; "{error}");
     }
     site.confirmed_us.store(0, Ordering::Release);
-    log::info!(event = "planner_left", epoch = epoch, is_stopping = site.is_stopping(); "");
-    if site.is_stopping() {
+    log::info!(event = "planner_left", epoch = epoch, is_stopping = stop.is_cancelled(); "");
+    if stop.is_cancelled() {
         if let Err(error) = ownership.give_up(PLANNER).await {
             log::warn!(event = "range_not_given_up"; "{error}");
         }
