What is learned about images outlives the planner

Ruled out: passing it over the link (a crashed planner passes nothing).

Change: one key, written every 5 s under the planner's ownership, read by the successor.

--- a/crates/agatesill_policy/src/fleet/colocation/mod.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/mod.rs
@@ -10,4 +10,6 @@
 mod pressure;
 mod room;
 
+pub use self::pressure::{Learned, LearnedImage};
+
 pub(super) use self::pressure::Pressure;
--- a/crates/agatesill_policy/src/fleet/colocation/pressure.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pressure.rs
@@ -6,7 +6,8 @@
 //! its tail slowly and by about a factor of two: it is the noise of the fit, while a harmful pair
 //! shows at once, at two or three times that.
 
-use crate::fleet::images::ImageId;
+use crate::fleet::images::{ImageId, Images};
+use crate::value_type;
 
 /// Filling images told apart; further ones share the last place, which bounds the cost of a sample.
 pub const MAX_IMAGES: usize = 16;
@@ -125,3 +126,88 @@
         (fit.seen[place] >= LEAST_SEEN).then(|| fit.weights[1 + place].max(0.0))
     }
 }
+
+value_type! {
+    /// What is learned of one serving image, for the next planner.
+    pub struct LearnedImage {
+        /// The serving image.
+        pub image: String,
+        /// Constant and weights.
+        pub weights: Vec<f32>,
+        /// Covariance, row by row.
+        pub covariance: Vec<f32>,
+        /// Processors of each filling image by which it was seen.
+        pub seen: Vec<f32>,
+    }
+}
+
+value_type! {
+    /// What is learned about all pairs of images.
+    #[derive(Default)]
+    pub struct Learned {
+        /// Filling images in the order of their places.
+        pub filling: Vec<String>,
+        /// Serving images.
+        pub serving: Vec<LearnedImage>,
+    }
+}
+
+impl Pressure {
+    /// What is learned, by the names of images.
+    pub fn learned(&self, images: &Images) -> Learned {
+        let mut filling = vec![String::new(); self.known.min(MAX_IMAGES)];
+        for (image, place) in self.places.iter().enumerate() {
+            // Images that share the last place are told by the first of them.
+            if let Some(name) = place.and_then(|place| filling.get_mut(place)) {
+                if name.is_empty() {
+                    images.name(image as ImageId).clone_into(name);
+                }
+            }
+        }
+        let serving = self
+            .fits
+            .iter()
+            .enumerate()
+            .filter_map(|(image, fit)| Some((images.name(image as ImageId), fit.as_ref()?)))
+            .map(|(image, fit)| LearnedImage {
+                image: image.to_owned(),
+                weights: short(&fit.weights),
+                covariance: fit.covariance.iter().flat_map(|row| short(row)).collect(),
+                seen: short(&fit.seen),
+            })
+            .collect();
+        Learned { filling, serving }
+    }
+
+    /// Takes in what an earlier planner learned; what does not fit is left out.
+    pub fn restore(&mut self, learned: &Learned, images: &mut Images) {
+        for image in &learned.filling {
+            self.place(images.number(image));
+        }
+        for image in &learned.serving {
+            let sizes = (image.weights.len(), image.covariance.len(), image.seen.len());
+            if sizes != (FEATURES, FEATURES * FEATURES, MAX_IMAGES) {
+                continue;
+            }
+            let mut fit = Box::new(Fit::new());
+            copy(&mut fit.weights, &image.weights);
+            copy(&mut fit.seen, &image.seen);
+            for (row, stored) in fit.covariance.iter_mut().zip(image.covariance.chunks(FEATURES)) {
+                copy(row, stored);
+            }
+            let index = usize::from(images.number(&image.image));
+            if self.fits.len() <= index {
+                self.fits.resize_with(index + 1, || None);
+            }
+            self.fits[index] = Some(fit);
+        }
+    }
+}
+
+fn short(values: &[f64]) -> Vec<f32> {
+    values.iter().map(|value| *value as f32).collect()
+}
+
+fn copy(to: &mut [f64], from: &[f32]) {
+    to.iter_mut().zip(from).for_each(|(to, from)| *to = f64::from(*from));
+}
--- a/crates/agatesill_policy/src/fleet/images.rs
+++ b/crates/agatesill_policy/src/fleet/images.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Default)]
 pub struct Images {
     by_name: HashMap<String, ImageId>,
+    names: Vec<String>,
 }
 
 impl Images {
@@ -25,8 +26,15 @@
         }
         let number = ImageId::try_from(self.by_name.len() + 1).unwrap_or(ImageId::MAX);
         self.by_name.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
         number
     }
+
+    /// The name of an image; empty for [`NO_IMAGE`].
+    pub fn name(&self, image: ImageId) -> &str {
+        let index = usize::from(image).checked_sub(1);
+        index.and_then(|index| self.names.get(index)).map_or("", String::as_str)
+    }
 }
 
 /// Tasks by image on one worker; a handful, so a list.
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod writes;
 
 pub use advice::AdviceQuestion;
+pub use colocation::{Learned, LearnedImage};
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
 pub use record::{ProgressRecord, TaskRecord};
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -1,6 +1,7 @@
 //! Building the ledger from the stored records after ownership has passed.
 
 use super::US_PER_MS;
+use super::colocation::Learned;
 use super::job::{Job, JobPhase, JobSpec, TaskRef, TaskState};
 use super::record::{ProgressRecord, TaskRecord};
 use super::state::Fleet;
@@ -100,6 +101,17 @@
         index
     }
 
+    /// What is learned about images, for the next planner. Without it each takeover would try all
+    /// harmful pairs anew.
+    pub fn learned(&self) -> Learned {
+        self.pressure.learned(&self.images)
+    }
+
+    /// Takes in what the planner before has learned.
+    pub fn restore_learned(&mut self, learned: &Learned) {
+        self.pressure.restore(learned, &mut self.images);
+    }
+
     /// Ends the rebuilding: what runs on silent workers may run until the longest lease that the
     /// owner before could have asked for.
     pub fn restored(&mut self, now_us: u64) {
--- a/crates/agatesill_policy/tests/fleet_colocation.rs
+++ b/crates/agatesill_policy/tests/fleet_colocation.rs
@@ -187,3 +187,31 @@
     assert_eq!(homes(&rig, "watch-a"), homes(&rig, "watch-c"));
     assert_ne!(homes(&rig, "watch-a"), homes(&rig, "watch-b"));
 }
+
+/// The planner dies after it has learned that an image is harmful. Its successor reads what was
+/// learned; without that, it would try the harmful pair again on every worker.
+#[test]
+fn what_was_learned_outlives_the_planner() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    let watch = serving("watch-a", "ledger", 3);
+    rig.fleet.accept(watch.clone(), rig.now_us);
+    rig.settle();
+    rig.look_all();
+    rig.fleet.accept(filling("heavy", "heavy", 1), rig.now_us);
+    rig.settle();
+    for _ in 0..4 {
+        report(&mut rig, "heavy", "watch-a");
+        rig.pass_ms(500);
+        rig.look_all();
+        rig.settle();
+    }
+    let learned = serde_json::to_string(&rig.fleet.learned()).unwrap();
+    rig.fleet = rig.successor(&[watch], vec![entry("w1", "r1-1")]);
+    rig.fleet.restore_learned(&serde_json::from_str(&learned).unwrap());
+    rig.look_all();
+    rig.fleet.accept(filling("again", "heavy", 1), rig.now_us);
+    rig.fleet.accept(filling("light", "light", 1), rig.now_us);
+    rig.settle();
+    assert!(rig.present("again").is_empty(), "the harmful image is known");
+    assert_eq!(rig.present("light").len(), 1, "another one is tried");
+}
--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agatesill_coord::lease::owner_key;
-use agatesill_policy::fleet::{JobId, JobPhase, JobWrite, ProgressRecord};
+use agatesill_policy::fleet::{JobId, JobPhase, JobWrite, Learned, ProgressRecord};
 use agatesill_wire::platform::{Entry, KeyVersion, Put, StoreCall};
 use agatesill_wire::prelude::*;
 use tokio::time::Instant;
@@ -132,3 +132,17 @@
         }
     }
 }
+
+/// Stores what is learned about images, if this daemon still owns the range. A loss costs the
+/// successor some seconds of learning and nothing else.
+pub async fn save_learned(site: Arc<Site>, epoch: u64, learned: Learned) {
+    let value = match serde_json::to_string(&learned) {
+        Ok(value) => value,
+        Err(error) => return log::error!(event = "learned_unencodable"; "{error}"),
+    };
+    let expected = vec![KeyVersion { key: owner_key(PLANNER), version: epoch }];
+    let put = Put { key: keys::LEARNED.to_owned(), value, lease_id: 0 };
+    if let Err(error) = site.store.txn(expected, vec![put], Vec::new()).await {
+        log::debug!(event = "learned_unsaved"; "{error}");
+    }
+}
--- a/crates/agatesilld/src/fleet/keys.rs
+++ b/crates/agatesilld/src/fleet/keys.rs
@@ -12,6 +12,9 @@
 /// Progress of jobs, written by the planner alone.
 pub const PROGRESS: &str = "progress/";
 
+/// What the planner has learned about images, for its successor.
+pub const LEARNED: &str = "learned/images";
+
 /// Range whose owner plans.
 pub const PLANNER: &str = "planner";
 
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -32,6 +32,10 @@
 /// How long an ended job is remembered: states are asked for two minutes after the end.
 const REMEMBER_US: u64 = 130_000_000;
 
+/// Time between two savings of what is learned: a successor then lacks five seconds of it, for one
+/// write of 20 kB in that time.
+const SAVE_LEARNED_US: u64 = 5_000_000;
+
 /// How long the last records may take at a planned stop.
 const LAST_COMMITS: Duration = Duration::from_millis(300);
 
@@ -136,6 +140,7 @@
         commits_under_way: 0,
         lost: lost.clone(),
         forgotten_us: site.clock.now_us(),
+        learned_us: site.clock.now_us(),
     };
     planner.registry(start.workers);
     tasks.spawn(followers::registry(
@@ -165,6 +170,7 @@
     commits_under_way: usize,
     lost: CancellationToken,
     forgotten_us: u64,
+    learned_us: u64,
 }
 
 impl Planner {
@@ -286,6 +292,11 @@
         self.fleet.expire_workers(now_us);
         self.fleet.open_due(wall_ms(), now_us);
         self.tell();
+        if now_us - self.learned_us > SAVE_LEARNED_US {
+            self.learned_us = now_us;
+            let learned = self.fleet.learned();
+            self.tasks.spawn(commits::save_learned(self.site.clone(), self.epoch, learned));
+        }
         if now_us - self.forgotten_us > REMEMBER_US / 10 {
             self.forgotten_us = now_us;
             let forgotten = self.fleet.forget_ended(now_us.saturating_sub(REMEMBER_US));
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -36,9 +36,10 @@
         let inbox = read(site, keys::INBOX).await;
         let progress = read(site, keys::PROGRESS).await;
         let workers = read(site, registry::PREFIX).await;
-        (inbox, progress, workers)
+        let learned = read(site, keys::LEARNED).await;
+        (inbox, progress, workers, learned)
     };
-    let (inbox, progress, workers) = tokio::select! {
+    let (inbox, progress, workers, learned) = tokio::select! {
         () = lost.cancelled() => return None,
         read = read => read,
     };
@@ -46,6 +47,12 @@
     if let Some(config) = site.config() {
         fleet.set_queues(config.terms());
     }
+    if let Some(entry) = learned.entries.first() {
+        match serde_json::from_str(&entry.value) {
+            Ok(learned) => fleet.restore_learned(&learned),
+            Err(error) => log::warn!(event = "learned_unreadable"; "{error}"),
+        }
+    }
     restore(&mut fleet, &inbox.entries, &progress.entries, site.clock.now_us());
     log::info!(event = "ledger_read", jobs = inbox.entries.len(),
         records = progress.entries.len(), workers = workers.entries.len(),
