Fewer calls to the store: the owner's key is watched, the inbox followed with pauses

Cause: daemons that do not plan read the owner's key before each watch, and the planner's watch on the inbox returned for each job, though the accepting daemon had told it already.

Ruled out: longer watches (a silent one would hide a configuration for longer).

--- a/crates/agatesilld/src/fleet/followers.rs
+++ b/crates/agatesilld/src/fleet/followers.rs
@@ -19,6 +19,10 @@
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// Pause of the inbox's follower after news. The accepting daemon tells the planner of a job by itself;
+/// the watch only makes good what that lost, and a call for each job would be paid for nothing.
+const INBOX_PAUSE: Duration = Duration::from_millis(200);
+
 /// Follows the registry of workers from `revision` on.
 pub async fn registry(
     site: Arc<Site>,
@@ -26,7 +30,7 @@
     revision: u64,
     stop: CancellationToken,
 ) {
-    let work = follow(&site, registry::PREFIX, revision, |reply, is_whole| {
+    let work = follow(&site, registry::PREFIX, revision, Duration::ZERO, |reply, is_whole| {
         let listed: Vec<WorkerEntry> = reply.entries.iter().filter_map(worker).collect();
         if is_whole {
             return vec![Event::Registry(listed)];
@@ -48,7 +52,7 @@
     revision: u64,
     stop: CancellationToken,
 ) {
-    let work = follow(&site, keys::INBOX, revision, |reply, _| {
+    let work = follow(&site, keys::INBOX, revision, INBOX_PAUSE, |reply, _| {
         reply.entries.iter().filter_map(inbox_event).collect()
     });
     deliver(work, &events, &stop).await;
@@ -88,6 +92,7 @@
     site: &Arc<Site>,
     prefix: &'static str,
     revision: u64,
+    pause: Duration,
     decode: impl Fn(&StoreReply, bool) -> Vec<Event> + Send + 'static,
 ) -> (Batches, impl Future<Output = ()> + Send + 'static) {
     let (sender, receiver) = mpsc::channel(1);
@@ -111,9 +116,13 @@
                 Ok(reply) => {
                     let is_whole = after.is_none();
                     after = Some(reply.revision);
+                    let has_news = !reply.entries.is_empty();
                     if sender.send(decode(&reply, is_whole)).await.is_err() {
                         return;
                     }
+                    if has_news && !pause.is_zero() {
+                        tokio::time::sleep(pause).await;
+                    }
                 }
                 Err(error) => {
                     log::debug!(event = "watch_failed", prefix = prefix; "{error}");
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -41,7 +41,7 @@
 /// begins. When `alive` is cancelled everything ends where it is.
 pub async fn run(site: Arc<Site>, stop: CancellationToken, alive: CancellationToken) {
     let work = claim_and_plan(site, stop, alive.clone());
-    drop(alive.run_until_cancelled(work).await);
+    alive.run_until_cancelled(work).await;
 }
 
 async fn claim_and_plan(site: Arc<Site>, stop: CancellationToken, alive: CancellationToken) {
@@ -70,19 +70,30 @@
         // An earlier life of this instance: its key may be taken over at once.
         Some(owner) if owner.instance == site.settings.instance => true,
         Some(_) => {
-            let watch =
-                StoreCall::Watch { prefix: key, after_revision: reply.revision, wait_ms: WATCH_MS };
             tokio::select! {
                 () = stop.cancelled() => {}
-                reply = site.store.call(watch) => if reply.is_err() {
-                    tokio::time::sleep(PAUSE).await;
-                }
+                () = until_changed(site, key, reply.revision) => {}
             }
             false
         }
     }
 }
 
+/// Watches a key until it changes, the history is lost or the store fails.
+async fn until_changed(site: &Site, key: String, mut after_revision: u64) {
+    loop {
+        let watch = StoreCall::Watch { prefix: key.clone(), after_revision, wait_ms: WATCH_MS };
+        match site.store.call(watch).await {
+            Ok(reply) if reply.applied || reply.is_compacted => return,
+            Ok(reply) => after_revision = reply.revision,
+            Err(error) => {
+                log::debug!(event = "owner_unwatched"; "{error}");
+                return tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
 /// How long to leave the range to bigger machines: planning needs processor time and a fast link to
 /// read the ledger back.
 fn head_start(site: &Site) -> Duration {
