Ledger: answers to orders in a file of their own, bounds that nothing reads removed

Cause: read as a newcomer would: ends.rs held two duties in 563 lines; three bounds, two fields and a parameter were set and never read. A planned stop now keeps within the time that the platform gives.

--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -4,31 +4,17 @@
 
 use super::US_PER_MS;
 use super::job::{JobPhase, TaskKey, TaskRef, TaskState};
-use super::orders::{Order, OrderKind, OrderOutcome};
+use super::orders::{Order, OrderKind};
 use super::state::Fleet;
 use super::worker::{EndCause, EndRow, Look, RunRow, WorkerIndex, WorkerStanding};
 
 /// Most ends in one answer of a worker; a full list says nothing about what is not on it.
 const MOST_ENDS: usize = 500;
 
-/// No new tasks at a worker for this long after it rejected one for want of room. Its room is then
-/// known to differ from the ledger's; a second start at once would be rejected as well.
-const NO_ROOM_PAUSE_US: u64 = 400 * US_PER_MS;
-
-/// The same after an answer that says that it is unhealthy.
-const REFUSED_PAUSE_US: u64 = 1_000 * US_PER_MS;
-
-/// Unanswered orders to start a run after which the run is given up: it is stopped, which bars it
-/// for good, and started elsewhere under a higher number.
-const MOST_UNANSWERED: u32 = 2;
-
 /// Failed ends in a row, of at least two jobs, after which a worker is held to be broken. At one
 /// failed run in twenty, three in a row come by chance once in 8,000 ends.
 const FAILURES_TO_CLOSE: usize = 3;
 
-/// Age of the last answer to a look up to which a worker counts as answering.
-const LOOKS_LATELY_US: u64 = 1_000 * US_PER_MS;
-
 /// Time after which a stop of a run that is still there is repeated: longer than a stop may take.
 const STOP_AGAIN_US: u64 = 1_200 * US_PER_MS;
 
@@ -205,7 +191,7 @@
     }
 
     /// Lets workers forget the ends whose effect is stored.
-    pub(super) fn acknowledge_ends(&mut self, _slot: u32) {
+    pub(super) fn acknowledge_ends(&mut self) {
         let with_ends: Vec<WorkerIndex> = self
             .live_workers()
             .filter(|(_, worker)| !worker.unacked.is_empty())
@@ -449,115 +435,4 @@
     pub(super) fn job_id(&self, slot: u32) -> &str {
         self.job(slot).map_or("", |job| job.spec.id.as_str())
     }
-
-    /// Takes in how an order went.
-    pub fn order_answered(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
-        if outcome == OrderOutcome::OtherLife {
-            self.worker_gone(order.worker, "another life answers", now_us);
-            return;
-        }
-        if outcome == OrderOutcome::Unanswered {
-            self.worker_silent_order(order, now_us);
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(order.at.job as usize).and_then(Option::as_mut) else {
-            return;
-        };
-        let task = &mut job.tasks[order.at.task as usize];
-        if task.run != order.run || task.state.worker() != Some(order.worker) {
-            return;
-        }
-        match &order.kind {
-            OrderKind::Start { .. } => self.start_answered(order, outcome, now_us),
-            OrderKind::Stop => task.answered_us = now_us,
-            OrderKind::Pace { .. } => {}
-        }
-    }
-
-    fn start_answered(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
-        let at = order.at;
-        let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
-        let task = &mut job.tasks[at.task as usize];
-        task.unanswered = 0;
-        match outcome {
-            OrderOutcome::Done => {
-                task.answered_us = now_us;
-                if matches!(task.state, TaskState::Ordered(_)) {
-                    task.state = TaskState::Running(order.worker);
-                    task.since_us = now_us;
-                    task.progress_us = now_us;
-                }
-            }
-            // It ran there and has ended, or was barred: the next look tells which.
-            OrderOutcome::Old => {
-                task.answered_us = now_us;
-                task.state = TaskState::Stopping(order.worker);
-            }
-            OrderOutcome::Fenced => task.answered_us = 0,
-            OrderOutcome::Late
-            | OrderOutcome::NoRoom
-            | OrderOutcome::NoTicket
-            | OrderOutcome::Refused
-            | OrderOutcome::Malformed
-            | OrderOutcome::OtherLife
-            | OrderOutcome::Unanswered => self.start_rejected(order, outcome, now_us),
-        }
-    }
-
-    /// A worker rejected a start: the run has not begun and never will, as its number is not used
-    /// again.
-    fn start_rejected(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
-        let worker = &mut self.workers[order.worker as usize];
-        let pause_us = if outcome == OrderOutcome::NoRoom {
-            self.counts.no_room += 1;
-            NO_ROOM_PAUSE_US
-        } else {
-            REFUSED_PAUSE_US
-        };
-        worker.closed_until_us = worker.closed_until_us.max(now_us + pause_us);
-        log::warn!(event = "start_rejected", job = order.task.job.as_str(),
-            step = order.task.step, index = order.task.index, run = order.run,
-            worker = worker.entry.id.as_str(), outcome:? = outcome,
-            used_cpu_milli = worker.used.cpu_milli, used_memory_mb = worker.used.memory_mb; "");
-        if matches!(self.task_state(order.at), TaskState::Stopping(_)) {
-            return;
-        }
-        self.mark(order.at.job, now_us);
-        self.release(order.at, TaskState::Waiting, now_us);
-    }
-
-    /// An order without an answer may be carried out seconds later. A start is sent again, which is
-    /// harmless if it was carried out; after the second time the run is stopped, which bars it.
-    fn worker_silent_order(&mut self, order: &Order, now_us: u64) {
-        // A worker that answers looks is there; it left one order unanswered, and others need not
-        // keep away from it.
-        let answered_us = self.workers[order.worker as usize].answered_us;
-        if now_us.saturating_sub(answered_us) > LOOKS_LATELY_US {
-            self.worker_silent(order.worker, now_us);
-        }
-        let Some(job) = self.jobs.get_mut(order.at.job as usize).and_then(Option::as_mut) else {
-            return;
-        };
-        let task = &mut job.tasks[order.at.task as usize];
-        if task.run != order.run || task.state.worker() != Some(order.worker) {
-            return;
-        }
-        task.unanswered += 1;
-        let gives_up = task.unanswered >= MOST_UNANSWERED;
-        match (&order.kind, task.state) {
-            (OrderKind::Start { .. }, TaskState::Ordered(worker)) if gives_up => {
-                task.unanswered = 0;
-                self.set_state(order.at, TaskState::Stopping(worker), now_us);
-                self.order(order.at, worker, OrderKind::Stop);
-            }
-            (OrderKind::Start { .. }, TaskState::Ordered(_))
-            | (OrderKind::Stop, TaskState::Stopping(_)) => self.orders.push(order.clone()),
-            (OrderKind::Pace { percent }, TaskState::Running(_))
-                if *percent == task.pace_percent =>
-            {
-                self.orders.push(order.clone());
-            }
-            _ => {}
-        }
-    }
 }
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -303,8 +303,6 @@
     pub committed: u64,
     /// Phase that is in the store.
     pub committed_phase: JobPhase,
-    /// Whether any start is in the store.
-    pub committed_started: bool,
     /// Revision of the record's key; 0 while there is none.
     pub revision: u64,
     /// Whether a record is on its way to the store.
@@ -330,7 +328,6 @@
             version: 0,
             committed: 0,
             committed_phase: JobPhase::Active,
-            committed_started: false,
             revision: 0,
             is_committing: false,
             is_started: false,
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! monotonic clock unless a name says otherwise.
 
 mod advice;
+mod answers;
 mod colocation;
 mod ends;
 mod images;
@@ -40,14 +41,8 @@
     pub struct FleetBounds {
         /// Longest lease that a worker grants.
         pub lease_max_ms: u64,
-        /// Longest time that a stop may take.
-        pub stop_ms: u64,
         /// How long a serving task may stay over its target beside tasks that fill.
         pub harm_ms: u64,
-        /// How much longer work takes away from its data or spread over racks.
-        pub remote_factor: f64,
-        /// Time that a resumed task spends on reading its checkpoint.
-        pub restore_ms: u64,
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -12,7 +12,6 @@
             let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
             worker.entry = entry;
             worker.is_listed = true;
-            worker.unlisted_us = 0;
             if began_to_leave {
                 log::info!(event = "worker_leaving", worker = worker.entry.id.as_str(),
                     tasks = worker.tasks.len(), leaves_in_ms = worker.entry.leaves_in_ms; "");
@@ -49,13 +48,10 @@
     }
 
     /// Takes in that the registry lists a worker no more. It may still run what it was given.
-    pub fn worker_unlisted(&mut self, id: &str, now_us: u64) {
+    pub fn worker_unlisted(&mut self, id: &str) {
         let Some(index) = self.worker_by_id.get(id).copied() else { return };
         let worker = &mut self.workers[index as usize];
-        if worker.is_listed {
-            worker.is_listed = false;
-            worker.unlisted_us = now_us;
-        }
+        worker.is_listed = false;
     }
 
     /// The workers that the registry is known to list.
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -27,7 +27,6 @@
         job.phase = record.phase;
         job.committed_phase = record.phase;
         job.is_started = record.is_started;
-        job.committed_started = record.is_started;
         job.ended_us = now_us;
         let slot = self.insert(job);
         for task in &record.tasks {
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -161,8 +161,6 @@
     pub failed_in_a_row: Vec<u32>,
     /// Times that it was closed for failing.
     pub quarantines: u32,
-    /// When the registry first stopped listing it; 0 while it does.
-    pub unlisted_us: u64,
     /// Serving tasks there that were over their target, since when.
     pub over_since_us: u64,
 }
@@ -193,7 +191,6 @@
             closed_until_us: 0,
             failed_in_a_row: Vec::new(),
             quarantines: 0,
-            unlisted_us: 0,
             over_since_us: 0,
         }
     }
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -70,7 +70,6 @@
         job.revision = revision;
         job.committed = write.version;
         job.committed_phase = write.record.phase;
-        job.committed_started = write.record.is_started;
         if job.version > write.version {
             self.dirty.entry(write.slot).or_insert(now_us);
         }
@@ -87,7 +86,7 @@
         for (task, worker) in chosen {
             self.order_start(TaskRef { job: write.slot, task }, worker, now_us);
         }
-        self.acknowledge_ends(write.slot);
+        self.acknowledge_ends();
     }
 
     /// A record could not be stored for now; it is taken again later.
--- a/crates/agatesill_policy/tests/fleet_colocation.rs
+++ b/crates/agatesill_policy/tests/fleet_colocation.rs
@@ -66,7 +66,7 @@
     let other = rig.far.keys().copied().find(|worker| *worker != home).unwrap();
     // The other worker is closed for now, so that both images are tried beside the watchers.
     let id = rig.fleet.worker(other).entry.id.clone();
-    rig.fleet.worker_unlisted(&id, rig.now_us);
+    rig.fleet.worker_unlisted(&id);
     rig.fleet.accept(filling("light", "light", 1), rig.now_us);
     rig.settle();
     for _ in 0..4 {
--- a/crates/agatesill_policy/tests/fleet_random.rs
+++ b/crates/agatesill_policy/tests/fleet_random.rs
@@ -151,7 +151,7 @@
     fn cut(&mut self) {
         if let Some(real) = self.some_life().and_then(|id| self.real.get_mut(&id)) {
             real.is_cut = true;
-            self.rig.fleet.worker_unlisted(&real.entry.id, self.rig.now_us);
+            self.rig.fleet.worker_unlisted(&real.entry.id);
         }
     }
 
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -16,13 +16,7 @@
 
 /// The bounds of the smaller of today's two deployments.
 pub fn bounds() -> FleetBounds {
-    FleetBounds {
-        lease_max_ms: 6_000,
-        stop_ms: 900,
-        harm_ms: 4_000,
-        remote_factor: 3.0,
-        restore_ms: 600,
-    }
+    FleetBounds { lease_max_ms: 6_000, harm_ms: 4_000 }
 }
 
 /// A worker of 16 cores and 64 GB.
--- a/crates/agatesill_policy/tests/fleet_takeover.rs
+++ b/crates/agatesill_policy/tests/fleet_takeover.rs
@@ -80,7 +80,7 @@
     rig.look_all();
     let (worker, ..) = rig.present("j").remove(0);
     let id = rig.fleet.worker(worker).entry.id.clone();
-    rig.fleet.worker_unlisted(&id, rig.now_us);
+    rig.fleet.worker_unlisted(&id);
     rig.fleet.worker_silent(worker, rig.now_us);
     rig.pass_ms(5_600);
     rig.fleet.expire_workers(rig.now_us);
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -47,7 +47,7 @@
 /// it asks once a second and believes the second miss.
 const LEAVING: Duration = Duration::from_millis(2_400);
 
-/// How long open requests may take after that.
+/// How long open requests may take after that; less where the platform gives less time.
 const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
 
 /// Runs the daemon until it gets SIGTERM; metrics are served on `metrics_port` of its address.
@@ -123,7 +123,8 @@
     tokio::time::sleep(LEAVING).await;
     stop_entry.cancel();
     tasks.close();
-    if tokio::time::timeout(LAST_REQUESTS, tasks.wait()).await.is_err() {
+    let limit = Duration::from_millis(site.settings.stop_limit_ms).saturating_sub(LEAVING) / 2;
+    if tokio::time::timeout(LAST_REQUESTS.min(limit), tasks.wait()).await.is_err() {
         log::warn!(event = "stop_cut_short", tasks = tasks.len(); "");
     }
     log::info!(event = "stopped"; "");
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -211,7 +211,7 @@
             Event::Accepted(spec) => self.fleet.accept(*spec, now_us),
             Event::Cancelled(id) => self.fleet.cancel(&id, now_us),
             Event::Listed(entry) => self.listed(*entry),
-            Event::Unlisted(id) => self.fleet.worker_unlisted(&id, now_us),
+            Event::Unlisted(id) => self.fleet.worker_unlisted(&id),
             Event::Registry(entries) => self.registry(entries),
             Event::Looked(worker, look) => {
                 self.fleet.looked(worker, &look, now_us);
@@ -258,14 +258,13 @@
     }
 
     fn registry(&mut self, entries: Vec<WorkerEntry>) {
-        let now_us = self.site.clock.now_us();
         let missing: Vec<String> = self
             .fleet
             .listed()
             .into_iter()
             .filter(|id| entries.iter().all(|entry| entry.id != *id))
             .collect();
-        missing.iter().for_each(|id| self.fleet.worker_unlisted(id, now_us));
+        missing.iter().for_each(|id| self.fleet.worker_unlisted(id));
         entries.into_iter().for_each(|entry| self.listed(entry));
     }
 
