A start that waits to be repeated is dropped by a cancel; a naive twin beside the random events

Ruled out: the acceptance of cancels (the ledger knew it when it gave the order).

Change: orders that a stop has overtaken are left out. The twin knows only which tasks have ended as done at any worker and which jobs are cancelled: it checks the order of steps, starts after a cancel and jobs shown as completed too early.

--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -335,9 +335,21 @@
         self.orders.push(order);
     }
 
-    /// Orders that may go out now.
+    /// Orders that may go out now. A start that was to be repeated is left out if its run was stopped
+    /// meanwhile: its job may have been cancelled.
     pub fn take_orders(&mut self) -> Vec<Order> {
-        std::mem::take(&mut self.orders)
+        let orders = std::mem::take(&mut self.orders);
+        orders.into_iter().filter(|order| !self.is_overtaken(order)).collect()
+    }
+
+    fn is_overtaken(&self, order: &Order) -> bool {
+        if !matches!(order.kind, OrderKind::Start { .. }) {
+            return false;
+        }
+        self.job(order.at.job).is_none_or(|job| {
+            let task = &job.tasks[order.at.task as usize];
+            task.run != order.run || task.state != TaskState::Ordered(order.worker)
+        })
     }
 
     pub(super) fn lease_us(&self) -> u64 {
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -280,3 +280,17 @@
     let runs: Vec<u32> = starts(&orders).iter().map(|order| order.run).collect();
     assert_eq!(runs, [1, 1, 1, 1]);
 }
+
+/// A start is not answered and waits to be sent again when its job is cancelled. Sent after the
+/// stop, it may overtake it, and a cancelled task would run until the stop came.
+#[test]
+fn a_start_that_waits_to_be_repeated_is_dropped_by_a_cancel() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    rig.fleet.accept(job("j", vec![step(1)]), rig.now_us);
+    let start = rig.plan().remove(0);
+    rig.fleet.order_answered(&start, OrderOutcome::Unanswered, rig.now_us);
+    rig.fleet.cancel("j", rig.now_us);
+    let orders = rig.plan();
+    assert!(starts(&orders).is_empty(), "{orders:?}");
+    assert!(orders.iter().any(|order| order.kind == OrderKind::Stop));
+}
--- a/crates/agatesill_policy/tests/fleet_random.rs
+++ b/crates/agatesill_policy/tests/fleet_random.rs
@@ -45,6 +45,8 @@
     jobs: Vec<JobSpec>,
     cancelled: BTreeSet<String>,
     done: BTreeSet<String>,
+    /// The naive twin: tasks with an end `done` at any worker, whatever the ledger made of it.
+    finished: BTreeSet<String>,
     late: Vec<(String, Order, u64)>,
     epoch: u64,
     lives: u32,
@@ -59,6 +61,7 @@
             jobs: Vec::new(),
             cancelled: BTreeSet::new(),
             done: BTreeSet::new(),
+            finished: BTreeSet::new(),
             late: Vec::new(),
             epoch: 1,
             lives: 0,
@@ -110,6 +113,7 @@
                 self.rig.pass_ms(ms);
             }
         }
+        self.note_finished();
         self.lapse();
         self.give_up_waiting();
         self.look_all();
@@ -279,6 +283,9 @@
 
     fn act(&mut self) {
         for order in self.rig.plan() {
+            if matches!(order.kind, OrderKind::Start { .. }) {
+                self.check_start(&order);
+            }
             let id = self.rig.fleet.worker(order.worker).entry.id.clone();
             let now_us = self.rig.now_us;
             let Some(real) = self.real.get_mut(&id).filter(|real| !real.is_cut) else {
@@ -318,6 +325,25 @@
         }
     }
 
+    fn note_finished(&mut self) {
+        let ends = self.real.values().flat_map(|real| real.ended.iter());
+        let done = ends.filter(|end| end.cause == EndCause::Done).map(|end| name(&end.task));
+        self.finished.extend(done);
+    }
+
+    /// What the naive twin says of a start: its job is not cancelled, and every task of the steps
+    /// that it waits for has finished somewhere.
+    fn check_start(&self, order: &Order) {
+        let id = &order.task.job;
+        assert!(!self.cancelled.contains(id), "{id} starts after it was cancelled");
+        for before in &self.step_of(&order.task).after {
+            for index in 0..self.spec_of(id).steps[*before as usize].count {
+                let task = format!("{id}.0.{before}.{index}");
+                assert!(self.finished.contains(&task), "{} before {task}", name(&order.task));
+            }
+        }
+    }
+
     fn check(&mut self) {
         let mut live: BTreeMap<String, u32> = BTreeMap::new();
         for real in self.real.values() {
@@ -338,14 +364,19 @@
                     phase == agatesill_policy::fleet::JobPhase::Completed
                 });
             if is_shown {
+                let all_finished = all_tasks(spec).all(|task| self.finished.contains(&task));
+                assert!(all_finished, "{} is shown as completed too early", spec.id);
                 self.done.extend(all_tasks(spec));
             }
         }
     }
 
     fn step_of(&self, task: &TaskKey) -> &Step {
-        let spec = self.jobs.iter().find(|spec| spec.id == task.job).unwrap();
-        &spec.steps[task.step as usize]
+        &self.spec_of(&task.job).steps[task.step as usize]
+    }
+
+    fn spec_of(&self, id: &str) -> &JobSpec {
+        self.jobs.iter().find(|spec| spec.id == id).unwrap()
     }
 }
 
@@ -414,6 +445,7 @@
         world.rig.pass_ms(100);
         world.end_one();
         world.end_one();
+        world.note_finished();
         world.lapse();
         world.give_up_waiting();
         world.look_all();
