A lasting task goes to a closed worker rather than nowhere

Ruled out: a shorter quarantine for all (jobs would lose their attempts there).

Change: after 1.5 s without a sound worker a lasting task takes a closed one; it has no attempts to lose.

--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -25,6 +25,8 @@
     pub beside: &'a HashMap<WorkerIndex, u32>,
     /// The step, if only workers with a ticket may run it.
     pub advised: Option<Group>,
+    /// Whether a worker that is closed for failing is better than none.
+    pub takes_closed: bool,
     /// Racks that the step's tasks use already.
     pub chosen_racks: &'a [String],
 }
@@ -33,6 +35,9 @@
 /// the time, so any worker on the rack is better.
 const REMOTE_SCORE: f64 = 100.0;
 
+/// Added for a worker that is closed for failing: any open one is better.
+const CLOSED_SCORE: f64 = 1_000.0;
+
 impl Fleet {
     /// The worker with the lowest score of all that may take the task.
     pub(super) fn choose_worker(&self, request: &Request<'_>, now_us: u64) -> Option<WorkerIndex> {
@@ -40,14 +45,20 @@
         self.workers
             .iter()
             .enumerate()
-            .filter(|(_, worker)| worker.is_open(now_us) && worker.free().holds(&charge))
+            .filter(|(_, worker)| {
+                worker.is_open(now_us) || (request.takes_closed && worker.is_there())
+            })
+            .filter(|(_, worker)| worker.free().holds(&charge))
             .filter(|(index, worker)| may_run(request, *index as WorkerIndex, worker))
             .filter(|(index, _)| {
                 request
                     .advised
                     .is_none_or(|group| self.ticket(group, *index as WorkerIndex, now_us).is_some())
             })
-            .map(|(index, worker)| (self.score(request, worker), index))
+            .map(|(index, worker)| {
+                let closed = if worker.is_open(now_us) { 0.0 } else { CLOSED_SCORE };
+                (closed + self.score(request, worker), index)
+            })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .filter(|(score, _)| score.is_finite())
             .map(|(_, index)| index as WorkerIndex)
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -4,12 +4,17 @@
 
 use crate::batch::Resources;
 
+use super::US_PER_MS;
 use super::images::ImageId;
 use super::job::{JobPhase, Step, TaskRef, TaskState};
 use super::place::Request;
 use super::state::{Fleet, Group};
 use super::worker::WorkerIndex;
 
+/// How long a lasting task waits for a sound worker before it takes any. It may be missing for six
+/// seconds in all, starts included.
+const LASTING_WAIT_US: u64 = 1_500 * US_PER_MS;
+
 /// A need that found no worker in this round; no equal or larger one is tried after it.
 #[derive(Debug)]
 struct Misfit {
@@ -26,6 +31,7 @@
     image: ImageId,
     service: &'a str,
     advised: Option<Group>,
+    takes_closed: bool,
 }
 
 impl Fleet {
@@ -61,6 +67,12 @@
             // The others still end; a gang starts only as a whole.
             return;
         }
+        // A lasting task has no attempts to lose; where only a failing worker has room, it goes back
+        // there after a moment rather than being missing until that worker is tried again.
+        let waits_us = now_us.saturating_sub(
+            tasks.iter().map(|t| job.tasks[*t as usize].since_us).min().unwrap_or(now_us),
+        );
+        let takes_closed = step.is_lasting && waits_us > LASTING_WAIT_US;
         let charge = step.charge();
         let image = job.images[group.step as usize];
         let fills = step.fills.then_some(image);
@@ -70,10 +82,10 @@
                 && charge.holds(&misfit.charge)
                 && step.label.is_empty()
         };
-        if misfits.iter().any(is_hopeless) {
+        if !takes_closed && misfits.iter().any(is_hopeless) {
             return;
         }
-        let setting = Setting { step: &step, image, service: &service, advised };
+        let setting = Setting { step: &step, image, service: &service, advised, takes_closed };
         let placed = self.place_tasks(group, &setting, &tasks, now_us);
         if placed == tasks.len() {
             self.waiting.remove(&group);
@@ -96,9 +108,16 @@
         let mut racks: Vec<String> = Vec::new();
         let mut chosen: Vec<TaskRef> = Vec::with_capacity(tasks.len());
         for task in tasks {
-            let Setting { step, image, service, advised } = *setting;
-            let request =
-                Request { step, service, image, beside: &beside, advised, chosen_racks: &racks };
+            let Setting { step, image, service, advised, takes_closed } = *setting;
+            let request = Request {
+                step,
+                service,
+                image,
+                beside: &beside,
+                advised,
+                takes_closed,
+                chosen_racks: &racks,
+            };
             let Some(worker) = self.choose_worker(&request, now_us) else { break };
             let at = TaskRef { job: group.job, task: *task };
             *beside.entry(worker).or_default() += 1;
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -197,10 +197,12 @@
 
     /// Whether new tasks may be sent there.
     pub fn is_open(&self, now_us: u64) -> bool {
-        self.standing == WorkerStanding::Good
-            && self.is_listed
-            && !self.entry.is_leaving
-            && now_us >= self.closed_until_us
+        self.is_there() && now_us >= self.closed_until_us
+    }
+
+    /// Whether it answers, is registered and stays; it may be closed for failing what it starts.
+    pub fn is_there(&self) -> bool {
+        self.standing == WorkerStanding::Good && self.is_listed && !self.entry.is_leaving
     }
 
     /// What is not charged.
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -294,3 +294,28 @@
     assert!(starts(&orders).is_empty(), "{orders:?}");
     assert!(orders.iter().any(|order| order.kind == OrderKind::Stop));
 }
+
+/// A watcher fails on a worker that fails what it starts, and no other worker has room. Kept away until
+/// the worker is tried again, for up to half a minute, nobody would watch the ledger; a lasting task has
+/// no attempts to lose, so it goes back.
+#[test]
+fn a_lasting_task_goes_to_a_closed_worker_rather_than_nowhere() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    let watch = Step { is_lasting: true, ..step(1) };
+    rig.fleet.accept(job("watch", vec![watch]), rig.now_us);
+    for id in ["j", "k", "l"] {
+        rig.fleet.accept(job(id, vec![step(1)]), rig.now_us);
+    }
+    rig.settle();
+    for id in ["watch", "j", "k", "l"] {
+        let (worker, task, run) = rig.present(id).remove(0);
+        rig.end(worker, &task, run, EndCause::Failed);
+    }
+    rig.look_all();
+    assert!(starts(&rig.plan()).is_empty(), "another worker may come to have room");
+    rig.pass_ms(1_600);
+    rig.look_all();
+    let orders = rig.plan();
+    let names: Vec<&str> = starts(&orders).iter().map(|o| o.task.job.as_str()).collect();
+    assert_eq!(names, ["watch"]);
+}
