A daemon says once when it loses the store, the planner or the advice service, and when it is back

Cause: a daemon that does not plan told of a lost store at debug level only, so a refusal in its log had no cause beside it. Ruled out: a line for each failed call (forty a second in an outage). Change: agatesill_coord::dependency holds the belief; the store's gate, the link to the planner and the advisor tell it of answers and failures. One threshold (two failures in a row) in one place.

--- a/crates/agatesill_coord/src/store/gate.rs
+++ b/crates/agatesill_coord/src/store/gate.rs
@@ -12,6 +12,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::dependency::Dependency;
+
 /// Calls under way at once, watches aside. At 2 ms a call this is far above any budget; a slow
 /// service meets it first.
 const IN_FLIGHT_CALLS: u32 = 32;
@@ -59,7 +61,6 @@
     in_flight: u32,
     waiting: u32,
     urgent_waiting: u32,
-    failures: u32,
     answered: Option<Instant>,
     paused_until: Instant,
     is_probing: bool,
@@ -71,6 +72,7 @@
     calls_per_s: f64,
     state: Mutex<State>,
     changed: Notify,
+    service: Dependency,
 }
 
 /// Leave to make one call; say how it ended with [`Permit::done`].
@@ -98,12 +100,16 @@
             in_flight: 0,
             waiting: 0,
             urgent_waiting: 0,
-            failures: 0,
             answered: None,
             paused_until: now,
             is_probing: false,
         };
-        Self { calls_per_s, state: Mutex::new(state), changed: Notify::new() }
+        Self {
+            calls_per_s,
+            state: Mutex::new(state),
+            changed: Notify::new(),
+            service: Dependency::new("store"),
+        }
     }
 
     /// Waits for leave to make a call.
@@ -158,7 +164,7 @@
             let pause = Duration::from_secs_f64((least - state.tokens) / self.calls_per_s);
             return Err(pause.max(SHORTEST_PAUSE));
         }
-        let is_probe = state.failures > 0 && class != Class::Watch;
+        let is_probe = self.service.failed_in_a_row() > 0 && class != Class::Watch;
         let is_behind = class == Class::Normal && state.urgent_waiting > 0;
         let is_full = class != Class::Watch && state.in_flight >= IN_FLIGHT_CALLS;
         if (is_probe && state.is_probing) || is_behind || is_full {
@@ -170,9 +176,9 @@
         Ok(Permit { gate: self, class, is_probe })
     }
 
-    /// Calls that failed since the last one that was answered.
-    pub(super) fn failed_in_a_row(&self) -> u32 {
-        self.lock().failures
+    /// What is believed about the service.
+    pub(super) fn service(&self) -> &Dependency {
+        &self.service
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -181,22 +187,22 @@
 }
 
 impl Permit<'_> {
-    /// Says whether the service answered; `jitter` from 0 to 1 spreads the pause if it did not.
-    pub(super) fn done(self, answered: bool, jitter: f64) {
+    /// Says why the service did not answer, if so; `jitter` from 0 to 1 spreads the pause then.
+    pub(super) fn done(self, failure: Option<&str>, jitter: f64) {
         let mut state = self.gate.lock();
         let now = Instant::now();
-        if answered {
-            state.failures = 0;
+        let Some(failure) = failure else {
+            self.gate.service.answered();
             state.answered = Some(now);
             return;
-        }
+        };
         // A service that loses some answers and gives others is not away; pausing would stop what
         // it still does.
         if state.answered.is_some_and(|answered| now - answered < LATELY) {
             return;
         }
-        let pause = FIRST_PAUSE * (1 << state.failures.min(8));
-        state.failures += 1;
+        let pause = FIRST_PAUSE * (1 << self.gate.service.failed_in_a_row().min(8));
+        self.gate.service.failed(failure);
         state.paused_until = now + pause.min(LONGEST_PAUSE).mul_f64(0.5 + jitter);
     }
 }
--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -118,7 +118,13 @@
 
     /// Calls that failed since the last one that was answered.
     pub fn failed_in_a_row(&self) -> u32 {
-        self.gate.failed_in_a_row()
+        self.gate.service().failed_in_a_row()
+    }
+
+    /// Whether call after call fails: a caller is then told at once to come back instead of waiting
+    /// for a call that will not be answered.
+    pub fn is_lost(&self) -> bool {
+        self.gate.service().is_lost()
     }
 
     /// Makes one call. An error says nothing about whether it took effect.
@@ -168,12 +174,12 @@
             let what = format!("no answer within {} ms", limit.as_millis());
             Err(Error::new(ErrorKind::Unreachable, what))
         });
-        let answered = match &outcome {
-            Ok(_) => true,
-            // The service's own word that the call can never be done.
-            Err(error) => matches!(error.kind, ErrorKind::TooLarge | ErrorKind::BadRequest),
-        };
-        permit.done(answered, self.jitter());
+        let failure = outcome.as_ref().err().filter(|error| {
+            // The service's own word that the call can never be done is an answer.
+            !matches!(error.kind, ErrorKind::TooLarge | ErrorKind::BadRequest)
+        });
+        permit.done(failure.map(|error| error.detail.as_str()), self.jitter());
+        let answered = failure.is_none();
         outcome.map_err(|error| {
             self.counts.failures.fetch_add(1, Ordering::Relaxed);
             if answered {
--- a/crates/agatesilld/src/fleet/advisor.rs
+++ b/crates/agatesilld/src/fleet/advisor.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatesill_coord::prelude::*;
 use agatesill_platform::advice::AdviceChannel;
 use agatesill_policy::fleet::AdviceQuestion;
 use tokio::sync::mpsc;
@@ -29,6 +30,7 @@
 ) {
     let Some(addr) = site.settings.advice_addr else { return };
     let mut channel = AdviceChannel::new(addr);
+    let service = Dependency::new("advice");
     loop {
         let question = tokio::select! {
             () = stop.cancelled() => return,
@@ -36,8 +38,12 @@
         };
         let Some(question) = question else { return };
         let advised = match channel.ask(&question, LIMIT).await {
-            Ok(advised) => Some(advised),
+            Ok(advised) => {
+                service.answered();
+                Some(advised)
+            }
             Err(error) => {
+                service.failed(&error.detail);
                 log::warn!(event = "advice_failed", job = question.step.job.as_str(); "{error}");
                 tokio::time::sleep(PAUSE).await;
                 None
--- a/crates/agatesilld/src/fleet/link.rs
+++ b/crates/agatesilld/src/fleet/link.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use agatesill_coord::prelude::*;
 use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
 use agatesill_wire::prelude::*;
@@ -31,10 +32,18 @@
 type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<FleetAnswer>>>>;
 
 /// The way to other daemons: one connection, to the one asked last.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Link {
     next: AtomicU64,
     open: Mutex<Option<Open>>,
+    planner: Dependency,
+}
+
+impl Default for Link {
+    fn default() -> Self {
+        let planner = Dependency::new("planner");
+        Self { next: AtomicU64::new(0), open: Mutex::default(), planner }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -61,8 +70,10 @@
         };
         lock(&open.waiting).remove(&number);
         if answer.is_none() {
-            log::debug!(event = "peer_silent", peer = addr.to_string(); "");
+            self.planner.failed(&format!("no answer from {addr}"));
             self.close(&open);
+        } else {
+            self.planner.answered();
         }
         answer
     }
--- a/crates/agatesilld/src/fleet/stored.rs
+++ b/crates/agatesilld/src/fleet/stored.rs
@@ -19,9 +19,6 @@
 /// 300 ms.
 const WRITE_LIMIT: Duration = Duration::from_millis(700);
 
-/// Failed calls in a row from which the store counts as away.
-const FAILING: u32 = 2;
-
 /// A job's phase and whether any of its tasks has started.
 pub type State = (JobPhase, bool);
 
@@ -65,15 +62,9 @@
     create(site, keys::job(id), json).await
 }
 
-/// Whether the store fails call after call: a caller is then told at once to come back instead of
-/// waiting for a call that will not be answered. Followers of the store go on trying it.
-fn is_store_failing(site: &Site) -> bool {
-    site.store.failed_in_a_row() >= FAILING
-}
-
 /// Stores a cancel of a job that is stored.
 pub async fn store_cancel_here(site: &Site, id: &str) -> FleetWrite {
-    if is_store_failing(site) {
+    if site.store.is_lost() {
         return FleetWrite::NotStored;
     }
     match site.store.get(&keys::job(id)).await {
@@ -87,7 +78,7 @@
 }
 
 async fn create(site: &Site, key: String, value: String) -> FleetWrite {
-    if is_store_failing(site) {
+    if site.store.is_lost() {
         return FleetWrite::NotStored;
     }
     let create =
@@ -171,7 +162,7 @@
 }
 
 async fn read_state(site: &Site, id: &str) -> Result<Option<State>, Error> {
-    if is_store_failing(site) {
+    if site.store.is_lost() {
         return Err(Error::new(ErrorKind::StoreUnavailable, "it fails").retry_after(1_000));
     }
     if let Some(entry) = site.store.get(&keys::progress(id)).await? {
