Work that fills goes beside lasting tasks by their present tails

The room there was a fixed share of the reserve, whatever the load. 144,000 pairs of looks without harmful pairs: the chance of a tail over target at the next look runs from 0.000 (mean tail 0.3, worker half full) to 0.47 (mean tail 0.9, worker 0.9 full). Change: the part of a worker that may be in use falls with the mean tail; of two workers the one with lower tails is taken first. Debug lines of looks tell capacity, use and reserve.

--- a/crates/agatesill_policy/src/fleet/colocation/balance.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/balance.rs
@@ -67,6 +67,8 @@
         let worst = servers.iter().map(|server| server.ratio).fold(0.0, f64::max);
         let worker = &mut self.workers[index as usize];
         worker.worst_tail = worst;
+        let sum: f64 = servers.iter().map(|server| server.ratio).sum();
+        worker.mean_tail = sum / servers.len().max(1) as f64;
         if servers.is_empty() {
             worker.over_since_us = 0;
             return;
@@ -136,7 +138,11 @@
             .iter()
             .map(|f| format!("{}:{}:{:.1}", f.image, f.pace_percent, f.cores))
             .collect();
-        log::debug!(event = "beside", worker = self.workers[index as usize].entry.id.as_str(),
+        let worker = &self.workers[index as usize];
+        log::debug!(event = "beside", worker = worker.entry.id.as_str(),
+            capacity_milli = worker.entry.capacity.cpu_milli,
+            used_milli = worker.used.cpu_milli, lasting_milli = worker.lasting_cpu_milli,
+            filling_milli = worker.filling_cpu_milli,
             tails = tails.join(" ").as_str(), filling = beside.join(" ").as_str(); "");
     }
 
--- a/crates/agatesill_policy/src/fleet/colocation/room.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/room.rs
@@ -9,8 +9,11 @@
 /// Share of the reserved processors that lasting tasks use: they declare about twice their load.
 const USED_SHARE: f64 = 0.55;
 
-/// Added for a worker with lasting tasks: a crowded free worker is as good up to this much.
-const BESIDE_SERVING: f64 = 0.35;
+/// Added for a worker with lasting tasks, for each mean tail over target: a crowded free worker is
+/// as good up to this much. Of two workers the one whose lasting tasks have less load now is better
+/// by far: the chance that a tail passes its target at the next look grows e-fold with 0.1 of mean
+/// tail or 0.12 of crowding (144,000 pairs of looks).
+const TAIL_WEIGHT: f64 = 0.6;
 
 /// Added for each serving image beside which the filling image has not been seen yet.
 const UNKNOWN_PAIR: f64 = 0.25;
@@ -18,9 +21,17 @@
 /// A worker whose serving tasks have tails above this share of their target takes no more.
 const NEAR_TARGET: f64 = 0.8;
 
-/// Beside lasting tasks no more than this part of the processors that they leave is given away:
-/// their load swings by half, and tails rise as soon as the worker is full.
-const MOST_CROWDED_BESIDE: f64 = 0.85;
+/// Part of a worker with lasting tasks that may be in use when their mean tail is [`LOW_TAIL`]: one
+/// tail in fifty is then over its target at the next look.
+const FULL_AT_LOW_TAIL: f64 = 1.12;
+
+/// Mean tail over target of lasting tasks at the low end of their load.
+const LOW_TAIL: f64 = 0.3;
+
+/// By how much less of the worker may be in use for each mean tail above that, for the same chance.
+/// The load of lasting tasks swings by half within seconds, and tails double at once when the
+/// worker is full.
+const LESS_FOR_TAIL: f64 = 1.3;
 
 /// Tasks of one image that may run beside a serving image before the pair is known.
 const TRIAL_TASKS: u32 = 1;
@@ -49,10 +60,12 @@
         if worker.lasting == 0 {
             return crowding;
         }
-        if worker.worst_tail > NEAR_TARGET || crowding > MOST_CROWDED_BESIDE {
+        let in_use = (plain + lasting * USED_SHARE + wanted) / capacity;
+        let most = FULL_AT_LOW_TAIL - (worker.mean_tail - LOW_TAIL) * LESS_FOR_TAIL;
+        if worker.worst_tail > NEAR_TARGET || in_use > most {
             return f64::INFINITY;
         }
-        let mut score = crowding + BESIDE_SERVING;
+        let mut score = crowding + worker.mean_tail * TAIL_WEIGHT;
         for serving in worker.serving.iter() {
             match self.pressure.weight(serving, request.image) {
                 Some(weight) if weight >= HARMFUL => return f64::INFINITY,
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -137,6 +137,8 @@
     pub(super) filling: ImageCounts,
     /// Highest tail over target among its serving tasks at the last look.
     pub worst_tail: f64,
+    /// The mean of these tails; 0 before the first look.
+    pub mean_tail: f64,
     /// When its figures were last taken in.
     pub sampled_us: u64,
     /// Tasks that are charged.
@@ -179,6 +181,7 @@
             serving: ImageCounts::default(),
             filling: ImageCounts::default(),
             worst_tail: 0.0,
+            mean_tail: 0.0,
             sampled_us: 0,
             tasks: Vec::new(),
             seen_end: 0,
