A small planner passes the range on to a much bigger daemon

Ruled out: a longer head start for bigger machines (they come back up to a second later, and each takeover of the sites with equal machines would pay for it). Change: the owner's key says how much of a processor the owner has; a daemon with twice as much asks for the range, which is given up as at a planned stop, at most once in 20 s.

--- a/crates/agatesill_coord/src/lease.rs
+++ b/crates/agatesill_coord/src/lease.rs
@@ -39,15 +39,24 @@
         /// Where the owner takes calls of its peers; empty if it names no address.
         #[serde(default, skip_serializing_if = "String::is_empty")]
         pub address: String,
+        /// Thousandths of a processor that the owner has; 0 if it does not say.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        pub cpu_milli: u32,
     }
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature that serde asks for.
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
 /// One process's store lease and the ranges that it owns under it.
 #[derive(Debug)]
 pub struct Ownership {
     store: Store,
     instance: String,
     address: String,
+    cpu_milli: u32,
     ttl: Duration,
     lease_id: u64,
     valid_until: Option<Instant>,
@@ -62,6 +71,7 @@
             store,
             instance: instance.to_owned(),
             address: String::new(),
+            cpu_milli: 0,
             ttl,
             lease_id: 0,
             valid_until: None,
@@ -75,6 +85,21 @@
         Self { address: address.to_owned(), ..self }
     }
 
+    /// The same, saying how much of a processor this process has, in thousandths.
+    pub fn with_cpu(self, cpu_milli: u32) -> Self {
+        Self { cpu_milli, ..self }
+    }
+
+    /// What the key of a range says while this process owns it.
+    pub fn owner(&self) -> Owner {
+        Owner {
+            instance: self.instance.clone(),
+            lease_id: self.lease_id,
+            address: self.address.clone(),
+            cpu_milli: self.cpu_milli,
+        }
+    }
+
     /// Whether the lease certainly holds at `now`.
     pub fn is_valid(&self, now: Instant) -> bool {
         self.valid_until.is_some_and(|until| now < until)
@@ -144,12 +169,7 @@
             return Ok(false);
         }
         let key = owner_key(range);
-        let owner = Owner {
-            instance: self.instance.clone(),
-            lease_id: self.lease_id,
-            address: self.address.clone(),
-        };
-        let value = serde_json::to_string(&owner)
+        let value = serde_json::to_string(&self.owner())
             .map_err(|error| Error::new(ErrorKind::Protocol, error.to_string()))?;
         let mut expect_version = 0;
         for _ in 0..2 {
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// What is asked.
-    #[prost(oneof = "FleetQuestion", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "FleetQuestion", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub question: Option<FleetQuestion>,
 }
 
@@ -35,6 +35,9 @@
     /// Store a cancel for the caller.
     #[prost(string, tag = "7")]
     StoreCancel(String),
+    /// Pass planning on to a daemon with so many thousandths of a processor.
+    #[prost(uint32, tag = "8")]
+    PassOn(u32),
 }
 
 /// A job to store.
--- a/crates/agatesilld/src/fleet/link.rs
+++ b/crates/agatesilld/src/fleet/link.rs
@@ -235,6 +235,7 @@
         Some(FleetQuestion::StoreCancel(id)) => {
             answer.write = stored::store_cancel_here(site, &id).await as i32;
         }
+        Some(FleetQuestion::PassOn(cpu_milli)) => answer.is_known = site.ask_to_pass_on(cpu_milli),
         None => {}
     }
     answer
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use agatesill_coord::lease::{Owner, Ownership, owner_key};
+use agatesill_wire::fleet::FleetQuestion;
 use agatesill_wire::platform::StoreCall;
 use agatesill_wire::prelude::*;
 use tokio::time::Instant;
@@ -34,6 +35,13 @@
 /// Share of a processor from which a daemon claims at once.
 const BIG_SHARE: f64 = 0.5;
 
+/// How long a daemon that plans is left alone before a much bigger one asks for the range: at a
+/// start of all daemons the bigger ones may simply come a moment later, and claims settle.
+const SETTLING: Duration = Duration::from_millis(400);
+
+/// Time between two questions for the range.
+const ASKING: Duration = Duration::from_secs(2);
+
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -48,7 +56,8 @@
     while !stop.is_cancelled() {
         let address = site.settings.peer_addr.to_string();
         let mut ownership = Ownership::new(site.store.clone(), &site.settings.instance, LEASE)
-            .with_address(&address);
+            .with_address(&address)
+            .with_cpu(site.cpu_milli());
         if wait_until_free(&site, &stop).await && claim(&site, &mut ownership).await {
             plan_while_owned(&site, &mut ownership, &stop, &alive).await;
         }
@@ -73,6 +82,7 @@
             tokio::select! {
                 () = stop.cancelled() => {}
                 () = until_changed(site, key, reply.revision) => {}
+                () = ask_smaller_planner(site) => {}
             }
             false
         }
@@ -94,6 +104,22 @@
     }
 }
 
+/// Asks a planner on a much smaller machine to pass the range on, again and again.
+///
+/// Guards against a site that is planned by a machine too small for it: which daemon claims first
+/// after an outage is luck. It shows as starts, stops and counts that are late by seconds.
+async fn ask_smaller_planner(site: &Site) {
+    let Some(addr) = site.smaller_planner() else { return std::future::pending().await };
+    tokio::time::sleep(SETTLING).await;
+    loop {
+        let answer = site.link.ask(addr, FleetQuestion::PassOn(site.cpu_milli())).await;
+        log::info!(event = "planner_asked_for", planner = addr.to_string(),
+            is_granted = answer.is_some_and(|answer| answer.is_known),
+            cpu_milli = site.cpu_milli(); "");
+        tokio::time::sleep(ASKING).await;
+    }
+}
+
 /// How long to leave the range to bigger machines: planning needs processor time and a fast link to
 /// read the ledger back.
 fn head_start(site: &Site) -> Duration {
@@ -128,42 +154,40 @@
     let Some(epoch) = ownership.epoch(PLANNER) else { return };
     log::info!(event = "planner_owned", epoch = epoch; "");
     site.confirmed_us.store(site.clock.now_us(), Ordering::Release);
-    site.set_owner(Some(Owner {
-        instance: site.settings.instance.clone(),
-        lease_id: ownership.lease_id(),
-        address: site.settings.peer_addr.to_string(),
-    }));
+    site.set_owner(Some(ownership.owner()));
     let lost = alive.child_token();
     let running = tokio::spawn(planner::run(site.clone(), epoch, lost.clone()));
-    renew_while_held(site, ownership, &lost, stop).await;
+    let passes_on = renew_while_held(site, ownership, &lost, stop).await;
     lost.cancel();
     if let Err(error) = running.await {
         log::error!(event = "planner_failed"; "{error}");
     }
     site.confirmed_us.store(0, Ordering::Release);
-    log::info!(event = "planner_left", epoch = epoch, is_stopping = stop.is_cancelled(); "");
-    if stop.is_cancelled() {
+    log::info!(event = "planner_left", epoch = epoch, passes_on = passes_on; "");
+    site.set_owner(None);
+    if passes_on {
         if let Err(error) = ownership.give_up(PLANNER).await {
             log::warn!(event = "range_not_given_up"; "{error}");
         }
     }
 }
 
-/// Renews until the store says that the range is lost, the planner meets a higher epoch, or a
-/// planned stop begins. A store that does not answer is no reason to stop: what runs goes on, and
+/// Renews until the store says that the range is lost, the planner meets a higher epoch, a planned
+/// stop begins or a bigger daemon asks; true if the range is still held then. A store that does not answer is no reason to stop: what runs goes on, and
 /// commits fail by themselves once another daemon owns the range.
 async fn renew_while_held(
     site: &Site,
     ownership: &mut Ownership,
     lost: &CancellationToken,
     stop: &CancellationToken,
-) {
+) -> bool {
     let lease_id = ownership.lease_id();
     loop {
         let next = Instant::now() + RENEWAL;
         tokio::select! {
-            () = stop.cancelled() => return,
-            () = lost.cancelled() => return,
+            () = stop.cancelled() => return true,
+            () = site.passing_on.notified() => return true,
+            () = lost.cancelled() => return false,
             () = tokio::time::sleep_until(next) => {}
         }
         let sent_us = site.clock.now_us();
@@ -177,7 +201,7 @@
             }
             Ok(()) => {
                 log::warn!(event = "planner_lease_lost", lease = lease_id; "");
-                return;
+                return false;
             }
             Err(error) => log::warn!(event = "renewal_failed",
                 confirmed_ms_ago =
--- a/crates/agatesilld/src/fleet/site.rs
+++ b/crates/agatesilld/src/fleet/site.rs
@@ -8,12 +8,20 @@
 use agatesill_coord::prelude::*;
 use agatesill_platform::prelude::*;
 use agatesill_policy::fleet::Counts;
+use tokio::sync::Notify;
 
 use super::clock::Clock;
 use super::link::Link;
 use super::metrics::FleetMetrics;
 use super::planner::PlannerHandle;
 
+/// A daemon with so many times the processor of the one that plans is better at it.
+const BIGGER: u32 = 2;
+
+/// Shortest time between two times that planning is passed on by one daemon: if the bigger one
+/// fails to take it, the range must not go to and fro.
+const PASSED_ON_US: u64 = 20_000_000;
+
 /// Age of a confirmation of ownership up to which no other daemon can own the planner's range: the
 /// lease of two seconds less a tenth for the rates of clocks.
 const CERTAIN_US: u64 = 1_800_000;
@@ -64,6 +72,9 @@
     owner: RwLock<Option<Owner>>,
     planned: Mutex<Planned>,
     is_stopping: AtomicBool,
+    /// Woken when planning is to be passed on.
+    pub passing_on: Notify,
+    passed_on_us: AtomicU64,
 }
 
 impl Site {
@@ -82,6 +93,8 @@
             planner: Mutex::default(),
             owner: RwLock::default(),
             is_stopping: AtomicBool::new(false),
+            passing_on: Notify::new(),
+            passed_on_us: AtomicU64::new(0),
         }
     }
 
@@ -133,6 +146,33 @@
         *self.owner.write().unwrap_or_else(PoisonError::into_inner) = owner;
     }
 
+    /// Thousandths of a processor that this daemon has.
+    pub fn cpu_milli(&self) -> u32 {
+        (self.settings.cpu_share * 1_000.0) as u32
+    }
+
+    /// The daemon that plans, if it is so much smaller than this one that planning should move here.
+    pub fn smaller_planner(&self) -> Option<SocketAddr> {
+        let owner = self.owner().filter(|owner| owner.cpu_milli > 0)?;
+        (self.cpu_milli() >= owner.cpu_milli.saturating_mul(BIGGER)).then(|| self.planner_addr())?
+    }
+
+    /// Passes planning on if this daemon plans and the one that asks is much bigger; false if not.
+    pub fn ask_to_pass_on(&self, cpu_milli: u32) -> bool {
+        let is_owner = self.owner().is_some_and(|owner| owner.instance == self.settings.instance);
+        let now_us = self.clock.now_us();
+        let passed_on_us = self.passed_on_us.load(Ordering::Relaxed);
+        let is_lately = passed_on_us > 0 && now_us - passed_on_us < PASSED_ON_US;
+        if !is_owner || is_lately || cpu_milli < self.cpu_milli().saturating_mul(BIGGER) {
+            return false;
+        }
+        self.passed_on_us.store(now_us, Ordering::Relaxed);
+        log::info!(event = "planner_passed_on", cpu_milli = self.cpu_milli(),
+            to_cpu_milli = cpu_milli; "a bigger daemon asks");
+        self.passing_on.notify_one();
+        true
+    }
+
     /// Where the planner's daemon takes calls, if it is known and not this one.
     pub fn planner_addr(&self) -> Option<SocketAddr> {
         let owner = self.owner()?;
