A fault soak of real daemons on the platform's wire, and stand-ins that judge

Store, workers, callers and proxies of platform/tests are split, the worker keeps leases, fences, bars, ends and capacity, and one book of all workers judges each start: in two places, after its end, before its step, of a job that nobody handed in or that was cancelled.

--- /dev/null
+++ b/crates/agatesilld/tests/fleet_soak/daemon.rs
@@ -0,0 +1,178 @@
+//! A daemon as a process of its own, with a proxy between it and the store.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use tokio_util::sync::CancellationToken;
+
+use crate::support::caller::call;
+use crate::support::proxy::Proxy;
+use crate::support::settings::{self, Places};
+
+/// How long a planned stop may take before the process is killed.
+const STOP_LIMIT: Duration = Duration::from_secs(6);
+
+/// Memory that a daemon may use, in pages of 4 kB: 128 MB.
+const MOST_PAGES: u64 = 32_768;
+
+pub struct Daemon {
+    pub name: String,
+    pub places: Places,
+    /// Between this daemon and the store.
+    pub store: Proxy,
+    folder: PathBuf,
+    metrics_port: u16,
+    child: Mutex<Option<Child>>,
+    /// Problems that its process had by itself.
+    troubles: Mutex<Vec<String>>,
+}
+
+impl Daemon {
+    /// Writes the settings; the process is not started yet.
+    pub async fn prepare(
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        cpu_share: f64,
+        stop: &CancellationToken,
+    ) -> Self {
+        let places = Places::free().await;
+        let store = Proxy::start(store, stop).await;
+        let metrics_port = crate::support::free_addr().await.port();
+        let text = settings::daemon(name, &places, store.addr, cpu_share);
+        std::fs::write(folder.join(format!("{name}.yaml")), text).unwrap();
+        Self {
+            name: name.to_owned(),
+            places,
+            store,
+            folder: folder.to_owned(),
+            metrics_port,
+            child: Mutex::new(None),
+            troubles: Mutex::default(),
+        }
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.folder.join(format!("{}.log", self.name))
+    }
+
+    /// Starts the process unless it runs.
+    pub fn start(&self) {
+        let mut child = self.child();
+        if child.is_some() {
+            return;
+        }
+        let log = File::options().create(true).append(true).open(self.log_path()).unwrap();
+        let errors = log.try_clone().unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_agatesilld"))
+            .args(["--platform", "--metrics-port", &self.metrics_port.to_string()])
+            .env("AGATESILL_NODE_FILE", self.folder.join(format!("{}.yaml", self.name)))
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .unwrap();
+        *child = Some(process);
+    }
+
+    /// Kills the process without a word.
+    pub fn kill(&self) {
+        let taken = self.child().take();
+        if let Some(mut child) = taken {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal to this very process.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = self.child().as_ref() {
+            let id = child.id().to_string();
+            let _ = Command::new("kill").arg(format!("-{name}")).arg(id).status();
+        }
+    }
+
+    /// Stops the process as a release does and waits for it; false if it had to be killed.
+    pub async fn terminate(&self) -> bool {
+        let Some(id) = self.id() else { return true };
+        self.signal("TERM");
+        let until = Instant::now() + STOP_LIMIT;
+        while Instant::now() < until {
+            // Another stop that overlaps with this one may have started the next process.
+            if self.is_over() || self.id() != Some(id) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.kill();
+        false
+    }
+
+    /// Whether no process runs; one that ended is forgotten.
+    pub fn is_over(&self) -> bool {
+        let mut child = self.child();
+        let Some(process) = child.as_mut() else { return true };
+        let Ok(Some(status)) = process.try_wait() else { return false };
+        *child = None;
+        drop(child);
+        if !status.success() {
+            self.troubles.lock().unwrap().push(format!("{} ended with {status}", self.name));
+        }
+        true
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let asked = call(self.places.ready, Method::GET, "/agatesill/readyz", "").await;
+        asked.is_some_and(|(status, ..)| status == 200)
+    }
+
+    /// Lines of its log with this event.
+    pub fn lines(&self, event: &str) -> Vec<serde_json::Value> {
+        let text = std::fs::read_to_string(self.log_path()).unwrap_or_default();
+        text.lines()
+            .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+            .filter(|line| line["event"] == event)
+            .collect()
+    }
+
+    /// What went wrong inside the process: it ended by itself, panicked or outgrew its memory.
+    pub fn troubles(&self) -> Vec<String> {
+        let _ = self.is_over();
+        let text = std::fs::read_to_string(self.log_path()).unwrap_or_default();
+        let panics = text.lines().filter(|line| line.contains("panicked"));
+        let mut troubles: Vec<String> =
+            panics.map(|line| format!("{}: {line}", self.name)).collect();
+        troubles.extend(self.troubles.lock().unwrap().clone());
+        troubles.extend(
+            self.pages()
+                .filter(|pages| *pages > MOST_PAGES)
+                .map(|pages| format!("{} uses {} MB", self.name, pages * 4 / 1_024)),
+        );
+        troubles
+    }
+
+    fn pages(&self) -> Option<u64> {
+        let id = self.id()?;
+        let text = std::fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
+        text.split(' ').nth(1)?.parse().ok()
+    }
+
+    fn id(&self) -> Option<u32> {
+        self.child().as_ref().map(Child::id)
+    }
+
+    fn child(&self) -> MutexGuard<'_, Option<Child>> {
+        self.child.lock().unwrap()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -0,0 +1,70 @@
+//! Randomised faults over real daemon processes between stand-ins that speak the platform's wire.
+//!
+//! `FLEET_SOAK_SEEDS=1-50 cargo test -p agatesilld --test fleet_soak -- --nocapture seeds_by_hand`
+//! plays more; `docs/TESTING.md` says how a seed is traced.
+
+#![allow(clippy::unwrap_used)] // A broken assumption of a test ends the test.
+
+mod callers;
+mod daemon;
+mod faults;
+mod run;
+#[path = "../../../../platform/tests/support/mod.rs"]
+mod support;
+
+use futures::stream::{StreamExt, iter};
+
+use self::run::{DAEMONS, WORKERS, play};
+
+/// Seeds of the short set: together they draw every kind of fault, and one has planned work alone.
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
+/// Runs at once: each has three daemons that mostly wait.
+const AT_ONCE: usize = 2;
+
+/// Lines of a run's complaints that are shown.
+const SHOWN: usize = 12;
+
+/// Plays seeds and returns what went wrong in each.
+async fn soak(seeds: impl IntoIterator<Item = u64>, at_once: usize) -> Vec<String> {
+    let runs = iter(seeds).map(|seed| async move {
+        let strikes = faults::schedule(seed, DAEMONS, WORKERS);
+        let (wrong, folder) = play(seed, &strikes).await;
+        if wrong.is_empty() {
+            drop(std::fs::remove_dir_all(&folder));
+            println!("seed {seed}: kept");
+            return None;
+        }
+        let shown: Vec<&str> = wrong.iter().take(SHOWN).map(String::as_str).collect();
+        let told = format!(
+            "seed {seed}, logs in {}:\n  {} complaints:\n  {}\n  faults: {strikes:#?}",
+            folder.display(),
+            wrong.len(),
+            shown.join("\n  ")
+        );
+        println!("{told}");
+        Some(told)
+    });
+    runs.buffer_unordered(at_once).filter_map(|told| async { told }).collect().await
+}
+
+/// Daemons die, stand still and are stopped as planned, the store goes away, is slow, loses answers
+/// and revokes keys, connections are cut one way or silent, workers die, leave, hang and carry orders
+/// out late; alone, together and twice, while callers hand jobs in on connections that they keep.
+/// No task may run twice at once or after its end, none may be lost, and each caller is told the
+/// truth.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fixed_seeds_keep_every_promise() {
+    let failed = soak(SEEDS, AT_ONCE).await;
+    assert!(failed.is_empty(), "{}", failed.join("\n\n"));
+}
+
+/// The seeds that `FLEET_SOAK_SEEDS` names as `FIRST-LAST`; none if it is not set.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn seeds_by_hand() {
+    let Ok(range) = std::env::var("FLEET_SOAK_SEEDS") else { return };
+    let (first, last) = range.split_once('-').unwrap_or((&range, &range));
+    let seeds = first.parse().unwrap()..=last.parse().unwrap();
+    let failed = soak(seeds, AT_ONCE * 2).await;
+    assert!(failed.is_empty(), "{} seeds failed", failed.len());
+}
