A start that is rejected after it went unanswered once is barred before the task goes elsewhere

A rejection answers only the order that was sent with it. Ruled out: a lost record (each start is in the log with its run), a worker that forgets its bar (none was set). Change: a rejection after an unanswered try gives the run up by a stop, as two unanswered tries do. Tests: fleet_orders a_start_rejected_after_it_was_unanswered_once_is_barred_as_well, failed before; seed 46 is in the fixed set of the soak.

--- a/crates/agatesill_policy/src/fleet/answers.rs
+++ b/crates/agatesill_policy/src/fleet/answers.rs
@@ -48,7 +48,7 @@
         let at = order.at;
         let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
         let task = &mut job.tasks[at.task as usize];
-        task.unanswered = 0;
+        let may_begin_later = std::mem::take(&mut task.unanswered) > 0;
         match outcome {
             OrderOutcome::Done => {
                 task.answered_us = now_us;
@@ -70,13 +70,25 @@
             | OrderOutcome::Refused
             | OrderOutcome::Malformed
             | OrderOutcome::OtherLife
-            | OrderOutcome::Unanswered => self.start_rejected(order, outcome, now_us),
+            | OrderOutcome::Unanswered => {
+                self.start_rejected(order, outcome, may_begin_later, now_us);
+            }
         }
     }
 
     /// A worker rejected a start: the run has not begun and never will, as its number is not used
     /// again.
-    fn start_rejected(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
+    ///
+    /// Guards against an earlier order for the same run that went unanswered and is carried out
+    /// later, when there is room: the task would run there and elsewhere. A stop bars the run before
+    /// the task goes on.
+    fn start_rejected(
+        &mut self,
+        order: &Order,
+        outcome: OrderOutcome,
+        may_begin_later: bool,
+        now_us: u64,
+    ) {
         let worker = &mut self.workers[order.worker as usize];
         let pause_us = if outcome == OrderOutcome::NoRoom {
             self.counts.no_room += 1;
@@ -88,11 +100,16 @@
         log::warn!(event = "start_rejected", job = order.task.job.as_str(),
             step = order.task.step, index = order.task.index, run = order.run,
             worker = worker.entry.id.as_str(), outcome:? = outcome,
-            used_cpu_milli = worker.used.cpu_milli, used_memory_mb = worker.used.memory_mb; "");
+            may_begin_later = may_begin_later, used_cpu_milli = worker.used.cpu_milli, used_memory_mb = worker.used.memory_mb; "");
         if matches!(self.task_state(order.at), TaskState::Stopping(_)) {
             return;
         }
         self.mark(order.at.job, now_us);
+        if may_begin_later {
+            self.set_state(order.at, TaskState::Stopping(order.worker), now_us);
+            self.order(order.at, order.worker, OrderKind::Stop);
+            return;
+        }
         self.release(order.at, TaskState::Waiting, now_us);
     }
 
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -99,6 +99,29 @@
     assert!(elsewhere[0].run > first.run);
 }
 
+/// A worker leaves a start unanswered, rejects the same start for want of room when it is sent again,
+/// and carries the first one out three seconds later, when there is room. By then the task has run
+/// elsewhere and its end is acknowledged; without a stop a watcher would be doubled or an entry priced
+/// twice.
+#[test]
+fn a_start_rejected_after_it_was_unanswered_once_is_barred_as_well() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
+    rig.fleet.accept(job("j", vec![step(1)]), rig.now_us);
+    let first = rig.plan().remove(0);
+    rig.fleet.order_answered(&first, OrderOutcome::Unanswered, rig.now_us);
+    let second = rig.plan().remove(0);
+    rig.fleet.order_answered(&second, OrderOutcome::NoRoom, rig.now_us);
+    let bar = rig.plan();
+    assert!(starts(&bar).is_empty(), "the first may still be carried out: {bar:?}");
+    assert_eq!((bar[0].worker, &bar[0].kind), (first.worker, &OrderKind::Stop));
+    rig.obey(&bar[0]);
+    rig.pass_ms(5);
+    rig.look_all();
+    let elsewhere = rig.plan();
+    assert_eq!(starts(&elsewhere).len(), 1);
+    assert!(elsewhere[0].run > first.run);
+}
+
 /// A worker calls a run old: it has ended there, but the answer overtook the list of ends. Starting
 /// at once under a higher number would run a finished task again.
 #[test]
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -16,8 +16,9 @@
 
 use self::run::{DAEMONS, WORKERS, play};
 
-/// Seeds of the short set: together they draw every kind of fault, and one has planned work alone.
-const SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// Seeds of the short set: together they draw every kind of fault, seed 4 has planned work alone. Seed
+/// 46 once failed: a start that went unanswered, was rejected when it was sent again, and came late.
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 46];
 
 /// Runs at once: each has three daemons that mostly wait.
 const AT_ONCE: usize = 2;
