While a daemon stops, each answer closes its connection

A kept connection was used just as the daemon ended. Ruled out: a request that had been read (each has its line). Test: whole_path, planned stop, failed before.

--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
@@ -26,7 +26,12 @@
 /// Answers one request and records how long it took.
 pub async fn answer(site: Arc<Site>, request: Request<Incoming>) -> Answer {
     let begun = Instant::now();
-    let (name, answer) = route(&site, request).await;
+    let (name, mut answer) = route(&site, request).await;
+    if site.is_stopping() {
+        // Guards against a request that a caller sends on an open connection just as this daemon
+        // ends: it would be cut. Callers open the next one elsewhere.
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     site.metrics.request(name, answer.status().as_u16(), begun.elapsed());
     answer
 }
--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -1,6 +1,7 @@
 //! Callers: they hand jobs in, repeat, cancel, ask for states, and judge what they are told.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,9 @@
 /// Connections that callers keep open to each daemon.
 const LINES: usize = 4;
 
+/// Time between two questions of the balancer, and how long it waits for an answer.
+const BALANCING: Duration = Duration::from_millis(300);
+
 /// Time between two questions for a job's state.
 const ASKING: Duration = Duration::from_millis(350);
 
@@ -57,6 +61,8 @@
     pub known: Mutex<HashMap<String, Known>>,
     pub violations: Mutex<Vec<String>>,
     daemons: Vec<Arc<Daemon>>,
+    /// Whether the balancer makes new connections to each daemon.
+    is_offered: Vec<AtomicBool>,
     lines: Vec<Vec<AsyncMutex<Line>>>,
     floor: Arc<Floor>,
     history: Arc<History>,
@@ -82,12 +88,24 @@
             known: Mutex::default(),
             violations: Mutex::default(),
             lines: daemons.iter().map(lines).collect(),
+            is_offered: daemons.iter().map(|_| AtomicBool::new(true)).collect(),
             daemons: daemons.to_vec(),
             floor,
             history,
         }
     }
 
+    /// Asks the daemons whether they take callers, as the balancer does, until the run is over.
+    pub async fn balance(self: Arc<Self>) {
+        while !self.history.is_over() {
+            for (daemon, is_offered) in self.daemons.iter().zip(&self.is_offered) {
+                let asked = tokio::time::timeout(BALANCING, daemon.is_ready()).await;
+                is_offered.store(asked.unwrap_or(false), Ordering::Relaxed);
+            }
+            tokio::time::sleep(BALANCING).await;
+        }
+    }
+
     fn complain(&self, what: String) {
         self.violations.lock().unwrap().push(what);
     }
@@ -106,6 +124,9 @@
         let what = format!("{method} {path} at {}", self.daemons[daemon].name);
         let line = &self.lines[daemon][id.bytes().map(usize::from).sum::<usize>() % LINES];
         let mut line = line.lock().await;
+        if !line.is_open() && !self.is_offered[daemon].load(Ordering::Relaxed) {
+            return Told::NotSent;
+        }
         let sent = Instant::now();
         let outcome = tokio::time::timeout(PATIENCE, line.call(method, &host, &path, body)).await;
         drop(line);
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -134,6 +134,7 @@
         run.configure();
         run.daemons.iter().for_each(|daemon| daemon.start());
         run.until_ready().await;
+        tokio::spawn(run.callers.clone().balance());
         run
     }
 
