--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -153,7 +153,7 @@
             Known { queue, steps, fails, handing, is_cancelled: false, shown: String::new() };
         self.known.lock().unwrap().insert(id.clone(), known);
         let Handing::Accepted(at) = handing else { return };
-        if number.is_multiple_of(7) && number > 0 {
+        if number % 7 == 0 && number > 0 {
             self.cancel(&mut random, queue, &id).await;
         }
         self.follow(&mut random, queue, &id, at).await;
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -72,7 +72,7 @@
 /// that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<Strike> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let is_planned = seed.is_multiple_of(4);
+    let is_planned = seed % 4 == 0;
     let count = random.random_range(5..=MOST_FAULTS);
     let mut strikes: Vec<Strike> = (0..count)
         .map(|_| Strike {
