--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -198,11 +198,7 @@
             let daemon = random.random_range(0..self.daemons.len());
             let asked = Instant::now();
             match self.ask(daemon, Method::GET, queue, id, "").await {
-                Told::Answer(200, body) => {
-                    if self.shown(id, &body) {
-                        return;
-                    }
-                }
+                Told::Answer(200, body) if self.shown(id, &body) => return,
                 Told::Answer(410, _) if asked - accepted > VISIBLE => {
                     let name = &self.daemons[daemon].name;
                     self.complain(format!("{id} is accepted, but {name} does not know it"));
--- a/crates/agatesilld/tests/fleet_soak/daemon.rs
+++ b/crates/agatesilld/tests/fleet_soak/daemon.rs
@@ -144,7 +144,6 @@
         asked.is_some_and(|(status, ..)| status == 200)
     }
 
-
     /// What went wrong inside the process: it ended by itself, panicked or outgrew its memory.
     pub fn troubles(&self) -> Vec<String> {
         let _ = self.is_over();
