One registry of instruments for both daemons' metrics

The product's daemon and the one on the platform created registry, exporter, histograms, the count of lost lines and the text twice; an encoding error was swallowed in one of them.

--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -12,11 +12,10 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Histogram, Meter};
 
 use super::site::Site;
+use crate::instruments::Instruments;
 
 /// Upper bounds of the buckets of times, in seconds: the store answers in 0.01, the desk's
 /// objective is about one.
@@ -26,8 +25,7 @@
 /// Instruments of one daemon.
 #[derive(Clone, Debug)]
 pub struct FleetMetrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    instruments: Instruments,
     requests: Histogram<f64>,
     commits: Histogram<f64>,
     orders: Histogram<f64>,
@@ -36,24 +34,13 @@
 impl FleetMetrics {
     /// Creates the instruments that are written to.
     pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
-        let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("agatesilld");
-        let times = |name: &'static str, what: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_boundaries(BUCKETS_S.to_vec())
-                .with_description(what)
-                .build()
-        };
+        let instruments = Instruments::new()?;
+        let times = |name, what| instruments.seconds(name, &BUCKETS_S, what);
         let requests =
             times("http.server.request.duration", "Time to answer a caller, by call and status");
         let commits = times("agatesill.commit.duration", "Time to store records, by outcome");
         let orders = times("agatesill.order.duration", "Time to give an order to a worker");
-        Ok(Self { registry, provider, requests, commits, orders })
+        Ok(Self { instruments, requests, commits, orders })
     }
 
     /// Records an answer to a caller.
@@ -75,18 +62,15 @@
 
     /// Creates the instruments that are read when asked for.
     pub fn observe(&self, site: &Arc<Site>) {
-        let meter = self.provider.meter("agatesilld");
+        let meter = self.instruments.meter();
+        self.instruments.observe_lost_lines();
         observe_ledger(&meter, site);
         observe_daemon(&meter, site);
     }
 
     /// All instruments in the Prometheus text format.
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
-            log::warn!(event = "metrics_unencodable"; "{error}");
-        }
-        String::from_utf8_lossy(&bytes).into_owned()
+        self.instruments.text()
     }
 }
 
@@ -159,12 +143,6 @@
             gauge.observe(config.config().map_or(0, |config| config.version), &[]);
         })
         .build();
-    meter
-        .u64_observable_counter("agatesill.log.lost")
-        .with_unit("{line}")
-        .with_description("Log lines lost")
-        .with_callback(|counter| counter.observe(crate::logging::lost_lines(), &[]))
-        .build();
 }
 
 /// Answers one request for the metrics.
--- a/crates/agatesilld/src/lib.rs
+++ b/crates/agatesilld/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod degraded;
 pub mod explain;
 pub mod fleet;
+pub mod instruments;
 pub mod logging;
 pub mod metrics;
 pub mod peers;
--- a/crates/agatesilld/src/metrics.rs
+++ b/crates/agatesilld/src/metrics.rs
@@ -4,11 +4,10 @@
 
 use agatesill_coord::prelude::*;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
 use crate::decide::Decider;
+use crate::instruments::Instruments;
 use crate::logging;
 use crate::shared::Shared;
 
@@ -20,8 +19,7 @@
 /// Instruments of one daemon.
 #[derive(Clone, Debug)]
 pub struct Metrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    instruments: Instruments,
     requests: Counter<u64>,
     duration: Histogram<f64>,
     connections: Gauge<u64>,
@@ -30,33 +28,30 @@
 impl Metrics {
     /// Creates the instruments that are written to.
     pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
-        let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("agatesilld");
+        let instruments = Instruments::new()?;
+        let meter = instruments.meter();
         let requests = meter
             .u64_counter("agatesill.requests")
             .with_unit("{request}")
             .with_description("Requests by service and outcome")
             .build();
-        let duration = meter
-            .f64_histogram("http.server.request.duration")
-            .with_unit("s")
-            .with_boundaries(DURATION_BUCKETS.to_vec())
-            .with_description("Time from a request's head to its answer's head")
-            .build();
+        let duration = instruments.seconds(
+            "http.server.request.duration",
+            &DURATION_BUCKETS,
+            "Time from a request's head to its answer's head",
+        );
         let connections = meter
             .u64_gauge("http.client.open_connections")
             .with_unit("{connection}")
             .with_description("Open connections to upstreams")
             .build();
-        Ok(Self { registry, provider, requests, duration, connections })
+        Ok(Self { instruments, requests, duration, connections })
     }
 
     /// Creates the instruments that are read when asked for.
     pub fn observe(&self, shared: &Shared, decider: &Decider, store: &Store) {
-        let meter = self.provider.meter("agatesilld");
+        let meter = self.instruments.meter();
+        self.instruments.observe_lost_lines();
         observe_rings(&meter, shared, decider);
         observe_entry(&meter, shared);
         observe_coordination(&meter, shared, store);
@@ -77,9 +72,7 @@
 
     /// All instruments in the Prometheus text format.
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
-        String::from_utf8(bytes).unwrap_or_default()
+        self.instruments.text()
     }
 }
 
@@ -106,12 +99,6 @@
             counter.observe(logging::lost_lines(), &ring("log"));
         })
         .build();
-    meter
-        .u64_observable_counter("agatesill.log.lost")
-        .with_unit("{line}")
-        .with_description("Log lines lost")
-        .with_callback(|counter| counter.observe(logging::lost_lines(), &[]))
-        .build();
 }
 
 fn observe_entry(meter: &Meter, shared: &Shared) {
