--- a/crates/agatesill_coord/tests/support/mod.rs
+++ b/crates/agatesill_coord/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use agatesill_coord::store::Store;
-use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
+use agatesill_wire::platform::{Entry, KeyVersion, Put, StoreCall, StoreReply};
 use agatesill_wire::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -199,99 +199,115 @@
 impl State {
     fn answer(&mut self, call: StoreCall, faults: &Faults) -> Result<StoreReply, Error> {
         self.end_leases();
-        let mut reply = StoreReply { revision: self.revision, ..StoreReply::default() };
         if matches!(call, StoreCall::Range { .. } | StoreCall::Page { .. }) {
             self.reads += 1;
         } else {
             self.writes += 1;
         }
-        let ttl_of = |ttl: Duration| match faults.lease_percent {
-            0 => ttl,
-            percent => ttl * percent / 100,
-        };
-        match call {
-            StoreCall::Range { prefix } => {
-                let entries = match &self.old {
-                    Some((revision, old)) if faults.stale_reads => {
-                        reply.revision = *revision;
-                        old
-                    }
-                    _ => &self.entries,
-                };
-                reply.entries = entries
-                    .range(prefix.clone()..)
-                    .take_while(|(key, _)| key.starts_with(&prefix))
-                    .map(|(_, (entry, _))| entry.clone())
-                    .collect();
-            }
+        Ok(match call {
+            StoreCall::Range { prefix } => self.range(&prefix, faults),
+            StoreCall::Page { prefix, after } => self.page(&prefix, &after),
             StoreCall::Cas { key, expect_version, value, lease_id } => {
-                let found = self.entries.get(&key).map(|(entry, _)| entry.clone());
-                let version = found.as_ref().map_or(0, |entry| entry.version);
-                let lease_gone = lease_id != 0 && !self.leases.contains_key(&lease_id);
-                if version != expect_version || lease_gone {
-                    reply.entries.extend(found);
-                    return Ok(reply);
-                }
-                self.revision += 1;
-                reply.revision = self.revision;
-                reply.applied = true;
-                match value {
-                    Some(value) => {
-                        assert!(value.len() <= 1 << 20, "{key}: value of {} bytes", value.len());
-                        let entry = Entry { key: key.clone(), value, version: self.revision };
-                        reply.entries.push(entry.clone());
-                        self.entries.insert(key, (entry, lease_id));
-                    }
-                    None => {
-                        self.entries.remove(&key);
-                    }
-                }
-            }
-            StoreCall::Grant { ttl_ms } => {
-                self.revision += 1;
-                let ttl = Duration::from_millis(ttl_ms);
-                self.leases.insert(self.revision, (ttl, Instant::now() + ttl_of(ttl)));
-                reply.applied = true;
-                reply.lease_id = self.revision;
-            }
-            StoreCall::Renew { lease_id } => {
-                if let Some((ttl, ends)) = self.leases.get_mut(&lease_id) {
-                    *ends = Instant::now() + ttl_of(*ttl);
-                    reply.applied = true;
-                    reply.lease_id = lease_id;
-                }
+                self.cas(key, expect_version, value, lease_id)
             }
+            StoreCall::Txn { expected, puts, deletes } => self.txn(&expected, puts, &deletes),
+            StoreCall::Grant { ttl_ms } => self.grant(Duration::from_millis(ttl_ms), faults),
+            StoreCall::Renew { lease_id } => self.renew(lease_id, faults),
             StoreCall::Revoke { lease_id } => {
                 self.end_lease(lease_id);
-                reply.applied = true;
+                StoreReply { applied: true, ..self.reply() }
             }
-            StoreCall::Txn { expected, puts, deletes } => {
-                let version = |key: &str| self.entries.get(key).map_or(0, |(e, _)| e.version);
-                if expected.iter().any(|row| version(&row.key) != row.version) {
-                    return Ok(reply);
-                }
-                self.revision += 1;
-                reply.revision = self.revision;
-                reply.applied = true;
-                for put in puts {
-                    let version = self.revision;
-                    let entry = Entry { key: put.key.clone(), value: put.value, version };
-                    self.entries.insert(put.key, (entry, put.lease_id));
-                }
-                deletes.iter().for_each(|key| drop(self.entries.remove(key)));
+            StoreCall::Watch { .. } => unreachable!("answered before"),
+        })
+    }
+
+    fn reply(&self) -> StoreReply {
+        StoreReply { revision: self.revision, ..StoreReply::default() }
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.entries.get(key).map_or(0, |(entry, _)| entry.version)
+    }
+
+    fn range(&self, prefix: &str, faults: &Faults) -> StoreReply {
+        let (revision, entries) = match &self.old {
+            Some((revision, old)) if faults.stale_reads => (*revision, old),
+            _ => (self.revision, &self.entries),
+        };
+        let entries = entries
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, (entry, _))| entry.clone())
+            .collect();
+        StoreReply { revision, entries, ..StoreReply::default() }
+    }
+
+    /// Pages of two, so that every test that reads pages reads several.
+    fn page(&self, prefix: &str, after: &str) -> StoreReply {
+        let mut rest = self
+            .entries
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .map(|(_, (entry, _))| entry.clone());
+        let entries = rest.by_ref().take(2).collect();
+        StoreReply { entries, has_more: rest.next().is_some(), ..self.reply() }
+    }
+
+    fn cas(
+        &mut self,
+        key: String,
+        expect_version: u64,
+        value: Option<String>,
+        lease_id: u64,
+    ) -> StoreReply {
+        let lease_gone = lease_id != 0 && !self.leases.contains_key(&lease_id);
+        if self.version(&key) != expect_version || lease_gone {
+            let found = self.entries.get(&key).map(|(entry, _)| entry.clone());
+            return StoreReply { entries: found.into_iter().collect(), ..self.reply() };
+        }
+        self.revision += 1;
+        let mut reply = StoreReply { applied: true, ..self.reply() };
+        match value {
+            Some(value) => {
+                assert!(value.len() <= 1 << 20, "{key}: value of {} bytes", value.len());
+                let entry = Entry { key: key.clone(), value, version: self.revision };
+                reply.entries.push(entry.clone());
+                self.entries.insert(key, (entry, lease_id));
             }
-            StoreCall::Page { prefix, after } => {
-                let rest = self.entries.range(prefix.clone()..);
-                let mut rest = rest
-                    .take_while(|(key, _)| key.starts_with(&prefix))
-                    .filter(|(key, _)| **key > after)
-                    .map(|(_, (entry, _))| entry.clone());
-                reply.entries = rest.by_ref().take(2).collect();
-                reply.has_more = rest.next().is_some();
+            None => {
+                self.entries.remove(&key);
             }
-            StoreCall::Watch { .. } => unreachable!("answered before"),
         }
-        Ok(reply)
+        reply
+    }
+
+    fn txn(&mut self, expected: &[KeyVersion], puts: Vec<Put>, deletes: &[String]) -> StoreReply {
+        if expected.iter().any(|row| self.version(&row.key) != row.version) {
+            return self.reply();
+        }
+        self.revision += 1;
+        for put in puts {
+            let entry = Entry { key: put.key.clone(), value: put.value, version: self.revision };
+            self.entries.insert(put.key, (entry, put.lease_id));
+        }
+        deletes.iter().for_each(|key| drop(self.entries.remove(key)));
+        StoreReply { applied: true, ..self.reply() }
+    }
+
+    fn grant(&mut self, ttl: Duration, faults: &Faults) -> StoreReply {
+        self.revision += 1;
+        self.leases.insert(self.revision, (ttl, Instant::now() + granted(ttl, faults)));
+        // The reply has the revision from before, as the lease changes no key.
+        let revision = self.revision - 1;
+        StoreReply { revision, applied: true, lease_id: self.revision, ..StoreReply::default() }
+    }
+
+    fn renew(&mut self, lease_id: u64, faults: &Faults) -> StoreReply {
+        let reply = self.reply();
+        let Some((ttl, ends)) = self.leases.get_mut(&lease_id) else { return reply };
+        *ends = Instant::now() + granted(*ttl, faults);
+        StoreReply { applied: true, lease_id, ..reply }
     }
 
     fn end_leases(&mut self) {
@@ -306,3 +322,11 @@
         self.entries.retain(|_, (_, lease)| *lease != lease_id);
     }
 }
+
+/// How long a lease really lasts: less, if leases end before their time.
+fn granted(ttl: Duration, faults: &Faults) -> Duration {
+    match faults.lease_percent {
+        0 => ttl,
+        percent => ttl * percent / 100,
+    }
+}
