--- a/crates/agatesill/src/cli.rs
+++ b/crates/agatesill/src/cli.rs
@@ -28,6 +28,7 @@
         .subcommand(job())
         .subcommand(status())
         .subcommand(explain())
+        .subcommand(trace())
         .subcommand(
             Command::new("drain")
                 .about("Begins a planned stop of the daemon at --addr")
@@ -57,6 +58,23 @@
         )
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Tells the story of one job from the daemons' logs, with pauses marked")
+        .after_help(
+            "Examples:\n  agatesill trace 8d1d4e714b8f45e5 logs/entry-*.log\n  \
+             cat logs/*.log | agatesill trace 8d1d4e714b8f45e5",
+        )
+        .arg(Arg::new("id").required(true).value_name("ID").help("Identity of the job"))
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Log files, each named after its daemon; standard input without any"),
+        )
+}
+
 fn global_args() -> [Arg; 4] {
     [
         Arg::new("addr")
--- a/crates/agatesill/src/commands/mod.rs
+++ b/crates/agatesill/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod job;
 mod status;
+mod trace;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -35,6 +36,7 @@
         Some(("job", args)) => job::run(args, admin, output).await,
         Some(("status", args)) => status::run(args, admin, output).await,
         Some(("explain", args)) => explain::run(args, admin, output).await,
+        Some(("trace", args)) => trace::run(args),
         Some(("drain", _)) => drain(admin).await,
         Some(("completions", args)) => completions(args),
         Some(("man", args)) => man(args),
--- a/crates/agatesill/src/lib.rs
+++ b/crates/agatesill/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod client;
 pub mod commands;
 pub mod output;
+pub mod story;
--- a/crates/agatesill_coord/src/dependency.rs
+++ b/crates/agatesill_coord/src/dependency.rs
@@ -82,9 +82,10 @@
         if !is_lost_now {
             return Belief::Unchanged;
         }
-        let answered_ms_ago = answered.map(|answered| (now - answered).as_millis() as u64);
+        let answered_ms_ago = answered.map_or(0, |answered| (now - answered).as_millis() as u64);
         log::warn!(event = "dependency_lost", dependency = self.name,
-            failures = FAILURES_TO_LOSE, answered_ms_ago = answered_ms_ago; "{why}");
+            failures = FAILURES_TO_LOSE, has_answered = answered.is_some(),
+            answered_ms_ago = answered_ms_ago; "{why}");
         Belief::Lost
     }
 
--- a/crates/agatesill_policy/src/batch/policy/observe.rs
+++ b/crates/agatesill_policy/src/batch/policy/observe.rs
@@ -13,7 +13,7 @@
 /// Weight of a new measurement in what a worker has beyond the model.
 const RESIDUAL_WEIGHT: f64 = 0.1;
 
-/// Bound of that residual, so that a short disturbance does not close a worker for long.
+/// Bound of that residual, so that a short disruption does not close a worker for long.
 const MOST_RESIDUAL: f64 = 0.3;
 
 /// Share of the highest load kept with each report; forgets a peak in about a minute.
