--- a/crates/agatesilld/tests/fleet_soak/gaps.rs
+++ b/crates/agatesilld/tests/fleet_soak/gaps.rs
@@ -9,6 +9,8 @@
 /// How the planner is lost.
 #[derive(Clone, Copy, Debug)]
 pub enum Loss {
+    /// It is not lost: what the traffic alone shows.
+    Not,
     /// It is killed.
     Killed,
     /// It stands still for four seconds.
@@ -20,7 +22,7 @@
 }
 
 impl Loss {
-    pub const ALL: [Loss; 4] = [Loss::Killed, Loss::Paused, Loss::Cut, Loss::Stopped];
+    pub const ALL: [Loss; 5] = [Loss::Not, Loss::Killed, Loss::Paused, Loss::Cut, Loss::Stopped];
 }
 
 /// When the planner is lost, after the first job.
@@ -29,8 +31,10 @@
 /// How long starts are watched after that.
 const WATCHED: Duration = Duration::from_secs(6);
 
-/// Longest time without a start around one loss of the planner. Without any loss it is 125 ms, the time
-/// between two jobs.
+/// A gap whose logs are kept: longer than a lease.
+const SLOW: Duration = Duration::from_millis(2_300);
+
+/// Longest time without a start around one loss of the planner. Jobs come every 125 ms.
 pub async fn gap(seed: u64, loss: Loss) -> Duration {
     let run = Run::start(seed).await;
     let stream = tokio::spawn({
@@ -42,6 +46,7 @@
     let planner = run.planner().unwrap();
     let at = run.daemons.iter().position(|daemon| daemon.name == planner.name).unwrap();
     let fault = match loss {
+        Loss::Not => Fault::Configure,
         Loss::Killed => Fault::KillPlanner,
         Loss::Paused => Fault::PausePlanner,
         Loss::Cut => Fault::StoreLink(at, LinkFault::Silent),
@@ -52,7 +57,13 @@
     stream.await.unwrap();
     struck.await.unwrap();
     let starts: Vec<Instant> = run.floor.starts().into_iter().map(|(at, _)| at).collect();
-    drop(std::fs::remove_dir_all(&run.folder));
     let near = |pair: &&[Instant]| pair[1] > lost && pair[0] < lost + WATCHED;
-    starts.windows(2).filter(near).map(|pair| pair[1] - pair[0]).max().unwrap_or(WATCHED)
+    let longest = starts.windows(2).filter(near).map(|pair| pair[1] - pair[0]).max();
+    let longest = longest.unwrap_or(WATCHED);
+    if longest > SLOW {
+        println!("{loss:?}, seed {seed}: {longest:?}, logs in {}", run.folder.display());
+    } else {
+        drop(std::fs::remove_dir_all(&run.folder));
+    }
+    longest
 }
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -112,7 +112,9 @@
 async fn gaps_by_hand() {
     let Ok(count) = std::env::var("FLEET_GAP_SEEDS") else { return };
     let count: u64 = count.parse().unwrap();
-    for loss in Loss::ALL {
+    let only = std::env::var("FLEET_GAP_LOSS").unwrap_or_default();
+    let is_wanted = |loss: &Loss| only.is_empty() || format!("{loss:?}") == only;
+    for loss in Loss::ALL.into_iter().filter(is_wanted) {
         let runs = iter(1_000..1_000 + count).map(|seed| gap(seed, loss));
         let mut gaps: Vec<_> = runs.buffer_unordered(AT_ONCE * 3).collect().await;
         gaps.sort_unstable();
