--- a/crates/agatesill_policy/src/fleet/answers.rs
+++ b/crates/agatesill_policy/src/fleet/answers.rs
@@ -100,7 +100,8 @@
         log::warn!(event = "start_rejected", job = order.task.job.as_str(),
             step = order.task.step, index = order.task.index, run = order.run,
             worker = worker.entry.id.as_str(), outcome:? = outcome,
-            may_begin_later = may_begin_later, used_cpu_milli = worker.used.cpu_milli, used_memory_mb = worker.used.memory_mb; "");
+            may_begin_later = may_begin_later, used_cpu_milli = worker.used.cpu_milli,
+            used_memory_mb = worker.used.memory_mb; "");
         if matches!(self.task_state(order.at), TaskState::Stopping(_)) {
             return;
         }
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -215,8 +215,9 @@
 }
 
 /// Renews until the store says that the range is lost, the planner meets a higher epoch, a planned
-/// stop begins or a bigger daemon asks; true if the range is still held then. A store that does not answer is no reason to stop: what runs goes on, and
-/// commits fail by themselves once another daemon owns the range.
+/// stop begins or a bigger daemon asks; true if the range is still held then. A store that does not
+/// answer is no reason to stop: what runs goes on, and commits fail by themselves once another daemon
+/// owns the range.
 async fn renew_while_held(
     site: &Site,
     ownership: &mut Ownership,
