--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// The faults of a seed. Every fourth run has planned work alone, as only there callers may expect
+/// The faults of a seed. Every fourth run has planned maintenance alone, as only there callers may expect
 /// that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<Strike> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -21,7 +21,7 @@
 use self::run::{DAEMONS, Run, WORKERS, play};
 use self::support::store::StoreFault;
 
-/// Seeds of the short set: together they draw every kind of fault, seed 4 has planned work alone. Seed
+/// Seeds of the short set: together they draw every kind of fault, seed 4 has maintenance alone. Seed
 /// 46 once failed: a start that went unanswered, was rejected when it was sent again, and came late.
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 46];
 
