A line a second on how full the workers are; why each task waited

Cause: no log line told a floor that is reserved full from one that is used full, nor how long a task had waited when it was placed. The planner writes event=floor once a second (reserved by lasting and plain tasks, asked for by tasks that fill, tails, what waits by kind and for how long); task_placed carries the kind, its processors and its wait.

--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod colocation;
 mod ends;
+mod floor;
 mod images;
 mod job;
 mod order;
@@ -25,6 +26,7 @@
 
 pub use advice::AdviceQuestion;
 pub use colocation::{Learned, LearnedImage};
+pub use floor::{Floor, TaskKind, Waiting};
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
 pub use record::{ProgressRecord, TaskRecord};
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -5,6 +5,7 @@
 use crate::batch::Resources;
 
 use super::US_PER_MS;
+use super::floor::TaskKind;
 use super::images::ImageId;
 use super::job::{JobPhase, Step, TaskRef, TaskState};
 use super::place::Request;
@@ -144,6 +145,8 @@
         job.is_started = true;
         let version = job.version;
         let highest = chosen.iter().map(|at| job.tasks[at.task as usize].run).max().unwrap_or(0);
+        let waited_ms = chosen.iter().map(|at| job.tasks[at.task as usize].since_us).min();
+        let waited_ms = now_us.saturating_sub(waited_ms.unwrap_or(now_us)) / US_PER_MS;
         for at in chosen {
             let task = &mut job.tasks[at.task as usize];
             task.run = if is_gang { highest } else { task.run } + 1;
@@ -151,17 +154,20 @@
             task.since_us = now_us;
             task.progress_us = now_us;
         }
-        self.log_choices(group, chosen);
+        self.log_choices(group, chosen, waited_ms);
     }
 
-    fn log_choices(&self, group: Group, chosen: &[TaskRef]) {
+    fn log_choices(&self, group: Group, chosen: &[TaskRef], waited_ms: u64) {
         let Some(job) = self.job(group.job) else { return };
+        let step = &job.spec.steps[group.step as usize];
         for at in chosen {
             let task = &job.tasks[at.task as usize];
             let Some(worker) = task.state.worker() else { continue };
             let worker = &self.workers[worker as usize];
             log::info!(event = "task_placed", job = job.spec.id.as_str(), step = group.step,
                 task = at.task, run = task.run, worker = worker.entry.id.as_str(),
+                kind = TaskKind::of(step).name(), cpu_milli = step.need.cpu_milli,
+                waited_ms = waited_ms,
                 used_cpu_milli = worker.used.cpu_milli, filling_milli = worker.filling_cpu_milli,
                 used_memory_mb = worker.used.memory_mb, lasting = worker.lasting,
                 look_age_ms = task.since_us.saturating_sub(worker.answered_us) / 1_000; "");
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -6,8 +6,8 @@
 
 use agatesill_platform::advice::Advised;
 use agatesill_policy::fleet::{
-    AdviceQuestion, Fleet, JobPhase, JobSpec, JobWrite, Look, Order, OrderOutcome, QueueTerms,
-    Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    AdviceQuestion, Fleet, Floor, JobPhase, JobSpec, JobWrite, Look, Order, OrderOutcome,
+    QueueTerms, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -36,6 +36,9 @@
 /// write of 20 kB in that time.
 const SAVE_LEARNED_US: u64 = 5_000_000;
 
+/// Time between two log lines on how full the workers are.
+const FLOOR_LINE_US: u64 = 1_000_000;
+
 /// How long the last records may take at a planned stop.
 const LAST_COMMITS: Duration = Duration::from_millis(300);
 
@@ -141,6 +144,7 @@
         lost: lost.clone(),
         forgotten_us: site.clock.now_us(),
         learned_us: site.clock.now_us(),
+        floor_us: 0,
     };
     planner.registry(start.workers);
     tasks.spawn(followers::registry(
@@ -171,6 +175,7 @@
     lost: CancellationToken,
     forgotten_us: u64,
     learned_us: u64,
+    floor_us: u64,
 }
 
 impl Planner {
@@ -291,6 +296,10 @@
         self.fleet.expire_workers(now_us);
         self.fleet.open_due(wall_ms(), now_us);
         self.tell();
+        if now_us - self.floor_us > FLOOR_LINE_US {
+            self.floor_us = now_us;
+            log_floor(&self.fleet.floor(now_us));
+        }
         if now_us - self.learned_us > SAVE_LEARNED_US {
             self.learned_us = now_us;
             let learned = self.fleet.learned();
@@ -352,3 +361,16 @@
         });
     }
 }
+
+/// What an operator needs to tell a floor that is reserved full from one that is used full.
+fn log_floor(floor: &Floor) {
+    log::info!(event = "floor", workers = floor.workers, capacity_milli = floor.capacity_milli,
+        lasting_milli = floor.lasting_milli, plain_milli = floor.plain_milli,
+        filling_milli = floor.filling_milli, free_memory_mb = floor.free_memory_mb,
+        mean_tail_percent = floor.mean_tail_percent, pressed_workers = floor.pressed_workers,
+        lasting_waiting = floor.lasting.tasks, lasting_waiting_milli = floor.lasting.cpu_milli,
+        lasting_longest_ms = floor.lasting.longest_ms, filling_waiting = floor.filling.tasks,
+        filling_waiting_milli = floor.filling.cpu_milli,
+        filling_longest_ms = floor.filling.longest_ms, plain_waiting = floor.plain.tasks,
+        plain_waiting_milli = floor.plain.cpu_milli, plain_longest_ms = floor.plain.longest_ms; "");
+}
