--- a/crates/agatesill_policy/src/fleet/colocation/room.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/room.rs
@@ -1,5 +1,6 @@
 //! Where a task that fills may go, and what it would find there.
 
+use crate::fleet::images::ImageId;
 use crate::fleet::place::Request;
 use crate::fleet::state::Fleet;
 use crate::fleet::worker::Worker;
@@ -33,9 +34,14 @@
 /// worker is full.
 const LESS_FOR_TAIL: f64 = 1.3;
 
-/// Tasks of one image that may run beside a serving image before the pair is known.
+/// Tasks of one image that may run on one worker beside a serving image before the pair is known.
 const TRIAL_TASKS: u32 = 1;
 
+/// Workers on which such a pair may be tried at once. One sample in two seconds tells a pair that
+/// harms; tried wherever its serving image runs, each harmful pair pressed ten to sixteen workers at
+/// once in the first seconds. Mean worth 0.583 without and 0.590 with it (18 days).
+const TRIAL_WORKERS: usize = 3;
+
 /// A worker on which tasks that fill would get less than this part of their processors takes no
 /// more: the work waits better than it crawls.
 const MOST_CROWDED: f64 = 2.5;
@@ -77,7 +83,7 @@
             match self.pressure.pair(serving, request.image) {
                 Pair::Harmful => return f64::INFINITY,
                 Pair::Harmless => {}
-                Pair::Unsure if worker.filling.of(request.image) >= TRIAL_TASKS => {
+                Pair::Unsure if !self.may_try(worker, serving, request.image) => {
                     return f64::INFINITY;
                 }
                 Pair::Unsure => score += UNKNOWN_PAIR,
@@ -86,3 +92,14 @@
         score
     }
 }
+
+impl Fleet {
+    /// Whether one more task of an image may run beside a serving image of which it is not known
+    /// yet whether it harms it.
+    fn may_try(&self, worker: &Worker, serving: ImageId, filling: ImageId) -> bool {
+        let is_trial =
+            |other: &&Worker| other.filling.of(filling) > 0 && other.serving.of(serving) > 0;
+        worker.filling.of(filling) < TRIAL_TASKS
+            && self.workers.iter().filter(is_trial).take(TRIAL_WORKERS).count() < TRIAL_WORKERS
+    }
+}
--- a/crates/agatesill_policy/tests/fleet_colocation.rs
+++ b/crates/agatesill_policy/tests/fleet_colocation.rs
@@ -344,3 +344,25 @@
     assert!(rig.present("watch-a").iter().all(|(worker, ..)| *worker == first));
     assert_ne!(rig.present("watch-b")[0].0, first, "the empty worker is taken");
 }
+
+/// A new image of month-end work comes while eight workers serve the same image. Nobody knows yet
+/// whether the pair harms. Tried everywhere at once, all eight would be over their target in the same
+/// second; three trials tell as much.
+#[test]
+fn an_unknown_pair_is_tried_on_a_few_workers_at_once() {
+    let entries = (0..8).map(|index| entry(&format!("w{index}"), "r1-1")).collect();
+    let mut rig = Rig::new(entries);
+    rig.fleet.accept(lasting("watch-a", "ledger", 8, 9_000), rig.now_us);
+    rig.settle();
+    rig.look_all();
+    rig.fleet.accept(filling("new", "new", 8), rig.now_us);
+    rig.settle();
+    assert_eq!(rig.present("new").len(), 3, "the pair is tried on three workers");
+    for _ in 0..60 {
+        report(&mut rig, "heavy", "watch-a");
+        rig.pass_ms(500);
+        rig.look_all();
+        rig.settle();
+    }
+    assert_eq!(rig.present("new").len(), 8, "once it is known to be harmless it goes everywhere");
+}
