Only a task that gave way holds back

Cause: the hold took every lasting task that had run before, so one that failed by its own fault was missing for two seconds more though there was room. Tasks that give way are marked until their next start. Test fails before.

--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -261,6 +261,8 @@
     pub answered_us: u64,
     /// The job's version that holds the choice of its newest worker.
     pub chosen_version: u64,
+    /// Whether its newest run was stopped to make room for urgent steps.
+    pub gave_way: bool,
 }
 
 impl Task {
@@ -278,6 +280,7 @@
             unanswered: 0,
             answered_us: 0,
             chosen_version: 0,
+            gave_way: false,
         }
     }
 }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -159,6 +159,7 @@
             let task = &mut job.tasks[at.task as usize];
             task.run = if is_gang { highest } else { task.run } + 1;
             task.chosen_version = version;
+            task.gave_way = false;
             task.since_us = now_us;
             task.progress_us = now_us;
         }
--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -12,7 +12,7 @@
 
 use super::US_PER_MS;
 use super::floor::TaskKind;
-use super::job::{Job, Step, TaskRef, TaskState};
+use super::job::{Job, Step, Task, TaskRef, TaskState};
 use super::order::IN_TIME;
 use super::state::{Fleet, Group};
 use super::worker::WorkerIndex;
@@ -81,21 +81,21 @@
             look_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS; "");
         self.stop(candidate.at, now_us);
         self.counts.gave_way += 1;
+        if let Some(job) = self.jobs[candidate.at.job as usize].as_mut() {
+            job.tasks[candidate.at.task as usize].gave_way = true;
+        }
     }
 
-    /// Whether a lasting task still leaves the room that it gave up to others.
+    /// Whether all waiting tasks of a lasting step still leave the room that they gave up to others.
     pub(super) fn is_held_back(&self, group: Group, now_us: u64) -> bool {
         let Some(job) = self.job(group.job) else { return false };
-        let waits = |task: u32| {
-            let task = &job.tasks[task as usize];
-            task.state == TaskState::Waiting && task.run > 0
-        };
+        let is_held = |task: &Task| task.gave_way && now_us.saturating_sub(task.since_us) < HOLD_US;
         self.misses_little(job, group)
-            && job.tasks_of(group.occurrence, group.step).any(waits)
             && job
                 .tasks_of(group.occurrence, group.step)
-                .filter(|task| waits(*task))
-                .all(|task| now_us.saturating_sub(job.tasks[task as usize].since_us) < HOLD_US)
+                .map(|task| &job.tasks[task as usize])
+                .filter(|task| task.state == TaskState::Waiting)
+                .all(is_held)
     }
 
     /// Whether a lasting step misses no more tasks than it may, so that it can wait for urgent ones.
--- a/crates/agatesill_policy/tests/fleet_preempt.rs
+++ b/crates/agatesill_policy/tests/fleet_preempt.rs
@@ -113,3 +113,16 @@
     rig.fleet.accept(urgent("desk", 2, rig.now_us - 9_000 * MS), rig.now_us);
     assert_eq!(pass(&mut rig, 20), 0);
 }
+
+/// A watcher fails by its own fault while there is room. It did not give way to anybody, so it starts
+/// again at once; held back like one that did, each failure would cost its callers two more seconds.
+#[test]
+fn a_task_that_failed_starts_again_at_once() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    rig.fleet.accept(watch("watch", 5, Some(1)), rig.now_us);
+    at_work(&mut rig);
+    let (worker, task, run) = rig.present("watch")[0].clone();
+    rig.end(worker, &task, run, EndCause::Failed);
+    pass(&mut rig, 2);
+    assert_eq!(rig.present("watch").len(), 5);
+}
