--- a/crates/agatesill_policy/src/fleet/colocation/pressure.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pressure.rs
@@ -1,10 +1,10 @@
 //! How much each filling image presses each serving image, learned from what looks report.
 //!
 //! For each serving image the logarithm of tail over target is taken as a constant and a weight for
-//! each filling image, times the part of the worker that tasks of this image used in the same half second.
-//! Ridge regression, updated with each sample, fits the weights. The serving task's own load moves
-//! its tail slowly and by about a factor of two: it is the noise of the fit, while a harmful pair
-//! shows at once, at two or three times that.
+//! each filling image, times the part of the worker that tasks of this image used in the same half
+//! second. Ridge regression, updated with each sample, fits the weights. The serving task's own load
+//! moves its tail slowly and by about a factor of two: it is the noise of the fit, while a harmful
+//! pair shows at once, at two or three times that.
 
 use crate::fleet::images::{ImageId, Images};
 use crate::fleet::worker::Worker;
@@ -29,8 +29,8 @@
 /// The constant before any sample: 15 serving images of two sites have -0.7 to -1.0.
 const USUAL_CONSTANT: f64 = -0.9;
 
-/// Weight for each 32nd of a worker from which a pair counts as harmful. Harmless pairs fit within 0.06,
-/// harmful ones at 0.1 to 0.6 (two days of 12,000 samples each).
+/// Weight for each 32nd of a worker from which a pair counts as harmful with less certainty. Harmless
+/// pairs fit within 0.03, harmful ones at 0.06 to 0.22 (two days, 82,000 samples, 74 pairs).
 pub const HARMFUL: f64 = 0.09;
 
 /// Weight that no harmless pair passes by more than its error, and weight below which all of them are
@@ -53,8 +53,9 @@
 /// What an image does to tails goes by its part of the worker, not by its processors: on workers of
 /// 75 cores weights for each processor are a quarter of those on workers of 19. Taken for each
 /// processor, pairs that press there by a quarter a task passed for harmless, and harmless ones on
-/// small workers took long to be told. Mean worth before and after over 12 to 18 days: 0.598 and 0.633 on workers of
-/// 16 to 24 cores, 0.532 and 0.520 on 32 to 48, 0.590 and 0.599 on 64 to 96 (with 30 as the unit).
+/// small workers took long to be told. Mean worth before and after, over 12 to 18 days and with 30 as
+/// the unit: 0.598 and 0.633 on workers of 16 to 24 cores, 0.532 and 0.520 on 32 to 48, 0.590 and 0.599
+/// on 64 to 96.
 pub fn part_of(worker: &Worker, cpu_milli: f64) -> f64 {
     cpu_milli / worker.entry.capacity.cpu_milli.max(1) as f64 * UNIT_CORES
 }
@@ -151,8 +152,8 @@
         fit.learn(usage, ratio.max(0.01).ln());
     }
 
-    /// By how much a 32nd of the worker in use by a filling image raises the logarithm of a serving image's tail;
-    /// `None` while too little of the pair was seen.
+    /// By how much a 32nd of the worker in use by a filling image raises the logarithm of a serving
+    /// image's tail; `None` while too little of the pair was seen.
     pub fn weight(&self, serving: ImageId, filling: ImageId) -> Option<f64> {
         let fit = self.fits.get(usize::from(serving))?.as_ref()?;
         let place = (*self.places.get(usize::from(filling))?)?;
--- a/crates/agatesill_policy/src/fleet/order.rs
+++ b/crates/agatesill_policy/src/fleet/order.rs
@@ -5,13 +5,15 @@
 //! than a job's objective; then nothing is worth more than a seventh. So within a queue's priority
 //! the order is by worth lost for each core-second: jobs that can still be in time before those
 //! that are late, and among them those with the most worth for the work that is left, so that what
-//! was begun is finished.
+//! was begun is finished. A lasting step that misses more tasks than it may goes before all of its
+//! priority; one that misses fewer goes after what can still be in time, for which it may just have
+//! made room.
 
 use super::job::{Job, JobPhase};
 use super::state::{Fleet, Group};
 
-/// Worth for each core-second, relative to the queue, from which a step can still be in time: late ones
-/// have [`LATE_SHARE`] of that, and only a job of which little is left has more.
+/// Density from which a step counts as in time. A whole job in time has 0.7 and more, a late one a
+/// seventh of that; a late job passes it only when less than half of its work is left.
 pub(super) const IN_TIME: f64 = 0.35;
 
 /// Worth of a late job, as a share of one in time.
