A start costs as much on 2,000 workers as on 250: rooms in order, pairs counted once

Cause: the choice of a worker went over all workers for each task, and may_try over all workers again for each serving image of each of them. On 1,100 workers a round took longer than the planner's lease. Change: workers of a service are kept in order of room and of crowding, at most 128 are examined for a task; pairs of images are counted when a task is charged or released; preemption weighs the tasks of 256 workers at most, every 50 ms, and knows what it is freeing.

--- a/crates/agatesill_policy/src/fleet/advice.rs
+++ b/crates/agatesill_policy/src/fleet/advice.rs
@@ -43,6 +43,15 @@
         (now_us < *until_us).then_some(ticket.as_str())
     }
 
+    /// The workers that were given a ticket for a step, in the order of the ledger.
+    pub(super) fn with_tickets(&self, group: Group) -> Vec<WorkerIndex> {
+        let known = self.advice.get(&group);
+        let mut workers: Vec<WorkerIndex> =
+            known.into_iter().flat_map(|known| known.tickets.keys().copied()).collect();
+        workers.sort_unstable();
+        workers
+    }
+
     /// Asks about workers for a step, unless an answer is still to come.
     pub(super) fn ask_advice(&mut self, group: Group, service: &str, now_us: u64) {
         let Some(job) = self.job(group.job) else { return };
--- a/crates/agatesill_policy/src/fleet/colocation/mod.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/mod.rs
@@ -7,9 +7,12 @@
 //! harmless ones.
 
 mod balance;
+mod pairs;
 mod pressure;
 mod room;
 
 pub use self::pressure::{Learned, LearnedImage};
 
+pub(super) use self::pairs::PairCounts;
 pub(super) use self::pressure::Pressure;
+pub(super) use self::room::crowding_now;
--- a/crates/agatesill_policy/src/fleet/colocation/room.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/room.rs
@@ -42,7 +42,7 @@
 /// Workers on which such a pair may be tried at once. One sample in two seconds tells a pair that
 /// harms; tried wherever its serving image runs, each harmful pair pressed ten to sixteen workers at
 /// once in the first seconds. Mean worth 0.583 without and 0.590 with it (18 days).
-const TRIAL_WORKERS: usize = 3;
+const TRIAL_WORKERS: u32 = 3;
 
 /// A worker on which tasks that fill would get less than this part of their processors takes no
 /// more: the work waits better than it crawls.
@@ -57,30 +57,46 @@
     (capacity * most - plain - lasting * USED_SHARE) / 1_000.0
 }
 
+/// Processors wanted by tasks that fill over those left to them, and a step for a worker with lasting
+/// tasks; infinite where no more may come.
+fn crowding(worker: &Worker, more_milli: u64) -> f64 {
+    let capacity = worker.entry.capacity.cpu_milli as f64;
+    let wanted = (worker.filling_cpu_milli + more_milli) as f64;
+    let lasting = worker.lasting_cpu_milli as f64;
+    let plain = worker.used.cpu_milli as f64 - lasting;
+    let crowding = wanted / (capacity - plain - lasting * USED_SHARE).max(1.0);
+    if crowding > MOST_CROWDED && worker.filling_cpu_milli > 0 {
+        return f64::INFINITY;
+    }
+    if worker.lasting == 0 {
+        return crowding;
+    }
+    if worker.worst_tail > NEAR_TARGET || wanted > cores_for_filling(worker) * 1_000.0 {
+        return f64::INFINITY;
+    }
+    crowding + worker.mean_tail * TAIL_WEIGHT
+}
+
+/// Steps of the order of workers by crowding in one processor asked for each processor left.
+const CROWDING_STEPS: f64 = 1_000.0;
+
+/// How crowded a worker is for tasks that fill, in thousandths; `None` if it takes no more.
+pub fn crowding_now(worker: &Worker) -> Option<u32> {
+    let crowding = crowding(worker, 0);
+    crowding.is_finite().then_some((crowding * CROWDING_STEPS) as u32)
+}
+
 impl Fleet {
     /// How well a task that fills goes to a worker; infinite where it must not.
     ///
-    /// Crowding is the processors wanted over those left; on it come a step for workers with
-    /// lasting tasks and one for pairs that are not known. A pair known to be harmful is out of
-    /// the question: one serving task over its target for two seconds costs what three month-end
-    /// tasks are worth.
+    /// To how crowded it is comes a step for each pair of images that is not known. A pair known to be
+    /// harmful is out of the question: one serving task over its target for two seconds costs what
+    /// three month-end tasks are worth.
     pub(in crate::fleet) fn filling_score(&self, request: &Request<'_>, worker: &Worker) -> f64 {
-        let step = request.step;
-        let capacity = worker.entry.capacity.cpu_milli as f64;
-        let wanted = (worker.filling_cpu_milli + step.need.cpu_milli) as f64;
-        let lasting = worker.lasting_cpu_milli as f64;
-        let plain = worker.used.cpu_milli as f64 - lasting;
-        let crowding = wanted / (capacity - plain - lasting * USED_SHARE).max(1.0);
-        if crowding > MOST_CROWDED && worker.filling_cpu_milli > 0 {
-            return f64::INFINITY;
-        }
-        if worker.lasting == 0 {
-            return crowding;
+        let mut score = crowding(worker, request.step.need.cpu_milli);
+        if worker.lasting == 0 || !score.is_finite() {
+            return score;
         }
-        if worker.worst_tail > NEAR_TARGET || wanted > cores_for_filling(worker) * 1_000.0 {
-            return f64::INFINITY;
-        }
-        let mut score = crowding + worker.mean_tail * TAIL_WEIGHT;
         for serving in worker.serving.iter() {
             match self.pressure.pair(serving, request.image) {
                 Pair::Harmful => return f64::INFINITY,
@@ -93,15 +109,10 @@
         }
         score
     }
-}
 
-impl Fleet {
     /// Whether one more task of an image may run beside a serving image of which it is not known
     /// yet whether it harms it.
     fn may_try(&self, worker: &Worker, serving: ImageId, filling: ImageId) -> bool {
-        let is_trial =
-            |other: &&Worker| other.filling.of(filling) > 0 && other.serving.of(serving) > 0;
-        worker.filling.of(filling) < TRIAL_TASKS
-            && self.workers.iter().filter(is_trial).take(TRIAL_WORKERS).count() < TRIAL_WORKERS
+        worker.filling.of(filling) < TRIAL_TASKS && self.pairs.of(serving, filling) < TRIAL_WORKERS
     }
 }
--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -44,6 +44,7 @@
         worker.silent_calls = 0;
         worker.answered_us = now_us;
         worker.clock_offset_ms = look.clock_ms as i64 - (now_us / US_PER_MS) as i64;
+        self.worker_changed(index);
         self.lease_asked(index, look.sent_us);
         for end in &look.ended {
             self.run_ended(index, end, now_us);
@@ -57,6 +58,7 @@
             self.evacuate(index, now_us);
         }
         self.balance(index, &look.running, now_us);
+        self.worker_changed(index);
     }
 
     /// The worker's newest end that it may forget.
@@ -84,6 +86,7 @@
             log::warn!(event = "worker_silent", worker = worker.entry.id.as_str(),
                 last_answer_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
                 tasks = worker.tasks.len(); "");
+            self.worker_changed(index);
         }
     }
 
@@ -98,6 +101,7 @@
         let tasks = std::mem::take(&mut worker.tasks);
         log::warn!(event = "worker_gone", worker = worker.entry.id.as_str(), why = why,
             tasks = tasks.len(); "");
+        self.worker_changed(index);
         for at in tasks {
             self.counts.lost += 1;
             self.mark(at.job, now_us);
--- a/crates/agatesill_policy/src/fleet/images.rs
+++ b/crates/agatesill_policy/src/fleet/images.rs
@@ -44,20 +44,27 @@
 }
 
 impl ImageCounts {
-    /// Counts one more task.
-    pub fn add(&mut self, image: ImageId) {
-        match self.counts.iter_mut().find(|(other, _)| *other == image) {
-            Some((_, count)) => *count += 1,
-            None => self.counts.push((image, 1)),
+    /// Counts one more task; true if it is the first of its image.
+    pub fn add(&mut self, image: ImageId) -> bool {
+        if let Some((_, count)) = self.counts.iter_mut().find(|(other, _)| *other == image) {
+            *count += 1;
+            return false;
         }
+        self.counts.push((image, 1));
+        true
     }
 
-    /// Counts one task less.
-    pub fn remove(&mut self, image: ImageId) {
-        if let Some((_, count)) = self.counts.iter_mut().find(|(other, _)| *other == image) {
-            *count -= 1;
+    /// Counts one task less; true if it was the last of its image.
+    pub fn remove(&mut self, image: ImageId) -> bool {
+        let Some(place) = self.counts.iter().position(|(other, _)| *other == image) else {
+            return false;
+        };
+        self.counts[place].1 -= 1;
+        let is_last = self.counts[place].1 == 0;
+        if is_last {
+            self.counts.remove(place);
         }
-        self.counts.retain(|(_, count)| *count > 0);
+        is_last
     }
 
     /// Tasks of one image.
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod advice;
 mod answers;
 mod colocation;
+mod effort;
 mod ends;
 mod floor;
 mod images;
@@ -19,6 +20,7 @@
 mod preempt;
 mod record;
 mod registry;
+mod rooms;
 mod state;
 mod takeover;
 mod watchdog;
@@ -27,6 +29,7 @@
 
 pub use advice::AdviceQuestion;
 pub use colocation::{Learned, LearnedImage};
+pub use effort::Effort;
 pub use floor::{Floor, TaskKind, Waiting};
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
--- a/crates/agatesill_policy/src/fleet/order.rs
+++ b/crates/agatesill_policy/src/fleet/order.rs
@@ -47,6 +47,7 @@
     pub(super) fn ranked(&self, now_ms: u64) -> Vec<Ranked> {
         let mut ranked: Vec<Ranked> =
             self.waiting.iter().filter_map(|group| self.rank(*group, now_ms)).collect();
+        self.effort.ranked(ranked.len());
         ranked.sort_by(|a, b| {
             a.priority
                 .cmp(&b.priority)
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -39,21 +39,25 @@
 const CLOSED_SCORE: f64 = 1_000.0;
 
 impl Fleet {
-    /// The worker with the lowest score of all that may take the task.
-    pub(super) fn choose_worker(&self, request: &Request<'_>, now_us: u64) -> Option<WorkerIndex> {
+    /// The worker with the lowest score among those examined that may take the task.
+    pub(super) fn choose_worker(
+        &mut self,
+        request: &Request<'_>,
+        now_us: u64,
+    ) -> Option<WorkerIndex> {
+        let candidates = self.to_examine(request);
+        self.effort.examined(candidates.len());
         let charge = request.step.charge();
-        self.workers
+        let chosen = candidates
             .iter()
-            .enumerate()
+            .map(|index| (*index, &self.workers[*index as usize]))
             .filter(|(_, worker)| {
                 worker.is_open(now_us) || (request.takes_closed && worker.is_there())
             })
             .filter(|(_, worker)| worker.free().holds(&charge))
-            .filter(|(index, worker)| may_run(request, *index as WorkerIndex, worker))
+            .filter(|(index, worker)| may_run(request, *index, worker))
             .filter(|(index, _)| {
-                request
-                    .advised
-                    .is_none_or(|group| self.ticket(group, *index as WorkerIndex, now_us).is_some())
+                request.advised.is_none_or(|group| self.ticket(group, *index, now_us).is_some())
             })
             .map(|(index, worker)| {
                 let closed = if worker.is_open(now_us) { 0.0 } else { CLOSED_SCORE };
@@ -61,7 +65,36 @@
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .filter(|(score, _)| score.is_finite())
-            .map(|(_, index)| index as WorkerIndex)
+            .map(|(_, index)| index);
+        if chosen.is_none() && request.step.fills {
+            self.rooms.found_none(request.service, request.image, &candidates);
+        }
+        chosen
+    }
+
+    /// The workers worth examining, in the order in which equal ones are preferred: those that a
+    /// ticket, a label or the place of the data narrows the choice to, else a bounded number of those
+    /// that fit best.
+    fn to_examine(&self, request: &Request<'_>) -> Vec<WorkerIndex> {
+        let Request { step, service, .. } = request;
+        if let Some(group) = request.advised {
+            return self.with_tickets(group);
+        }
+        let cpu_milli = step.charge().cpu_milli;
+        if !step.label.is_empty() {
+            return self.rooms.labelled(service, &step.label, cpu_milli);
+        }
+        let mut candidates = Vec::new();
+        let data_rack = Some(&step.data_rack).filter(|rack| !rack.is_empty());
+        for rack in data_rack.into_iter().chain(request.chosen_racks.last()) {
+            candidates.extend(self.rooms.labelled(service, rack, cpu_milli));
+        }
+        candidates.extend(if step.fills {
+            self.rooms.least_crowded(service, request.image)
+        } else {
+            self.rooms.tightest(service, cpu_milli)
+        });
+        candidates
     }
 
     fn score(&self, request: &Request<'_>, worker: &Worker) -> f64 {
--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -29,6 +29,13 @@
 /// may be missing are left for finding a place and starting.
 const HOLD_US: u64 = 2_000 * US_PER_MS;
 
+/// Time between two rounds of preemption: what was stopped in one needs as long to free its room.
+const ROUND_US: u64 = 50 * US_PER_MS;
+
+/// Workers whose tasks are weighed in one round; the next goes on after them, so that a round costs
+/// the same on a large fleet.
+const WORKERS_A_ROUND: usize = 256;
+
 /// Tasks that may be away of a step that states no allowance and has at least [`LEAST_TASKS`]: its
 /// users lose a fourth of it at most.
 const USUAL_ALLOWANCE: u32 = 1;
@@ -53,9 +60,10 @@
             .filter(|(_, density)| *density >= IN_TIME)
             .map(|(group, _)| self.wanted_milli(*group, now_us))
             .sum();
-        if wanted_milli == 0 {
+        if wanted_milli == 0 || now_us.saturating_sub(self.preempted_us) < ROUND_US {
             return;
         }
+        self.preempted_us = now_us;
         let mut short_milli = wanted_milli.saturating_sub(self.freeing_milli());
         if short_milli == 0 {
             return;
@@ -80,6 +88,7 @@
             cpu_milli = candidate.cpu_milli, short_milli = short_milli,
             look_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS; "");
         self.stop(candidate.at, now_us);
+        self.giving_way.insert(candidate.at, candidate.cpu_milli);
         self.counts.gave_way += 1;
         if let Some(job) = self.jobs[candidate.at.job as usize].as_mut() {
             job.tasks[candidate.at.task as usize].gave_way = true;
@@ -119,26 +128,24 @@
             .sum()
     }
 
-    /// Processors of lasting tasks whose stop is under way.
+    /// Processors of lasting tasks that were stopped to make room and still hold it.
     fn freeing_milli(&self) -> u64 {
-        self.workers
-            .iter()
-            .flat_map(|worker| &worker.tasks)
-            .filter(|at| matches!(self.task_state(**at), TaskState::Stopping(_)))
-            .filter_map(|at| Some(self.job(at.job)?.step(at.task)))
-            .filter(|step| step.is_lasting)
-            .map(|step| step.need.cpu_milli)
-            .sum()
+        self.giving_way.values().sum()
     }
 
     /// The lasting tasks that may give way now. Those that share a worker with more tasks of another
     /// image go first, as each image that is gone from a worker opens it to work that fills, and small
     /// ones before big ones. By size alone, returning tasks mixed ever more images: month-end work
     /// earned 0.671 of its worth in place of 0.739 (18 days).
-    fn candidates(&self, now_us: u64) -> Vec<Candidate> {
-        let mut candidates: Vec<Candidate> = self
-            .live_workers()
+    fn candidates(&mut self, now_us: u64) -> Vec<Candidate> {
+        let from = self.preempt_from as usize % self.workers.len().max(1);
+        let count = self.workers.len().min(WORKERS_A_ROUND);
+        self.preempt_from = (from + count) as WorkerIndex;
+        let mut candidates: Vec<Candidate> = (0..count)
+            .map(|offset| ((from + offset) % self.workers.len()) as WorkerIndex)
+            .map(|index| (index, &self.workers[index as usize]))
             .filter(|(_, worker)| worker.is_open(now_us))
+            .inspect(|(_, worker)| self.effort.weighed(worker.tasks.len()))
             .flat_map(|(index, worker)| worker.tasks.iter().map(move |at| (index, *at)))
             .filter(|(_, at)| self.may_give_way(*at, now_us))
             .filter_map(|(worker, at)| self.as_candidate(worker, at))
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -9,9 +9,14 @@
         if let Some(index) = self.worker_by_id.get(&entry.id).copied() {
             self.revive(index, &entry);
             let worker = &mut self.workers[index as usize];
+            if worker.entry.service != entry.service || worker.entry.labels != entry.labels {
+                self.rooms.withdraw(index, worker);
+            }
             let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
             worker.entry = entry;
             worker.is_listed = true;
+            self.worker_changed(index);
+            let worker = &self.workers[index as usize];
             if began_to_leave {
                 log::info!(event = "worker_leaving", worker = worker.entry.id.as_str(),
                     tasks = worker.tasks.len(), leaves_in_ms = worker.entry.leaves_in_ms; "");
@@ -52,6 +57,7 @@
         let Some(index) = self.worker_by_id.get(id).copied() else { return };
         let worker = &mut self.workers[index as usize];
         worker.is_listed = false;
+        self.worker_changed(index);
     }
 
     /// The workers that the registry is known to list.
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -3,10 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use super::advice::{Advice, AdviceQuestion};
-use super::colocation::Pressure;
+use super::colocation::{PairCounts, Pressure};
+use super::effort::{Effort, EffortCounter};
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
 use super::orders::{Order, OrderKind};
+use super::rooms::Rooms;
 use super::worker::{Worker, WorkerIndex, WorkerStanding};
 use super::{FleetBounds, US_PER_MS};
 
@@ -72,10 +74,18 @@
     pub(super) cancelled_early: HashSet<JobId>,
     pub(super) images: Images,
     pub(super) pressure: Pressure,
+    pub(super) pairs: PairCounts,
+    pub(super) rooms: Rooms,
+    /// Lasting tasks that were stopped to make room and whose room is not free yet.
+    pub(super) giving_way: BTreeMap<TaskRef, u64>,
+    /// When preemption was last weighed, and the worker with which it goes on.
+    pub(super) preempted_us: u64,
+    pub(super) preempt_from: WorkerIndex,
     pub(super) advice: HashMap<Group, Advice>,
     pub(super) questions: Vec<AdviceQuestion>,
     pub(super) mean_work: HashMap<String, f64>,
     pub(super) counts: Counts,
+    pub(super) effort: EffortCounter,
 }
 
 impl Fleet {
@@ -98,10 +108,16 @@
             cancelled_early: HashSet::new(),
             images: Images::default(),
             pressure: Pressure::default(),
+            pairs: PairCounts::default(),
+            rooms: Rooms::default(),
+            giving_way: BTreeMap::new(),
+            preempted_us: 0,
+            preempt_from: 0,
             advice: HashMap::new(),
             questions: Vec::new(),
             mean_work: HashMap::new(),
             counts: Counts::default(),
+            effort: EffortCounter::default(),
         }
     }
 
@@ -110,6 +126,11 @@
         self.counts
     }
 
+    /// What the decisions since the start have cost.
+    pub fn effort(&self) -> Effort {
+        self.effort.get()
+    }
+
     /// Lease that is asked of workers.
     pub fn lease_ms(&self) -> u64 {
         LEASE_MS.min(self.bounds.lease_max_ms)
@@ -265,17 +286,19 @@
         let serves = step.target_ms > 0;
         let image = job.image(at.task);
         job.tasks[at.task as usize].state = state;
+        let index = worker;
         let worker = &mut self.workers[worker as usize];
-        if serves {
-            worker.serving.add(image);
-        } else if fills {
-            worker.filling.add(image);
+        if serves && worker.serving.add(image) {
+            self.pairs.serving_came(image, &worker.filling);
+        } else if fills && !serves && worker.filling.add(image) {
+            self.pairs.filling_came(image, &worker.serving);
         }
         worker.used = worker.used.plus(&need);
         worker.filling_cpu_milli += if fills { cpu } else { 0 };
         worker.lasting += u32::from(lasts);
         worker.lasting_cpu_milli += if lasts { cpu } else { 0 };
         worker.tasks.push(at);
+        self.rooms.update(index, worker);
     }
 
     /// Frees what a task was charged and gives it another state.
@@ -284,14 +307,16 @@
         let before = job.tasks[at.task as usize].state;
         let (occurrence, step_index, _) = job.locate(at.task);
         let step = &job.spec.steps[step_index as usize];
-        if let Some(worker) = before.worker() {
-            let worker = &mut self.workers[worker as usize];
+        self.giving_way.remove(&at);
+        if let Some(index) = before.worker() {
+            let worker = &mut self.workers[index as usize];
             worker.used = worker.used.minus(&step.charge());
             let image = job.images[step_index as usize];
-            if step.target_ms > 0 {
-                worker.serving.remove(image);
-            } else if step.fills {
-                worker.filling.remove(image);
+            let serves = step.target_ms > 0;
+            if serves && worker.serving.remove(image) {
+                self.pairs.serving_left(image, &worker.filling);
+            } else if step.fills && !serves && worker.filling.remove(image) {
+                self.pairs.filling_left(image, &worker.serving);
             }
             if step.fills {
                 worker.filling_cpu_milli =
@@ -303,6 +328,7 @@
                     worker.lasting_cpu_milli.saturating_sub(step.need.cpu_milli);
             }
             worker.tasks.retain(|other| *other != at);
+            self.rooms.update(index, worker);
         }
         let is_active = job.phase == JobPhase::Active;
         let state =
@@ -319,6 +345,11 @@
         }
     }
 
+    /// Brings the order of the workers up to date after a change of one.
+    pub(super) fn worker_changed(&mut self, index: WorkerIndex) {
+        self.rooms.update(index, &self.workers[index as usize]);
+    }
+
     /// Orders a stop; the charge stays until the worker lists the end.
     pub(super) fn stop(&mut self, at: TaskRef, now_us: u64) {
         let Some(worker) = self.task_state(at).worker() else { return };
