Looks wait for the acknowledgement; ends acknowledged by job; a job begins with a run

Cause 1: after each end the next look came 8 ms later, returned at once with the same end and told nothing; a look then waited 150 ms blindly. Now the line waits until the end may be forgotten, 150 ms at most. Cause 2: after each stored record all workers were gone over for ends to acknowledge, and all lines after each commit. Now a job knows the workers that wait for it. It begins now with a run that is known.

--- a/crates/agatesill_policy/src/fleet/answers.rs
+++ b/crates/agatesill_policy/src/fleet/answers.rs
@@ -51,6 +51,7 @@
         let may_begin_later = std::mem::take(&mut task.unanswered) > 0;
         match outcome {
             OrderOutcome::Done => {
+                job.is_started = true;
                 task.answered_us = now_us;
                 if matches!(task.state, TaskState::Ordered(_)) {
                     task.state = TaskState::Running(order.worker);
--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -178,6 +178,12 @@
         let version = slot.and_then(|slot| self.job(slot)).map_or(0, |job| job.version);
         self.workers[index as usize].unacked.push_back((number, slot.unwrap_or(0), version));
         self.advance_ack(index);
+        let is_acked = self.workers[index as usize].acked_end >= number;
+        if let Some(job) = slot.filter(|_| !is_acked).and_then(|slot| self.job_mut(slot)) {
+            if !job.unacked_at.contains(&index) {
+                job.unacked_at.push(index);
+            }
+        }
     }
 
     fn advance_ack(&mut self, index: WorkerIndex) {
@@ -191,17 +197,29 @@
             let worker = &mut self.workers[index as usize];
             worker.unacked.pop_front();
             worker.acked_end = number;
+            self.acked.push(index);
         }
     }
 
-    /// Lets workers forget the ends whose effect is stored.
-    pub(super) fn acknowledge_ends(&mut self) {
-        let with_ends: Vec<WorkerIndex> = self
-            .live_workers()
-            .filter(|(_, worker)| !worker.unacked.is_empty())
-            .map(|(index, _)| index)
-            .collect();
-        with_ends.into_iter().for_each(|index| self.advance_ack(index));
+    /// Lets workers forget the ends of a job whose effect is stored.
+    pub(super) fn acknowledge_ends(&mut self, slot: u32) {
+        let Some(job) = self.job_mut(slot) else { return };
+        let mut workers = std::mem::take(&mut job.unacked_at);
+        workers.iter().for_each(|index| self.advance_ack(*index));
+        workers.retain(|index| {
+            self.workers[*index as usize].unacked.iter().any(|(_, of, _)| *of == slot)
+        });
+        if let Some(job) = self.job_mut(slot) {
+            job.unacked_at = workers;
+        }
+    }
+
+    /// Workers that may forget more ends than when this was last asked.
+    pub fn take_acked(&mut self) -> Vec<WorkerIndex> {
+        let mut acked = std::mem::take(&mut self.acked);
+        acked.sort_unstable();
+        acked.dedup();
+        acked
     }
 
     /// Applies an end to its task; false if it concerns an older run.
@@ -219,6 +237,7 @@
         if end.run != task.run || !counts {
             return false;
         }
+        job.is_started = true;
         if !end.saved.is_empty() {
             task.saved = end.saved.clone();
         }
@@ -335,6 +354,7 @@
 
     fn run_present(&mut self, index: WorkerIndex, at: TaskRef, row: &RunRow, now_us: u64) {
         let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
+        job.is_started = true;
         let task = &mut job.tasks[at.task as usize];
         if !row.saved.is_empty() && row.saved != task.saved {
             task.saved.clone_from(&row.saved);
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -310,8 +310,11 @@
     pub revision: u64,
     /// Whether a record is on its way to the store.
     pub is_committing: bool,
-    /// Whether any task has been started.
+    /// Whether a run of any task is known to have begun. A choice or an order is not enough: while
+    /// orders lag, callers would be told that nothing waits.
     pub is_started: bool,
+    /// Workers that list ends of this job whose effect is not stored yet.
+    pub(super) unacked_at: Vec<WorkerIndex>,
     /// When the job reached its final phase.
     pub ended_us: u64,
 }
@@ -334,6 +337,7 @@
             revision: 0,
             is_committing: false,
             is_started: false,
+            unacked_at: Vec::new(),
             ended_us: 0,
             spec,
         }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -150,7 +150,6 @@
     fn number_runs(&mut self, group: Group, chosen: &[TaskRef], is_gang: bool, now_us: u64) {
         self.mark_urgent(group.job, now_us);
         let Some(job) = self.jobs[group.job as usize].as_mut() else { return };
-        job.is_started = true;
         let version = job.version;
         let highest = chosen.iter().map(|at| job.tasks[at.task as usize].run).max().unwrap_or(0);
         let waited_ms = chosen.iter().map(|at| job.tasks[at.task as usize].since_us).min();
--- a/crates/agatesill_policy/src/fleet/record.rs
+++ b/crates/agatesill_policy/src/fleet/record.rs
@@ -31,6 +31,13 @@
     }
 }
 
+impl TaskRecord {
+    /// Whether the record shows that a run has begun; of one that was only ordered it is not known.
+    pub fn has_begun(&self) -> bool {
+        self.is_done || self.failures > 0 || !self.saved.is_empty()
+    }
+}
+
 #[allow(clippy::trivially_copy_pass_by_ref)] // The signature that serde asks for.
 fn is_zero(value: &u32) -> bool {
     *value == 0
@@ -47,7 +54,7 @@
         /// Where it stands.
         #[serde(rename = "p")]
         pub phase: JobPhase,
-        /// Whether any task has ever been started.
+        /// Whether any task has been started, or is about to be: its order follows this record.
         #[serde(rename = "b", default)]
         pub is_started: bool,
         /// Tasks; empty once the job has reached a final phase and nothing of it may run.
@@ -78,6 +85,7 @@
                 saved: task.saved.clone(),
             })
             .collect();
-        Self { phase: job.phase, is_started: job.is_started, tasks }
+        let is_started = job.tasks.iter().any(|task| task.run > 0);
+        Self { phase: job.phase, is_started, tasks }
     }
 }
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -68,6 +68,8 @@
     /// Those among them that something waits for.
     pub(super) urgent: BTreeSet<u32>,
     pub(super) orders: Vec<Order>,
+    /// Workers that may forget more ends than the lines were told.
+    pub(super) acked: Vec<WorkerIndex>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
     /// Jobs that had ended when this ledger was built, and when that was.
     pub(super) ended_before: HashMap<JobId, (JobPhase, u64)>,
@@ -103,6 +105,7 @@
             dirty: BTreeMap::new(),
             urgent: BTreeSet::new(),
             orders: Vec::new(),
+            acked: Vec::new(),
             ended_jobs: Vec::new(),
             ended_before: HashMap::new(),
             cancelled_early: HashSet::new(),
@@ -265,6 +268,10 @@
         self.jobs.get(slot as usize).and_then(Option::as_ref)
     }
 
+    pub(super) fn job_mut(&mut self, slot: u32) -> Option<&mut Job> {
+        self.jobs.get_mut(slot as usize).and_then(Option::as_mut)
+    }
+
     pub(super) fn task_state(&self, at: TaskRef) -> TaskState {
         self.job(at.job).map_or(TaskState::Blocked, |job| job.tasks[at.task as usize].state)
     }
@@ -398,7 +405,7 @@
         Some((job.committed_phase, job.is_started))
     }
 
-    /// Active jobs of a queue of which no task has been started.
+    /// Active jobs of a queue of which no run is known to have begun.
     pub fn pending(&self, queue: &str) -> usize {
         self.jobs
             .iter()
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -26,7 +26,7 @@
         job.revision = revision;
         job.phase = record.phase;
         job.committed_phase = record.phase;
-        job.is_started = record.is_started;
+        job.is_started = record.tasks.iter().any(TaskRecord::has_begun);
         job.ended_us = now_us;
         let slot = self.insert(job);
         for task in &record.tasks {
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -86,7 +86,7 @@
         for (task, worker) in chosen {
             self.order_start(TaskRef { job: write.slot, task }, worker, now_us);
         }
-        self.acknowledge_ends();
+        self.acknowledge_ends(write.slot);
     }
 
     /// A record could not be stored for now; it is taken again later.
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -342,3 +342,40 @@
     let names: Vec<&str> = starts(&orders).iter().map(|o| o.task.job.as_str()).collect();
     assert_eq!(names, ["watch"]);
 }
+
+/// Callers were told that four jobs wait while twenty-seven did: the planner had chosen workers for the
+/// others, but its orders to start them lagged behind by seconds, and a job counted as begun from the
+/// choice on. A job waits until one of its runs is known to have begun.
+#[test]
+fn a_job_whose_start_is_on_its_way_still_counts_as_waiting() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    rig.fleet.accept(job("j1", vec![step(2)]), rig.now_us);
+    let orders = rig.plan();
+    assert_eq!(orders.len(), 2);
+    assert_eq!(rig.fleet.pending("desk"), 1, "nothing has been started yet");
+    rig.obey(&orders[0]);
+    assert_eq!(rig.fleet.pending("desk"), 0);
+}
+
+/// A successor reads a record that names a start which was ordered, or was about to be. Until a worker
+/// shows the run, the job counts as waiting.
+#[test]
+fn after_a_takeover_an_ordered_start_is_no_proof_that_a_job_has_begun() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    let spec = job("j1", vec![step(1)]);
+    rig.fleet.accept(spec.clone(), rig.now_us);
+    let orders = rig.plan();
+    let mut next = rig.successor(&[spec], vec![entry("w1", "r1-1")]);
+    assert_eq!(next.pending("desk"), 1);
+    rig.carry_out(&orders[0]);
+    let running = rig.far[&0].running.values().cloned().collect();
+    let look = agatesill_policy::fleet::Look {
+        sent_us: rig.now_us,
+        lease_ms: 5_000,
+        clock_ms: rig.now_us / MS,
+        running,
+        ended: Vec::new(),
+    };
+    next.looked(0, &look, rig.now_us + MS);
+    assert_eq!(next.pending("desk"), 0);
+}
--- a/crates/agatesilld/src/fleet/lines.rs
+++ b/crates/agatesilld/src/fleet/lines.rs
@@ -10,7 +10,7 @@
 use agatesill_policy::fleet::{
     Fleet, Order, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
 };
-use tokio::sync::{Mutex, mpsc};
+use tokio::sync::{Mutex, Notify, mpsc};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -35,9 +35,9 @@
 /// Pause after an end came, so that others that are about to come travel with the next look.
 const GATHER_PAUSE: Duration = Duration::from_millis(8);
 
-/// Pause after a look that only brought ends known before. While the store is away they can't be
-/// acknowledged, and every look would return at once.
-const UNCHANGED_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after an end came, until its effect is stored and the worker may forget it. A look
+/// before that returns at once with the same end and tells nothing.
+const ACK_LIMIT: Duration = Duration::from_millis(150);
 
 /// Orders that may wait for one worker.
 const RING_ORDERS: usize = 1_024;
@@ -56,6 +56,8 @@
     life: String,
     addr: SocketAddr,
     acked_end: AtomicU64,
+    /// Woken when [`Line::acked_end`] rises.
+    acked: Notify,
     clock_offset_ms: AtomicI64,
     /// Newest end of a lease that was asked for, on the worker's clock.
     asked_until_ms: AtomicU64,
@@ -64,6 +66,21 @@
     stop: CancellationToken,
 }
 
+impl Line {
+    /// Waits until an end need not be listed any more, so that the next look waits for another.
+    async fn until_acked(&self, end: u64) {
+        tokio::time::sleep(GATHER_PAUSE).await;
+        let acked = async {
+            while self.acked_end.load(Ordering::Acquire) < end {
+                self.acked.notified().await;
+            }
+        };
+        if tokio::time::timeout(ACK_LIMIT, acked).await.is_err() {
+            log::debug!(event = "end_unacknowledged", worker = self.life.as_str(), end = end; "");
+        }
+    }
+}
+
 /// The lines to all workers.
 pub struct WorkerLines {
     site: Arc<Site>,
@@ -99,6 +116,7 @@
             life: worker.entry.id.clone(),
             addr,
             acked_end: AtomicU64::new(0),
+            acked: Notify::new(),
             clock_offset_ms: AtomicI64::new(0),
             asked_until_ms: AtomicU64::new(0),
             is_answering: AtomicBool::new(false),
@@ -133,15 +151,12 @@
     /// The newest end that a worker may forget.
     pub fn set_acked(&self, worker: WorkerIndex, acked_end: u64) {
         if let Some((line, _)) = self.lines.get(&worker) {
-            line.acked_end.store(acked_end, Ordering::Release);
+            if line.acked_end.swap(acked_end, Ordering::AcqRel) != acked_end {
+                line.acked.notify_one();
+            }
         }
     }
 
-    /// The same for all workers.
-    pub fn set_all_acked(&self, fleet: &Fleet) {
-        self.lines.keys().for_each(|worker| self.set_acked(*worker, fleet.acked_end(*worker)));
-    }
-
     /// Closes the lines to workers whose life is over.
     pub fn close_gone(&mut self, fleet: &Fleet) {
         self.lines.retain(|worker, (line, _)| {
@@ -192,8 +207,8 @@
     async fn look_for_ever(&self, line: &Line) {
         let mut channel = WorkerChannel::new(line.addr, &line.life);
         let mut wait_ms = 0;
-        let mut newest_end = 0;
         loop {
+            let mut newest_end = None;
             let sent_us = self.site.clock.now_us();
             let lease = self.lease_to_ask_ms(line);
             let acked_end = line.acked_end.load(Ordering::Acquire);
@@ -213,16 +228,8 @@
                     } else {
                         LOOK_WAIT_MS
                     };
-                    let newest = look.ended.iter().map(|end| end.number).max().unwrap_or(0);
-                    let pause = if newest > newest_end {
-                        GATHER_PAUSE
-                    } else if newest > 0 {
-                        UNCHANGED_PAUSE
-                    } else {
-                        Duration::ZERO
-                    };
-                    newest_end = newest.max(newest_end);
-                    (Event::Looked(line.worker, Box::new(look)), pause)
+                    newest_end = look.ended.iter().map(|end| end.number).max();
+                    (Event::Looked(line.worker, Box::new(look)), Duration::ZERO)
                 }
                 Ok(LookOutcome::OtherLife) => (Event::OtherLife(line.worker), LOOK_PAUSE),
                 Ok(LookOutcome::Fenced) => (Event::Fenced(line.worker), LOOK_PAUSE),
@@ -235,6 +242,9 @@
             if self.events.send(event).await.is_err() {
                 return;
             }
+            if let Some(end) = newest_end {
+                line.until_acked(end).await;
+            }
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -220,7 +220,6 @@
             Event::Registry(entries) => self.registry(entries),
             Event::Looked(worker, look) => {
                 self.fleet.looked(worker, &look, now_us);
-                self.lines.set_acked(worker, self.fleet.acked_end(worker));
             }
             Event::Silent(worker, asked_us) => {
                 if let Some(asked_us) = asked_us {
@@ -279,7 +278,6 @@
         match committed {
             Committed::Stored(writes, revision) => {
                 writes.iter().for_each(|write| self.fleet.committed(write, revision, now_us));
-                self.lines.set_all_acked(&self.fleet);
             }
             Committed::Failed(writes) => {
                 writes.iter().for_each(|write| self.fleet.not_committed(write, now_us));
@@ -338,6 +336,9 @@
             }
             self.commit(writes);
         }
+        for worker in self.fleet.take_acked() {
+            self.lines.set_acked(worker, self.fleet.acked_end(worker));
+        }
         for order in self.fleet.take_orders() {
             self.lines.send(order);
         }
