The planner takes news first, answers in turns, and rests between rounds

Cause: all events of the planner waited in one ring and were drained to the last before anything else of the daemon ran: renewals, links, and the notice that a worker leaves stood behind thousands of answers. Change: news (callers, registry, commits) has a ring of its own and goes first; answers are taken for 5 ms, then others get a turn; after a round of planning three times as long passes until the next. A planner that has not caught up for 500 ms says so (planner_behind, gauge behind_ms).

--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -101,6 +101,7 @@
             let planned = held.planned();
             let what = |name: &'static str| [KeyValue::new("what", name)];
             gauge.observe(planned.waiting_steps, &what("waiting_steps"));
+            gauge.observe(planned.behind_us / 1_000, &what("behind_ms"));
             gauge.observe(planned.workers, &what("workers"));
             gauge.observe(planned.silent_workers, &what("silent_workers"));
             gauge.observe(planned.counts.quarantines, &what("quarantines"));
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -19,8 +19,24 @@
 use super::site::{Planned, Site};
 use super::{advisor, followers, recovery};
 
-/// Events that may wait. A look of each of 350 workers with its answers to orders fits ten times.
-const RING_EVENTS: usize = 8_192;
+/// Answers of workers that may wait; a full ring holds up the lines, which ask for less then.
+const RING_ANSWERS: usize = 8_192;
+
+/// News that may wait: what callers, operators and the registry say, and what became of records.
+const RING_NEWS: usize = 4_096;
+
+/// How long answers are taken in before the daemon's other tasks get a turn.
+///
+/// Guards against a planner at the end of its processor time that starves its own renewals and links:
+/// its lease ends, another daemon takes over and fares no better.
+const TURN_US: u64 = 5_000;
+
+/// After a round of planning the next waits for as many times as long as it took, so that planning
+/// leaves most of the processor to calls and renewals, however slow the machine.
+const REST: u64 = 3;
+
+/// How long answers must have waited for the planner to count as behind.
+const BEHIND_US: u64 = 500_000;
 
 /// Time between two rounds without an event: leases and due times are checked this often.
 const ROUND: Duration = Duration::from_millis(50);
@@ -80,14 +96,14 @@
 /// The way to the planner of this daemon.
 #[derive(Clone, Debug)]
 pub struct PlannerHandle {
-    events: mpsc::Sender<Event>,
+    news: mpsc::Sender<Event>,
 }
 
 impl PlannerHandle {
     /// Gives an event to the planner. If its ring is full the event is dropped and counted in the
     /// log: what it says is also in the store, which the planner follows.
     fn offer(&self, event: Event) {
-        if let Err(error) = self.events.try_send(event) {
+        if let Err(error) = self.news.try_send(event) {
             log::warn!(event = "planner_ring_full"; "{error}");
         }
     }
@@ -124,20 +140,21 @@
 
 /// Plans under `epoch` until `lost` is cancelled, which it does itself when it meets a higher epoch.
 pub async fn run(site: Arc<Site>, epoch: u64, lost: CancellationToken) {
-    let (sender, events) = mpsc::channel(RING_EVENTS);
+    let (answers, answered) = mpsc::channel(RING_ANSWERS);
+    let (news, told) = mpsc::channel(RING_NEWS);
     let Some(start) = recovery::recover(&site, &lost).await else { return };
     let tasks = TaskTracker::new();
     // Everything that this planner started ends with it.
     let stop = lost.child_token();
-    let lines = WorkerLines::new(site.clone(), epoch, sender.clone(), stop.clone(), tasks.clone());
+    let lines = WorkerLines::new(site.clone(), epoch, answers, stop.clone(), tasks.clone());
     let (questions, asked) = mpsc::channel(advisor::RING_QUESTIONS);
-    tasks.spawn(advisor::run(site.clone(), asked, sender.clone(), stop.clone()));
+    tasks.spawn(advisor::run(site.clone(), asked, news.clone(), stop.clone()));
     let mut planner = Planner {
         questions,
         site: site.clone(),
         epoch,
         fleet: start.fleet,
-        events: sender.clone(),
+        news: news.clone(),
         lines,
         tasks: tasks.clone(),
         commits_under_way: 0,
@@ -145,18 +162,20 @@
         forgotten_us: site.clock.now_us(),
         learned_us: site.clock.now_us(),
         floor_us: 0,
+        next_round_us: 0,
+        caught_up_us: site.clock.now_us(),
     };
     planner.registry(start.workers);
     tasks.spawn(followers::registry(
         site.clone(),
-        sender.clone(),
+        news.clone(),
         start.registry_revision,
         stop.clone(),
     ));
-    tasks.spawn(followers::inbox(site.clone(), sender.clone(), start.inbox_revision, stop.clone()));
-    site.set_planner(Some(PlannerHandle { events: sender }));
+    tasks.spawn(followers::inbox(site.clone(), news.clone(), start.inbox_revision, stop.clone()));
+    site.set_planner(Some(PlannerHandle { news }));
     log::info!(event = "planner_started", epoch = epoch; "");
-    planner.serve(events, &lost).await;
+    planner.serve(told, answered, &lost).await;
     site.set_planner(None);
     stop.cancel();
     tasks.close();
@@ -167,7 +186,7 @@
     site: Arc<Site>,
     epoch: u64,
     fleet: Fleet,
-    events: mpsc::Sender<Event>,
+    news: mpsc::Sender<Event>,
     lines: WorkerLines,
     questions: mpsc::Sender<AdviceQuestion>,
     tasks: TaskTracker,
@@ -176,34 +195,71 @@
     forgotten_us: u64,
     learned_us: u64,
     floor_us: u64,
+    /// No round of planning before.
+    next_round_us: u64,
+    /// When no answer was left to take in.
+    caught_up_us: u64,
 }
 
 impl Planner {
-    async fn serve(&mut self, mut events: mpsc::Receiver<Event>, lost: &CancellationToken) {
+    async fn serve(
+        &mut self,
+        mut news: mpsc::Receiver<Event>,
+        mut answers: mpsc::Receiver<Event>,
+        lost: &CancellationToken,
+    ) {
         let mut rounds = tokio::time::interval(ROUND);
         rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
                 () = lost.cancelled() => break,
-                event = events.recv() => match event {
+                event = news.recv() => match event {
                     Some(event) => self.take(event),
                     None => break,
                 },
                 _ = rounds.tick() => self.check_times(),
+                event = answers.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => break,
+                },
             }
-            while let Ok(event) = events.try_recv() {
-                self.take(event);
-            }
+            self.take_waiting(&mut news, &mut answers);
             self.act();
+            tokio::task::yield_now().await;
+        }
+        self.finish_commits(&mut news).await;
+    }
+
+    /// Takes in all news, and then answers for one turn.
+    ///
+    /// Guards against news that waits behind thousands of answers: a worker that leaves would get
+    /// starts, a cancelled job would run on.
+    fn take_waiting(
+        &mut self,
+        news: &mut mpsc::Receiver<Event>,
+        answers: &mut mpsc::Receiver<Event>,
+    ) {
+        while let Ok(event) = news.try_recv() {
+            self.take(event);
+        }
+        let begun_us = self.site.clock.now_us();
+        while self.site.clock.now_us() - begun_us < TURN_US {
+            match answers.try_recv() {
+                Ok(event) => self.take(event),
+                Err(_) => {
+                    self.caught_up_us = self.site.clock.now_us();
+                    return;
+                }
+            }
         }
-        self.finish_commits(&mut events).await;
     }
 
     /// Waits a moment for the records on their way, so that a successor reads them.
-    async fn finish_commits(&mut self, events: &mut mpsc::Receiver<Event>) {
+    async fn finish_commits(&mut self, news: &mut mpsc::Receiver<Event>) {
         let until = tokio::time::Instant::now() + LAST_COMMITS;
         while self.commits_under_way > 0 {
-            match tokio::time::timeout_at(until, events.recv()).await {
+            match tokio::time::timeout_at(until, news.recv()).await {
                 Ok(Some(event)) => self.take(event),
                 _ => return,
             }
@@ -297,6 +353,7 @@
         if now_us - self.floor_us > FLOOR_LINE_US {
             self.floor_us = now_us;
             log_floor(&self.fleet.floor(now_us));
+            self.log_if_behind(now_us);
         }
         if now_us - self.learned_us > SAVE_LEARNED_US {
             self.learned_us = now_us;
@@ -312,23 +369,42 @@
         }
     }
 
+    fn log_if_behind(&self, now_us: u64) {
+        let behind_us = now_us - self.caught_up_us;
+        if behind_us > BEHIND_US {
+            log::warn!(event = "planner_behind", behind_ms = behind_us / 1_000,
+                waiting_steps = self.fleet.waiting_groups(); "answers of workers wait");
+        }
+    }
+
     fn tell(&self) {
         let silent = |worker: &&Worker| worker.standing != WorkerStanding::Good;
         self.site.set_planned(Planned {
             counts: self.fleet.counts(),
+            behind_us: self.site.clock.now_us() - self.caught_up_us,
             waiting_steps: self.fleet.waiting_groups() as u64,
             workers: self.fleet.live_workers().count() as u64,
             silent_workers: self.fleet.live_workers().map(|(_, w)| w).filter(silent).count() as u64,
         });
     }
 
+    fn plan(&mut self) {
+        let begun_us = self.site.clock.now_us();
+        if begun_us < self.next_round_us {
+            return;
+        }
+        self.fleet.plan(begun_us, wall_ms());
+        let ended_us = self.site.clock.now_us();
+        self.next_round_us = ended_us + (ended_us - begun_us) * REST;
+    }
+
     /// Plans, commits what changed and gives the orders that may go out.
     fn act(&mut self) {
         if self.lost.is_cancelled() {
             return;
         }
+        self.plan();
         let now_us = self.site.clock.now_us();
-        self.fleet.plan(now_us, wall_ms());
         while self.commits_under_way < MOST_COMMITS {
             let writes = self.fleet.take_writes(commits::MOST_JOBS, now_us);
             if writes.is_empty() {
@@ -353,10 +429,10 @@
 
     fn commit(&mut self, writes: Vec<JobWrite>) {
         self.commits_under_way += 1;
-        let (site, epoch, events) = (self.site.clone(), self.epoch, self.events.clone());
+        let (site, epoch, news) = (self.site.clone(), self.epoch, self.news.clone());
         self.tasks.spawn(async move {
             let committed = commits::commit(&site, epoch, writes).await;
-            if events.send(Event::Committed(committed)).await.is_err() {
+            if news.send(Event::Committed(committed)).await.is_err() {
                 log::debug!(event = "commit_unheard"; "the planner has ended");
             }
         });
--- a/crates/agatesilld/src/fleet/site.rs
+++ b/crates/agatesilld/src/fleet/site.rs
@@ -42,6 +42,8 @@
 pub struct Planned {
     /// What happened since it began.
     pub counts: Counts,
+    /// How long answers of workers have waited to be taken in.
+    pub behind_us: u64,
     /// Steps with tasks that wait.
     pub waiting_steps: u64,
     /// Workers whose life is not over.
