A full worker makes room with the first look over target

Change: then everything that fills there is thinned out at once. Test first: a_full_worker_makes_room_with_the_first_look_over_target.

--- a/crates/agatesill_policy/src/fleet/colocation/balance.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/balance.rs
@@ -90,7 +90,9 @@
         worker.sampled_us = now_us;
         self.learn(&servers, &fillers);
         if worst > PRESSED {
-            self.relieve(index, &servers, &fillers);
+            if !self.relieve(index, &servers, &fillers) {
+                self.thin_out(index, &fillers);
+            }
         } else if self.is_crowded(index, &fillers) {
             self.thin_out(index, &fillers);
         } else if worst < RELAXED {
@@ -172,8 +174,9 @@
     }
 
     /// Slows what presses the tasks over [`PRESSED`], the most pressing first, until the tails
-    /// should come down to [`AIM`]. What is known to be harmful here is moved instead.
-    fn relieve(&mut self, index: WorkerIndex, servers: &[Server], fillers: &[Filler]) {
+    /// should come down to [`AIM`]. What is known to be harmful here is moved instead. False if nothing
+    /// that is known to press is at work: then it is the worker that is full at the present load.
+    fn relieve(&mut self, index: WorkerIndex, servers: &[Server], fillers: &[Filler]) -> bool {
         let pressed: Vec<&Server> =
             servers.iter().filter(|server| server.ratio > PRESSED).collect();
         let mut excess = pressed.iter().map(|server| (server.ratio / AIM).ln()).fold(0.0, f64::max);
@@ -188,10 +191,11 @@
             .filter(|(weight, filler)| *weight >= HARMFUL / 2.0 && filler.pace_percent > 0)
             .collect();
         pressing.sort_by(|a, b| (b.0 * b.1.part).total_cmp(&(a.0 * a.1.part)));
+        let is_blamed = !pressing.is_empty();
         let most = pressing.first().map_or(0.0, |(weight, filler)| weight * filler.part);
         for (weight, filler) in pressing {
             if excess <= 0.0 || weight * filler.part < most * BLAME_SHARE {
-                return;
+                break;
             }
             excess -= weight * filler.part;
             let is_harmful =
@@ -202,6 +206,7 @@
                 self.set_pace(index, filler.at, 0);
             }
         }
+        is_blamed
     }
 
     /// Whether the worker is about to be full: tails are still in bounds, but at the present load of
--- a/crates/agatesill_policy/tests/fleet_colocation.rs
+++ b/crates/agatesill_policy/tests/fleet_colocation.rs
@@ -437,3 +437,36 @@
     }
     assert!(most <= 1, "{most} at once beside the watchers that they press");
 }
+
+/// The load of the watchers rises within a second while month-end work of an image that is known to be
+/// harmless uses what they left. Their tails pass the target, no image is to blame, and so nothing was
+/// slowed for another second: the worker is simply full. What fills makes room with the first look.
+#[test]
+fn a_full_worker_makes_room_with_the_first_look_over_target() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    rig.fleet.accept(lasting("watch-a", "ledger", 5, 3_000), rig.now_us);
+    rig.settle();
+    rig.look_all();
+    let look = |rig: &mut Rig, tail: u64| {
+        for row in rig.far.values_mut().flat_map(|far| far.running.values_mut()) {
+            let serves = row.task.job.starts_with("watch");
+            row.percent = if serves { 100 } else { row.percent + 1 };
+            row.figure = if serves { tail } else { 2_000 };
+        }
+        rig.pass_ms(500);
+        rig.look_all();
+        let orders = rig.plan();
+        orders.iter().for_each(|order| rig.obey(order));
+        orders
+    };
+    (0..40).for_each(|_| drop(look(&mut rig, 40)));
+    rig.fleet.accept(filling("fill", "plan", 30), rig.now_us);
+    (0..40).for_each(|_| drop(look(&mut rig, 40)));
+    let at_work = rig.present("fill").len();
+    assert!(at_work >= 3, "{at_work} at work beside the watchers");
+    let orders = look(&mut rig, 110);
+    let slowed = orders
+        .iter()
+        .filter(|order| matches!(order.kind, OrderKind::Pace { percent } if percent < 100));
+    assert_eq!(slowed.count(), at_work, "{orders:?}");
+}
