--- a/crates/agatesill_policy/src/fleet/colocation/pressure.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pressure.rs
@@ -11,8 +11,7 @@
 use crate::value_type;
 
 /// Filling images told apart; further ones share the last place, which bounds the cost of a sample.
-/// Images that share a place share the blame: with 18 images on 16 places one harmless image hid two
-/// harmful ones, and tails over target rose from 5 to 10 of 100 looks beside them.
+/// Images that share a place share the blame: a harmless one hides those that harm.
 pub const MAX_IMAGES: usize = 48;
 
 /// A constant and the filling images.
@@ -22,24 +21,21 @@
 /// of a worker had shown no effect.
 const PRIOR: f64 = 0.2;
 
-/// The same for the constant: 0.4 of the logarithm. Were nothing known of it, a harmful task that is
-/// there from the first look on would pass for the image's own load.
+/// The same for the constant. Were nothing known of it, a harmful task that is there from the first
+/// sample on would pass for the image's own load.
 const PRIOR_CONSTANT: f64 = 0.5;
 
-/// The constant before any sample: 15 serving images of two sites have -0.7 to -1.0.
+/// The constant before any sample: a serving task alone keeps well below its target.
 const USUAL_CONSTANT: f64 = -0.9;
 
-/// Weight for each 32nd of a worker from which a pair counts as harmful with less certainty. Harmless
-/// pairs fit within 0.03, harmful ones at 0.06 to 0.22 (two days, 82,000 samples, 74 pairs).
+/// Weight for each 32nd of a worker from which a pair counts as harmful with less certainty.
 pub const HARMFUL: f64 = 0.09;
 
-/// Weight that no harmless pair passes by more than its error, and weight below which all of them are
-/// (180 pairs of a grown site: harmless ones fit within 0.03).
+/// Weight that no harmless pair passes by more than its error, and weight below which all of them are.
 const SURELY_MORE: f64 = 0.02;
 const SURELY_LESS: f64 = 0.06;
 
-/// Standard deviation of the logarithm of a tail around the fit: what the serving task's own load
-/// does (0.45 to 0.7 on two sites).
+/// Standard deviation of the logarithm of a tail around the fit: what the serving task's own load does.
 const NOISE: f64 = 0.55;
 
 /// Parts of a worker of one image by which its weight must have been seen before it counts.
@@ -50,12 +46,8 @@
 
 /// Processors in use, in thousandths, as a part of the worker; 32 means all of it.
 ///
-/// What an image does to tails goes by its part of the worker, not by its processors: on workers of
-/// 75 cores weights for each processor are a quarter of those on workers of 19. Taken for each
-/// processor, pairs that press there by a quarter a task passed for harmless, and harmless ones on
-/// small workers took long to be told. Mean worth before and after, over 12 to 18 days and with 30 as
-/// the unit: 0.598 and 0.633 on workers of 16 to 24 cores, 0.532 and 0.520 on 32 to 48, 0.590 and 0.599
-/// on 64 to 96.
+/// What an image does to tails goes by its part of the worker, not by its processors: taken for each
+/// processor, pairs that press on a big worker would pass for harmless.
 pub fn part_of(worker: &Worker, cpu_milli: f64) -> f64 {
     cpu_milli / worker.entry.capacity.cpu_milli.max(1) as f64 * UNIT_CORES
 }
@@ -175,10 +167,8 @@
 impl Pressure {
     /// What is known of a pair: it is judged by its weight and by the error of that.
     ///
-    /// Guards against both ways to be wrong. A pair that presses a little, but for a day, looks
-    /// harmless to a single bound: beside 25,000 core-samples at 0.05 to 0.09 one look in ten was over
-    /// its target in place of one in thirty. And one bad look of a harmless pair would close it for
-    /// good.
+    /// Guards against both ways to be wrong. A pair that presses a little, but for long, looks harmless
+    /// to a single bound; and one bad sample of a harmless pair would close it for good.
     pub fn pair(&self, serving: ImageId, filling: ImageId) -> Pair {
         let fit = self.fits.get(usize::from(serving)).and_then(Option::as_ref);
         let place = self.places.get(usize::from(filling)).copied().flatten();
--- a/crates/agatesill_policy/src/fleet/colocation/room.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/room.rs
@@ -10,10 +10,9 @@
 /// Share of the reserved processors that lasting tasks use: they declare about twice their load.
 const USED_SHARE: f64 = 0.55;
 
-/// Added for a worker with lasting tasks, for each mean tail over target: a crowded free worker is
-/// as good up to this much. Of two workers the one whose lasting tasks have less load now is better
-/// by far: the chance that a tail passes its target at the next look grows e-fold with 0.1 of mean
-/// tail or 0.12 of crowding (144,000 pairs of looks).
+/// Added for a worker with lasting tasks, for each mean tail over target: a crowded worker without any
+/// is as good up to this much. Of two workers the one whose lasting tasks have less load now is better
+/// by far, as tails rise steeply with load.
 const TAIL_WEIGHT: f64 = 0.6;
 
 /// Added for each serving image beside which the filling image has not been seen yet.
@@ -23,10 +22,8 @@
 const NEAR_TARGET: f64 = 0.8;
 
 /// Part of a worker with lasting tasks that may be asked for when their mean tail is [`LOW_TAIL`].
-/// Work that fills takes only what others leave, so asking for a quarter more than there is costs the
-/// serving tasks nothing; from 1.4 on tails rose with it. On a floor reserved to 94% and used to half,
-/// month-end work earned 0.58 of its worth at 1.12 with 1.3 less for each mean tail, and 0.72 at 1.25
-/// with 1.0 less; the serving tasks 0.90 both times (18 days).
+/// Work that fills takes only what others leave, so asking for somewhat more than there is costs the
+/// serving tasks nothing.
 const FULL_AT_LOW_TAIL: f64 = 1.25;
 
 /// Mean tail over target of lasting tasks at the low end of their load.
@@ -39,9 +36,9 @@
 /// Tasks of one image that may run on one worker beside a serving image before the pair is known.
 const TRIAL_TASKS: u32 = 1;
 
-/// Workers on which such a pair may be tried at once. One sample in two seconds tells a pair that
-/// harms; tried wherever its serving image runs, each harmful pair pressed ten to sixteen workers at
-/// once in the first seconds. Mean worth 0.583 without and 0.590 with it (18 days).
+/// Workers on which an image runs at once beside a serving image before the pair is known. One more
+/// sample tells a pair that harms; tried wherever its serving image runs, each harmful pair would press
+/// many workers at once. Fewer learn too slowly while work waits.
 const TRIAL_WORKERS: u32 = 3;
 
 /// A worker on which tasks that fill would get less than this part of their processors takes no
@@ -90,8 +87,8 @@
     /// How well a task that fills goes to a worker; infinite where it must not.
     ///
     /// To how crowded it is comes a step for each pair of images that is not known. A pair known to be
-    /// harmful is out of the question: one serving task over its target for two seconds costs what
-    /// three month-end tasks are worth.
+    /// harmful is out of the question: a serving task that is late to its own callers costs more than
+    /// the work beside it is worth.
     pub(in crate::fleet) fn filling_score(&self, request: &Request<'_>, worker: &Worker) -> f64 {
         let mut score = crowding(worker, request.step.need.cpu_milli);
         if worker.lasting == 0 || !score.is_finite() {
--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -11,8 +11,8 @@
 /// Most ends in one answer of a worker; a full list says nothing about what is not on it.
 const MOST_ENDS: usize = 500;
 
-/// Failed ends in a row, of at least two jobs, after which a worker is held to be broken. At one
-/// failed run in twenty, three in a row come by chance once in 8,000 ends.
+/// Failed ends in a row, of at least two jobs, after which a worker is held to be broken: runs that
+/// fail by their own fault rarely follow one another so often.
 const FAILURES_TO_CLOSE: usize = 3;
 
 /// Time after which a stop of a run that is still there is repeated: longer than a stop may take.
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -124,9 +124,8 @@
 
 /// Added to the score of a lasting task for each serving image on the worker that is not its own:
 /// more than any fit, so that images are mixed only when no worker without lasting tasks is left. An
-/// image that fills harms about half of the serving images, so it may run beside one of them on every
-/// second worker, beside three on every eighth. At 1.0, where the tightest fit was mixed before an empty
-/// worker was opened, work that fills earned 0.723 of its worth in place of 0.776 (18 days).
+/// image that fills harms many of the serving images, and each one more on a worker closes it to more
+/// of what fills.
 const OTHER_IMAGE: f64 = 3.0;
 
 /// The same for a worker without lasting tasks: dearer than any fit beside tasks of the own image,
--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -1,9 +1,9 @@
 //! Lasting tasks that give way to urgent steps, within the allowance that their step states.
 //!
-//! Load pattern: lasting tasks have reserved the whole floor, and short urgent steps keep coming. Room
-//! that a lasting task has taken never comes back, so nine in ten urgent tasks start at once in what
-//! other urgent tasks leave, and the last task of a step waits for 17 s while hundreds of lasting
-//! tasks run. Without yielding, 23 of 194 urgent jobs of a calm day came beyond three objectives.
+//! Load pattern: lasting tasks have reserved every processor, and short urgent steps keep coming. Room
+//! that a lasting task has taken never comes back, so most urgent tasks start at once in what other
+//! urgent tasks leave, and the last task of a step waits for many times its own run time while hundreds
+//! of lasting tasks run. Without preemption whole urgent jobs are late for want of one task.
 //!
 //! A step that lasts may say how many of its tasks may be away. One of them at a time is stopped for
 //! an urgent step that can still be in time, so that many steps miss one task in place of some missing
@@ -135,8 +135,7 @@
 
     /// The lasting tasks that may give way now. Those that share a worker with more tasks of another
     /// image go first, as each image that is gone from a worker opens it to work that fills, and small
-    /// ones before big ones. By size alone, returning tasks mixed ever more images: month-end work
-    /// earned 0.671 of its worth in place of 0.739 (18 days).
+    /// ones before big ones: chosen by size alone, tasks that return mix ever more images.
     fn candidates(&mut self, now_us: u64) -> Vec<Candidate> {
         let from = self.preempt_from as usize % self.workers.len().max(1);
         let count = self.workers.len().min(WORKERS_A_ROUND);
--- a/crates/agatesill_policy/src/fleet/watchdog.rs
+++ b/crates/agatesill_policy/src/fleet/watchdog.rs
@@ -6,7 +6,7 @@
 use super::worker::WorkerIndex;
 
 /// A task without progress for this long stands still. Progress comes in hundredths of the work, so
-/// the longest task of today, ten seconds at a quarter of its pace, moves every 400 ms.
+/// even a long task that was slowed moves several times within it.
 const STILL_US: u64 = 2_500 * US_PER_MS;
 
 /// A lasting task that is not at work for this long is started again; a start takes about a second.
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -8,8 +8,8 @@
 use super::worker::{WorkerIndex, WorkerStanding};
 
 /// How long a record may wait for company. An end of a task whose step goes on is nothing that
-/// anybody waits for: its worker lists it until it is stored. Writing each at once cost 150
-/// transactions a second at 170 ends a second.
+/// anybody waits for: its worker lists it until it is stored. Writing each at once would
+/// cost a transaction for nearly every end.
 const RECORD_WAIT_US: u64 = 200 * US_PER_MS;
 
 impl Fleet {
@@ -29,8 +29,8 @@
 
     /// Up to `most` records to write together: those that something waits for, urgent queues first,
     /// and with them as many others as fit. Without any of the first kind, others are written once
-    /// they have waited 200 ms. Each job has one record on its way at most, so that a
-    /// later one never meets an earlier one of unknown outcome.
+    /// they have waited for a moment. Each job has one record on its way at most, so that a later
+    /// one never meets an earlier one of unknown outcome.
     pub fn take_writes(&mut self, most: usize, now_us: u64) -> Vec<JobWrite> {
         let is_due = !self.urgent.is_empty()
             || self.dirty.values().any(|since_us| now_us - since_us > RECORD_WAIT_US);
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -30,7 +30,7 @@
 const WATCH_MS: u64 = 1_500;
 
 /// Longest head start that a daemon gives to bigger ones when the range falls free: claims arrive
-/// within 20 ms of the news.
+/// within milliseconds of the news.
 const HEAD_START_MS: f64 = 150.0;
 
 /// Share of a processor from which a daemon claims at once.
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -41,15 +41,14 @@
 /// Time between two rounds without an event: leases and due times are checked this often.
 const ROUND: Duration = Duration::from_millis(50);
 
-/// Records on their way to the store at once. The store answers in about 8 ms, so four groups of
-/// [`commits::MOST_JOBS`] carry several thousand changed jobs a second; a slow store (250 ms) 240.
+/// Transactions of records on their way to the store at once: enough for a store that answers slowly,
+/// few enough that records still gather company.
 const MOST_COMMITS: usize = 4;
 
 /// How long an ended job is remembered: states are asked for two minutes after the end.
 const REMEMBER_US: u64 = 130_000_000;
 
-/// Time between two savings of what is learned: a successor then lacks five seconds of it, for one
-/// write of 20 kB in that time.
+/// Time between two savings of what is learned: a successor lacks that much of it at most.
 const SAVE_LEARNED_US: u64 = 5_000_000;
 
 /// Time between two log lines on how full the workers are.
