The planner tries the store at once when another daemon sees it back

Change: the question says whether the asker sees the store; if so the pause after failures shortens to the first one (50 ms). Test: word_of_the_service_being_back_shortens_the_pause.

--- a/crates/agatesill_coord/src/store/gate.rs
+++ b/crates/agatesill_coord/src/store/gate.rs
@@ -62,6 +62,8 @@
     waiting: u32,
     urgent_waiting: u32,
     answered: Option<Instant>,
+    /// When a call failed last.
+    failed: Instant,
     paused_until: Instant,
     is_probing: bool,
 }
@@ -102,6 +104,7 @@
             waiting: 0,
             urgent_waiting: 0,
             answered: None,
+            failed: now,
             paused_until: now,
             is_probing: false,
         };
@@ -177,6 +180,15 @@
         Ok(Permit { gate: self, class, is_probe, sent: now })
     }
 
+    /// Shortens the pause after a failure to the first one: somebody else says that the service is back.
+    /// It does not end at once, as many may say so while only this process is cut off.
+    pub(super) fn shorten_pause(&self) {
+        let mut state = self.lock();
+        state.paused_until = state.paused_until.min(state.failed + FIRST_PAUSE);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// What is believed about the service.
     pub(super) fn service(&self) -> &Dependency {
         &self.service
@@ -204,6 +216,7 @@
         }
         let pause = FIRST_PAUSE * (1 << self.gate.service.failed_in_a_row().min(8));
         self.gate.service.failed(failure);
+        state.failed = now;
         state.paused_until = now + pause.min(LONGEST_PAUSE).mul_f64(0.5 + jitter);
     }
 }
--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -127,6 +127,12 @@
         self.gate.service().is_lost()
     }
 
+    /// Lets the next call out soon where calls pause after failures. For a process that learns from
+    /// another that the service answers again.
+    pub fn retry_soon(&self) {
+        self.gate.shorten_pause();
+    }
+
     /// Makes one call. An error says nothing about whether it took effect.
     pub async fn call(&self, call: StoreCall) -> Result<StoreReply, Error> {
         self.call_telling(call).await.map_err(|error| match error.kind {
--- a/crates/agatesill_coord/tests/store_client.rs
+++ b/crates/agatesill_coord/tests/store_client.rs
@@ -38,6 +38,25 @@
     assert!((100..=50 * 12).contains(&after), "{after} calls in 10 s at a budget of 50 a second");
 }
 
+/// The service returns after a minute, and another daemon sees that first. Its word shortens the pause here:
+/// without it this daemon would try again up to a second later, and be taken for cut off meanwhile.
+#[tokio::test(start_paused = true)]
+async fn word_of_the_service_being_back_shortens_the_pause() {
+    let client = MemStore::default().client(1);
+    let store = client.store.clone();
+    client.set(Faults { outage: true, ..Faults::default() });
+    let until = Instant::now() + Duration::from_secs(60);
+    while Instant::now() < until {
+        assert!(store.get("config/head").await.is_err());
+    }
+    client.set(Faults::default());
+    store.retry_soon();
+    let asked = Instant::now();
+    assert!(store.get("config/head").await.is_ok());
+    assert!(asked.elapsed() < Duration::from_millis(60), "{:?}", asked.elapsed());
+    assert!(!store.is_lost());
+}
+
 /// A burst of reads uses the budget up just when a lease has to be renewed. Were the renewal to
 /// queue behind them, the daemon would lose its cells to its own statistics.
 #[tokio::test(start_paused = true)]
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -38,7 +38,7 @@
     /// Pass planning on to a daemon with so many thousandths of a processor.
     #[prost(uint32, tag = "8")]
     PassOn(u32),
-    /// Whether the store answers the daemon; the number means nothing.
+    /// Whether the store answers the daemon; the number is 1 if it answers the one that asks.
     #[prost(uint32, tag = "9")]
     HowIsTheStore(u32),
 }
--- a/crates/agatesilld/src/fleet/link.rs
+++ b/crates/agatesilld/src/fleet/link.rs
@@ -266,9 +266,15 @@
         Some(FleetQuestion::StoreCancel(id)) => {
             answer.write = stored::store_cancel_here(site, &id).await as i32;
         }
-        Some(FleetQuestion::HowIsTheStore(_)) => {
+        Some(FleetQuestion::HowIsTheStore(sees_store)) => {
             answer.is_known = true;
             answer.is_store_lost = site.store.is_lost();
+            // Guards against a needless change of planner at the end of an outage: the daemon that asks
+            // sees the store again, while calls here pause for up to a second, and would take the range
+            // away at its second question.
+            if answer.is_store_lost && sees_store > 0 {
+                site.store.retry_soon();
+            }
         }
         Some(FleetQuestion::PassOn(cpu_milli)) => answer.is_known = site.ask_to_pass_on(cpu_milli),
         None => {}
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -124,7 +124,9 @@
     let mut doubts = 0;
     loop {
         tokio::time::sleep(CHECKING).await;
-        let why = match site.link.ask_telling(addr, FleetQuestion::HowIsTheStore(0)).await {
+        let sees_store = u32::from(!site.store.is_lost());
+        let question = FleetQuestion::HowIsTheStore(sees_store);
+        let why = match site.link.ask_telling(addr, question).await {
             Asked::Refused => "its process is gone",
             Asked::Answered(answer) if answer.is_store_lost => "the store turns it away",
             Asked::Answered(_) | Asked::Silent => {
