Lasting steps leave free room to urgent ones in time for two seconds

Change: a lasting step that misses more than it may goes first only after two seconds; before, after what can still be in time. Test first: new_lasting_tasks_leave_free_room_to_urgent_steps_for_a_moment.

--- a/crates/agatesill_policy/src/fleet/order.rs
+++ b/crates/agatesill_policy/src/fleet/order.rs
@@ -5,11 +5,12 @@
 //! than a job's objective; then nothing is worth more than a seventh. So within a queue's priority
 //! the order is by worth lost for each core-second: jobs that can still be in time before those
 //! that are late, and among them those with the most worth for the work that is left, so that what
-//! was begun is finished. A lasting step that misses more tasks than it may goes before all of its
-//! priority; one that misses fewer goes after what can still be in time, for which it may just have
-//! made room.
+//! was begun is finished. A lasting step goes after what can still be in time: it may just have made room
+//! for that, and room that it takes is gone for good. One that has missed more tasks than it may for a
+//! while goes before all of its priority.
 
-use super::job::{Job, JobPhase};
+use super::US_PER_MS;
+use super::job::{Job, JobPhase, TaskState};
 use super::state::{Fleet, Group};
 
 /// Density from which a step counts as in time. A whole job in time has 0.7 and more, a late one a
@@ -31,6 +32,10 @@
 /// Weight of a new job in the mean work of its queue: the last fifty count.
 const MEAN_WEIGHT: f64 = 0.02;
 
+/// How long a lasting step that misses more tasks than it may leaves freed room to steps that can still
+/// be in time. It may be missing for six seconds in all, starts included.
+const LASTING_YIELDS_US: u64 = 2_000 * US_PER_MS;
+
 /// A waiting group with what it is sorted by.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Ranked {
@@ -44,9 +49,9 @@
 
 impl Fleet {
     /// All waiting groups in the order in which they are placed.
-    pub(super) fn ranked(&self, now_ms: u64) -> Vec<Ranked> {
+    pub(super) fn ranked(&self, now_us: u64, now_ms: u64) -> Vec<Ranked> {
         let mut ranked: Vec<Ranked> =
-            self.waiting.iter().filter_map(|group| self.rank(*group, now_ms)).collect();
+            self.waiting.iter().filter_map(|group| self.rank(*group, now_us, now_ms)).collect();
         self.effort.ranked(ranked.len());
         ranked.sort_by(|a, b| {
             a.priority
@@ -57,11 +62,13 @@
         ranked
     }
 
-    fn rank(&self, group: Group, now_ms: u64) -> Option<Ranked> {
+    fn rank(&self, group: Group, now_us: u64, now_ms: u64) -> Option<Ranked> {
         let job = self.job(group.job).filter(|job| job.phase == JobPhase::Active)?;
         let terms = self.terms(job);
         let density = if job.spec.steps[group.step as usize].is_lasting {
-            if self.misses_little(job, group) { IN_TIME } else { f64::INFINITY }
+            let may_wait =
+                self.misses_little(job, group) || waited_us(job, group, now_us) < LASTING_YIELDS_US;
+            if may_wait { IN_TIME } else { f64::INFINITY }
         } else {
             let mean = self.mean_work.get(&job.spec.queue).copied().unwrap_or(1.0);
             density(job, group.occurrence, terms.stretch, terms.target_ms, mean, now_ms)
@@ -79,6 +86,16 @@
     }
 }
 
+/// Longest wait among the tasks of a step.
+fn waited_us(job: &Job, group: Group, now_us: u64) -> u64 {
+    job.tasks_of(group.occurrence, group.step)
+        .map(|task| &job.tasks[task as usize])
+        .filter(|task| task.state == TaskState::Waiting)
+        .map(|task| now_us.saturating_sub(task.since_us))
+        .max()
+        .unwrap_or(0)
+}
+
 /// Core-milliseconds of one occurrence.
 fn total_work(job: &Job) -> f64 {
     job.spec.steps.iter().map(|step| f64::from(step.count) * work_of(step)).sum()
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -44,7 +44,7 @@
         }
         let mut misfits = Vec::new();
         let mut left = Vec::new();
-        for ranked in self.ranked(now_ms) {
+        for ranked in self.ranked(now_us, now_ms) {
             self.place_group(ranked.group, &mut misfits, now_us);
             if self.waiting.contains(&ranked.group) {
                 left.push((ranked.group, ranked.density));
--- a/crates/agatesill_policy/tests/fleet_preempt.rs
+++ b/crates/agatesill_policy/tests/fleet_preempt.rs
@@ -126,3 +126,29 @@
     pass(&mut rig, 2);
     assert_eq!(rig.present("watch").len(), 5);
 }
+
+/// A job of watchers comes onto workers that are reserved nearly full, just as urgent steps come that can
+/// still be in time. Watchers never give their room back, so that every step after them would be late.
+/// They leave what is free to urgent steps for two seconds, and are served before all others then.
+#[test]
+fn new_lasting_tasks_leave_free_room_to_urgent_steps_for_a_moment() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    rig.fleet.accept(urgent("first", 8, rig.now_us), rig.now_us);
+    rig.settle();
+    rig.fleet.accept(watch("watch", 5, Some(0)), rig.now_us);
+    let mut urgents = 0;
+    for round in 0..5 {
+        rig.pass_ms(500);
+        let spec = urgent(&format!("urgent{round}"), 8, rig.now_us);
+        rig.fleet.accept(spec, rig.now_us);
+        let before = if round == 0 { "first".to_owned() } else { format!("urgent{}", round - 1) };
+        for (worker, task, run) in rig.present(&before) {
+            rig.end(worker, &task, run, EndCause::Done);
+        }
+        rig.look_all();
+        rig.settle();
+        urgents += usize::from(rig.present("watch").is_empty());
+    }
+    assert!(urgents >= 3, "urgent steps had the room for {urgents} rounds of half a second");
+    assert!(!rig.present("watch").is_empty(), "after two seconds the watchers start");
+}
