Only the phase of ended jobs is kept

Change: once nothing of it runs and its record is stored, a job gives way to its phase (fleet/ended.rs); slots hold a pointer. Slots are not used again: orders and ends that are under way name them. Test: a_retired_job_is_remembered_and_never_runs_again.

--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod colocation;
 mod effort;
+mod ended;
 mod ends;
 mod floor;
 mod images;
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -58,7 +58,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub(super) bounds: FleetBounds,
-    pub(super) jobs: Vec<Option<Job>>,
+    /// Jobs by slot; a slot stays empty once its job is retired.
+    pub(super) jobs: Vec<Option<Box<Job>>>,
     pub(super) by_id: HashMap<JobId, u32>,
     pub(super) workers: Vec<Worker>,
     pub(super) worker_by_id: HashMap<String, WorkerIndex>,
@@ -73,7 +74,7 @@
     /// Workers that may forget more ends than the lines were told.
     pub(super) acked: Vec<WorkerIndex>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
-    /// Jobs that had ended when this ledger was built, and when that was.
+    /// Phase of each job that was retired, or had ended when this ledger was built, and since when.
     pub(super) ended_before: HashMap<JobId, (JobPhase, u64)>,
     pub(super) cancelled_early: HashSet<JobId>,
     pub(super) images: Images,
@@ -168,7 +169,7 @@
         job.images = job.spec.steps.iter().map(|step| self.images.number(&step.image)).collect();
         let slot = self.jobs.len() as u32;
         self.by_id.insert(job.spec.id.clone(), slot);
-        self.jobs.push(Some(job));
+        self.jobs.push(Some(Box::new(job)));
         self.note_work(slot);
         slot
     }
@@ -267,11 +268,11 @@
 
     /// The job in a slot.
     pub(super) fn job(&self, slot: u32) -> Option<&Job> {
-        self.jobs.get(slot as usize).and_then(Option::as_ref)
+        self.jobs.get(slot as usize).and_then(Option::as_deref)
     }
 
     pub(super) fn job_mut(&mut self, slot: u32) -> Option<&mut Job> {
-        self.jobs.get_mut(slot as usize).and_then(Option::as_mut)
+        self.jobs.get_mut(slot as usize).and_then(Option::as_deref_mut)
     }
 
     pub(super) fn task_state(&self, at: TaskRef) -> TaskState {
@@ -417,36 +418,6 @@
             .count()
     }
 
-    /// Jobs that reached their final phase before `before_us`, have nothing running and whose
-    /// record is stored; they leave the ledger.
-    pub fn forget_ended(&mut self, before_us: u64) -> Vec<JobId> {
-        let mut forgotten: Vec<JobId> = Vec::new();
-        self.ended_before.retain(|id, (_, ended_us)| {
-            let is_kept = *ended_us >= before_us;
-            if !is_kept {
-                forgotten.push(id.clone());
-            }
-            is_kept
-        });
-        let ended = std::mem::take(&mut self.ended_jobs);
-        for (ended_us, slot) in ended {
-            let Some(job) = self.job(slot) else { continue };
-            let is_quiet = job.committed == job.version
-                && !job.is_committing
-                && job.tasks.iter().all(|task| task.state.worker().is_none());
-            if ended_us >= before_us || !is_quiet {
-                self.ended_jobs.push((ended_us, slot));
-                continue;
-            }
-            let id = job.spec.id.clone();
-            self.by_id.remove(&id);
-            self.cancelled_early.remove(&id);
-            self.jobs[slot as usize] = None;
-            forgotten.push(id);
-        }
-        forgotten
-    }
-
     /// A worker of the ledger.
     pub fn worker(&self, worker: WorkerIndex) -> &Worker {
         &self.workers[worker as usize]
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -379,3 +379,26 @@
     next.looked(0, &look, rig.now_us + MS);
     assert_eq!(next.pending("desk"), 0);
 }
+
+/// A job has ended and only its phase is kept. Its caller asks for it, hands it in again because the
+/// first answer was lost, and cancels it late: it is still told as completed, and never runs again.
+#[test]
+fn a_retired_job_is_remembered_and_never_runs_again() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    let spec = job("j1", vec![step(1)]);
+    rig.fleet.accept(spec.clone(), rig.now_us);
+    rig.settle();
+    let (worker, task, run) = rig.present("j1")[0].clone();
+    rig.end(worker, &task, run, EndCause::Done);
+    rig.look_all();
+    rig.fleet.retire_ended();
+    assert_eq!(rig.fleet.state_of("j1"), Some((JobPhase::Active, true)), "not stored yet");
+    rig.commit();
+    rig.fleet.retire_ended();
+    rig.fleet.accept(spec, rig.now_us);
+    rig.fleet.cancel("j1", rig.now_us);
+    assert!(rig.plan().is_empty());
+    assert_eq!(rig.fleet.state_of("j1"), Some((JobPhase::Completed, true)));
+    assert_eq!(rig.fleet.forget_ended(rig.now_us + MS), vec!["j1".to_owned()]);
+    assert_eq!(rig.fleet.state_of("j1"), None);
+}
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -353,6 +353,7 @@
             self.floor_us = now_us;
             log_floor(&self.fleet.floor(now_us));
             self.log_if_behind(now_us);
+            self.fleet.retire_ended();
         }
         if now_us - self.learned_us > SAVE_LEARNED_US {
             self.learned_us = now_us;
