--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -99,6 +99,7 @@
         }
         worker.standing = WorkerStanding::Gone;
         worker.is_listed = false;
+        self.gone.push(index);
         let tasks = std::mem::take(&mut worker.tasks);
         log::warn!(event = "worker_gone", worker = worker.entry.id.as_str(), why = why,
             tasks = tasks.len(); "");
@@ -110,6 +111,11 @@
         }
     }
 
+    /// Workers whose life has ended since this was last asked.
+    pub fn take_gone(&mut self) -> Vec<WorkerIndex> {
+        std::mem::take(&mut self.gone)
+    }
+
     /// Ends the lives that must be over: silent past every lease that could have been granted.
     pub fn expire_workers(&mut self, now_us: u64) {
         let expired: Vec<WorkerIndex> = self
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -12,6 +12,10 @@
             if worker.entry.service != entry.service || worker.entry.labels != entry.labels {
                 self.rooms.withdraw(index, worker);
             }
+            // What was known from records alone gets its address now.
+            if worker.entry.address != entry.address && worker.standing != WorkerStanding::Gone {
+                self.worker_by_address.insert(entry.address.clone(), index);
+            }
             let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
             worker.entry = entry;
             worker.is_listed = true;
@@ -27,6 +31,7 @@
         let index = self.workers.len() as WorkerIndex;
         self.worker_by_id.insert(entry.id.clone(), index);
         let before = self.live_at(&entry.address);
+        self.worker_by_address.insert(entry.address.clone(), index);
         self.workers.push(Worker::new(entry));
         // A new life at the same address: the old one is over, whatever the registry still says.
         if let Some(before) = before {
@@ -43,13 +48,15 @@
         if is_gone && self.live_at(&entry.address).is_none() {
             log::info!(event = "worker_back", worker = entry.id.as_str(); "");
             self.workers[index as usize].standing = WorkerStanding::New;
+            self.worker_by_address.insert(entry.address.clone(), index);
         }
     }
 
+    /// The newest worker at an address, unless its life is over.
     fn live_at(&self, address: &str) -> Option<WorkerIndex> {
-        self.live_workers()
-            .find(|(_, worker)| worker.entry.address == address)
-            .map(|(index, _)| index)
+        let index = self.worker_by_address.get(address).copied()?;
+        let is_live = self.workers[index as usize].standing != WorkerStanding::Gone;
+        is_live.then_some(index)
     }
 
     /// Takes in that the registry lists a worker no more. It may still run what it was given.
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -63,6 +63,8 @@
     pub(super) by_id: HashMap<JobId, u32>,
     pub(super) workers: Vec<Worker>,
     pub(super) worker_by_id: HashMap<String, WorkerIndex>,
+    /// The newest worker at each address.
+    pub(super) worker_by_address: HashMap<String, WorkerIndex>,
     pub(super) queues: HashMap<String, QueueTerms>,
     pub(super) waiting: BTreeSet<Group>,
     pub(super) due: BTreeMap<u64, Vec<(u32, u32)>>,
@@ -71,6 +73,8 @@
     /// Those among them that something waits for.
     pub(super) urgent: BTreeSet<u32>,
     pub(super) orders: Vec<Order>,
+    /// Workers whose life has ended and whose lines are still open.
+    pub(super) gone: Vec<WorkerIndex>,
     /// Workers that may forget more ends than the lines were told.
     pub(super) acked: Vec<WorkerIndex>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
@@ -102,6 +106,7 @@
             by_id: HashMap::new(),
             workers: Vec::new(),
             worker_by_id: HashMap::new(),
+            worker_by_address: HashMap::new(),
             queues: HashMap::new(),
             waiting: BTreeSet::new(),
             due: BTreeMap::new(),
@@ -109,6 +114,7 @@
             urgent: BTreeSet::new(),
             orders: Vec::new(),
             acked: Vec::new(),
+            gone: Vec::new(),
             ended_jobs: Vec::new(),
             ended_before: HashMap::new(),
             cancelled_early: HashSet::new(),
--- a/crates/agatesilld/src/fleet/lines.rs
+++ b/crates/agatesilld/src/fleet/lines.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::time::Duration;
 
-use agatesill_platform::workers::{LookOutcome, WorkerChannel};
+use agatesill_platform::workers::{LONGEST_WAIT_MS, LookOutcome, WorkerChannel};
 use agatesill_policy::fleet::{
     Fleet, Order, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
 };
@@ -39,12 +39,20 @@
 /// before that returns at once with the same end and tells nothing.
 const ACK_LIMIT: Duration = Duration::from_millis(150);
 
+/// The same for a worker on which nothing runs: its next end is none, and its tails are of no interest.
+const IDLE_WAIT_MS: u64 = LONGEST_WAIT_MS;
+
 /// Orders that may wait for one worker.
 const RING_ORDERS: usize = 1_024;
 
-/// Connections for orders to one worker: while one waits for an answer that does not come, the
-/// other carries on.
-const ORDER_CHANNELS: usize = 2;
+/// How long an order may take before others go over a second connection: one answer that does not come
+/// must not hold them up. Sound workers answer sooner, and a connection that nobody needs costs memory
+/// and a descriptor.
+const HELD_UP: Duration = Duration::from_millis(30);
+
+/// Time without orders after which their connection is closed: on a large fleet most workers get none
+/// for long, and descriptors are limited.
+const UNUSED: Duration = Duration::from_secs(5);
 
 /// How long leases are renewed after the last confirmed ownership; a successor waits this long.
 const RENEW_UNCONFIRMED_US: u64 = agatesill_policy::fleet::ORPHAN_MS * US_PER_MS;
@@ -63,6 +71,10 @@
     asked_until_ms: AtomicU64,
     /// Whether the newest look was answered.
     is_answering: AtomicBool,
+    /// Whether nothing runs there.
+    is_idle: AtomicBool,
+    /// Woken when an order holds up those behind it.
+    held_up: Notify,
     stop: CancellationToken,
 }
 
@@ -105,6 +117,11 @@
         Self { site, epoch, lease_ms, events, stop, tasks, lines: HashMap::new() }
     }
 
+    /// Whether the line to a worker is open.
+    pub fn is_open(&self, index: WorkerIndex) -> bool {
+        self.lines.contains_key(&index)
+    }
+
     /// Opens the line to a worker, unless it is open.
     pub fn open(&mut self, index: WorkerIndex, worker: &Worker) {
         if self.lines.contains_key(&index) || worker.standing == WorkerStanding::Gone {
@@ -120,14 +137,15 @@
             clock_offset_ms: AtomicI64::new(0),
             asked_until_ms: AtomicU64::new(0),
             is_answering: AtomicBool::new(false),
+            is_idle: AtomicBool::new(false),
+            held_up: Notify::new(),
             stop: self.stop.child_token(),
         });
         let (orders, ring) = mpsc::channel(RING_ORDERS);
         self.tasks.spawn(self.caller().look_until_stopped(line.clone()));
         let ring = Arc::new(Mutex::new(ring));
-        for _ in 0..ORDER_CHANNELS {
-            self.tasks.spawn(self.caller().order_until_stopped(line.clone(), ring.clone()));
-        }
+        self.tasks.spawn(self.caller().order_until_stopped(line.clone(), ring.clone()));
+        self.tasks.spawn(self.caller().stand_in_until_stopped(line.clone(), ring));
         self.lines.insert(index, (line, orders));
     }
 
@@ -142,7 +160,8 @@
 
     /// Gives an order to its worker's line.
     pub fn send(&self, order: Order) {
-        let Some((_, orders)) = self.lines.get(&order.worker) else { return };
+        let Some((line, orders)) = self.lines.get(&order.worker) else { return };
+        line.is_idle.store(false, Ordering::Relaxed);
         if let Err(error) = orders.try_send(order) {
             log::error!(event = "order_ring_full"; "{error}");
         }
@@ -157,15 +176,18 @@
         }
     }
 
-    /// Closes the lines to workers whose life is over.
-    pub fn close_gone(&mut self, fleet: &Fleet) {
-        self.lines.retain(|worker, (line, _)| {
-            let is_gone = fleet.worker(*worker).standing == WorkerStanding::Gone;
-            if is_gone {
-                line.stop.cancel();
-            }
-            !is_gone
-        });
+    /// Notes whether nothing runs on a worker.
+    pub fn set_idle(&self, worker: WorkerIndex, is_idle: bool) {
+        if let Some((line, _)) = self.lines.get(&worker) {
+            line.is_idle.store(is_idle, Ordering::Relaxed);
+        }
+    }
+
+    /// Closes the line to a worker whose life is over.
+    pub fn close(&mut self, worker: WorkerIndex) {
+        if let Some((line, _)) = self.lines.remove(&worker) {
+            line.stop.cancel();
+        }
     }
 }
 
@@ -225,6 +247,8 @@
                     // Right after the first look, which could ask for no lease, comes another.
                     wait_ms = if line.asked_until_ms.load(Ordering::Acquire) == 0 {
                         0
+                    } else if line.is_idle.load(Ordering::Relaxed) {
+                        IDLE_WAIT_MS
                     } else {
                         LOOK_WAIT_MS
                     };
@@ -261,23 +285,72 @@
     async fn order_for_ever(&self, line: &Line, ring: &Mutex<mpsc::Receiver<Order>>) {
         let mut channel = WorkerChannel::new(line.addr, &line.life);
         loop {
-            let next = ring.lock().await.recv().await;
+            let next = {
+                let mut ring = ring.lock().await;
+                match tokio::time::timeout(UNUSED, ring.recv()).await {
+                    Ok(next) => next,
+                    Err(_) => {
+                        channel.close();
+                        ring.recv().await
+                    }
+                }
+            };
             let Some(order) = next else { return };
-            let sent_us = self.site.clock.now_us();
-            let lease = self.lease_to_ask_ms(line);
-            // Without leave to renew, an order carries the lease that was asked for before.
-            let until_ms = lease.unwrap_or_else(|| line.asked_until_ms.load(Ordering::Acquire));
-            let (task, kind) = (&order.task, &order.kind);
-            let begun = Instant::now();
-            let outcome =
-                channel.order(self.epoch, task, order.run, kind, until_ms, ORDER_LIMIT).await;
-            let is_answered = outcome != OrderOutcome::Unanswered;
-            self.site.metrics.order(kind.name(), is_answered, begun.elapsed());
-            let asked_us = lease.map(|_| sent_us);
-            let event = Event::Answered(Box::new(order), outcome, asked_us);
+            let give = self.give(line, &mut channel, order);
+            tokio::pin!(give);
+            let event = match tokio::time::timeout(HELD_UP, give.as_mut()).await {
+                Ok(event) => event,
+                Err(_) => {
+                    line.held_up.notify_one();
+                    give.await
+                }
+            };
             if self.events.send(event).await.is_err() {
                 return;
             }
         }
     }
+
+    async fn stand_in_until_stopped(
+        self,
+        line: Arc<Line>,
+        ring: Arc<Mutex<mpsc::Receiver<Order>>>,
+    ) {
+        tokio::select! {
+            () = line.stop.cancelled() => {}
+            () = self.stand_in_for_ever(&line, &ring) => {}
+        }
+    }
+
+    /// Gives orders while one holds up the others.
+    async fn stand_in_for_ever(&self, line: &Line, ring: &Mutex<mpsc::Receiver<Order>>) {
+        let mut channel = WorkerChannel::new(line.addr, &line.life);
+        loop {
+            line.held_up.notified().await;
+            loop {
+                let next =
+                    tokio::time::timeout(ORDER_LIMIT, async { ring.lock().await.recv().await });
+                let Ok(next) = next.await else { break };
+                let Some(order) = next else { return };
+                let event = self.give(line, &mut channel, order).await;
+                if self.events.send(event).await.is_err() {
+                    return;
+                }
+            }
+            channel.close();
+        }
+    }
+
+    async fn give(&self, line: &Line, channel: &mut WorkerChannel, order: Order) -> Event {
+        let sent_us = self.site.clock.now_us();
+        let lease = self.lease_to_ask_ms(line);
+        // Without leave to renew, an order carries the lease that was asked for before.
+        let until_ms = lease.unwrap_or_else(|| line.asked_until_ms.load(Ordering::Acquire));
+        let (task, kind) = (&order.task, &order.kind);
+        let begun = Instant::now();
+        let outcome = channel.order(self.epoch, task, order.run, kind, until_ms, ORDER_LIMIT).await;
+        let is_answered = outcome != OrderOutcome::Unanswered;
+        self.site.metrics.order(kind.name(), is_answered, begun.elapsed());
+        Event::Answered(Box::new(order), outcome, lease.map(|_| sent_us))
+    }
 }
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -1,6 +1,6 @@
 //! The duty that plans: it holds the ledger, takes in events, commits records and gives orders.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +35,12 @@
 /// leaves most of the processor to calls and renewals, however slow the machine.
 const REST: u64 = 3;
 
+/// Idle workers whose lines are opened in one round.
+///
+/// Guards against a takeover that opens thousands of connections at once: the answers of the workers
+/// that run something stand behind the handshakes of those that do not, and their leases end.
+const LINES_A_ROUND: usize = 64;
+
 /// How long answers must have waited for the planner to count as behind.
 const BEHIND_US: u64 = 500_000;
 
@@ -160,6 +166,7 @@
         lost: lost.clone(),
         forgotten_us: site.clock.now_us(),
         learned_us: site.clock.now_us(),
+        to_open: BTreeSet::new(),
         floor_us: 0,
         next_round_us: 0,
         caught_up_us: site.clock.now_us(),
@@ -193,6 +200,8 @@
     lost: CancellationToken,
     forgotten_us: u64,
     learned_us: u64,
+    /// Idle workers whose lines are to be opened.
+    to_open: BTreeSet<WorkerIndex>,
     floor_us: u64,
     /// No round of planning before.
     next_round_us: u64,
@@ -275,6 +284,7 @@
             Event::Registry(entries) => self.registry(entries),
             Event::Looked(worker, look) => {
                 self.fleet.looked(worker, &look, now_us);
+                self.lines.set_idle(worker, self.fleet.worker(worker).tasks.is_empty());
             }
             Event::Silent(worker, asked_us) => {
                 if let Some(asked_us) = asked_us {
@@ -313,16 +323,28 @@
 
     fn listed(&mut self, entry: WorkerEntry) {
         let index = self.fleet.worker_listed(entry, self.site.clock.now_us());
-        self.lines.open(index, self.fleet.worker(index));
+        if self.lines.is_open(index) {
+            return;
+        }
+        if self.fleet.worker(index).tasks.is_empty() {
+            self.to_open.insert(index);
+        } else {
+            self.lines.open(index, self.fleet.worker(index));
+        }
+    }
+
+    /// Opens the lines to some of the idle workers that wait for one.
+    fn open_lines(&mut self) {
+        for _ in 0..LINES_A_ROUND {
+            let Some(index) = self.to_open.pop_first() else { return };
+            self.lines.open(index, self.fleet.worker(index));
+        }
     }
 
     fn registry(&mut self, entries: Vec<WorkerEntry>) {
-        let missing: Vec<String> = self
-            .fleet
-            .listed()
-            .into_iter()
-            .filter(|id| entries.iter().all(|entry| entry.id != *id))
-            .collect();
+        let present: HashSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
+        let listed = self.fleet.listed().into_iter();
+        let missing: Vec<String> = listed.filter(|id| !present.contains(id.as_str())).collect();
         missing.iter().for_each(|id| self.fleet.worker_unlisted(id));
         entries.into_iter().for_each(|entry| self.listed(entry));
     }
@@ -347,6 +369,7 @@
     fn check_times(&mut self) {
         let now_us = self.site.clock.now_us();
         self.fleet.expire_workers(now_us);
+        self.open_lines();
         self.fleet.open_due(wall_ms(), now_us);
         self.tell();
         if now_us - self.floor_us > FLOOR_LINE_US {
@@ -424,7 +447,12 @@
                 log::warn!(event = "advice_ring_full"; "{error}");
             }
         }
-        self.lines.close_gone(&self.fleet);
+        for worker in self.fleet.take_gone() {
+            // It may have registered again meanwhile.
+            if self.fleet.worker(worker).standing == WorkerStanding::Gone {
+                self.lines.close(worker);
+            }
+        }
     }
 
     fn commit(&mut self, writes: Vec<JobWrite>) {
