--- a/crates/agatesill_policy/src/fleet/advice.rs
+++ b/crates/agatesill_policy/src/fleet/advice.rs
@@ -24,7 +24,7 @@
 pub struct AdviceQuestion {
     /// The step, by its first task.
     pub step: TaskKey,
-    /// Lives of the workers in question.
+    /// Incarnations of the workers in question.
     pub workers: Vec<String>,
 }
 
--- a/crates/agatesill_policy/src/fleet/answers.rs
+++ b/crates/agatesill_policy/src/fleet/answers.rs
@@ -16,14 +16,14 @@
 /// for good, and started elsewhere under a higher number.
 const MOST_UNANSWERED: u32 = 2;
 
-/// Age of the last answer to a look up to which a worker counts as answering.
-const LOOKS_LATELY_US: u64 = 1_000 * US_PER_MS;
+/// Age of the last answer to a poll up to which a worker counts as answering.
+const ANSWERS_LATELY_US: u64 = 1_000 * US_PER_MS;
 
 impl Fleet {
     /// Takes in how an order went.
     pub fn order_answered(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
-        if outcome == OrderOutcome::OtherLife {
-            self.worker_gone(order.worker, "another life answers", now_us);
+        if outcome == OrderOutcome::OtherIncarnation {
+            self.worker_gone(order.worker, "another incarnation answers", now_us);
             return;
         }
         if outcome == OrderOutcome::Unanswered {
@@ -60,7 +60,7 @@
                     task.measured_us = now_us;
                 }
             }
-            // It ran there and has ended, or was barred: the next look tells which.
+            // It ran there and has ended, or was barred: the next poll tells which.
             OrderOutcome::Old => {
                 task.answered_us = now_us;
                 task.state = TaskState::Stopping(order.worker);
@@ -71,7 +71,7 @@
             | OrderOutcome::NoTicket
             | OrderOutcome::Refused
             | OrderOutcome::Malformed
-            | OrderOutcome::OtherLife
+            | OrderOutcome::OtherIncarnation
             | OrderOutcome::Unanswered => {
                 self.start_rejected(order, outcome, may_begin_later, now_us);
             }
@@ -119,10 +119,10 @@
     /// An order without an answer may be carried out seconds later. A start is sent again, which is
     /// harmless if it was carried out; after the second time the run is stopped, which bars it.
     fn worker_silent_order(&mut self, order: &Order, now_us: u64) {
-        // A worker that answers looks is there; it left one order unanswered, and others need not
+        // A worker that answers polls is there; it left one order unanswered, and others need not
         // keep away from it.
         let answered_us = self.workers[order.worker as usize].answered_us;
-        if now_us.saturating_sub(answered_us) > LOOKS_LATELY_US {
+        if now_us.saturating_sub(answered_us) > ANSWERS_LATELY_US {
             self.worker_silent(order.worker, now_us);
         }
         let Some(job) = self.jobs.get_mut(order.at.job as usize).and_then(Option::as_mut) else {
--- a/crates/agatesill_policy/src/fleet/colocation/balance.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/balance.rs
@@ -1,4 +1,4 @@
-//! What a look at tails changes: what is learned, and the pace of tasks that fill.
+//! What a report of tails changes: what is learned, and the pace of tasks that fill.
 
 use crate::fleet::US_PER_MS;
 use crate::fleet::images::ImageId;
@@ -10,7 +10,7 @@
 use super::pressure::{HARMFUL, MAX_IMAGES, Pair, Usage, part_of};
 use super::room::cores_for_filling;
 
-/// Figures cover half a second; looks that come sooner show the same ones again.
+/// Figures cover half a second; polls that come sooner show the same ones again.
 const SAMPLE_US: u64 = 450 * US_PER_MS;
 
 /// Tail over target from which what presses most is slowed.
@@ -26,7 +26,7 @@
 const LOADED: f64 = 0.5;
 
 /// By how much the room for tasks that fill may be passed before they are slowed: what was placed by
-/// one look need not be slowed by the next.
+/// one poll need not be slowed by the next.
 const CROWDED: f64 = 1.25;
 
 /// What presses less than this share of the most pressing task is left alone for now: two images
@@ -46,7 +46,7 @@
 /// Part after which it is slowed to a quarter, whatever is known of its images.
 const SLOW_ALL_PERCENT: u64 = 20;
 
-/// How long a task is slowed before it is moved: three looks, after which tails have come down if
+/// How long a task is slowed before it is moved: three polls, after which tails have come down if
 /// it was the cause. A move costs a stop and a resumption, about a second.
 const SLOWED_LIMIT_US: u64 = 1_600 * US_PER_MS;
 
@@ -242,7 +242,7 @@
         }
     }
 
-    /// Lets slowed tasks go faster again, one step for each look, if that keeps the tails in bounds.
+    /// Lets slowed tasks go faster again, one step for each poll, if that keeps the tails in bounds.
     fn let_go(&mut self, index: WorkerIndex, servers: &[Server], fillers: &[Filler], worst: f64) {
         let mut room = (AIM / worst.max(0.05)).ln();
         let in_use: f64 = fillers.iter().map(|filler| filler.cores).sum();
--- a/crates/agatesill_policy/src/fleet/colocation/pressure.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pressure.rs
@@ -1,4 +1,4 @@
-//! How much each filling image presses each serving image, learned from what looks report.
+//! How much each filling image presses each serving image, learned from what polls of workers report.
 //!
 //! For each serving image the logarithm of tail over target is taken as a constant and a weight for
 //! each filling image, times the part of the worker that tasks of this image used in the same half
--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -6,7 +6,7 @@
 use super::job::{JobPhase, TaskKey, TaskRef, TaskState};
 use super::orders::{Order, OrderKind};
 use super::state::Fleet;
-use super::worker::{EndCause, EndRow, Look, RunRow, WorkerIndex, WorkerStanding};
+use super::worker::{EndCause, EndRow, Poll, RunRow, WorkerIndex, WorkerStanding};
 
 /// Most ends in one answer of a worker; a full list says nothing about what is not on it.
 const MOST_ENDS: usize = 500;
@@ -29,7 +29,7 @@
 
 impl Fleet {
     /// Takes in a worker's answer.
-    pub fn looked(&mut self, index: WorkerIndex, look: &Look, now_us: u64) {
+    pub fn polled(&mut self, index: WorkerIndex, poll: &Poll, now_us: u64) {
         let lease_us = self.lease_us();
         let worker = &mut self.workers[index as usize];
         if worker.standing == WorkerStanding::Gone {
@@ -43,22 +43,22 @@
         worker.standing = WorkerStanding::Good;
         worker.silent_calls = 0;
         worker.answered_us = now_us;
-        worker.clock_offset_ms = look.clock_ms as i64 - (now_us / US_PER_MS) as i64;
+        worker.clock_offset_ms = poll.clock_ms as i64 - (now_us / US_PER_MS) as i64;
         self.worker_changed(index);
-        self.lease_asked(index, look.sent_us);
-        for end in &look.ended {
+        self.lease_asked(index, poll.sent_us);
+        for end in &poll.ended {
             self.run_ended(index, end, now_us);
         }
-        let present = self.runs_present(index, &look.running, now_us);
-        if look.ended.len() < MOST_ENDS {
-            self.resolve_absent(index, &present, look.sent_us, now_us);
+        let present = self.runs_present(index, &poll.running, now_us);
+        if poll.ended.len() < MOST_ENDS {
+            self.resolve_absent(index, &present, poll.sent_us, now_us);
         }
         self.watch_speed(index, now_us);
         self.watch_progress(index, now_us);
         if self.workers[index as usize].entry.is_leaving {
             self.evacuate(index, now_us);
         }
-        self.balance(index, &look.running, now_us);
+        self.balance(index, &poll.running, now_us);
         self.worker_changed(index);
     }
 
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Takes in that a worker's life is over: nothing runs there, and what did starts elsewhere.
+    /// Takes in that a worker's incarnation is over: nothing runs there, and what did starts elsewhere.
     pub fn worker_gone(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
         let worker = &mut self.workers[index as usize];
         if worker.standing == WorkerStanding::Gone {
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Workers whose life has ended since this was last asked.
+    /// Workers whose incarnation has ended since this was last asked.
     pub fn take_gone(&mut self) -> Vec<WorkerIndex> {
         std::mem::take(&mut self.gone)
     }
@@ -421,7 +421,7 @@
     }
 
     /// Frees the tasks that a worker no longer has, though it answered the order about them before
-    /// the look was sent.
+    /// the poll was sent.
     fn resolve_absent(
         &mut self,
         index: WorkerIndex,
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -267,7 +267,7 @@
     /// The job's version that holds the choice of its newest worker.
     pub chosen_version: u64,
     /// Whether its newest run was stopped to make room for urgent steps.
-    pub gave_way: bool,
+    pub preempted: bool,
 }
 
 impl Task {
@@ -287,7 +287,7 @@
             unanswered: 0,
             answered_us: 0,
             chosen_version: 0,
-            gave_way: false,
+            preempted: false,
         }
     }
 }
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -11,7 +11,6 @@
 mod effort;
 mod ended;
 mod ends;
-mod floor;
 mod images;
 mod job;
 mod order;
@@ -25,6 +24,7 @@
 mod slow;
 mod state;
 mod takeover;
+mod usage;
 mod watchdog;
 mod worker;
 mod writes;
@@ -32,14 +32,14 @@
 pub use advice::AdviceQuestion;
 pub use colocation::{Learned, LearnedImage};
 pub use effort::Effort;
-pub use floor::{Floor, TaskKind, Waiting};
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
 pub use record::{ProgressRecord, TaskRecord};
 pub use state::{Counts, Fleet};
 pub use takeover::ORPHAN_MS;
+pub use usage::{FleetUsage, TaskKind, Waiting};
 pub use worker::{
-    EndCause, EndRow, Look, RunRow, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    EndCause, EndRow, Poll, RunRow, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 
 use crate::value_type;
--- a/crates/agatesill_policy/src/fleet/order.rs
+++ b/crates/agatesill_policy/src/fleet/order.rs
@@ -1,6 +1,6 @@
 //! Which waiting steps go first.
 //!
-//! Load pattern: more month-end work than the workers can carry for half a minute, after a burst or
+//! Load pattern: more batch work than the workers can carry for half a minute, after a burst or
 //! while workers are lost. First come, first served makes every job late once the backlog is longer
 //! than a job's objective; then nothing is worth more than a seventh. So within a queue's priority
 //! the order is by worth lost for each core-second: jobs that can still be in time before those
--- a/crates/agatesill_policy/src/fleet/orders.rs
+++ b/crates/agatesill_policy/src/fleet/orders.rs
@@ -70,8 +70,8 @@
     Refused,
     /// The worker calls the order malformed.
     Malformed,
-    /// Another life of the worker answers at the address.
-    OtherLife,
+    /// Another incarnation of the worker answers at the address.
+    OtherIncarnation,
     /// No answer; it may have been carried out, or may be later.
     Unanswered,
 }
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -1,7 +1,7 @@
 //! The choice of a worker for one task.
 //!
 //! Load pattern: lasting tasks reserve two thirds of the processors and use about half of what they
-//! reserve; short urgent tasks and wide month-end steps share the rest. Lasting tasks are packed
+//! reserve; short urgent tasks and wide batch steps share the rest. Lasting tasks are packed
 //! tightly, which leaves whole workers to the tasks that fill; only what these workers cannot hold
 //! goes beside lasting tasks, the least harmful images first.
 
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -5,11 +5,11 @@
 use crate::batch::Resources;
 
 use super::US_PER_MS;
-use super::floor::TaskKind;
 use super::images::ImageId;
 use super::job::{JobPhase, Step, TaskRef, TaskState};
 use super::place::Request;
 use super::state::{Fleet, Group};
+use super::usage::TaskKind;
 use super::worker::WorkerIndex;
 
 /// How long a lasting task waits for a sound worker before it takes any. It may be missing for six
@@ -50,7 +50,7 @@
                 left.push((ranked.group, ranked.density));
             }
         }
-        self.make_way(&left, now_us);
+        self.preempt_for_urgent(&left, now_us);
     }
 
     fn place_group(&mut self, group: Group, misfits: &mut Vec<Misfit>, now_us: u64) {
@@ -158,7 +158,7 @@
             let task = &mut job.tasks[at.task as usize];
             task.run = if is_gang { highest } else { task.run } + 1;
             task.chosen_version = version;
-            task.gave_way = false;
+            task.preempted = false;
             task.since_us = now_us;
             task.progress_us = now_us;
         }
@@ -178,7 +178,7 @@
                 waited_ms = waited_ms,
                 used_cpu_milli = worker.used.cpu_milli, filling_milli = worker.filling_cpu_milli,
                 used_memory_mb = worker.used.memory_mb, lasting = worker.lasting,
-                look_age_ms = task.since_us.saturating_sub(worker.answered_us) / 1_000; "");
+                answer_age_ms = task.since_us.saturating_sub(worker.answered_us) / 1_000; "");
         }
     }
 
--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -11,10 +11,10 @@
 //! cost a stop and a start.
 
 use super::US_PER_MS;
-use super::floor::TaskKind;
 use super::job::{Job, Step, Task, TaskRef, TaskState};
 use super::order::IN_TIME;
 use super::state::{Fleet, Group};
+use super::usage::TaskKind;
 use super::worker::WorkerIndex;
 
 /// How long an urgent task waits for room that frees itself. Urgent tasks run for two thirds of a
@@ -54,7 +54,7 @@
 
 impl Fleet {
     /// Stops lasting tasks where urgent steps that can still be in time wait for reserved room.
-    pub(super) fn make_way(&mut self, waiting: &[(Group, f64)], now_us: u64) {
+    pub(super) fn preempt_for_urgent(&mut self, waiting: &[(Group, f64)], now_us: u64) {
         let wanted_milli: u64 = waiting
             .iter()
             .filter(|(_, density)| *density >= IN_TIME)
@@ -70,10 +70,10 @@
         }
         for candidate in self.candidates(now_us) {
             // Another task of its step may have given way just now.
-            if !self.may_give_way(candidate.at, now_us) {
+            if !self.may_be_preempted(candidate.at, now_us) {
                 continue;
             }
-            self.give_way(&candidate, short_milli, now_us);
+            self.preempt(&candidate, short_milli, now_us);
             short_milli = short_milli.saturating_sub(candidate.cpu_milli);
             if short_milli == 0 {
                 return;
@@ -81,24 +81,25 @@
         }
     }
 
-    fn give_way(&mut self, candidate: &Candidate, short_milli: u64, now_us: u64) {
+    fn preempt(&mut self, candidate: &Candidate, short_milli: u64, now_us: u64) {
         let worker = &self.workers[candidate.worker as usize];
-        log::info!(event = "task_gave_way", job = self.job_id(candidate.at.job),
+        log::info!(event = "task_preempted", job = self.job_id(candidate.at.job),
             task = candidate.at.task, worker = worker.entry.id.as_str(),
             cpu_milli = candidate.cpu_milli, short_milli = short_milli,
-            look_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS; "");
+            answer_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS; "");
         self.stop(candidate.at, now_us);
-        self.giving_way.insert(candidate.at, candidate.cpu_milli);
-        self.counts.gave_way += 1;
+        self.preempting.insert(candidate.at, candidate.cpu_milli);
+        self.counts.preempted += 1;
         if let Some(job) = self.jobs[candidate.at.job as usize].as_mut() {
-            job.tasks[candidate.at.task as usize].gave_way = true;
+            job.tasks[candidate.at.task as usize].preempted = true;
         }
     }
 
     /// Whether all waiting tasks of a lasting step still leave the room that they gave up to others.
     pub(super) fn is_held_back(&self, group: Group, now_us: u64) -> bool {
         let Some(job) = self.job(group.job) else { return false };
-        let is_held = |task: &Task| task.gave_way && now_us.saturating_sub(task.since_us) < HOLD_US;
+        let is_held =
+            |task: &Task| task.preempted && now_us.saturating_sub(task.since_us) < HOLD_US;
         self.misses_little(job, group)
             && job
                 .tasks_of(group.occurrence, group.step)
@@ -130,7 +131,7 @@
 
     /// Processors of lasting tasks that were stopped to make room and still hold it.
     fn freeing_milli(&self) -> u64 {
-        self.giving_way.values().sum()
+        self.preempting.values().sum()
     }
 
     /// The lasting tasks that may give way now. Those that share a worker with more tasks of another
@@ -146,7 +147,7 @@
             .filter(|(_, worker)| worker.is_open(now_us))
             .inspect(|(_, worker)| self.effort.weighed(worker.tasks.len()))
             .flat_map(|(index, worker)| worker.tasks.iter().map(move |at| (index, *at)))
-            .filter(|(_, at)| self.may_give_way(*at, now_us))
+            .filter(|(_, at)| self.may_be_preempted(*at, now_us))
             .filter_map(|(worker, at)| self.as_candidate(worker, at))
             .collect();
         candidates.sort_by_key(|candidate| (candidate.of_its_image, candidate.cpu_milli));
@@ -161,7 +162,7 @@
         Some(Candidate { at, worker, cpu_milli: job.step(at.task).need.cpu_milli, of_its_image })
     }
 
-    fn may_give_way(&self, at: TaskRef, now_us: u64) -> bool {
+    fn may_be_preempted(&self, at: TaskRef, now_us: u64) -> bool {
         let Some(job) = self.job(at.job) else { return false };
         let (occurrence, step, _) = job.locate(at.task);
         let task = &job.tasks[at.task as usize];
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -33,15 +33,15 @@
         let before = self.live_at(&entry.address);
         self.worker_by_address.insert(entry.address.clone(), index);
         self.workers.push(Worker::new(entry));
-        // A new life at the same address: the old one is over, whatever the registry still says.
+        // A new incarnation at the same address: the old one is over, whatever the registry still says.
         if let Some(before) = before {
-            self.worker_gone(before, "another life at its address", now_us);
+            self.worker_gone(before, "another incarnation at its address", now_us);
         }
         index
     }
 
-    /// Takes a life that was given up back, once it registers again: it was cut off for longer than
-    /// its lease and lives. Without this it would never get a task again. A stale entry of a life
+    /// Takes an incarnation that was given up back, once it registers again: it was cut off for longer than
+    /// its lease and lives. Without this it would never get a task again. A stale entry of an incarnation
     /// that another one has followed changes nothing.
     fn revive(&mut self, index: WorkerIndex, entry: &WorkerEntry) {
         let is_gone = self.workers[index as usize].standing == WorkerStanding::Gone;
@@ -52,7 +52,7 @@
         }
     }
 
-    /// The newest worker at an address, unless its life is over.
+    /// The newest worker at an address, unless its incarnation is over.
     fn live_at(&self, address: &str) -> Option<WorkerIndex> {
         let index = self.worker_by_address.get(address).copied()?;
         let is_live = self.workers[index as usize].standing != WorkerStanding::Gone;
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -12,7 +12,7 @@
 use super::worker::{Worker, WorkerIndex, WorkerStanding};
 use super::{FleetBounds, US_PER_MS};
 
-/// Lease that each look and start asks for. Long enough that a successor, who needs about three
+/// Lease that each poll and start asks for. Long enough that a successor, who needs about three
 /// seconds to take over, renews in time; short, because the tasks of a worker that went silent are
 /// started elsewhere only after it.
 pub const LEASE_MS: u64 = 5_000;
@@ -43,7 +43,7 @@
     /// Runs stopped by this program's own decision.
     pub stopped: u64,
     /// Lasting tasks stopped to make room for urgent steps.
-    pub gave_way: u64,
+    pub preempted: u64,
     /// Changes of a task's share of processor time.
     pub paced: u64,
     /// Orders that a worker rejected for want of room.
@@ -73,7 +73,7 @@
     /// Those among them that something waits for.
     pub(super) urgent: BTreeSet<u32>,
     pub(super) orders: Vec<Order>,
-    /// Workers whose life has ended and whose lines are still open.
+    /// Workers whose incarnation has ended and whose lines are still open.
     pub(super) gone: Vec<WorkerIndex>,
     /// Workers that may forget more ends than the lines were told.
     pub(super) acked: Vec<WorkerIndex>,
@@ -86,7 +86,7 @@
     pub(super) pairs: PairCounts,
     pub(super) rooms: Rooms,
     /// Lasting tasks that were stopped to make room and whose room is not free yet.
-    pub(super) giving_way: BTreeMap<TaskRef, u64>,
+    pub(super) preempting: BTreeMap<TaskRef, u64>,
     /// When preemption was last weighed, and the worker with which it goes on.
     pub(super) preempted_us: u64,
     pub(super) preempt_from: WorkerIndex,
@@ -122,7 +122,7 @@
             pressure: Pressure::default(),
             pairs: PairCounts::default(),
             rooms: Rooms::default(),
-            giving_way: BTreeMap::new(),
+            preempting: BTreeMap::new(),
             preempted_us: 0,
             preempt_from: 0,
             advice: HashMap::new(),
@@ -323,7 +323,7 @@
         let before = job.tasks[at.task as usize].state;
         let (occurrence, step_index, _) = job.locate(at.task);
         let step = &job.spec.steps[step_index as usize];
-        self.giving_way.remove(&at);
+        self.preempting.remove(&at);
         if let Some(index) = before.worker() {
             let worker = &mut self.workers[index as usize];
             worker.used = worker.used.minus(&step.charge());
@@ -429,7 +429,7 @@
         &self.workers[worker as usize]
     }
 
-    /// All workers whose life is not over.
+    /// All workers whose incarnation is not over.
     pub fn live_workers(&self) -> impl Iterator<Item = (WorkerIndex, &Worker)> {
         self.workers
             .iter()
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -67,7 +67,7 @@
             let at = TaskRef { job: slot, task: record.task };
             self.charge(at, worker, TaskState::Ordered(worker));
             if let Some(job) = self.jobs[slot as usize].as_mut() {
-                // The first look under the new epoch bars all older orders, so a run that it does
+                // The first poll under the new epoch bars all older orders, so a run that it does
                 // not show is not there and never will be.
                 job.tasks[record.task as usize].answered_us = 1;
             }
@@ -77,7 +77,7 @@
         }
     }
 
-    /// The worker of that life, or a placeholder for one that is not registered any more.
+    /// The worker of that incarnation, or a placeholder for one that is not registered any more.
     fn known_worker(&mut self, id: &str) -> WorkerIndex {
         if let Some(index) = self.worker_by_id.get(id) {
             return *index;
--- a/crates/agatesill_policy/src/fleet/floor.rs
+++ b/crates/agatesill_policy/src/fleet/usage.rs
@@ -50,7 +50,7 @@
 
 /// How full the open workers are.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Floor {
+pub struct FleetUsage {
     /// Workers that take new tasks.
     pub workers: u32,
     /// Their processors.
@@ -77,28 +77,28 @@
 
 impl Fleet {
     /// How full the workers are now.
-    pub fn floor(&self, now_us: u64) -> Floor {
-        let mut floor = Floor::default();
+    pub fn usage(&self, now_us: u64) -> FleetUsage {
+        let mut fleet = FleetUsage::default();
         let mut tails = Vec::new();
         for worker in self.workers.iter().filter(|worker| worker.is_open(now_us)) {
-            floor.add_worker(worker);
+            fleet.add_worker(worker);
             if worker.mean_tail > 0.0 {
                 tails.push(worker.mean_tail);
             }
         }
         let sum: f64 = tails.iter().sum();
-        floor.mean_tail_percent = (sum * 100.0 / tails.len().max(1) as f64) as u64;
+        fleet.mean_tail_percent = (sum * 100.0 / tails.len().max(1) as f64) as u64;
         for group in &self.waiting {
             let Some(job) = self.job(group.job).filter(|job| job.phase == JobPhase::Active) else {
                 continue;
             };
-            floor.add_waiting(job, group.occurrence, group.step, now_us);
+            fleet.add_waiting(job, group.occurrence, group.step, now_us);
         }
-        floor
+        fleet
     }
 }
 
-impl Floor {
+impl FleetUsage {
     fn add_worker(&mut self, worker: &Worker) {
         self.workers += 1;
         self.capacity_milli += worker.entry.capacity.cpu_milli;
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -13,9 +13,9 @@
 pub type WorkerIndex = u32;
 
 value_type! {
-    /// One life of a worker, as it registers itself.
+    /// One incarnation of a worker, as it registers itself.
     pub struct WorkerEntry {
-        /// Identity of this life.
+        /// Identity of this incarnation.
         pub id: String,
         /// Where its calls go.
         pub address: String,
@@ -59,7 +59,7 @@
 /// A run that ended, as its worker lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndRow {
-    /// Counts ends within one life of the worker.
+    /// Counts ends within one incarnation of the worker.
     pub number: u64,
     /// The task.
     pub task: TaskKey,
@@ -87,9 +87,9 @@
     pub figure: u64,
 }
 
-/// What a worker answered when it was looked at.
+/// What a worker answered when it was polled.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Look {
+pub struct Poll {
     /// When the call was sent.
     pub sent_us: u64,
     /// Lease that the call asked for, counted from when it was sent.
@@ -105,17 +105,17 @@
 /// How far a worker can be counted on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkerStanding {
-    /// Registered, but not looked at yet under the present epoch: what runs there is not known.
+    /// Registered, but not polled yet under the present epoch: what runs there is not known.
     New,
     /// It answers.
     Good,
     /// It did not answer the newest call.
     Silent,
-    /// Its life is over; nothing runs there.
+    /// Its incarnation is over; nothing runs there.
     Gone,
 }
 
-/// One life of a worker.
+/// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
     /// As it registers itself.
@@ -136,9 +136,9 @@
     pub(super) serving: ImageCounts,
     /// Tasks that fill, by image.
     pub(super) filling: ImageCounts,
-    /// Highest tail over target among its serving tasks at the last look.
+    /// Highest tail over target among its serving tasks at the last poll.
     pub worst_tail: f64,
-    /// The mean of these tails; 0 before the first look.
+    /// The mean of these tails; 0 before the first poll.
     pub mean_tail: f64,
     /// When its figures were last taken in.
     pub sampled_us: u64,
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Gives a chosen worker the order to start, unless its life ended or it began to leave since.
+    /// Gives a chosen worker the order to start, unless its incarnation ended or it began to leave since.
     fn order_start(&mut self, at: TaskRef, worker: WorkerIndex, now_us: u64) {
         let target = &self.workers[worker as usize];
         if target.standing == WorkerStanding::Gone || target.entry.is_leaving {
--- a/crates/agatesill_policy/tests/fleet_colocation.rs
+++ b/crates/agatesill_policy/tests/fleet_colocation.rs
@@ -27,7 +27,7 @@
     spec
 }
 
-/// Sets what the next looks report: the tail of serving images beside the pressing one.
+/// Sets what the next polls report: the tail of serving images beside the pressing one.
 fn report(rig: &mut Rig, pressing: &str, victim: &str) {
     for far in rig.far.values_mut() {
         let beside = far.running.values().any(|row| row.task.job.starts_with(pressing));
@@ -53,15 +53,15 @@
     orders.iter().filter(|order| order.kind == OrderKind::Pace { percent: 0 }).count()
 }
 
-/// One image of month-end work is harmless beside the watchers; another, which comes later, raises
-/// their tails twenty times. After a few looks the harmful one is moved off and never comes back there, while the
+/// One image of batch work is harmless beside the watchers; another, which comes later, raises
+/// their tails twenty times. After a few polls the harmful one is moved off and never comes back there, while the
 /// harmless one keeps its pace.
 #[test]
 fn a_harmful_pair_is_told_from_a_harmless_one_and_kept_apart() {
     let mut rig = Rig::new(vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
     rig.fleet.accept(serving("watch-a", "ledger", 2), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     let home = rig.present("watch-a")[0].0;
     let other = rig.far.keys().copied().find(|worker| *worker != home).unwrap();
     // The other worker is closed for now, so that both images are tried beside the watchers.
@@ -72,7 +72,7 @@
     for _ in 0..4 {
         report(&mut rig, "heavy", "watch-a");
         rig.pass_ms(500);
-        rig.look(home);
+        rig.poll(home);
         rig.settle();
     }
     rig.fleet.accept(filling("heavy", "heavy", 1), rig.now_us);
@@ -82,7 +82,7 @@
     for round in 0..8 {
         report(&mut rig, "heavy", "watch-a");
         rig.pass_ms(500);
-        rig.look(home);
+        rig.poll(home);
         let orders = rig.plan();
         moved |= orders.iter().any(|o| o.kind == OrderKind::Stop && o.task.job == "heavy");
         orders.iter().for_each(|order| rig.obey(order));
@@ -95,7 +95,7 @@
     assert!(rig.present("heavy").is_empty(), "and finds no place beside what it harms");
     let listed = entry(&id, "r1-1");
     rig.list(listed);
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     assert_eq!(rig.present("heavy")[0].0, other, "it goes where nothing serves");
 }
@@ -107,7 +107,7 @@
     let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
     rig.fleet.accept(serving("watch-a", "ledger", 1), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     for index in 0..3 {
         rig.fleet.accept(filling(&format!("fill{index}"), &format!("image{index}"), 1), rig.now_us);
     }
@@ -117,7 +117,7 @@
     while rig.now_us < begun_us + 2_600 * MS {
         report(&mut rig, "fill", "watch-a");
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         let orders = rig.plan();
         still += paced_to_zero(&orders);
         still += orders.iter().filter(|order| order.kind == OrderKind::Stop).count();
@@ -126,27 +126,27 @@
     assert!(still >= 3, "{still} of 3 stand still after 2.6 of 4 seconds");
 }
 
-/// Month-end work of one image finds no harmless worker. Work of another image behind it in the
-/// queue has one; held up by the first, half of the floor would stand idle.
+/// Batch work of one image finds no harmless worker. Work of another image behind it in the
+/// queue has one; held up by the first, half of the fleet would stand idle.
 #[test]
 fn an_image_without_a_place_does_not_hold_up_another() {
     let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
     rig.fleet.accept(serving("watch-a", "ledger", 4), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.accept(filling("heavy", "heavy", 1), rig.now_us);
     rig.settle();
     for _ in 0..6 {
         report(&mut rig, "heavy", "watch-a");
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
     }
     for far in rig.far.values_mut() {
         far.running.values_mut().for_each(|row| row.figure = 30);
     }
     rig.pass_ms(500);
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.accept(filling("heavy2", "heavy", 4), rig.now_us);
     rig.fleet.accept(filling("light", "light", 1), rig.now_us);
     rig.settle();
@@ -161,7 +161,7 @@
     let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
     rig.fleet.accept(serving("watch-a", "ledger", 3), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.accept(filling("fill", "new", 7), rig.now_us);
     rig.settle();
     assert_eq!(rig.present("fill").len(), 1);
@@ -196,19 +196,19 @@
     let watch = serving("watch-a", "ledger", 3);
     rig.fleet.accept(watch.clone(), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.accept(filling("heavy", "heavy", 1), rig.now_us);
     rig.settle();
     for _ in 0..4 {
         report(&mut rig, "heavy", "watch-a");
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
     }
     let learned = serde_json::to_string(&rig.fleet.learned()).unwrap();
     rig.fleet = rig.successor(&[watch], vec![entry("w1", "r1-1")]);
     rig.fleet.restore_learned(&serde_json::from_str(&learned).unwrap());
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.accept(filling("again", "heavy", 1), rig.now_us);
     rig.fleet.accept(filling("light", "light", 1), rig.now_us);
     rig.settle();
@@ -232,7 +232,7 @@
 }
 
 /// Two workers reserve the same for lasting tasks, but one has callers just now and the other has
-/// not. Month-end work goes to the idle one; sent to the busy one it doubles tails at the next rise.
+/// not. Batch work goes to the idle one; sent to the busy one it doubles tails at the next rise.
 #[test]
 fn work_that_fills_goes_where_lasting_tasks_have_little_to_do() {
     let mut rig = Rig::new(vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
@@ -241,7 +241,7 @@
     rig.settle();
     tails(&mut rig, "watch-a", 70);
     tails(&mut rig, "watch-b", 30);
-    rig.look_all();
+    rig.poll_all();
     let idle = rig.present("watch-b")[0].0;
     assert!(rig.present("watch-a").iter().all(|(worker, ..)| *worker != idle));
     rig.fleet.accept(filling("bills", "light", 1), rig.now_us);
@@ -249,8 +249,8 @@
     assert_eq!(rig.present("bills")[0].0, idle);
 }
 
-/// Month-end work fills what watchers leave, and the watchers' callers come back. No tail is over its
-/// target yet, but the worker is about to be full, and then all tails double within one look. What
+/// Batch work fills what watchers leave, and the watchers' callers come back. No tail is over its
+/// target yet, but the worker is about to be full, and then all tails double within one poll. What
 /// fills is slowed before, and let go when the callers have left.
 #[test]
 fn a_worker_about_to_be_full_is_thinned_out_before_tails_pass_their_target() {
@@ -258,7 +258,7 @@
     rig.fleet.accept(serving("watch-a", "ledger", 5), rig.now_us);
     rig.settle();
     tails(&mut rig, "watch-a", 30);
-    rig.look_all();
+    rig.poll_all();
     for image in ["light", "pale", "thin"] {
         rig.fleet.accept(filling(image, image, 1), rig.now_us);
     }
@@ -270,7 +270,7 @@
     for (tail, pace) in [(80, 50), (90, 25)] {
         tails(&mut rig, "watch-a", tail);
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         let slowed = rig.plan();
         assert_eq!(paces(&slowed, pace), 3, "{slowed:?}");
         slowed.iter().for_each(|order| rig.obey(order));
@@ -279,7 +279,7 @@
     for _ in 0..4 {
         tails(&mut rig, "watch-a", 30);
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         let orders = rig.plan();
         back += paces(&orders, 100);
         orders.iter().for_each(|order| rig.obey(order));
@@ -302,12 +302,12 @@
         for _ in 0..6 {
             report(&mut rig, "heavy", "watch-a");
             rig.pass_ms(500);
-            rig.look_all();
+            rig.poll_all();
         }
         for (worker, task, run) in rig.present(image) {
             rig.end(worker, &task, run, agatesill_policy::fleet::EndCause::Done);
         }
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
     }
     rig.fleet.accept(filling("heavy", "heavy", 1), rig.now_us);
@@ -315,12 +315,12 @@
     for _ in 0..6 {
         report(&mut rig, "heavy", "watch-a");
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
     }
     assert!(rig.present("heavy").is_empty(), "moved off, and finds no place beside what it harms");
     report(&mut rig, "heavy", "watch-a");
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.accept(filling("more", "light16", 1), rig.now_us);
     rig.settle();
     assert_eq!(rig.present("more").len(), 1, "its neighbour is welcome still");
@@ -334,7 +334,7 @@
 
 /// A worker is nearly full of watchers of one image, another is empty. A small watcher of another
 /// image fits into the last core of the first. Placed there, it closes that worker to every image of
-/// month-end work that harms either of the two, though the empty worker costs nothing.
+/// batch work that harms either of the two, though the empty worker costs nothing.
 #[test]
 fn serving_images_are_not_mixed_while_a_worker_is_empty() {
     let mut rig = Rig::new(vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
@@ -347,7 +347,7 @@
     assert_ne!(rig.present("watch-b")[0].0, first, "the empty worker is taken");
 }
 
-/// A new image of month-end work comes while eight workers serve the same image. Nobody knows yet
+/// A new image of batch work comes while eight workers serve the same image. Nobody knows yet
 /// whether the pair harms. Tried everywhere at once, all eight would be over their target in the same
 /// second; three trials tell as much.
 #[test]
@@ -356,29 +356,29 @@
     let mut rig = Rig::new(entries);
     rig.fleet.accept(lasting("watch-a", "ledger", 8, 9_000), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.accept(filling("new", "new", 8), rig.now_us);
     rig.settle();
     assert_eq!(rig.present("new").len(), 3, "the pair is tried on three workers");
     for _ in 0..60 {
         report(&mut rig, "heavy", "watch-a");
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
     }
     assert_eq!(rig.present("new").len(), 8, "once it is known to be harmless it goes everywhere");
 }
 
 /// Watchers reserve fifteen of sixteen processors and use less than half of them; their tails stand at
-/// half of the target. Month-end work of an image that is known to be harmless waits in heaps. It gets
+/// half of the target. Batch work of an image that is known to be harmless waits in heaps. It gets
 /// two thirds of what the watchers leave unused, in place of less than half.
 #[test]
 fn work_that_fills_takes_what_a_reserved_floor_leaves_unused() {
     let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
     rig.fleet.accept(lasting("watch-a", "ledger", 5, 3_000), rig.now_us);
     rig.settle();
-    rig.look_all();
-    let look = |rig: &mut Rig| {
+    rig.poll_all();
+    let poll = |rig: &mut Rig| {
         rig.settle();
         for far in rig.far.values_mut() {
             for row in far.running.values_mut() {
@@ -388,11 +388,11 @@
             }
         }
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
     };
-    (0..40).for_each(|_| look(&mut rig));
+    (0..40).for_each(|_| poll(&mut rig));
     rig.fleet.accept(filling("fill", "plan", 30), rig.now_us);
-    (0..40).for_each(|_| look(&mut rig));
+    (0..40).for_each(|_| poll(&mut rig));
     // Watchers use about 6.3 of 16 processors; each of these tasks asks for two.
     let cores = rig.present("fill").len() * 2;
     assert!(cores >= 6, "{cores} of about 9.7 processors");
@@ -410,7 +410,7 @@
     let mut rig = Rig::new(vec![big]);
     rig.fleet.accept(lasting("watch-a", "ledger", 2, 12_000), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     let report = |rig: &mut Rig| {
         for far in rig.far.values_mut() {
             let heavy = far.running.values().filter(|row| row.task.job == "heavy").count();
@@ -426,7 +426,7 @@
     for round in 0..60 {
         report(&mut rig);
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
         if round == 20 {
             let mut heavy = filling("heavy", "heavy", 8);
@@ -438,33 +438,33 @@
     assert!(most <= 1, "{most} at once beside the watchers that they press");
 }
 
-/// The load of the watchers rises within a second while month-end work of an image that is known to be
+/// The load of the watchers rises within a second while batch work of an image that is known to be
 /// harmless uses what they left. Their tails pass the target, no image is to blame, and so nothing was
-/// slowed for another second: the worker is simply full. What fills makes room with the first look.
+/// slowed for another second: the worker is simply full. What fills makes room with the first poll.
 #[test]
 fn a_full_worker_makes_room_with_the_first_look_over_target() {
     let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
     rig.fleet.accept(lasting("watch-a", "ledger", 5, 3_000), rig.now_us);
     rig.settle();
-    rig.look_all();
-    let look = |rig: &mut Rig, tail: u64| {
+    rig.poll_all();
+    let poll = |rig: &mut Rig, tail: u64| {
         for row in rig.far.values_mut().flat_map(|far| far.running.values_mut()) {
             let serves = row.task.job.starts_with("watch");
             row.percent = if serves { 100 } else { row.percent + 1 };
             row.figure = if serves { tail } else { 2_000 };
         }
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
         let orders = rig.plan();
         orders.iter().for_each(|order| rig.obey(order));
         orders
     };
-    (0..40).for_each(|_| drop(look(&mut rig, 40)));
+    (0..40).for_each(|_| drop(poll(&mut rig, 40)));
     rig.fleet.accept(filling("fill", "plan", 30), rig.now_us);
-    (0..40).for_each(|_| drop(look(&mut rig, 40)));
+    (0..40).for_each(|_| drop(poll(&mut rig, 40)));
     let at_work = rig.present("fill").len();
     assert!(at_work >= 3, "{at_work} at work beside the watchers");
-    let orders = look(&mut rig, 110);
+    let orders = poll(&mut rig, 110);
     let slowed = orders
         .iter()
         .filter(|order| matches!(order.kind, OrderKind::Pace { percent } if percent < 100));
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -21,13 +21,13 @@
     for (worker, task, run) in rig.present("j") {
         rig.end(worker, &task, run, EndCause::Done);
     }
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     let runs = rig.present("j");
     assert_eq!(runs.len(), 1);
     assert_eq!(runs[0].1.step, 1);
     rig.end(runs[0].0, &runs[0].1, runs[0].2, EndCause::Done);
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Completed, true)));
 }
@@ -73,7 +73,7 @@
     assert_eq!(again.len(), 1);
     assert_eq!((again[0].worker, again[0].run), (orders[0].worker, orders[0].run));
     rig.obey(&again[0]);
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     assert_eq!(rig.present("j").len(), 1);
 }
@@ -93,7 +93,7 @@
     assert_eq!((bar[0].worker, &bar[0].kind), (first.worker, &OrderKind::Stop));
     rig.obey(&bar[0]);
     rig.pass_ms(5);
-    rig.look_all();
+    rig.poll_all();
     let elsewhere = rig.plan();
     assert_eq!(starts(&elsewhere).len(), 1);
     assert!(elsewhere[0].run > first.run);
@@ -116,7 +116,7 @@
     assert_eq!((bar[0].worker, &bar[0].kind), (first.worker, &OrderKind::Stop));
     rig.obey(&bar[0]);
     rig.pass_ms(5);
-    rig.look_all();
+    rig.poll_all();
     let elsewhere = rig.plan();
     assert_eq!(starts(&elsewhere).len(), 1);
     assert!(elsewhere[0].run > first.run);
@@ -134,12 +134,12 @@
     rig.fleet.order_answered(&start, OrderOutcome::Old, rig.now_us);
     assert!(starts(&rig.plan()).is_empty());
     rig.pass_ms(5);
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Completed, true)));
 }
 
-/// A look is on its way when the network to a worker is cut; its answer is lost, but the lease was
+/// A poll is on its way when the network to a worker is cut; its answer is lost, but the lease was
 /// renewed. Counting the lease from the last answer would free the tasks 200 ms too early, and for
 /// that long two runs of each would exist.
 #[test]
@@ -148,7 +148,7 @@
     rig.fleet.accept(job("j", vec![step(1)]), rig.now_us);
     rig.settle();
     let worker = rig.present("j")[0].0;
-    rig.look_all();
+    rig.poll_all();
     rig.pass_ms(500);
     let asked_us = rig.now_us;
     rig.fleet.lease_asked(worker, asked_us);
@@ -168,20 +168,20 @@
     let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
     rig.fleet.accept(job("j", vec![step(1)]), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.cancel("j", rig.now_us);
     let lost = rig.plan();
     assert!(lost.iter().any(|order| order.kind == OrderKind::Stop));
     rig.pass_ms(2_000);
-    rig.look_all();
+    rig.poll_all();
     let again = rig.plan();
     assert!(again.iter().any(|order| order.kind == OrderKind::Stop), "{again:?}");
     again.iter().for_each(|order| rig.obey(order));
-    rig.look_all();
+    rig.poll_all();
     assert!(rig.present("j").is_empty());
 }
 
-/// The address of a dead worker answers again, as another life. What ran on the old one is over at
+/// The address of a dead worker answers again, as another incarnation. What ran on the old one is over at
 /// once: waiting for its lease would leave a desk job five seconds without a run.
 #[test]
 fn another_life_at_the_address_ends_the_old_one_at_once() {
@@ -193,7 +193,7 @@
     reborn.id = "w1-reborn".to_owned();
     let new = rig.list(reborn);
     assert_eq!(rig.fleet.worker(old).standing, WorkerStanding::Gone);
-    rig.look(new);
+    rig.poll(new);
     let orders = rig.plan();
     assert_eq!(starts(&orders).len(), 1);
     assert_eq!((orders[0].worker, orders[0].run), (new, 2));
@@ -221,7 +221,7 @@
     rig.settle();
     let (worker, task, run) = rig.present("j").remove(0);
     rig.end(worker, &task, run, EndCause::Done);
-    rig.look(worker);
+    rig.poll(worker);
     assert_eq!(rig.fleet.acked_end(worker), 0);
     rig.commit();
     assert_eq!(rig.fleet.acked_end(worker), 1);
@@ -237,7 +237,7 @@
         rig.settle();
         let (worker, task, run) = rig.present("j").remove(0);
         rig.end(worker, &task, run, EndCause::Failed);
-        rig.look_all();
+        rig.poll_all();
     }
     rig.settle();
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Failed, true)));
@@ -258,10 +258,10 @@
         let (worker, task, run) = rig.present(id).remove(0);
         rig.end(worker, &task, run, EndCause::Failed);
     }
-    rig.look_all();
+    rig.poll_all();
     assert!(starts(&rig.plan()).is_empty());
     rig.pass_ms(4_500);
-    rig.look_all();
+    rig.poll_all();
     assert_eq!(starts(&rig.plan()).len(), 3, "it is tried again some time");
 }
 
@@ -273,14 +273,14 @@
     let watch = Step { is_lasting: true, ..step(1) };
     rig.fleet.accept(job("j", vec![watch]), rig.now_us);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     let (worker, ..) = rig.present("j").remove(0);
     let mut leaving = rig.fleet.worker(worker).entry.clone();
     leaving.is_leaving = true;
     leaving.leaves_in_ms = 2_000;
     rig.list(leaving);
     rig.settle();
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     let runs = rig.present("j");
     assert_eq!(runs.len(), 1);
@@ -298,7 +298,7 @@
     rig.fleet.accept(job("j", vec![gang]), rig.now_us);
     assert!(starts(&rig.plan()).is_empty());
     rig.list(entry("w22", "r1-1"));
-    rig.look_all();
+    rig.poll_all();
     let orders = rig.plan();
     let runs: Vec<u32> = starts(&orders).iter().map(|order| order.run).collect();
     assert_eq!(runs, [1, 1, 1, 1]);
@@ -334,10 +334,10 @@
         let (worker, task, run) = rig.present(id).remove(0);
         rig.end(worker, &task, run, EndCause::Failed);
     }
-    rig.look_all();
+    rig.poll_all();
     assert!(starts(&rig.plan()).is_empty(), "another worker may come to have room");
     rig.pass_ms(1_600);
-    rig.look_all();
+    rig.poll_all();
     let orders = rig.plan();
     let names: Vec<&str> = starts(&orders).iter().map(|o| o.task.job.as_str()).collect();
     assert_eq!(names, ["watch"]);
@@ -369,14 +369,14 @@
     assert_eq!(next.pending("desk"), 1);
     rig.carry_out(&orders[0]);
     let running = rig.far[&0].running.values().cloned().collect();
-    let look = agatesill_policy::fleet::Look {
+    let poll = agatesill_policy::fleet::Poll {
         sent_us: rig.now_us,
         lease_ms: 5_000,
         clock_ms: rig.now_us / MS,
         running,
         ended: Vec::new(),
     };
-    next.looked(0, &look, rig.now_us + MS);
+    next.polled(0, &poll, rig.now_us + MS);
     assert_eq!(next.pending("desk"), 0);
 }
 
@@ -390,7 +390,7 @@
     rig.settle();
     let (worker, task, run) = rig.present("j1")[0].clone();
     rig.end(worker, &task, run, EndCause::Done);
-    rig.look_all();
+    rig.poll_all();
     rig.fleet.retire_ended();
     assert_eq!(rig.fleet.state_of("j1"), Some((JobPhase::Active, true)), "not stored yet");
     rig.commit();
--- a/crates/agatesill_policy/tests/fleet_overload.rs
+++ b/crates/agatesill_policy/tests/fleet_overload.rs
@@ -35,7 +35,7 @@
         rig.settle();
         end_after_a_second(&mut rig);
         rig.now_us = begun_us + u64::from(tick + 1) * 100 * MS;
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
         accepted.retain(|(id, since_us)| {
             let is_done = rig.fleet.state_of(id).is_some_and(|s| s.0 == JobPhase::Completed);
@@ -64,7 +64,7 @@
     }
 }
 
-/// Desk work goes before month end, however long the latter has waited.
+/// Desk work goes before batch work, however long the latter has waited.
 #[test]
 fn urgent_work_is_placed_first() {
     let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
--- a/crates/agatesill_policy/tests/fleet_preempt.rs
+++ b/crates/agatesill_policy/tests/fleet_preempt.rs
@@ -1,4 +1,4 @@
-//! Urgent steps on a floor that lasting tasks have reserved in full.
+//! Urgent steps on a fleet that lasting tasks have reserved in full.
 
 mod fleet_support;
 
@@ -30,7 +30,7 @@
             row.percent = 100;
         });
         rig.pass_ms(500);
-        rig.look_all();
+        rig.poll_all();
     }
 }
 
@@ -40,7 +40,7 @@
     for _ in 0..times {
         rig.pass_ms(50);
         rig.settle();
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
     }
     let stops = |o: &&agatesill_policy::fleet::Order| o.kind == OrderKind::Stop;
@@ -145,7 +145,7 @@
         for (worker, task, run) in rig.present(&before) {
             rig.end(worker, &task, run, EndCause::Done);
         }
-        rig.look_all();
+        rig.poll_all();
         rig.settle();
         urgents += usize::from(rig.present("watch").is_empty());
     }
--- a/crates/agatesill_policy/tests/fleet_random.rs
+++ b/crates/agatesill_policy/tests/fleet_random.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use agatesill_policy::fleet::{
-    EndCause, EndRow, JobSpec, Look, Order, OrderKind, OrderOutcome, RunRow, Step, TaskKey,
+    EndCause, EndRow, JobSpec, Order, OrderKind, OrderOutcome, Poll, RunRow, Step, TaskKey,
     WorkerEntry, WorkerIndex,
 };
 use fleet_support::{MS, Rig, entry, job, name, step};
@@ -27,7 +27,7 @@
 /// The lease that calls ask for, on a clock that is up to 2% slow.
 const LEASE_US: u64 = 5_000 * MS * 102 / 100;
 
-/// One life of a worker as it really is.
+/// One incarnation of a worker as it really is.
 struct Real {
     entry: WorkerEntry,
     runs: BTreeMap<(String, u32), RunRow>,
@@ -73,12 +73,12 @@
         world
     }
 
-    /// A new life at one of four addresses; whatever lived there is over.
+    /// A new incarnation at one of four addresses; whatever lived there is over.
     fn born(&mut self, place: u32) {
         let address = format!("10.0.0.{place}:80");
         self.real.retain(|_, real| real.entry.address != address);
         self.lives += 1;
-        let id = format!("life{}", self.lives);
+        let id = format!("incarnation{}", self.lives);
         let mut entry = entry(&id, if place % 2 == 0 { "r1-1" } else { "r1-2" });
         entry.address = address;
         let real = Real {
@@ -116,7 +116,7 @@
         self.note_finished();
         self.lapse();
         self.give_up_waiting();
-        self.look_all();
+        self.poll_all();
         self.rig.fleet.expire_workers(self.rig.now_us);
         self.act();
         self.check();
@@ -167,7 +167,7 @@
         }
     }
 
-    /// The planner dies; another one reads the records and looks at the workers it reaches.
+    /// The planner dies; another one reads the records and polls the workers it reaches.
     fn take_over(&mut self) {
         self.rig.commit();
         let entries: Vec<WorkerEntry> =
@@ -256,7 +256,7 @@
         self.rig.fleet.live_workers().find(|(_, w)| w.entry.id == id).map(|(index, _)| index)
     }
 
-    fn look_all(&mut self) {
+    fn poll_all(&mut self) {
         for id in self.real.keys().cloned().collect::<Vec<_>>() {
             let Some(index) = self.index_of(&id) else { continue };
             let Some(real) = self.real.get_mut(&id) else { continue };
@@ -269,7 +269,7 @@
             real.lease_until_us = real.lease_until_us.max(sent_us + LEASE_US);
             let acked = self.rig.fleet.acked_end(index);
             real.ended.retain(|end| end.number > acked);
-            let look = Look {
+            let poll = Poll {
                 sent_us,
                 lease_ms: 5_000,
                 clock_ms: sent_us / MS,
@@ -277,7 +277,7 @@
                 ended: real.ended.clone(),
             };
             self.rig.pass_ms(1);
-            self.rig.fleet.looked(index, &look, self.rig.now_us);
+            self.rig.fleet.polled(index, &poll, self.rig.now_us);
         }
     }
 
@@ -318,7 +318,7 @@
         let (id, order, epoch) = self.late.remove(0);
         if let Some(real) = self.real.get_mut(&id) {
             // Its lease is the one asked for when it was sent; a later one holds if there is any.
-            // A worker that a later planner has looked at obeys no earlier one.
+            // A worker that a later planner has polled obeys no earlier one.
             if epoch >= real.epoch && real.lease_until_us > self.rig.now_us {
                 real.obey(&order, 0);
             }
@@ -448,7 +448,7 @@
         world.note_finished();
         world.lapse();
         world.give_up_waiting();
-        world.look_all();
+        world.poll_all();
         world.rig.fleet.expire_workers(world.rig.now_us);
         world.act();
         world.check();
--- a/crates/agatesill_policy/tests/fleet_scale.rs
+++ b/crates/agatesill_policy/tests/fleet_scale.rs
@@ -71,11 +71,11 @@
     }
     rig.settle();
     report(&mut rig);
-    rig.look_all();
+    rig.poll_all();
     rig
 }
 
-/// What the next looks show: lasting tasks at work with low tails, others a twentieth further.
+/// What the next polls show: lasting tasks at work with low tails, others a twentieth further.
 fn report(rig: &mut Rig) {
     for row in rig.far.values_mut().flat_map(|far| far.running.values_mut()) {
         let is_lasting = row.task.job.starts_with("lasting");
@@ -122,7 +122,7 @@
         let next_us = rig.now_us + ROUND_MS * MS;
         report(&mut rig);
         end_finished(&mut rig);
-        rig.look_all();
+        rig.poll_all();
         rig.now_us = rig.now_us.max(next_us);
     }
     let effort = rig.fleet.effort();
--- a/crates/agatesill_policy/tests/fleet_slow.rs
+++ b/crates/agatesill_policy/tests/fleet_slow.rs
@@ -5,7 +5,7 @@
 use agatesill_policy::fleet::{EndCause, JobPhase, JobSpec};
 use fleet_support::{MS, Rig, entry, job, step};
 
-/// Time between two looks.
+/// Time between two polls.
 const TICK_MS: u64 = 250;
 
 /// Run time of a task on a sound worker.
@@ -30,7 +30,7 @@
     spec
 }
 
-/// Lets a tick pass, in which each sixth worker does a fifth of what others do if `is_slow`, and looks
+/// Lets a tick pass, in which each sixth worker does a fifth of what others do if `is_slow`, and polls
 /// at all.
 fn tick(rig: &mut Rig, is_slow: bool, part: &mut Vec<(String, u32, f64)>) {
     let mut over = Vec::new();
@@ -53,7 +53,7 @@
         rig.end(worker, &task, run, EndCause::Done);
     }
     let next_us = rig.now_us + TICK_MS * MS;
-    rig.look_all();
+    rig.poll_all();
     rig.now_us = rig.now_us.max(next_us);
     rig.settle();
 }
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -7,7 +7,7 @@
 
 use agatesill_policy::batch::Resources;
 use agatesill_policy::fleet::{
-    EndCause, EndRow, Fleet, FleetBounds, JobSpec, JobWrite, Look, Order, OrderKind, OrderOutcome,
+    EndCause, EndRow, Fleet, FleetBounds, JobSpec, JobWrite, Order, OrderKind, OrderOutcome, Poll,
     QueueTerms, RunRow, Step, TaskKey, WorkerEntry, WorkerIndex,
 };
 
@@ -93,7 +93,7 @@
 }
 
 impl Rig {
-    /// A fleet with these workers, all looked at once.
+    /// A fleet with these workers, all polled once.
     pub fn new(entries: Vec<WorkerEntry>) -> Self {
         let mut rig = Self {
             fleet: Fleet::new(bounds()),
@@ -106,7 +106,7 @@
         for entry in entries {
             rig.list(entry);
         }
-        rig.look_all();
+        rig.poll_all();
         rig
     }
 
@@ -200,31 +200,31 @@
         far.ended.push(EndRow { number: far.number, task: task.clone(), run, cause, saved });
     }
 
-    /// Looks at one worker.
-    pub fn look(&mut self, worker: WorkerIndex) {
-        self.look_sent(worker, self.now_us);
+    /// Polls one worker.
+    pub fn poll(&mut self, worker: WorkerIndex) {
+        self.poll_sent(worker, self.now_us);
     }
 
-    /// Looks at one worker with a call that was sent earlier.
-    pub fn look_sent(&mut self, worker: WorkerIndex, sent_us: u64) {
+    /// Polls one worker with a call that was sent earlier.
+    pub fn poll_sent(&mut self, worker: WorkerIndex, sent_us: u64) {
         self.pass_ms(1);
         let acked = self.fleet.acked_end(worker);
         let far = self.far.entry(worker).or_default();
         far.ended.retain(|end| end.number > acked);
-        let look = Look {
+        let poll = Poll {
             sent_us,
             lease_ms: 5_000,
             clock_ms: self.now_us / MS,
             running: far.running.values().cloned().collect(),
             ended: far.ended.clone(),
         };
-        self.fleet.looked(worker, &look, self.now_us);
+        self.fleet.polled(worker, &poll, self.now_us);
     }
 
-    /// Looks at all workers.
-    pub fn look_all(&mut self) {
+    /// Polls all workers.
+    pub fn poll_all(&mut self) {
         let workers: Vec<WorkerIndex> = self.far.keys().copied().collect();
-        workers.into_iter().for_each(|worker| self.look(worker));
+        workers.into_iter().for_each(|worker| self.poll(worker));
     }
 
     /// Where runs of a job's tasks are present, by worker.
--- a/crates/agatesill_policy/tests/fleet_takeover.rs
+++ b/crates/agatesill_policy/tests/fleet_takeover.rs
@@ -2,7 +2,7 @@
 
 mod fleet_support;
 
-use agatesill_policy::fleet::{EndCause, JobPhase, Look, OrderKind, Step};
+use agatesill_policy::fleet::{EndCause, JobPhase, OrderKind, Poll, Step};
 use fleet_support::{MS, Rig, entry, job, step};
 
 /// The planner dies with a task running. Its successor finds the run on the worker's list and keeps
@@ -15,17 +15,17 @@
     rig.settle();
     rig.fleet = rig.successor(&[spec], vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
     rig.orders.clear();
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     assert!(rig.orders.is_empty(), "{:?}", rig.orders);
     let (worker, task, run) = rig.present("j").remove(0);
     rig.end(worker, &task, run, EndCause::Done);
-    rig.look_all();
+    rig.poll_all();
     rig.settle();
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Completed, true)));
 }
 
-/// The planner dies between its record and the order. The first look of the successor, under its
+/// The planner dies between its record and the order. The first poll of the successor, under its
 /// higher epoch, shows no run and bars the old order for good, so the task starts again at once.
 #[test]
 fn a_start_that_was_recorded_and_never_sent_is_made_good_after_the_first_look() {
@@ -35,7 +35,7 @@
     assert_eq!(rig.plan().len(), 1, "this order is lost with the planner");
     rig.fleet = rig.successor(&[spec], vec![entry("w1", "r1-1")]);
     assert!(rig.plan().is_empty(), "nothing is known of the worker yet");
-    rig.look_all();
+    rig.poll_all();
     let orders = rig.plan();
     assert_eq!(orders.len(), 1);
     assert_eq!(orders[0].run, 2);
@@ -55,14 +55,14 @@
     let reachable = if silent_id == "w1" { entry("w22", "r1-1") } else { entry("w1", "r1-1") };
     rig.fleet = rig.successor(&[spec], vec![reachable.clone()]);
     let index = rig.fleet.worker_listed(reachable, rig.now_us);
-    let look = Look { sent_us: rig.now_us, clock_ms: 1, ..Look::default() };
-    rig.fleet.looked(index, &look, rig.now_us);
+    let poll = Poll { sent_us: rig.now_us, clock_ms: 1, ..Poll::default() };
+    rig.fleet.polled(index, &poll, rig.now_us);
     rig.now_us = taken_us + 12_900 * MS;
-    rig.fleet.looked(index, &Look { sent_us: rig.now_us, ..look.clone() }, rig.now_us);
+    rig.fleet.polled(index, &Poll { sent_us: rig.now_us, ..poll.clone() }, rig.now_us);
     rig.fleet.expire_workers(rig.now_us);
     assert!(rig.plan().is_empty());
     rig.now_us = taken_us + 13_600 * MS;
-    rig.fleet.looked(index, &Look { sent_us: rig.now_us, ..look }, rig.now_us);
+    rig.fleet.polled(index, &Poll { sent_us: rig.now_us, ..poll }, rig.now_us);
     rig.fleet.expire_workers(rig.now_us);
     assert_eq!(rig.plan().len(), 1);
 }
@@ -77,7 +77,7 @@
     rig.fleet.accept(spec.clone(), rig.now_us);
     rig.settle();
     rig.fleet = rig.successor(&[spec], vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
-    rig.look_all();
+    rig.poll_all();
     let (worker, ..) = rig.present("j").remove(0);
     let id = rig.fleet.worker(worker).entry.id.clone();
     rig.fleet.worker_unlisted(&id);
@@ -99,9 +99,9 @@
     rig.fleet.cancel("j", rig.now_us);
     rig.commit();
     rig.fleet = rig.successor(&[spec], vec![entry("w1", "r1-1")]);
-    rig.look_all();
+    rig.poll_all();
     rig.pass_ms(2_000);
-    rig.look_all();
+    rig.poll_all();
     let orders = rig.plan();
     assert!(orders.iter().any(|order| order.kind == OrderKind::Stop));
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Cancelled, true)));
@@ -118,11 +118,11 @@
     rig.settle();
     let (worker, task, run) = rig.present("j").remove(0);
     rig.end(worker, &task, run, EndCause::Failed);
-    rig.look_all();
+    rig.poll_all();
     rig.commit();
     for _ in 0..3 {
         rig.fleet = rig.successor(std::slice::from_ref(&spec), vec![entry("w1", "r1-1")]);
-        rig.look_all();
+        rig.poll_all();
         rig.commit();
     }
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Active, true)));
--- a/crates/agatesilld/src/fleet/lines.rs
+++ b/crates/agatesilld/src/fleet/lines.rs
@@ -1,4 +1,4 @@
-//! The calls to workers: for each life a line that looks and two that give orders.
+//! The calls to workers: for each incarnation a line that polls and two that give orders.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::time::Duration;
 
-use agatesill_platform::workers::{LONGEST_WAIT_MS, LookOutcome, WorkerChannel};
+use agatesill_platform::workers::{LONGEST_WAIT_MS, PollOutcome, WorkerChannel};
 use agatesill_policy::fleet::{
     Fleet, Order, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
 };
@@ -18,24 +18,24 @@
 use super::planner::Event;
 use super::site::Site;
 
-/// How long a look waits for an end. Figures of the last half second come with each look, so a
+/// How long a poll waits for an end. Figures of the last half second come with each poll, so a
 /// shorter wait would see the same ones twice, and a longer one later than they are needed.
-const LOOK_WAIT_MS: u64 = 500;
+const POLL_WAIT_MS: u64 = 500;
 
-/// Added to the wait before a look counts as unanswered: a round trip takes 4 ms, a loaded worker or
+/// Added to the wait before a poll counts as unanswered: a round trip takes 4 ms, a loaded worker or
 /// a short freeze of this process a few hundred.
-const LOOK_SLACK: Duration = Duration::from_millis(700);
+const POLL_SLACK: Duration = Duration::from_millis(700);
 
 /// An order that takes longer counts as unanswered; it is sent again, which is harmless.
 const ORDER_LIMIT: Duration = Duration::from_millis(400);
 
-/// Pause after a look that failed.
-const LOOK_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a poll that failed.
+const POLL_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause after an end came, so that others that are about to come travel with the next look.
+/// Pause after an end came, so that others that are about to come travel with the next poll.
 const GATHER_PAUSE: Duration = Duration::from_millis(8);
 
-/// Longest pause after an end came, until its effect is stored and the worker may forget it. A look
+/// Longest pause after an end came, until its effect is stored and the worker may forget it. A poll
 /// before that returns at once with the same end and tells nothing.
 const ACK_LIMIT: Duration = Duration::from_millis(150);
 
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub struct Line {
     worker: WorkerIndex,
-    life: String,
+    incarnation: String,
     addr: SocketAddr,
     acked_end: AtomicU64,
     /// Woken when [`Line::acked_end`] rises.
@@ -69,7 +69,7 @@
     clock_offset_ms: AtomicI64,
     /// Newest end of a lease that was asked for, on the worker's clock.
     asked_until_ms: AtomicU64,
-    /// Whether the newest look was answered.
+    /// Whether the newest poll was answered.
     is_answering: AtomicBool,
     /// Whether nothing runs there.
     is_idle: AtomicBool,
@@ -79,7 +79,7 @@
 }
 
 impl Line {
-    /// Waits until an end need not be listed any more, so that the next look waits for another.
+    /// Waits until an end need not be listed any more, so that the next poll waits for another.
     async fn until_acked(&self, end: u64) {
         tokio::time::sleep(GATHER_PAUSE).await;
         let acked = async {
@@ -88,7 +88,7 @@
             }
         };
         if tokio::time::timeout(ACK_LIMIT, acked).await.is_err() {
-            log::debug!(event = "end_unacknowledged", worker = self.life.as_str(), end = end; "");
+            log::debug!(event = "end_unacknowledged", worker = self.incarnation.as_str(), end = end; "");
         }
     }
 }
@@ -130,7 +130,7 @@
         let Ok(addr) = worker.entry.address.parse() else { return };
         let line = Arc::new(Line {
             worker: index,
-            life: worker.entry.id.clone(),
+            incarnation: worker.entry.id.clone(),
             addr,
             acked_end: AtomicU64::new(0),
             acked: Notify::new(),
@@ -142,7 +142,7 @@
             stop: self.stop.child_token(),
         });
         let (orders, ring) = mpsc::channel(RING_ORDERS);
-        self.tasks.spawn(self.caller().look_until_stopped(line.clone()));
+        self.tasks.spawn(self.caller().poll_until_stopped(line.clone()));
         let ring = Arc::new(Mutex::new(ring));
         self.tasks.spawn(self.caller().order_until_stopped(line.clone(), ring.clone()));
         self.tasks.spawn(self.caller().stand_in_until_stopped(line.clone(), ring));
@@ -183,7 +183,7 @@
         }
     }
 
-    /// Closes the line to a worker whose life is over.
+    /// Closes the line to a worker whose incarnation is over.
     pub fn close(&mut self, worker: WorkerIndex) {
         if let Some((line, _)) = self.lines.remove(&worker) {
             line.stop.cancel();
@@ -219,48 +219,50 @@
         Some(until_ms)
     }
 
-    async fn look_until_stopped(self, line: Arc<Line>) {
+    async fn poll_until_stopped(self, line: Arc<Line>) {
         tokio::select! {
             () = line.stop.cancelled() => {}
-            () = self.look_for_ever(&line) => {}
+            () = self.poll_for_ever(&line) => {}
         }
     }
 
-    async fn look_for_ever(&self, line: &Line) {
-        let mut channel = WorkerChannel::new(line.addr, &line.life);
+    async fn poll_for_ever(&self, line: &Line) {
+        let mut channel = WorkerChannel::new(line.addr, &line.incarnation);
         let mut wait_ms = 0;
         loop {
             let mut newest_end = None;
             let sent_us = self.site.clock.now_us();
             let lease = self.lease_to_ask_ms(line);
             let acked_end = line.acked_end.load(Ordering::Acquire);
-            let limit = Duration::from_millis(wait_ms) + LOOK_SLACK;
-            let looked =
-                channel.look(self.epoch, lease.unwrap_or(0), acked_end, wait_ms, limit).await;
-            let (event, pause) = match looked {
-                Ok(LookOutcome::Seen(mut look)) => {
+            let limit = Duration::from_millis(wait_ms) + POLL_SLACK;
+            let polled =
+                channel.poll(self.epoch, lease.unwrap_or(0), acked_end, wait_ms, limit).await;
+            let (event, pause) = match polled {
+                Ok(PollOutcome::Seen(mut poll)) => {
                     let now_ms = (self.site.clock.now_us() / US_PER_MS) as i64;
-                    line.clock_offset_ms.store(look.clock_ms as i64 - now_ms, Ordering::Release);
+                    line.clock_offset_ms.store(poll.clock_ms as i64 - now_ms, Ordering::Release);
                     line.is_answering.store(true, Ordering::Release);
-                    look.sent_us = sent_us;
-                    look.lease_ms = self.lease_ms;
-                    // Right after the first look, which could ask for no lease, comes another.
+                    poll.sent_us = sent_us;
+                    poll.lease_ms = self.lease_ms;
+                    // Right after the first poll, which could ask for no lease, comes another.
                     wait_ms = if line.asked_until_ms.load(Ordering::Acquire) == 0 {
                         0
                     } else if line.is_idle.load(Ordering::Relaxed) {
                         IDLE_WAIT_MS
                     } else {
-                        LOOK_WAIT_MS
+                        POLL_WAIT_MS
                     };
-                    newest_end = look.ended.iter().map(|end| end.number).max();
-                    (Event::Looked(line.worker, Box::new(look)), Duration::ZERO)
+                    newest_end = poll.ended.iter().map(|end| end.number).max();
+                    (Event::Polled(line.worker, Box::new(poll)), Duration::ZERO)
                 }
-                Ok(LookOutcome::OtherLife) => (Event::OtherLife(line.worker), LOOK_PAUSE),
-                Ok(LookOutcome::Fenced) => (Event::Fenced(line.worker), LOOK_PAUSE),
+                Ok(PollOutcome::OtherIncarnation) => {
+                    (Event::OtherIncarnation(line.worker), POLL_PAUSE)
+                }
+                Ok(PollOutcome::Fenced) => (Event::Fenced(line.worker), POLL_PAUSE),
                 Err(error) => {
-                    log::debug!(event = "look_failed", worker = line.life.as_str(); "{error}");
+                    log::debug!(event = "poll_failed", worker = line.incarnation.as_str(); "{error}");
                     line.is_answering.store(false, Ordering::Release);
-                    (Event::Silent(line.worker, lease.map(|_| sent_us)), LOOK_PAUSE)
+                    (Event::Silent(line.worker, lease.map(|_| sent_us)), POLL_PAUSE)
                 }
             };
             if self.events.send(event).await.is_err() {
@@ -283,7 +285,7 @@
     }
 
     async fn order_for_ever(&self, line: &Line, ring: &Mutex<mpsc::Receiver<Order>>) {
-        let mut channel = WorkerChannel::new(line.addr, &line.life);
+        let mut channel = WorkerChannel::new(line.addr, &line.incarnation);
         loop {
             let next = {
                 let mut ring = ring.lock().await;
@@ -324,7 +326,7 @@
 
     /// Gives orders while one holds up the others.
     async fn stand_in_for_ever(&self, line: &Line, ring: &Mutex<mpsc::Receiver<Order>>) {
-        let mut channel = WorkerChannel::new(line.addr, &line.life);
+        let mut channel = WorkerChannel::new(line.addr, &line.incarnation);
         loop {
             line.held_up.notified().await;
             loop {
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -90,7 +90,7 @@
             counter.observe(counts.stopped, &what("stopped"));
             counter.observe(counts.no_room, &what("no_room"));
             counter.observe(counts.paced, &what("paced"));
-            counter.observe(counts.gave_way, &what("gave_way"));
+            counter.observe(counts.preempted, &what("preempted"));
         })
         .build();
     let held = site.clone();
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -85,7 +85,7 @@
     site.set_owner(owner.clone());
     match owner {
         None => true,
-        // An earlier life of this instance: its key may be taken over at once.
+        // An earlier incarnation of this instance: its key may be taken over at once.
         Some(owner) if owner.instance == site.settings.instance => true,
         Some(_) => {
             tokio::select! {
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -6,7 +6,7 @@
 
 use agatesill_platform::advice::Advised;
 use agatesill_policy::fleet::{
-    AdviceQuestion, Fleet, Floor, JobPhase, JobSpec, JobWrite, Look, Order, OrderOutcome,
+    AdviceQuestion, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, Order, OrderOutcome, Poll,
     QueueTerms, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{mpsc, oneshot};
@@ -58,7 +58,7 @@
 const SAVE_LEARNED_US: u64 = 5_000_000;
 
 /// Time between two log lines on how full the workers are.
-const FLOOR_LINE_US: u64 = 1_000_000;
+const USAGE_LINE_US: u64 = 1_000_000;
 
 /// How long the last records may take at a planned stop.
 const LAST_COMMITS: Duration = Duration::from_millis(300);
@@ -76,12 +76,12 @@
     Unlisted(String),
     /// All workers that the registry lists; those that are missing are listed no more.
     Registry(Vec<WorkerEntry>),
-    /// A worker answered a look.
-    Looked(WorkerIndex, Box<Look>),
-    /// A worker did not answer a look; when it was sent, if it asked for a lease.
+    /// A worker answered a poll.
+    Polled(WorkerIndex, Box<Poll>),
+    /// A worker did not answer a poll; when it was sent, if it asked for a lease.
     Silent(WorkerIndex, Option<u64>),
-    /// Another life of a worker answered.
-    OtherLife(WorkerIndex),
+    /// Another incarnation of a worker answered.
+    OtherIncarnation(WorkerIndex),
     /// A worker has seen a higher epoch.
     Fenced(WorkerIndex),
     /// An order was answered, or not; when it was sent, if it asked for a lease.
@@ -167,7 +167,7 @@
         forgotten_us: site.clock.now_us(),
         learned_us: site.clock.now_us(),
         to_open: BTreeSet::new(),
-        floor_us: 0,
+        usage_us: 0,
         next_round_us: 0,
         caught_up_us: site.clock.now_us(),
     };
@@ -202,7 +202,7 @@
     learned_us: u64,
     /// Idle workers whose lines are to be opened.
     to_open: BTreeSet<WorkerIndex>,
-    floor_us: u64,
+    usage_us: u64,
     /// No round of planning before.
     next_round_us: u64,
     /// When no answer was left to take in.
@@ -282,8 +282,8 @@
             Event::Listed(entry) => self.listed(*entry),
             Event::Unlisted(id) => self.fleet.worker_unlisted(&id),
             Event::Registry(entries) => self.registry(entries),
-            Event::Looked(worker, look) => {
-                self.fleet.looked(worker, &look, now_us);
+            Event::Polled(worker, poll) => {
+                self.fleet.polled(worker, &poll, now_us);
                 self.lines.set_idle(worker, self.fleet.worker(worker).tasks.is_empty());
             }
             Event::Silent(worker, asked_us) => {
@@ -292,8 +292,8 @@
                 }
                 self.fleet.worker_silent(worker, now_us);
             }
-            Event::OtherLife(worker) => {
-                self.fleet.worker_gone(worker, "another life answers", now_us);
+            Event::OtherIncarnation(worker) => {
+                self.fleet.worker_gone(worker, "another incarnation answers", now_us);
             }
             Event::Fenced(worker) => {
                 log::warn!(event = "fenced", epoch = self.epoch,
@@ -372,9 +372,9 @@
         self.open_lines();
         self.fleet.open_due(wall_ms(), now_us);
         self.tell();
-        if now_us - self.floor_us > FLOOR_LINE_US {
-            self.floor_us = now_us;
-            log_floor(&self.fleet.floor(now_us));
+        if now_us - self.usage_us > USAGE_LINE_US {
+            self.usage_us = now_us;
+            log_usage(&self.fleet.usage(now_us));
             self.log_if_behind(now_us);
             self.fleet.retire_ended();
         }
@@ -467,15 +467,15 @@
     }
 }
 
-/// What an operator needs to tell a floor that is reserved full from one that is used full.
-fn log_floor(floor: &Floor) {
-    log::info!(event = "floor", workers = floor.workers, capacity_milli = floor.capacity_milli,
-        lasting_milli = floor.lasting_milli, plain_milli = floor.plain_milli,
-        filling_milli = floor.filling_milli, free_memory_mb = floor.free_memory_mb,
-        mean_tail_percent = floor.mean_tail_percent, pressed_workers = floor.pressed_workers,
-        lasting_waiting = floor.lasting.tasks, lasting_waiting_milli = floor.lasting.cpu_milli,
-        lasting_longest_ms = floor.lasting.longest_ms, filling_waiting = floor.filling.tasks,
-        filling_waiting_milli = floor.filling.cpu_milli,
-        filling_longest_ms = floor.filling.longest_ms, plain_waiting = floor.plain.tasks,
-        plain_waiting_milli = floor.plain.cpu_milli, plain_longest_ms = floor.plain.longest_ms; "");
+/// What an operator needs to tell a fleet that is reserved full from one that is used full.
+fn log_usage(fleet: &FleetUsage) {
+    log::info!(event = "fleet_usage", workers = fleet.workers, capacity_milli = fleet.capacity_milli,
+        lasting_milli = fleet.lasting_milli, plain_milli = fleet.plain_milli,
+        filling_milli = fleet.filling_milli, free_memory_mb = fleet.free_memory_mb,
+        mean_tail_percent = fleet.mean_tail_percent, pressed_workers = fleet.pressed_workers,
+        lasting_waiting = fleet.lasting.tasks, lasting_waiting_milli = fleet.lasting.cpu_milli,
+        lasting_longest_ms = fleet.lasting.longest_ms, filling_waiting = fleet.filling.tasks,
+        filling_waiting_milli = fleet.filling.cpu_milli,
+        filling_longest_ms = fleet.filling.longest_ms, plain_waiting = fleet.plain.tasks,
+        plain_waiting_milli = fleet.plain.cpu_milli, plain_longest_ms = fleet.plain.longest_ms; "");
 }
--- a/crates/agatesilld/src/fleet/site.rs
+++ b/crates/agatesilld/src/fleet/site.rs
@@ -46,7 +46,7 @@
     pub behind_us: u64,
     /// Steps with tasks that wait.
     pub waiting_steps: u64,
-    /// Workers whose life is not over.
+    /// Workers whose incarnation is not over.
     pub workers: u64,
     /// Those among them that do not answer.
     pub silent_workers: u64,
--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -231,7 +231,7 @@
     }
 }
 
-/// A job by its number: the first three last; the others are the desk's or month end's, some of
+/// A job by its number: the first three last; the others are the desk's or batch work, some of
 /// which can't be done.
 fn draw(random: &mut Pcg64Mcg, number: u32) -> (&'static str, Vec<Step>, bool) {
     let step = |count, work_ms, cpu_milli, is_filling, after| Step {
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -43,7 +43,7 @@
     RevokePlanner,
     /// The connections of a daemon to the store are harmed.
     StoreLink(usize, LinkFault),
-    /// A worker dies; another life starts in its place.
+    /// A worker dies; another incarnation starts in its place.
     CrashWorker(usize),
     /// The connections to a worker are harmed; what it runs goes on.
     WorkerLink(usize, LinkFault),
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -260,13 +260,13 @@
                 seat.reseat(&self.floor, &self.store, &self.stop).await;
             }
             Fault::Worker(seat, fault) => {
-                let life = self.seats[seat].worker().life;
+                let incarnation = self.seats[seat].worker().incarnation;
                 if fault == WorkerFault::FailsAll {
                     self.history.bad_workers.store(true, Ordering::Relaxed);
                 }
-                self.floor.set_fault(life, fault);
+                self.floor.set_fault(incarnation, fault);
                 tokio::time::sleep(lasts).await;
-                self.floor.set_fault(life, WorkerFault::None);
+                self.floor.set_fault(incarnation, WorkerFault::None);
             }
             other => self.trouble(format!("{other:?} is no fault of a worker")),
         }
@@ -368,8 +368,8 @@
     }
 
     async fn reseat(&self, floor: &Arc<Floor>, store: &FakeStore, stop: &CancellationToken) {
-        let life = self.lives.fetch_add(1, Ordering::Relaxed) + 1;
-        let next = new_life(&format!("{}-{life}", self.name), floor, store, stop).await;
+        let incarnation = self.lives.fetch_add(1, Ordering::Relaxed) + 1;
+        let next = new_life(&format!("{}-{incarnation}", self.name), floor, store, stop).await;
         *self.present.lock().unwrap() = next;
     }
 
