--- a/crates/agatesilld/src/fleet/lines.rs
+++ b/crates/agatesilld/src/fleet/lines.rs
@@ -8,7 +8,7 @@
 
 use agatesill_platform::workers::{LONGEST_WAIT_MS, PollOutcome, WorkerChannel};
 use agatesill_policy::fleet::{
-    Fleet, Order, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
+    Fleet, Order, OrderKind, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{Mutex, Notify, mpsc};
 use tokio::time::Instant;
@@ -42,6 +42,10 @@
 /// The same for a worker on which nothing runs: its next end is none, and its tails are of no interest.
 const IDLE_WAIT_MS: u64 = LONGEST_WAIT_MS;
 
+/// Pause between two polls of such a worker, unless it gets an order: that it is gone shows in the registry,
+/// and it holds no lease that would have to be renewed.
+const IDLE_PAUSE: Duration = Duration::from_secs(2);
+
 /// Orders that may wait for one worker.
 const RING_ORDERS: usize = 1_024;
 
@@ -73,6 +77,10 @@
     is_answering: AtomicBool,
     /// Whether nothing runs there.
     is_idle: AtomicBool,
+    /// Woken when an idle worker gets an order.
+    busy: Notify,
+    /// Whether the worker has announced that it leaves.
+    is_leaving: AtomicBool,
     /// Woken when an order holds up those behind it.
     held_up: Notify,
     stop: CancellationToken,
@@ -138,6 +146,8 @@
             asked_until_ms: AtomicU64::new(0),
             is_answering: AtomicBool::new(false),
             is_idle: AtomicBool::new(false),
+            busy: Notify::new(),
+            is_leaving: AtomicBool::new(worker.entry.is_leaving),
             held_up: Notify::new(),
             stop: self.stop.child_token(),
         });
@@ -161,7 +171,9 @@
     /// Gives an order to its worker's line.
     pub fn send(&self, order: Order) {
         let Some((line, orders)) = self.lines.get(&order.worker) else { return };
-        line.is_idle.store(false, Ordering::Relaxed);
+        if line.is_idle.swap(false, Ordering::Relaxed) {
+            line.busy.notify_one();
+        }
         if let Err(error) = orders.try_send(order) {
             log::error!(event = "order_ring_full"; "{error}");
         }
@@ -183,6 +195,13 @@
         }
     }
 
+    /// Notes that a worker leaves: starts that wait in its line are not sent any more.
+    pub fn set_leaving(&self, worker: WorkerIndex) {
+        if let Some((line, _)) = self.lines.get(&worker) {
+            line.is_leaving.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Closes the line to a worker whose incarnation is over.
     pub fn close(&mut self, worker: WorkerIndex) {
         if let Some((line, _)) = self.lines.remove(&worker) {
@@ -273,6 +292,9 @@
             }
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
+            } else if line.is_idle.load(Ordering::Relaxed) {
+                // Over either way: the worker has something to do, or it is time to ask again.
+                drop(tokio::time::timeout(IDLE_PAUSE, line.busy.notified()).await);
             }
         }
     }
@@ -344,6 +366,10 @@
     }
 
     async fn give(&self, line: &Line, channel: &mut WorkerChannel, order: Order) -> Event {
+        let is_start = matches!(order.kind, OrderKind::Start { .. });
+        if is_start && line.is_leaving.load(Ordering::Relaxed) {
+            return Event::Answered(Box::new(order), OrderOutcome::Refused, None);
+        }
         let sent_us = self.site.clock.now_us();
         let lease = self.lease_to_ask_ms(line);
         // Without leave to renew, an order carries the lease that was asked for before.
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -324,6 +324,9 @@
     fn listed(&mut self, entry: WorkerEntry) {
         let index = self.fleet.worker_listed(entry, self.site.clock.now_us());
         if self.lines.is_open(index) {
+            if self.fleet.worker(index).entry.is_leaving {
+                self.lines.set_leaving(index);
+            }
             return;
         }
         if self.fleet.worker(index).tasks.is_empty() {
