--- a/crates/agatesill_policy/src/fleet/order.rs
+++ b/crates/agatesill_policy/src/fleet/order.rs
@@ -36,6 +36,12 @@
 /// be in time. It may be missing for six seconds in all, starts included.
 const LASTING_YIELDS_US: u64 = 2_000 * US_PER_MS;
 
+/// The same for one that misses no more than it may.
+///
+/// Guards against a task that made room once and never gets room again, as there is always another
+/// urgent step: its callers miss it for good.
+const PREEMPTED_YIELDS_US: u64 = 3_500 * US_PER_MS;
+
 /// A waiting group with what it is sorted by.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Ranked {
@@ -66,8 +72,9 @@
         let job = self.job(group.job).filter(|job| job.phase == JobPhase::Active)?;
         let terms = self.terms(job);
         let density = if job.spec.steps[group.step as usize].is_lasting {
-            let may_wait =
-                self.misses_little(job, group) || waited_us(job, group, now_us) < LASTING_YIELDS_US;
+            let misses_little = self.misses_little(job, group);
+            let yields_us = if misses_little { PREEMPTED_YIELDS_US } else { LASTING_YIELDS_US };
+            let may_wait = waited_us(job, group, now_us) < yields_us;
             if may_wait { IN_TIME } else { f64::INFINITY }
         } else {
             let mean = self.mean_work.get(&job.spec.queue).copied().unwrap_or(1.0);
--- a/crates/agatesill_policy/tests/fleet_preempt.rs
+++ b/crates/agatesill_policy/tests/fleet_preempt.rs
@@ -152,3 +152,35 @@
     assert!(urgents >= 3, "urgent steps had the room for {urgents} rounds of half a second");
     assert!(!rig.present("watch").is_empty(), "after two seconds the watchers start");
 }
+
+/// A watcher was preempted for an urgent step, and then urgent steps that can be in time came without end,
+/// on workers where they found no more room than they took. The watcher ranked after them all and was
+/// missing for eighteen seconds. It goes first once it has waited for three and a half.
+#[test]
+fn a_preempted_task_returns_though_urgent_steps_keep_coming() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    rig.fleet.accept(watch("watch", 5, Some(1)), rig.now_us);
+    at_work(&mut rig);
+    let mut missing_ms = 0;
+    for round in 0..30 {
+        // Two urgent steps for each that the room holds, each over within half a second.
+        for part in 0..2 {
+            let spec = urgent(&format!("urgent{round}-{part}"), 2, rig.now_us);
+            rig.fleet.accept(spec, rig.now_us);
+        }
+        pass(&mut rig, 10);
+        let over: Vec<_> = rig
+            .far
+            .iter()
+            .flat_map(|(worker, far)| far.running.values().map(move |row| (*worker, row)))
+            .filter(|(_, row)| row.task.job.starts_with("urgent"))
+            .map(|(worker, row)| (worker, row.task.clone(), row.run))
+            .collect();
+        for (worker, task, run) in over {
+            rig.end(worker, &task, run, EndCause::Done);
+        }
+        let is_missing = rig.present("watch").len() < 5;
+        missing_ms = if is_missing { missing_ms + 500 } else { 0 };
+        assert!(missing_ms <= 5_000, "round {round}: a watcher is missing for {missing_ms} ms");
+    }
+}
