Workers are examined once for the tasks of a step; samples update only the images in use

Change: a heap of the workers examined for a step, of which only the chosen one is weighed again; a sample touches the rows of images that were seen (all others are unchanged by construction).

--- a/crates/agatesill_policy/src/fleet/colocation/pressure.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pressure.rs
@@ -73,22 +73,25 @@
         Self { weights, covariance, seen: [0.0; MAX_IMAGES] }
     }
 
-    fn learn(&mut self, usage: &Usage, value: f64) {
+    /// Takes in a sample; only the first `used` places can differ from zero in any sample so far, and all
+    /// others are as they were.
+    fn learn(&mut self, usage: &Usage, used: usize, value: f64) {
         let features = features(usage);
+        let used = 1 + used;
         // Few images run on one worker, so most features are zero.
         let present: Vec<(usize, f64)> =
             features.iter().copied().enumerate().filter(|(_, feature)| *feature > 0.0).collect();
         let mut spread = [0.0; FEATURES];
-        for (out, row) in spread.iter_mut().zip(&self.covariance) {
+        for (out, row) in spread.iter_mut().zip(&self.covariance).take(used) {
             *out = present.iter().map(|(index, feature)| row[*index] * feature).sum();
         }
         let scale = 1.0 + dot(&spread, &features);
         let error = value - dot(&self.weights, &features);
-        for (weight, spread) in self.weights.iter_mut().zip(&spread) {
+        for (weight, spread) in self.weights.iter_mut().zip(&spread).take(used) {
             *weight += spread / scale * error;
         }
-        for (row, a) in self.covariance.iter_mut().zip(&spread) {
-            for (cell, b) in row.iter_mut().zip(&spread) {
+        for (row, a) in self.covariance.iter_mut().zip(&spread).take(used) {
+            for (cell, b) in row.iter_mut().zip(&spread).take(used) {
                 *cell -= a * b / scale;
             }
         }
@@ -141,7 +144,7 @@
             self.fits.resize_with(index + 1, || None);
         }
         let fit = self.fits[index].get_or_insert_with(|| Box::new(Fit::new()));
-        fit.learn(usage, ratio.max(0.01).ln());
+        fit.learn(usage, self.known.min(MAX_IMAGES), ratio.max(0.01).ln());
     }
 
     /// By how much a 32nd of the worker in use by a filling image raises the logarithm of a serving
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -5,7 +5,8 @@
 //! tightly, which leaves whole workers to the tasks that fill; only what these workers cannot hold
 //! goes beside lasting tasks, the least harmful images first.
 
-use std::collections::HashMap;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BinaryHeap, HashMap};
 
 use super::images::ImageId;
 use super::job::Step;
@@ -38,38 +39,90 @@
 /// Added for a worker that is closed for failing: any open one is better.
 const CLOSED_SCORE: f64 = 1_000.0;
 
+/// The workers examined for the tasks of one step, the best first.
+///
+/// Tasks of a step are alike, so the workers are examined once for all of them; only the one that was
+/// chosen is weighed again. A step of forty tasks costs little more than one of one.
+#[derive(Debug)]
+pub(super) struct Search {
+    candidates: Vec<WorkerIndex>,
+    /// Score and place among the candidates.
+    best: BinaryHeap<Reverse<(Score, usize)>>,
+}
+
+/// A finite score that can be compared.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Score(f64);
+
+impl Eq for Score {}
+
+impl Ord for Score {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Score {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 impl Fleet {
-    /// The worker with the lowest score among those examined that may take the task.
+    /// Examines workers for the tasks of a step.
+    pub(super) fn search(&self, request: &Request<'_>, now_us: u64) -> Search {
+        let candidates = self.to_examine(request);
+        self.effort.examined(candidates.len());
+        let best = candidates
+            .iter()
+            .enumerate()
+            .filter_map(|(place, index)| {
+                Some(Reverse((self.weigh(request, *index, now_us)?, place)))
+            })
+            .collect();
+        Search { candidates, best }
+    }
+
+    /// The worker with the lowest score among those examined that may take one more task.
     pub(super) fn choose_worker(
         &mut self,
         request: &Request<'_>,
+        search: &mut Search,
         now_us: u64,
     ) -> Option<WorkerIndex> {
-        let candidates = self.to_examine(request);
-        self.effort.examined(candidates.len());
-        let charge = request.step.charge();
-        let chosen = candidates
-            .iter()
-            .map(|index| (*index, &self.workers[*index as usize]))
-            .filter(|(_, worker)| {
-                worker.is_open(now_us) || (request.takes_closed && worker.is_there())
-            })
-            .filter(|(_, worker)| worker.free().holds(&charge))
-            .filter(|(index, worker)| may_run(request, *index, worker))
-            .filter(|(index, _)| {
-                request.advised.is_none_or(|group| self.ticket(group, *index, now_us).is_some())
-            })
-            .map(|(index, worker)| {
-                let closed = if worker.is_open(now_us) { 0.0 } else { CLOSED_SCORE };
-                (closed + self.score(request, worker), index)
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .filter(|(score, _)| score.is_finite())
-            .map(|(_, index)| index);
-        if chosen.is_none() && request.step.fills {
-            self.rooms.found_none(request.service, request.image, &candidates);
+        while let Some(Reverse((score, place))) = search.best.pop() {
+            let index = search.candidates[place];
+            // It may have been chosen since it was weighed, or tried enough.
+            self.effort.examined(1);
+            match self.weigh(request, index, now_us) {
+                Some(now) if now <= score => {
+                    search.best.push(Reverse((score, place)));
+                    return Some(index);
+                }
+                Some(now) => search.best.push(Reverse((now, place))),
+                None => {}
+            }
+        }
+        if request.step.fills {
+            self.rooms.found_none(request.service, request.image, &search.candidates);
+        }
+        None
+    }
+
+    /// The score of a worker, unless it may not take the task.
+    fn weigh(&self, request: &Request<'_>, index: WorkerIndex, now_us: u64) -> Option<Score> {
+        let worker = &self.workers[index as usize];
+        let is_open = worker.is_open(now_us);
+        let may_take = (is_open || (request.takes_closed && worker.is_there()))
+            && worker.free().holds(&request.step.charge())
+            && may_run(request, index, worker)
+            && request.advised.is_none_or(|group| self.ticket(group, index, now_us).is_some());
+        if !may_take {
+            return None;
         }
-        chosen
+        let closed = if is_open { 0.0 } else { CLOSED_SCORE };
+        let score = closed + self.score(request, worker);
+        score.is_finite().then_some(Score(score))
     }
 
     /// The workers worth examining, in the order in which equal ones are preferred: those that a
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -7,7 +7,7 @@
 use super::US_PER_MS;
 use super::images::ImageId;
 use super::job::{JobPhase, Step, TaskRef, TaskState};
-use super::place::Request;
+use super::place::{Request, Search};
 use super::state::{Fleet, Group};
 use super::usage::TaskKind;
 use super::worker::WorkerIndex;
@@ -116,8 +116,9 @@
         let mut beside = self.members_by_worker(group);
         let mut racks: Vec<String> = Vec::new();
         let mut chosen: Vec<TaskRef> = Vec::with_capacity(tasks.len());
+        let mut search: Option<Search> = None;
+        let Setting { step, image, service, advised, takes_closed } = *setting;
         for task in tasks {
-            let Setting { step, image, service, advised, takes_closed } = *setting;
             let request = Request {
                 step,
                 service,
@@ -127,11 +128,18 @@
                 takes_closed,
                 chosen_racks: &racks,
             };
-            let Some(worker) = self.choose_worker(&request, now_us) else { break };
+            let mut examined = match search.take() {
+                Some(examined) => examined,
+                None => self.search(&request, now_us),
+            };
+            let Some(worker) = self.choose_worker(&request, &mut examined, now_us) else { break };
             let at = TaskRef { job: group.job, task: *task };
             *beside.entry(worker).or_default() += 1;
             if step.wants_one_rack {
+                // The racks chosen so far change the score of every worker: the next task searches anew.
                 racks.push(self.workers[worker as usize].entry.rack.clone());
+            } else {
+                search = Some(examined);
             }
             self.charge(at, worker, TaskState::Chosen(worker));
             chosen.push(at);
