--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -1,4 +1,4 @@
-//! Lasting tasks that give way to urgent steps, within the allowance that their step states.
+//! Lasting tasks that are preempted for urgent steps, within the allowance that their step states.
 //!
 //! Load pattern: lasting tasks have reserved every processor, and short urgent steps keep coming. Room
 //! that a lasting task has taken never comes back, so most urgent tasks start at once in what other
@@ -10,6 +10,8 @@
 //! all. It waits for a moment before it takes room again: else each gap between two urgent steps would
 //! cost a stop and a start.
 
+use std::collections::BTreeMap;
+
 use super::US_PER_MS;
 use super::job::{Job, Step, Task, TaskRef, TaskState};
 use super::order::IN_TIME;
@@ -21,11 +23,11 @@
 /// second, so within this time a sixth of their room is handed on.
 const PATIENCE_US: u64 = 100 * US_PER_MS;
 
-/// How long a lasting task works before it may give way: a start takes about a second, which should
+/// How long a lasting task works before it may be preempted: a start takes about a second, which should
 /// stay a small part.
 const LEAST_AT_WORK_US: u64 = 5_000 * US_PER_MS;
 
-/// How long a task that has given way leaves its room to others. Half of the six seconds for which it
+/// How long a preempted task leaves its room to others. Half of the six seconds for which it
 /// may be missing are left for finding a place and starting.
 const HOLD_US: u64 = 2_000 * US_PER_MS;
 
@@ -43,7 +45,18 @@
 /// Tasks of a step below which it gives none up unless it says so.
 const LEAST_TASKS: u32 = 4;
 
-/// A lasting task that may give way.
+/// What preemption keeps from round to round.
+#[derive(Debug, Default)]
+pub(super) struct Preemption {
+    /// Tasks that were stopped to make room and still hold it, with their processors.
+    pub freeing: BTreeMap<TaskRef, u64>,
+    /// When the last round was.
+    weighed_us: u64,
+    /// The worker with which the next round begins.
+    next_worker: WorkerIndex,
+}
+
+/// A lasting task that may be preempted.
 struct Candidate {
     at: TaskRef,
     worker: WorkerIndex,
@@ -60,16 +73,16 @@
             .filter(|(_, density)| *density >= IN_TIME)
             .map(|(group, _)| self.wanted_milli(*group, now_us))
             .sum();
-        if wanted_milli == 0 || now_us.saturating_sub(self.preempted_us) < ROUND_US {
+        if wanted_milli == 0 || now_us.saturating_sub(self.preemption.weighed_us) < ROUND_US {
             return;
         }
-        self.preempted_us = now_us;
+        self.preemption.weighed_us = now_us;
         let mut short_milli = wanted_milli.saturating_sub(self.freeing_milli());
         if short_milli == 0 {
             return;
         }
         for candidate in self.candidates(now_us) {
-            // Another task of its step may have given way just now.
+            // Another task of its step may have been preempted just now.
             if !self.may_be_preempted(candidate.at, now_us) {
                 continue;
             }
@@ -88,7 +101,7 @@
             cpu_milli = candidate.cpu_milli, short_milli = short_milli,
             answer_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS; "");
         self.stop(candidate.at, now_us);
-        self.preempting.insert(candidate.at, candidate.cpu_milli);
+        self.preemption.freeing.insert(candidate.at, candidate.cpu_milli);
         self.counts.preempted += 1;
         if let Some(job) = self.jobs[candidate.at.job as usize].as_mut() {
             job.tasks[candidate.at.task as usize].preempted = true;
@@ -131,16 +144,16 @@
 
     /// Processors of lasting tasks that were stopped to make room and still hold it.
     fn freeing_milli(&self) -> u64 {
-        self.preempting.values().sum()
+        self.preemption.freeing.values().sum()
     }
 
-    /// The lasting tasks that may give way now. Those that share a worker with more tasks of another
+    /// The lasting tasks that may be preempted now. Those that share a worker with more tasks of another
     /// image go first, as each image that is gone from a worker opens it to work that fills, and small
     /// ones before big ones: chosen by size alone, tasks that return mix ever more images.
     fn candidates(&mut self, now_us: u64) -> Vec<Candidate> {
-        let from = self.preempt_from as usize % self.workers.len().max(1);
+        let from = self.preemption.next_worker as usize % self.workers.len().max(1);
         let count = self.workers.len().min(WORKERS_A_ROUND);
-        self.preempt_from = (from + count) as WorkerIndex;
+        self.preemption.next_worker = (from + count) as WorkerIndex;
         let mut candidates: Vec<Candidate> = (0..count)
             .map(|offset| ((from + offset) % self.workers.len()) as WorkerIndex)
             .map(|index| (index, &self.workers[index as usize]))
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -8,6 +8,7 @@
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
 use super::orders::{Order, OrderKind};
+use super::preempt::Preemption;
 use super::rooms::Rooms;
 use super::worker::{Worker, WorkerIndex, WorkerStanding};
 use super::{FleetBounds, US_PER_MS};
@@ -85,11 +86,7 @@
     pub(super) pressure: Pressure,
     pub(super) pairs: PairCounts,
     pub(super) rooms: Rooms,
-    /// Lasting tasks that were stopped to make room and whose room is not free yet.
-    pub(super) preempting: BTreeMap<TaskRef, u64>,
-    /// When preemption was last weighed, and the worker with which it goes on.
-    pub(super) preempted_us: u64,
-    pub(super) preempt_from: WorkerIndex,
+    pub(super) preemption: Preemption,
     pub(super) advice: HashMap<Group, Advice>,
     pub(super) questions: Vec<AdviceQuestion>,
     pub(super) mean_work: HashMap<String, f64>,
@@ -122,9 +119,7 @@
             pressure: Pressure::default(),
             pairs: PairCounts::default(),
             rooms: Rooms::default(),
-            preempting: BTreeMap::new(),
-            preempted_us: 0,
-            preempt_from: 0,
+            preemption: Preemption::default(),
             advice: HashMap::new(),
             questions: Vec::new(),
             mean_work: HashMap::new(),
@@ -323,7 +318,7 @@
         let before = job.tasks[at.task as usize].state;
         let (occurrence, step_index, _) = job.locate(at.task);
         let step = &job.spec.steps[step_index as usize];
-        self.preempting.remove(&at);
+        self.preemption.freeing.remove(&at);
         if let Some(index) = before.worker() {
             let worker = &mut self.workers[index as usize];
             worker.used = worker.used.minus(&step.charge());
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -65,6 +65,7 @@
         let meter = self.instruments.meter();
         self.instruments.observe_lost_lines();
         observe_ledger(&meter, site);
+        observe_effort(&meter, site);
         observe_daemon(&meter, site);
     }
 
@@ -105,6 +106,22 @@
             gauge.observe(planned.workers, &what("workers"));
             gauge.observe(planned.silent_workers, &what("silent_workers"));
             gauge.observe(planned.counts.quarantines, &what("quarantines"));
+            gauge.observe(planned.counts.slow_workers, &what("slow_workers"));
+        })
+        .build();
+}
+
+fn observe_effort(meter: &Meter, site: &Arc<Site>) {
+    let spent = site.clone();
+    meter
+        .u64_observable_counter("agatesill.effort")
+        .with_description("What decisions examined, while this daemon planned")
+        .with_callback(move |counter| {
+            let effort = spent.planned().effort;
+            let what = |name: &'static str| [KeyValue::new("what", name)];
+            counter.observe(effort.workers_examined, &what("workers_examined"));
+            counter.observe(effort.steps_ranked, &what("steps_ranked"));
+            counter.observe(effort.tasks_weighed, &what("tasks_weighed"));
         })
         .build();
 }
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -407,6 +407,7 @@
         let silent = |worker: &&Worker| worker.standing != WorkerStanding::Good;
         self.site.set_planned(Planned {
             counts: self.fleet.counts(),
+            effort: self.fleet.effort(),
             behind_us: self.site.clock.now_us() - self.caught_up_us,
             waiting_steps: self.fleet.waiting_groups() as u64,
             workers: self.fleet.live_workers().count() as u64,
--- a/crates/agatesilld/src/fleet/site.rs
+++ b/crates/agatesilld/src/fleet/site.rs
@@ -7,7 +7,7 @@
 use agatesill_coord::lease::Owner;
 use agatesill_coord::prelude::*;
 use agatesill_platform::prelude::*;
-use agatesill_policy::fleet::Counts;
+use agatesill_policy::fleet::{Counts, Effort};
 use tokio::sync::Notify;
 
 use super::clock::Clock;
@@ -42,6 +42,8 @@
 pub struct Planned {
     /// What happened since it began.
     pub counts: Counts,
+    /// What its decisions examined since it began.
+    pub effort: Effort,
     /// How long answers of workers have waited to be taken in.
     pub behind_us: u64,
     /// Steps with tasks that wait.
