--- a/crates/agatesilld/src/fleet/followers.rs
+++ b/crates/agatesilld/src/fleet/followers.rs
@@ -34,21 +34,18 @@
     revision: u64,
     stop: CancellationToken,
 ) {
-    let work =
-        follow(&site, registry::PREFIX, revision, REGISTRY_PAUSE, |reply, is_whole, sent_us| {
-            let listed: Vec<WorkerEntry> = reply.entries.iter().filter_map(worker).collect();
-            let as_of = Event::RegistryAsOf(sent_us);
-            if is_whole {
-                return vec![Event::Registry(listed), as_of];
-            }
-            let gone = reply.deleted.iter().filter_map(|key| registry::worker_id(key));
-            listed
-                .into_iter()
-                .map(|entry| Event::Listed(Box::new(entry)))
-                .chain(gone.map(|id| Event::Unlisted(id.to_owned())))
-                .chain([as_of])
-                .collect()
-        });
+    let work = follow(&site, registry::PREFIX, revision, REGISTRY_PAUSE, |reply, is_whole| {
+        let listed: Vec<WorkerEntry> = reply.entries.iter().filter_map(worker).collect();
+        if is_whole {
+            return vec![Event::Registry(listed)];
+        }
+        let gone = reply.deleted.iter().filter_map(|key| registry::worker_id(key));
+        listed
+            .into_iter()
+            .map(|entry| Event::Listed(Box::new(entry)))
+            .chain(gone.map(|id| Event::Unlisted(id.to_owned())))
+            .collect()
+    });
     deliver(work, &events, &stop).await;
 }
 
@@ -59,7 +56,7 @@
     revision: u64,
     stop: CancellationToken,
 ) {
-    let work = follow(&site, keys::INBOX, revision, INBOX_PAUSE, |reply, _, _| {
+    let work = follow(&site, keys::INBOX, revision, INBOX_PAUSE, |reply, _| {
         reply.entries.iter().filter_map(inbox_event).collect()
     });
     deliver(work, &events, &stop).await;
@@ -94,21 +91,19 @@
 
 type Batches = mpsc::Receiver<Vec<Event>>;
 
-/// Reads changes under `prefix`; after a gap in the history everything is read anew. `decode` is told
-/// whether a reply is everything, and when the call was sent: the reply is at least as new as that.
+/// Reads changes under `prefix`; after a gap in the history everything is read anew.
 fn follow(
     site: &Arc<Site>,
     prefix: &'static str,
     revision: u64,
     pause: Duration,
-    decode: impl Fn(&StoreReply, bool, u64) -> Vec<Event> + Send + 'static,
+    decode: impl Fn(&StoreReply, bool) -> Vec<Event> + Send + 'static,
 ) -> (Batches, impl Future<Output = ()> + Send + 'static) {
     let (sender, receiver) = mpsc::channel(1);
     let site = site.clone();
     let work = async move {
         let mut after = Some(revision);
         loop {
-            let sent_us = site.clock.now_us();
             let reply = match after {
                 Some(after_revision) => {
                     let prefix = prefix.to_owned();
@@ -126,7 +121,7 @@
                     let is_whole = after.is_none();
                     after = Some(reply.revision);
                     let has_news = !reply.entries.is_empty();
-                    if sender.send(decode(&reply, is_whole, sent_us)).await.is_err() {
+                    if sender.send(decode(&reply, is_whole)).await.is_err() {
                         return;
                     }
                     if has_news && !pause.is_zero() {
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -54,12 +54,6 @@
 /// How long an ended job is remembered: states are asked for two minutes after the end.
 const REMEMBER_US: u64 = 130_000_000;
 
-/// Age of the registry's news from which nothing is started. A watch without news takes two seconds.
-///
-/// Guards against a planner whose news is held up, by its link or its processor, while its orders go
-/// out: workers that have long announced that they leave would get starts.
-const REGISTRY_STALE_US: u64 = 2_500_000;
-
 /// Time between two savings of what is learned: a successor lacks that much of it at most.
 const SAVE_LEARNED_US: u64 = 5_000_000;
 
@@ -80,8 +74,6 @@
     Listed(Box<WorkerEntry>),
     /// The registry lists a worker no more.
     Unlisted(String),
-    /// The registry is known as it was at this moment, or newer.
-    RegistryAsOf(u64),
     /// All workers that the registry lists; those that are missing are listed no more.
     Registry(Vec<WorkerEntry>),
     /// A worker answered a poll.
@@ -155,7 +147,6 @@
 pub async fn run(site: Arc<Site>, epoch: u64, lost: CancellationToken) {
     let (answers, answered) = mpsc::channel(RING_ANSWERS);
     let (news, told) = mpsc::channel(RING_NEWS);
-    let registry_us = site.clock.now_us();
     let Some(start) = recovery::recover(&site, &lost).await else { return };
     let tasks = TaskTracker::new();
     // Everything that this planner started ends with it.
@@ -176,7 +167,6 @@
         forgotten_us: site.clock.now_us(),
         learned_us: site.clock.now_us(),
         to_open: BTreeSet::new(),
-        registry_us,
         usage_us: 0,
         next_round_us: 0,
         caught_up_us: site.clock.now_us(),
@@ -212,8 +202,6 @@
     learned_us: u64,
     /// Idle workers whose lines are to be opened.
     to_open: BTreeSet<WorkerIndex>,
-    /// The registry is known as it was at this moment, or newer.
-    registry_us: u64,
     usage_us: u64,
     /// No round of planning before.
     next_round_us: u64,
@@ -294,7 +282,6 @@
             Event::Listed(entry) => self.listed(*entry),
             Event::Unlisted(id) => self.fleet.worker_unlisted(&id),
             Event::Registry(entries) => self.registry(entries),
-            Event::RegistryAsOf(sent_us) => self.registry_us = sent_us,
             Event::Polled(worker, poll) => {
                 self.fleet.polled(worker, &poll, now_us);
                 self.lines.set_idle(worker, self.fleet.worker(worker).tasks.is_empty());
@@ -409,10 +396,6 @@
     }
 
     fn log_if_behind(&self, now_us: u64) {
-        let registry_age_us = now_us.saturating_sub(self.registry_us);
-        if registry_age_us > REGISTRY_STALE_US {
-            log::warn!(event = "registry_stale", age_ms = registry_age_us / 1_000; "nothing is started");
-        }
         let behind_us = now_us - self.caught_up_us;
         if behind_us > BEHIND_US {
             log::warn!(event = "planner_behind", behind_ms = behind_us / 1_000,
@@ -434,8 +417,7 @@
 
     fn plan(&mut self) {
         let begun_us = self.site.clock.now_us();
-        let is_stale = begun_us.saturating_sub(self.registry_us) > REGISTRY_STALE_US;
-        if begun_us < self.next_round_us || is_stale {
+        if begun_us < self.next_round_us {
             return;
         }
         self.fleet.plan(begun_us, wall_ms());
