--- a/crates/agatesilld/src/logging.rs
+++ b/crates/agatesilld/src/logging.rs
@@ -22,6 +22,11 @@
 /// Lines written between two flushes at most.
 const BATCH_LINES: usize = 1_024;
 
+/// How long the writer lets lines gather. Woken for each, it would cost the process a wake-up and a
+/// system call a line, as much as a small daemon's other work; a process that is killed loses the lines
+/// of this time.
+const GATHER: Duration = Duration::from_millis(20);
+
 /// Path that stands for standard output.
 pub const STANDARD_OUTPUT: &str = "-";
 
@@ -173,6 +178,7 @@
     let mut batch = Vec::new();
     while let Ok(line) = lines.recv() {
         batch.push(line);
+        std::thread::sleep(GATHER);
         batch.extend(lines.try_iter().take(BATCH_LINES));
         for line in &batch {
             let _ = output.write_all(line);
