--- a/crates/agatesilld/src/logging.rs
+++ b/crates/agatesilld/src/logging.rs
@@ -27,6 +27,10 @@
 /// of this time.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Bytes of one write. A reader that takes a pipe in pieces loses the end of a larger one: of a burst of
+/// lines only the first would be seen.
+const WRITE_BYTES: usize = 8 << 10;
+
 /// Path that stands for standard output.
 pub const STANDARD_OUTPUT: &str = "-";
 
@@ -82,7 +86,7 @@
     let (ring, lines) = bounded(LOG_RING_LINES);
     std::thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&lines, BufWriter::with_capacity(1 << 16, output)))?;
+        .spawn(move || write_lines(&lines, BufWriter::with_capacity(WRITE_BYTES, output)))?;
     let _ = RING.set(ring.clone());
     let dispatch = fern::Dispatch::new()
         .level(level)
