Give up tasks that repeatedly crash their workers

Cause: a run that was lost with its worker was not counted. `worker_gone` returned its task to waiting, and only ends that a worker reports as failed count as attempts; a crashed worker reports none. Class of fault: a retry without a limit, because there is no outcome to count.

Change: a run is a suspect until it has been running for 2 s. A worker lost before that counts against the task; a run that lasts longer, or ends by itself, resets the task's counts. After three crashes without another known cause, or five of any kind, the task is given up and its job fails. A crash has another known cause if four or more workers go silent together, if the worker is leaving, or if it never answered this planner. From the second crash on, the task backs off (0.5, 1, 2 s) and is isolated: it is placed on the worker with the fewest tasks, not next to another such task, and new starts avoid that worker, so that unrelated tasks do not become suspects with it. The counts are part of the stored record, which is written before each start, so successors know them; a start that was sent but not answered counts. New log events `run_lost` and `task_given_up`, new gauge `given_up`: previously the log did not show which runs were lost with a worker.

Measured: the tests pass, including three that guard against false positives (24 lasting tasks and 38 jobs next to two crashing tasks complete; six waves of crashes of a third of all workers, 0.6 to 4.8 s apart, give up no task; new starts avoid the worker of a repeat suspect).

--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -87,6 +87,7 @@
             log::warn!(event = "worker_silent", worker = worker.entry.id.as_str(),
                 last_answer_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
                 tasks = worker.tasks.len(); "");
+            self.record_silence(index, now_us);
             self.worker_changed(index);
         }
     }
@@ -100,15 +101,10 @@
         worker.standing = WorkerStanding::Gone;
         worker.is_listed = false;
         self.gone.push(index);
-        let tasks = std::mem::take(&mut worker.tasks);
         log::warn!(event = "worker_gone", worker = worker.entry.id.as_str(), why = why,
-            tasks = tasks.len(); "");
+            tasks = worker.tasks.len(); "");
         self.worker_changed(index);
-        for at in tasks {
-            self.counts.lost += 1;
-            self.mark(at.job, now_us);
-            self.release(at, TaskState::Waiting, now_us);
-        }
+        self.release_lost_runs(index, true, now_us);
     }
 
     /// Workers whose incarnation has ended since this was last asked.
@@ -145,14 +141,10 @@
             .map(|(index, _)| index)
             .collect();
         for index in lapsed {
-            let tasks = std::mem::take(&mut self.workers[index as usize].tasks);
-            log::warn!(event = "worker_lapsed",
-                worker = self.workers[index as usize].entry.id.as_str(), tasks = tasks.len(); "");
-            for at in tasks {
-                self.counts.lost += 1;
-                self.mark(at.job, now_us);
-                self.release(at, TaskState::Waiting, now_us);
-            }
+            let worker = &self.workers[index as usize];
+            log::warn!(event = "worker_lapsed", worker = worker.entry.id.as_str(),
+                tasks = worker.tasks.len(); "");
+            self.release_lost_runs(index, false, now_us);
         }
     }
 
@@ -257,6 +249,9 @@
         if end.cause == EndCause::Done {
             self.sample_end(index, at, measured_us);
         }
+        if matches!(end.cause, EndCause::Done | EndCause::Failed) {
+            self.clear_crashes(at);
+        }
         match end.cause {
             EndCause::Done if !is_lasting => self.task_done(at, is_gang, now_us),
             EndCause::Failed => self.task_failed(index, at, is_lasting, is_gang, now_us),
@@ -391,6 +386,7 @@
             task.start_percent = row.percent;
             task.measured_us = now_us;
         }
+        self.update_probation(at, now_us);
         self.sample_speed(index, at, row, now_us);
     }
 
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -268,6 +268,12 @@
     pub chosen_version: u64,
     /// Whether its newest run was stopped to make room for urgent steps.
     pub preempted: bool,
+    /// Consecutive runs lost with their worker during probation.
+    pub crashes: u32,
+    /// Those of the crashes without a known cause other than the worker's tasks.
+    pub unexplained_crashes: u32,
+    /// Whether its newest run has lasted long enough not to be blamed for a crash of its worker.
+    pub is_past_probation: bool,
 }
 
 impl Task {
@@ -288,6 +294,9 @@
             answered_us: 0,
             chosen_version: 0,
             preempted: false,
+            crashes: 0,
+            unexplained_crashes: 0,
+            is_past_probation: false,
         }
     }
 }
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod answers;
 mod colocation;
 mod comeback;
+mod crashes;
 mod effort;
 mod ended;
 mod ends;
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -28,6 +28,8 @@
     pub advised: Option<Group>,
     /// Whether a worker that is closed for failing is better than none.
     pub takes_closed: bool,
+    /// Whether the task is a repeat suspect: its earlier runs were lost in worker crashes.
+    pub is_repeat_suspect: bool,
     /// Racks that the step's tasks use already.
     pub chosen_racks: &'a [String],
 }
@@ -43,6 +45,10 @@
 /// whose caller waits goes there only where no other worker has room.
 const COLD_SCORE: f64 = 10.0;
 
+/// Added for a worker with a repeat suspect: if it crashes, tasks newly started there become suspects as
+/// well. Lower than [`CLOSED_SCORE`]: such a worker is still preferred to a closed one.
+const SUSPECT_SCORE: f64 = 500.0;
+
 /// The workers examined for the tasks of one step, the best first.
 ///
 /// Tasks of a step are alike, so the workers are examined once for all of them; only the one that was
@@ -126,7 +132,8 @@
         }
         let closed = if is_open { 0.0 } else { CLOSED_SCORE };
         let cold = if worker.is_cold(now_us) && !request.step.fills { COLD_SCORE } else { 0.0 };
-        let score = closed + cold + self.score(request, worker);
+        let suspect = if worker.repeat_suspects > 0 { SUSPECT_SCORE } else { 0.0 };
+        let score = closed + cold + suspect + self.score(request, worker);
         score.is_finite().then_some(Score(score))
     }
 
@@ -167,7 +174,9 @@
         } else {
             packing_score(request, worker)
         };
-        distance + room
+        // Prefer workers with few tasks, to limit the runs lost if the suspect crashes its worker.
+        let tasks_at_risk = if request.is_repeat_suspect { worker.tasks.len() as f64 } else { 0.0 };
+        distance + room + tasks_at_risk
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -62,10 +62,15 @@
         let step = job.spec.steps[group.step as usize].clone();
         let service = self.terms(job).service.clone();
         let advised = self.terms(job).needs_advice.then_some(group);
-        let tasks: Vec<u32> = job
+        let waiting: Vec<u32> = job
             .tasks_of(group.occurrence, group.step)
             .filter(|task| job.tasks[*task as usize].state == TaskState::Waiting)
             .collect();
+        let is_ready = |task: &u32| !job.tasks[*task as usize].is_backing_off(now_us);
+        let tasks: Vec<u32> = waiting.iter().copied().filter(is_ready).collect();
+        if tasks.is_empty() && !waiting.is_empty() && job.phase == JobPhase::Active {
+            return;
+        }
         if tasks.is_empty() || job.phase != JobPhase::Active {
             self.waiting.remove(&group);
             return;
@@ -97,8 +102,10 @@
         }
         let setting = Setting { step: &step, image, service: &service, advised, takes_closed };
         let placed = self.place_tasks(group, &setting, &tasks, now_us);
-        if placed == tasks.len() {
+        if placed == waiting.len() {
             self.waiting.remove(&group);
+        } else if placed == tasks.len() {
+            // The remaining tasks are backing off; the group stays waiting.
         } else if advised.is_some() {
             self.ask_advice(group, &service, now_us);
         } else if step.label.is_empty() && step.max_per_worker == 0 && !step.is_gang {
@@ -120,6 +127,7 @@
         let mut search: Option<Search> = None;
         let Setting { step, image, service, advised, takes_closed } = *setting;
         for task in tasks {
+            let is_repeat_suspect = self.is_repeat_suspect(TaskRef { job: group.job, task: *task });
             let request = Request {
                 step,
                 service,
@@ -127,9 +135,11 @@
                 beside: &beside,
                 advised,
                 takes_closed,
+                is_repeat_suspect,
                 chosen_racks: &racks,
             };
-            let mut examined = match search.take() {
+            // A repeat suspect is scored differently, so its search is not shared with other tasks.
+            let mut examined = match search.take().filter(|_| !is_repeat_suspect) {
                 Some(examined) => examined,
                 None => self.search(&request, now_us),
             };
@@ -139,7 +149,7 @@
             if step.wants_one_rack {
                 // The racks chosen so far change the score of every worker: the next task searches anew.
                 racks.push(self.workers[worker as usize].entry.rack.clone());
-            } else {
+            } else if !is_repeat_suspect {
                 search = Some(examined);
             }
             self.charge(at, worker, TaskState::Chosen(worker));
--- a/crates/agatesill_policy/src/fleet/record.rs
+++ b/crates/agatesill_policy/src/fleet/record.rs
@@ -19,6 +19,12 @@
         /// Failed runs.
         #[serde(rename = "f", skip_serializing_if = "is_zero")]
         pub failures: u32,
+        /// Consecutive runs lost in worker crashes during probation.
+        #[serde(rename = "c", skip_serializing_if = "is_zero")]
+        pub crashes: u32,
+        /// Those of the crashes without a known cause other than the worker's tasks.
+        #[serde(rename = "u", skip_serializing_if = "is_zero")]
+        pub unexplained_crashes: u32,
         /// Whether it is done.
         #[serde(rename = "d", skip_serializing_if = "is_false")]
         pub is_done: bool,
@@ -87,6 +93,8 @@
                 task: index as u32,
                 run: task.run,
                 failures: task.failures,
+                crashes: task.crashes,
+                unexplained_crashes: task.unexplained_crashes,
                 is_done: task.state == TaskState::Done,
                 worker: task
                     .state
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -1,6 +1,6 @@
 //! The ledger: jobs, workers and what is charged where.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use super::advice::{Advice, AdviceQuestion};
 use super::colocation::{PairCounts, Pressure};
@@ -54,6 +54,8 @@
     pub quarantines: u64,
     /// Times that a worker was closed for being slow.
     pub slow_workers: u64,
+    /// Tasks given up after repeated worker crashes.
+    pub given_up: u64,
 }
 
 /// The ledger of one fleet.
@@ -80,6 +82,8 @@
     pub(super) orders: Vec<Order>,
     /// Workers whose incarnation has ended and whose lines are still open.
     pub(super) gone: Vec<WorkerIndex>,
+    /// Times of the last answers of workers that recently went silent.
+    pub(super) silences_us: VecDeque<u64>,
     /// Workers that may forget more ends than the lines were told.
     pub(super) acked: Vec<WorkerIndex>,
     pub(super) ended_jobs: Vec<(u64, u32)>,
@@ -116,6 +120,7 @@
             dirty: BTreeMap::new(),
             urgent: BTreeSet::new(),
             orders: Vec::new(),
+            silences_us: VecDeque::new(),
             acked: Vec::new(),
             gone: Vec::new(),
             ended_jobs: Vec::new(),
@@ -306,9 +311,13 @@
         let cpu = step.need.cpu_milli;
         let serves = step.target_ms > 0;
         let image = job.image(at.task);
-        job.tasks[at.task as usize].state = state;
+        let task = &mut job.tasks[at.task as usize];
+        task.state = state;
+        task.is_past_probation = false;
+        let is_repeat_suspect = task.is_repeat_suspect();
         let index = worker;
         let worker = &mut self.workers[worker as usize];
+        worker.repeat_suspects += u32::from(is_repeat_suspect);
         if serves && worker.serving.add(image) {
             self.pairs.serving_came(image, &worker.filling);
         } else if fills && !serves && worker.filling.add(image) {
@@ -326,6 +335,7 @@
     pub(super) fn release(&mut self, at: TaskRef, state: TaskState, now_us: u64) {
         let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
         let before = job.tasks[at.task as usize].state;
+        let was_repeat_suspect = job.tasks[at.task as usize].is_repeat_suspect();
         let (occurrence, step_index, _) = job.locate(at.task);
         let step = &job.spec.steps[step_index as usize];
         self.preemption.freeing.remove(&at);
@@ -349,6 +359,8 @@
                     worker.lasting_cpu_milli.saturating_sub(step.need.cpu_milli);
             }
             worker.tasks.retain(|other| *other != at);
+            worker.repeat_suspects =
+                worker.repeat_suspects.saturating_sub(u32::from(was_repeat_suspect));
             self.rooms.update(index, worker);
         }
         let is_active = job.phase == JobPhase::Active;
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -58,6 +58,8 @@
         let task = &mut job.tasks[record.task as usize];
         task.run = record.run;
         task.failures = record.failures;
+        task.crashes = record.crashes;
+        task.unexplained_crashes = record.unexplained_crashes;
         task.saved.clone_from(&record.saved);
         task.since_us = now_us;
         if record.is_done {
--- a/crates/agatesill_policy/tests/fleet_crashes.rs
+++ b/crates/agatesill_policy/tests/fleet_crashes.rs
@@ -1,50 +1,49 @@
-//! Workers that crash under their tasks: a task that causes it is given up, all others are not.
+//! Tasks that crash their workers are given up; other tasks that lose runs in those crashes are not.
 
 mod fleet_support;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use agatesill_policy::fleet::{
-    EndCause, JobPhase, JobSpec, Order, OrderKind, OrderOutcome, WorkerEntry, WorkerIndex,
+    EndCause, JobPhase, JobSpec, Order, OrderKind, OrderOutcome, Step, WorkerEntry, WorkerIndex,
 };
 use fleet_support::{MS, Rig, entry, job, name, step};
 
 const TICK_MS: u64 = 50;
 
-/// Time until a crashed worker is back under another identity.
+/// Time until a crashed worker is listed again as a new incarnation.
 const RESTART_MS: u64 = 2_500;
 
-/// Starts that a task may have in all: three that crash their workers and two more.
+/// Limit on the starts of a crashing task: three that crash their workers and two more.
 const MOST_STARTS: usize = 5;
 
-/// A fleet on which chosen tasks crash each worker that starts them.
-struct Crashing {
+/// A simulated fleet in which the configured tasks crash each worker that starts them.
+struct CrashFleet {
     rig: Rig,
-    /// Tasks that crash their worker.
-    harmful: BTreeSet<String>,
-    /// Whether a worker crashes before it answers the start.
-    loses_answers: bool,
+    crashing_tasks: BTreeSet<String>,
+    /// Whether workers crash before they answer the start.
+    crashes_before_answer: bool,
     /// When each run ends, by task and run.
     ends_us: BTreeMap<(String, u32), u64>,
-    work_ms: u64,
-    /// Crashed workers, with the time of their return.
+    run_ms: u64,
+    /// Crashed workers and when they restart.
     down: Vec<(WorkerIndex, u64)>,
-    lives: u32,
+    incarnations: u32,
     starts: Vec<String>,
     jobs: Vec<JobSpec>,
 }
 
-impl Crashing {
+impl CrashFleet {
     fn new(workers: usize) -> Self {
-        let entries = (0..workers).map(|at| seat(at, 1)).collect();
+        let entries = (0..workers).map(|at| worker_entry(at, 1)).collect();
         Self {
             rig: Rig::new(entries),
-            harmful: BTreeSet::new(),
-            loses_answers: false,
+            crashing_tasks: BTreeSet::new(),
+            crashes_before_answer: false,
             ends_us: BTreeMap::new(),
-            work_ms: 1_000,
+            run_ms: 1_000,
             down: Vec::new(),
-            lives: 1,
+            incarnations: 1,
             starts: Vec::new(),
             jobs: Vec::new(),
         }
@@ -80,12 +79,13 @@
             return;
         }
         let task = name(&order.task);
-        let crashes = matches!(order.kind, OrderKind::Start { .. }) && self.harmful.contains(&task);
+        let crashes =
+            matches!(order.kind, OrderKind::Start { .. }) && self.crashing_tasks.contains(&task);
         if matches!(order.kind, OrderKind::Start { .. }) {
             self.starts.push(task.clone());
-            self.ends_us.insert((task, order.run), now_us + self.work_ms * MS);
+            self.ends_us.insert((task, order.run), now_us + self.run_ms * MS);
         }
-        if crashes && self.loses_answers {
+        if crashes && self.crashes_before_answer {
             self.rig.fleet.order_answered(order, OrderOutcome::Unanswered, now_us);
         } else {
             self.rig.obey(order);
@@ -100,8 +100,8 @@
         self.down.push((worker, self.rig.now_us + RESTART_MS * MS));
     }
 
-    /// Crashes every third worker that is up, beginning with the given one.
-    fn crash_a_third(&mut self, first: usize) {
+    /// Crashes every third worker that is up, starting at index `first`.
+    fn crash_every_third(&mut self, first: usize) {
         let up: Vec<WorkerIndex> = self.rig.far.keys().copied().collect();
         up.into_iter().skip(first).step_by(3).for_each(|worker| self.crash(worker));
     }
@@ -112,9 +112,9 @@
         self.down = down;
         let back: Vec<(WorkerIndex, u64)> = back;
         for (worker, _) in back {
-            self.lives += 1;
+            self.incarnations += 1;
             let before = self.rig.fleet.worker(worker).entry.clone();
-            let id = format!("{}-{}", before.rack, self.lives);
+            let id = format!("{}-{}", before.rack, self.incarnations);
             self.rig.list(WorkerEntry { id, ..before });
         }
     }
@@ -143,13 +143,13 @@
             self.rig.fleet.worker_silent(worker, self.rig.now_us);
         }
         let up: Vec<WorkerIndex> = self.rig.far.keys().copied().collect();
-        // The call was sent before the answers to the orders since then.
+        // The poll was sent before the orders of the last 10 ms were answered.
         let sent_us = self.rig.now_us - 10 * MS;
         up.into_iter().for_each(|worker| self.rig.poll_sent(worker, sent_us));
         self.rig.fleet.expire_workers(self.rig.now_us);
     }
 
-    /// Replaces the planner by one that knows the stored records alone.
+    /// Replaces the planner with one that knows only the stored records.
     fn take_over(&mut self) {
         let entries: Vec<WorkerEntry> =
             self.rig.fleet.live_workers().map(|(_, worker)| worker.entry.clone()).collect();
@@ -180,28 +180,28 @@
     }
 }
 
-fn seat(at: usize, life: u32) -> WorkerEntry {
+fn worker_entry(at: usize, incarnation: u32) -> WorkerEntry {
     let rack = format!("seat{at}");
     let address = format!("10.0.1.{at}:80");
-    WorkerEntry { address, ..entry(&format!("{rack}-{life}"), &rack) }
+    WorkerEntry { address, ..entry(&format!("{rack}-{incarnation}"), &rack) }
 }
 
-/// Guards against a task that takes one worker after the other with it for as long as the day lasts.
+/// Guards against unlimited retries of a task that crashes one worker after another.
 #[test]
 fn a_task_that_crashes_every_worker_is_given_up() {
-    let mut fleet = Crashing::new(8);
-    fleet.harmful.insert("bad.0.0.0".to_owned());
+    let mut fleet = CrashFleet::new(8);
+    fleet.crashing_tasks.insert("bad.0.0.0".to_owned());
     fleet.accept(job("bad", vec![step(3)]));
     fleet.pass_ms(60_000);
     assert_eq!(fleet.phase("bad"), Some(JobPhase::Failed));
     assert!(fleet.starts_of("bad.0.0.0") <= MOST_STARTS, "{}", fleet.starts_of("bad.0.0.0"));
 }
 
-/// Guards against a count of crashes that begins anew with each planner.
+/// Guards against crash counts that are reset when a successor takes over.
 #[test]
-fn crashes_under_a_task_are_remembered_by_successors() {
-    let mut fleet = Crashing::new(8);
-    fleet.harmful.insert("bad.0.0.0".to_owned());
+fn crash_counts_survive_takeovers() {
+    let mut fleet = CrashFleet::new(8);
+    fleet.crashing_tasks.insert("bad.0.0.0".to_owned());
     fleet.accept(job("bad", vec![step(1)]));
     for _ in 0..20 {
         fleet.pass_ms(3_000);
@@ -211,14 +211,86 @@
     assert!(fleet.starts_of("bad.0.0.0") <= MOST_STARTS, "{}", fleet.starts_of("bad.0.0.0"));
 }
 
-/// Guards against a start that counts only once it was answered: the worker crashes before it can.
+/// Guards against ignoring crashes that happen before the worker answers the start.
 #[test]
 fn a_crash_before_the_start_is_answered_counts() {
-    let mut fleet = Crashing::new(8);
-    fleet.loses_answers = true;
-    fleet.harmful.insert("bad.0.0.0".to_owned());
+    let mut fleet = CrashFleet::new(8);
+    fleet.crashes_before_answer = true;
+    fleet.crashing_tasks.insert("bad.0.0.0".to_owned());
     fleet.accept(job("bad", vec![step(1)]));
     fleet.pass_ms(60_000);
     assert_eq!(fleet.phase("bad"), Some(JobPhase::Failed));
     assert!(fleet.starts_of("bad.0.0.0") <= MOST_STARTS, "{}", fleet.starts_of("bad.0.0.0"));
 }
+
+/// Guards against giving up tasks that lost runs in crashes caused by other tasks.
+#[test]
+fn other_tasks_of_crashed_workers_still_complete() {
+    let mut fleet = CrashFleet::new(8);
+    fleet.crashing_tasks.extend(["bad.0.0.0".to_owned(), "worse.0.0.2".to_owned()]);
+    let lasting = Step { is_lasting: true, ..step(24) };
+    fleet.accept(job("watch", vec![lasting]));
+    fleet.pass_ms(3_000);
+    for at in 0..40 {
+        match at {
+            4 => fleet.accept(job("bad", vec![step(3)])),
+            9 => fleet.accept(job("worse", vec![step(3)])),
+            _ => fleet.accept(job(&format!("good{at}"), vec![step(6)])),
+        }
+        fleet.pass_ms(400);
+    }
+    fleet.pass_ms(20_000);
+    for at in (0..40).filter(|at| ![4, 9].contains(at)) {
+        assert_eq!(fleet.phase(&format!("good{at}")), Some(JobPhase::Completed), "good{at}");
+    }
+    assert_eq!(fleet.phase("bad"), Some(JobPhase::Failed));
+    assert_eq!(fleet.phase("worse"), Some(JobPhase::Failed));
+    assert_eq!(fleet.phase("watch"), Some(JobPhase::Active));
+    assert_eq!(fleet.rig.present("watch").len(), 24);
+}
+
+/// Guards against blaming tasks for crashes that hit a third of all workers at once, six times in a row.
+#[test]
+fn crashes_of_many_workers_give_up_no_task() {
+    for gap_ms in [600, 1_200, 2_400, 4_800] {
+        let mut fleet = CrashFleet::new(24);
+        fleet.accept(job("watch", vec![Step { is_lasting: true, ..step(72) }]));
+        fleet.pass_ms(3_000);
+        for wave in 0..6 {
+            fleet.accept(job(&format!("good{wave}"), vec![step(60)]));
+            fleet.pass_ms(gap_ms);
+            fleet.crash_every_third(wave % 3);
+        }
+        fleet.pass_ms(40_000);
+        for wave in 0..6 {
+            let phase = fleet.phase(&format!("good{wave}"));
+            assert_eq!(phase, Some(JobPhase::Completed), "good{wave}, every {gap_ms} ms");
+        }
+        assert_eq!(fleet.phase("watch"), Some(JobPhase::Active), "every {gap_ms} ms");
+        assert_eq!(fleet.rig.present("watch").len(), 72, "every {gap_ms} ms");
+    }
+}
+
+/// Guards against new starts on a worker that runs a repeat suspect.
+#[test]
+fn new_starts_avoid_workers_with_a_repeat_suspect() {
+    let mut fleet = CrashFleet::new(4);
+    fleet.crashing_tasks.insert("bad.0.0.0".to_owned());
+    fleet.accept(job("bad", vec![step(1)]));
+    // The second crash makes it a repeat suspect; later runs do not crash their worker.
+    while fleet.starts_of("bad.0.0.0") < 2 {
+        fleet.pass_ms(TICK_MS);
+    }
+    fleet.crashing_tasks.clear();
+    while fleet.starts_of("bad.0.0.0") < 3 {
+        fleet.pass_ms(TICK_MS);
+    }
+    let (suspect, ..) = fleet.rig.present("bad").remove(0);
+    fleet.accept(job("good", vec![step(12)]));
+    fleet.pass_ms(500);
+    let beside = fleet.rig.present("good").iter().filter(|(at, ..)| *at == suspect).count();
+    assert_eq!(beside, 0);
+    assert_eq!(fleet.rig.present("good").len(), 12);
+    fleet.pass_ms(2_000);
+    assert_eq!(fleet.phase("bad"), Some(JobPhase::Completed));
+}
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -107,6 +107,7 @@
             gauge.observe(planned.silent_workers, &what("silent_workers"));
             gauge.observe(planned.counts.quarantines, &what("quarantines"));
             gauge.observe(planned.counts.slow_workers, &what("slow_workers"));
+            gauge.observe(planned.counts.given_up, &what("given_up"));
         })
         .build();
 }
