Use entry revisions to find the newer of two incarnations at an address

Cause: for three heartbeats after a crash the registry lists the crashed incarnation beside the new one at the same address. Whichever was listed later was treated as the newer one, and a successor lists both in the order of their names, which are random: in half of the cases the dead incarnation marked the live one as gone, and its tasks were started elsewhere while they kept running there.

Change: an entry carries the store revision at which it was last written. The older incarnation last wrote its entry before the newer one started, so of two at one address the one with the lower revision is gone, in whatever order they are listed. The same now applies to workers that were known from records alone.

--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -14,15 +14,17 @@
                 self.rooms.withdraw(index, worker);
             }
             // What was known from records alone gets its address now.
-            if worker.entry.address != entry.address && worker.standing != WorkerStanding::Gone {
-                self.worker_by_address.insert(entry.address.clone(), index);
-            }
+            let has_new_address =
+                worker.entry.address != entry.address && worker.standing != WorkerStanding::Gone;
             let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
             worker.is_zone_closed = self.closed_zones.contains_key(&entry.zone);
             worker.cold_until_us = cold_until_us(&entry, now_us);
             worker.entry = entry;
             worker.is_listed = true;
             self.worker_changed(index);
+            if has_new_address {
+                self.claim_address(index, now_us);
+            }
             let worker = &self.workers[index as usize];
             if began_to_leave {
                 log::info!(event = "worker_leaving", worker = worker.entry.id.as_str(),
@@ -33,19 +35,37 @@
         }
         let index = self.workers.len() as WorkerIndex;
         self.worker_by_id.insert(entry.id.clone(), index);
-        let before = self.live_at(&entry.address);
-        self.worker_by_address.insert(entry.address.clone(), index);
         let mut worker = Worker::new(entry);
         worker.is_zone_closed = self.closed_zones.contains_key(&worker.entry.zone);
         worker.cold_until_us = cold_until_us(&worker.entry, now_us);
         self.workers.push(worker);
-        // A new incarnation at the same address: the old one is over, whatever the registry still says.
-        if let Some(before) = before {
-            self.worker_gone(before, "another incarnation at its address", now_us);
-        }
+        self.claim_address(index, now_us);
         index
     }
 
+    /// Assigns a worker's address to it unless a newer incarnation holds that address, and marks the older
+    /// of the two as gone. The older incarnation last wrote its entry before the newer one started, so the
+    /// lower revision identifies it, even while the registry still lists both.
+    ///
+    /// Prevents duplicate runs: if listing order decided, a stale entry could mark the live worker as gone
+    /// and its tasks would also be started elsewhere.
+    fn claim_address(&mut self, index: WorkerIndex, now_us: u64) {
+        let entry = &self.workers[index as usize].entry;
+        let other = self.live_at(&entry.address).filter(|other| *other != index);
+        let is_older =
+            |other: WorkerIndex| entry.revision < self.workers[other as usize].entry.revision;
+        let superseded = match other {
+            Some(other) if is_older(other) => Some(index),
+            _ => {
+                self.worker_by_address.insert(entry.address.clone(), index);
+                other
+            }
+        };
+        if let Some(superseded) = superseded {
+            self.worker_gone(superseded, "another incarnation at its address", now_us);
+        }
+    }
+
     /// Takes an incarnation that was given up back, once it registers again: it was cut off for longer than
     /// its lease and lives. Without this it would never get a task again. A stale entry of an incarnation
     /// that another one has followed changes nothing.
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -99,6 +99,7 @@
             is_leaving: false,
             leaves_in_ms: 0,
             cold_ms: 0,
+            revision: 0,
         });
         worker.is_listed = false;
         self.workers.push(worker);
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -36,6 +36,9 @@
         /// How much longer it runs everything slower than usual, as after its start.
         #[serde(default)]
         pub cold_ms: u64,
+        /// Store revision at which the entry was last written; 0 if unknown.
+        #[serde(default)]
+        pub revision: u64,
     }
 }
 
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -32,6 +32,7 @@
         is_leaving: false,
         leaves_in_ms: 0,
         cold_ms: 0,
+        revision: 0,
     }
 }
 
--- a/crates/agatesill_policy/tests/fleet_takeover.rs
+++ b/crates/agatesill_policy/tests/fleet_takeover.rs
@@ -2,7 +2,7 @@
 
 mod fleet_support;
 
-use agatesill_policy::fleet::{EndCause, JobPhase, OrderKind, Poll, Step};
+use agatesill_policy::fleet::{EndCause, JobPhase, OrderKind, Poll, Step, WorkerEntry};
 use fleet_support::{MS, Rig, entry, job, step};
 
 /// The planner dies with a task running. Its successor finds the run on the worker's list and keeps
@@ -127,3 +127,33 @@
     }
     assert_eq!(rig.fleet.state_of("j"), Some((JobPhase::Active, true)));
 }
+
+/// Guards against a successor that treats a crashed worker's stale entry as the newer incarnation at an
+/// address and restarts tasks that are still running on the live worker.
+#[test]
+fn newer_incarnation_at_an_address_stays_live_in_any_listing_order() {
+    for crashed_first in [true, false] {
+        let crashed = WorkerEntry { revision: 10, ..entry("w1", "r1-1") };
+        let current = WorkerEntry { id: "w1-again".to_owned(), revision: 20, ..crashed.clone() };
+        let unrelated = WorkerEntry { revision: 15, ..entry("w22", "r1-1") };
+        let mut rig = Rig::new(vec![current.clone()]);
+        let spec = job("j", vec![step(1)]);
+        rig.fleet.accept(spec.clone(), rig.now_us);
+        rig.settle();
+        let mut entries = vec![current.clone(), crashed, unrelated];
+        if crashed_first {
+            entries.swap(0, 1);
+        }
+        rig.fleet = rig.successor(&[spec], entries);
+        let (index, _) =
+            rig.fleet.live_workers().find(|(_, worker)| worker.entry.id == current.id).unwrap();
+        let far = rig.far.remove(&0).unwrap();
+        rig.far.insert(index, far);
+        rig.orders.clear();
+        rig.poll(index);
+        rig.settle();
+        assert!(rig.orders.is_empty(), "crashed first: {crashed_first}, {:?}", rig.orders);
+        let live_count = rig.fleet.live_workers().count();
+        assert_eq!(live_count, 2, "crashed first: {crashed_first}");
+    }
+}
--- a/crates/agatesilld/src/fleet/followers.rs
+++ b/crates/agatesilld/src/fleet/followers.rs
@@ -94,7 +94,7 @@
 
 /// Decodes a worker's entry; another writer's is skipped and logged.
 pub fn worker(entry: &Entry) -> Option<WorkerEntry> {
-    let decoded = registry::decode(&entry.key, &entry.value);
+    let decoded = registry::decode(&entry.key, &entry.value, entry.version);
     if decoded.is_none() {
         log::debug!(event = "entry_skipped", key = entry.key.as_str(),
             revision = entry.version; "it names no worker to use");
