Check a worker's present capacity before every start

Found by reading the code, after the users' documentation said that a worker's capacity may shrink and grow while it runs.

Cause: a choice was checked only against the capacity at the moment it was made. It stayed when the capacity shrank before the record was stored (a store outage keeps a choice for seconds); an unanswered start was repeated whatever the worker's present capacity; tasks that reserve no CPU were checked against memory alone; and stray runs, which the ledger does not know (left by an earlier planner, or carried out late), were stopped but not counted while they stopped.

Change: a start needs a worker whose tasks, with the new one, fit its present capacity in every dimension, and which reports no stray runs. The capacity is checked again when the start is ordered after the record is stored. When a worker's capacity shrinks, the choices that no longer fit are withdrawn; an unanswered start on a worker over its capacity is barred instead of repeated. Running tasks stay. New log event `worker_capacity`.

--- a/crates/agatesill_policy/src/fleet/advice.rs
+++ b/crates/agatesill_policy/src/fleet/advice.rs
@@ -71,7 +71,7 @@
             .filter(|(_, worker)| {
                 worker.is_open(now_us)
                     && worker.entry.service == service
-                    && worker.free().holds(&charge)
+                    && worker.has_room(&charge)
             })
             .map(|(index, _)| index as WorkerIndex)
             .filter(is_worth_asking)
--- a/crates/agatesill_policy/src/fleet/answers.rs
+++ b/crates/agatesill_policy/src/fleet/answers.rs
@@ -125,7 +125,8 @@
     fn worker_silent_order(&mut self, order: &Order, now_us: u64) {
         // A worker that answers polls is there; it left one order unanswered, and others need not
         // keep away from it.
-        let takes_starts = self.workers[order.worker as usize].takes_starts();
+        let worker = &self.workers[order.worker as usize];
+        let takes_starts = worker.takes_starts() && !worker.is_over_capacity();
         let answered_us = self.workers[order.worker as usize].answered_us;
         if now_us.saturating_sub(answered_us) > ANSWERS_LATELY_US {
             self.worker_silent(order.worker, now_us);
--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -340,6 +340,7 @@
         now_us: u64,
     ) -> HashSet<TaskRef> {
         let mut present = HashSet::with_capacity(rows.len());
+        self.workers[index as usize].has_stray_runs = false;
         for row in rows {
             match self.find(&row.task).filter(|at| self.is_wanted(index, *at, row.run)) {
                 Some(at) => {
@@ -406,6 +407,7 @@
         log::warn!(event = "stray_run", job = row.task.job.as_str(), step = row.task.step,
             index = row.task.index, run = row.run,
             worker = self.workers[index as usize].entry.id.as_str(); "stopped");
+        self.workers[index as usize].has_stray_runs = true;
         let at = TaskRef { job: u32::MAX, task: 0 };
         self.orders.push(Order {
             worker: index,
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -124,7 +124,7 @@
         let worker = &self.workers[index as usize];
         let is_open = worker.is_open(now_us);
         let may_take = (is_open || (request.takes_closed && worker.is_there()))
-            && worker.free().holds(&request.step.charge())
+            && worker.has_room(&request.step.charge())
             && may_run(request, index, worker)
             && request.advised.is_none_or(|group| self.ticket(group, index, now_us).is_some());
         if !may_take {
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -1,6 +1,9 @@
 //! Which workers are registered, and which lives have followed others.
 
+use crate::batch::Resources;
+
 use super::US_PER_MS;
+use super::job::{TaskRef, TaskState};
 use super::state::Fleet;
 use super::worker::{Worker, WorkerEntry, WorkerIndex, WorkerStanding};
 
@@ -19,9 +22,10 @@
             let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
             worker.is_zone_closed = self.closed_zones.contains_key(&entry.zone);
             worker.cold_until_us = cold_until_us(&entry, now_us);
-            worker.entry = entry;
+            let previous_capacity = std::mem::replace(&mut worker.entry, entry).capacity;
             worker.is_listed = true;
             self.worker_changed(index);
+            self.apply_capacity_change(index, &previous_capacity, now_us);
             if has_new_address {
                 self.claim_address(index, now_us);
             }
@@ -66,6 +70,32 @@
         }
     }
 
+    /// Logs a change of a worker's capacity and withdraws its latest choices while
+    /// its charges exceed the new one.
+    fn apply_capacity_change(&mut self, index: WorkerIndex, previous: &Resources, now_us: u64) {
+        let worker = &self.workers[index as usize];
+        // A worker known only from job records has no capacity until it registers.
+        if worker.entry.capacity == *previous || *previous == Resources::default() {
+            return;
+        }
+        log::info!(event = "worker_capacity", worker = worker.entry.id.as_str(),
+            cpu_milli = worker.entry.capacity.cpu_milli, before_cpu_milli = previous.cpu_milli,
+            memory_mb = worker.entry.capacity.memory_mb, before_memory_mb = previous.memory_mb,
+            used_cpu_milli = worker.used.cpu_milli, used_memory_mb = worker.used.memory_mb; "");
+        let chosen: Vec<TaskRef> = worker
+            .tasks
+            .iter()
+            .rev()
+            .copied()
+            .filter(|at| matches!(self.task_state(*at), TaskState::Chosen(_)))
+            .collect();
+        for at in chosen {
+            if self.workers[index as usize].is_over_capacity() {
+                self.withdraw(at, now_us);
+            }
+        }
+    }
+
     /// Takes an incarnation that was given up back, once it registers again: it was cut off for longer than
     /// its lease and lives. Without this it would never get a task again. A stale entry of an incarnation
     /// that another one has followed changes nothing.
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -166,6 +166,9 @@
     pub silent_calls: u32,
     /// Whether its zone takes no new work.
     pub is_zone_closed: bool,
+    /// Whether its last poll reported stray runs. They are not part of `used`, but take up capacity
+    /// until they have stopped.
+    pub has_stray_runs: bool,
     /// Until when it runs everything slower than usual.
     pub cold_until_us: u64,
     /// No new tasks before this moment.
@@ -207,6 +210,7 @@
             answered_us: 0,
             silent_calls: 0,
             is_zone_closed: false,
+            has_stray_runs: false,
             cold_until_us: 0,
             closed_until_us: 0,
             failed_in_a_row: Vec::new(),
@@ -238,6 +242,17 @@
         now_us < self.cold_until_us
     }
 
+    /// Whether one more task with this charge fits its present capacity in every dimension. False while
+    /// stray runs take up an unknown part of it.
+    pub fn has_room(&self, charge: &Resources) -> bool {
+        !self.has_stray_runs && self.entry.capacity.holds(&self.used.plus(charge))
+    }
+
+    /// Whether the charges of its tasks exceed its capacity, which can shrink at run time.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.entry.capacity.holds(&self.used)
+    }
+
     /// What is not charged.
     pub fn free(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -122,11 +122,12 @@
         }
     }
 
-    /// Gives a chosen worker the order to start, unless its incarnation ended or it takes no starts any
-    /// more.
+    /// Orders the chosen worker to start the task, unless its incarnation has ended, it no longer takes
+    /// starts, or its charges exceed its capacity.
     fn order_start(&mut self, at: TaskRef, worker: WorkerIndex, now_us: u64) {
         let target = &self.workers[worker as usize];
-        if target.standing == WorkerStanding::Gone || !target.takes_starts() {
+        let is_gone = target.standing == WorkerStanding::Gone;
+        if is_gone || !target.takes_starts() || target.is_over_capacity() {
             self.release(at, TaskState::Waiting, now_us);
             return;
         }
--- a/crates/agatesill_policy/src/fleet/zones.rs
+++ b/crates/agatesill_policy/src/fleet/zones.rs
@@ -81,7 +81,7 @@
     }
 
     /// Takes a choice back whose start was not ordered yet; of a gang, all choices of the step.
-    fn withdraw(&mut self, at: TaskRef, now_us: u64) {
+    pub(super) fn withdraw(&mut self, at: TaskRef, now_us: u64) {
         let Some(job) = self.job(at.job) else { return };
         let (occurrence, step, _) = job.locate(at.task);
         let members: Vec<u32> = if job.spec.steps[step as usize].is_gang {
