Apply a cell worker's reduced capacity at once

Cause: when the settings described a worker as smaller than its reservations, the ledger kept the old capacity until the list of workers was compared again with less in use. New work filled each gap up to the old capacity, so this did not happen while any work waited.

Change: the new capacity applies at once, and the worker gets no new work until its reservations fit it. The ledger's assertion is as strict as before: it checks reservations against the capacity under which they were made, which follows the present capacity as soon as they fit it, and each new reservation against the present capacity.

--- a/crates/agatesill_policy/src/batch/cell.rs
+++ b/crates/agatesill_policy/src/batch/cell.rs
@@ -18,6 +18,10 @@
     pub state: WorkerState,
     /// Whether the failure policy holds it back.
     pub quarantined: bool,
+    /// Capacity under which its reservations were made. Larger than the capacity in
+    /// [`Worker::spec`] while the reservations exceed a reduced capacity.
+    #[serde(default)]
+    pub granted: Resources,
     /// Sum of the reservations that it carries.
     #[serde(skip)]
     pub used: Resources,
@@ -32,6 +36,24 @@
         self.spec.capacity.minus(&self.used)
     }
 
+    /// Whether one more reservation fits its present capacity.
+    pub fn has_room(&self, reserve: &Resources) -> bool {
+        self.spec.capacity.holds(&self.used.plus(reserve))
+    }
+
+    /// Whether its reservations exceed its present capacity, which may have been reduced since they
+    /// were made.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.spec.capacity.holds(&self.used)
+    }
+
+    /// Sets [`Worker::granted`] to the present capacity if the reservations fit it.
+    pub(super) fn update_granted(&mut self) {
+        if !self.is_over_capacity() {
+            self.granted = self.spec.capacity;
+        }
+    }
+
     /// Whether it takes new work.
     pub fn is_open(&self) -> bool {
         self.state == WorkerState::Active && !self.quarantined
@@ -220,19 +242,21 @@
                 }
             }
         }
+        self.workers.values_mut().for_each(Worker::update_granted);
         self.workers.values().for_each(assert_capacity);
     }
 }
 
 /// Guards against overcommitment by a wrong or doubled placement: it would show as a worker
-/// charged beyond its capacity. It runs at every transition of a worker, in release builds too.
+/// charged beyond the capacity under which its reservations were made. It runs at every transition
+/// of a worker, in release builds too.
 pub(super) fn assert_capacity(worker: &Worker) {
     assert!(
-        worker.spec.capacity.holds(&worker.used),
+        worker.granted.holds(&worker.used),
         "worker {} committed beyond its capacity: {:?} of {:?}",
         worker.spec.id,
         worker.used,
-        worker.spec.capacity
+        worker.granted
     );
 }
 
--- a/crates/agatesill_policy/src/batch/cell_transitions.rs
+++ b/crates/agatesill_policy/src/batch/cell_transitions.rs
@@ -69,7 +69,7 @@
             return Vec::new();
         }
         let Some(on) = self.workers.get_mut(&worker) else { return Vec::new() };
-        if !on.is_open() || !on.free().holds(reserve) {
+        if !on.is_open() || !on.has_room(reserve) {
             return Vec::new();
         }
         charge(on, task, reserve);
@@ -261,20 +261,16 @@
     }
 
     pub(super) fn add_worker(&mut self, spec: &WorkerSpec) -> Vec<CellEffect> {
-        let mut spec = spec.clone();
-        let worker = match self.workers.remove(&spec.id) {
+        let spec = spec.clone();
+        let mut worker = match self.workers.remove(&spec.id) {
             Some(mut known) => {
                 self.count_worker(&known, -1);
-                if !spec.capacity.holds(&known.used) {
-                    // Shrinking below what is reserved would break the ledger: the old capacity
-                    // counts until the list is compared again with less in use.
-                    spec.capacity = known.spec.capacity;
-                }
                 known.spec = spec;
                 known.state = WorkerState::Active;
                 known
             }
             None => Worker {
+                granted: spec.capacity,
                 spec,
                 state: WorkerState::Active,
                 quarantined: false,
@@ -282,6 +278,7 @@
                 live: Default::default(),
             },
         };
+        worker.update_granted();
         assert_capacity(&worker);
         self.count_worker(&worker, 1);
         self.workers.insert(worker.spec.id, worker);
@@ -361,6 +358,7 @@
 
 fn charge(worker: &mut Worker, task: &str, reserve: &Resources) {
     worker.used = worker.used.plus(reserve);
+    assert!(!worker.is_over_capacity(), "worker {} charged beyond its capacity", worker.spec.id);
     assert_capacity(worker);
     // A second live attempt of one task would show as a double entry here, and as the same work
     // done twice on the floor.
@@ -371,4 +369,5 @@
     assert!(worker.live.remove(task), "task {task} freed twice");
     assert!(worker.used.holds(reserved), "worker {} freed beyond its use", worker.spec.id);
     worker.used = worker.used.minus(reserved);
+    worker.update_granted();
 }
--- a/crates/agatesill_policy/src/batch/policy/workers.rs
+++ b/crates/agatesill_policy/src/batch/policy/workers.rs
@@ -81,7 +81,9 @@
         load.rack = rack;
         load.zone = zone;
         load.accelerated = worker.spec.capacity.accelerators > 0;
-        let is_open = worker.is_open() && !self.closed_zones.contains(&worker.spec.zone);
+        let is_open = worker.is_open()
+            && !worker.is_over_capacity()
+            && !self.closed_zones.contains(&worker.spec.zone);
         self.set_room(id, is_open.then(|| worker.free()));
     }
 
