Give up cell tasks that repeatedly crash their workers

Impact: submitters would see, on the product's own interface, a job that never ends, and a worker that crashes each time it restarts.

Cause: the same class of fault as on the platform, a retry without a limit because there is no outcome to count, in two places. An attempt that ended with its lease was not counted. And the calls to a worker were derived from its newest answer alone: a worker that crashed and restarted within the lease did not list the attempt, so the same attempt was started there again, without limit.

Evidence: found by reading the code after the incident.

Change: a start is sent once per attempt. If a worker answers and does not know an attempt that may have been started (by this owner or the one before), it is told to stop it, which bars a late start, and the attempt has ended. An attempt that is lost before the worker's answers showed it running for 2 s ends as `worker_crashed`, a later one as `lease_ended`. Five `worker_crashed` in a row, with waits of 0.2 to 2 s, fail the job; an attempt that runs longer, ends by itself or saves progress resets the count. The count is stored in the ledger, so other owners know it. The stand-in workers can crash when they start tasks of given classes (`crash_classes`).

Daemons from before this change cannot read a log that holds the new outcome.

--- a/crates/agatesill_policy/src/batch/cell.rs
+++ b/crates/agatesill_policy/src/batch/cell.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Attempt, CellDelta, CellEffect, Job, JobSpec, Resources, TaskId, WorkerId, WorkerSpec,
-    WorkerState, split_task,
+    Attempt, CellDelta, CellEffect, Job, JobSpec, Resources, TaskId, TaskState, WorkerId,
+    WorkerSpec, WorkerState, split_task,
 };
 
 /// A worker in the ledger.
@@ -151,6 +151,14 @@
         })
     }
 
+    /// Whether an attempt is placed on a worker and is not being stopped.
+    pub fn is_placed(&self, task: &str, attempt: Attempt, worker: WorkerId) -> bool {
+        self.locate(task).is_some_and(|(job, index)| {
+            let view = &job.tasks[index];
+            view.attempt == attempt && view.state == TaskState::Placed { worker }
+        })
+    }
+
     /// Open jobs that wait for `id`.
     pub fn dependents(&self, id: &str) -> Vec<String> {
         self.dependents.get(id).into_iter().flatten().cloned().collect()
--- a/crates/agatesill_policy/src/batch/cell_transitions.rs
+++ b/crates/agatesill_policy/src/batch/cell_transitions.rs
@@ -133,12 +133,21 @@
         job.live_tasks -= 1;
         let view = &mut job.tasks[index];
         view.reserved = Resources::default();
+        let has_progressed = match outcome {
+            AttemptOutcome::Stopped { checkpoint_ms } => *checkpoint_ms > view.checkpoint_ms,
+            AttemptOutcome::WorkerCrashed => false,
+            _ => true,
+        };
+        if has_progressed {
+            view.crashes = 0;
+        }
         match outcome {
             AttemptOutcome::Stopped { checkpoint_ms } => {
                 view.checkpoint_ms = view.checkpoint_ms.max(*checkpoint_ms);
             }
             AttemptOutcome::Failed { kind: FailureKind::MemoryOverrun } => view.overruns += 1,
             AttemptOutcome::Failed { .. } => view.failures += 1,
+            AttemptOutcome::WorkerCrashed => view.crashes += 1,
             AttemptOutcome::Done | AttemptOutcome::LeaseEnded => {}
         }
         view.state = match (outcome, view.settled) {
--- a/crates/agatesill_policy/src/batch/delta.rs
+++ b/crates/agatesill_policy/src/batch/delta.rs
@@ -51,6 +51,8 @@
     },
     /// Not heard of again, and its lease has certainly ended.
     LeaseEnded,
+    /// Lost with its worker during probation: it may have crashed the worker.
+    WorkerCrashed,
 }
 
 /// The one outcome of a job; the first recorded stays.
--- a/crates/agatesill_policy/src/batch/mod.rs
+++ b/crates/agatesill_policy/src/batch/mod.rs
@@ -16,6 +16,7 @@
 };
 pub use policy::{
     BatchConfig, BatchPolicy, Explanation, Plan, ServiceUsage, TaskUsage, Throttle, UsageReport,
+    lost_attempt_outcome,
 };
 pub use task::{Job, Settled, TaskState, TaskView, split_task};
 
--- a/crates/agatesill_policy/src/batch/policy/failures.rs
+++ b/crates/agatesill_policy/src/batch/policy/failures.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::super::{FailureKind, WorkerId};
+use super::super::{AttemptOutcome, FailureKind, WorkerId};
 
 /// Different jobs that fail in a row before a worker is held back. With one job in twenty failing
 /// everywhere, four in a row on a good worker come once in 160,000 tasks.
@@ -38,12 +38,31 @@
 /// Longest time in quarantine.
 const MOST_QUARANTINE_MS: u64 = 600_000;
 
+/// Consecutive attempts of a task that may have crashed their workers, after which its job is given
+/// up.
+const MOST_CRASHES: u32 = 5;
+
+/// Running time of an attempt after which the loss of its worker no longer counts as a crash.
+const PROBATION_MS: u64 = 2_000;
+
 /// Backoff after a task's own error: first and longest.
 const TASK_BACKOFF_MS: (u64, u64) = (1_000, 60_000);
 
 /// Backoff after a worker's error: another worker is tried soon.
 const WORKER_BACKOFF_MS: (u64, u64) = (200, 10_000);
 
+/// Outcome of an attempt that was lost with its worker, by how long it was seen running; `None` if
+/// no answer of the worker listed it as running.
+pub fn lost_attempt_outcome(seen_for_ms: Option<u64>) -> AttemptOutcome {
+    match seen_for_ms {
+        Some(seen_for_ms) if seen_for_ms >= PROBATION_MS => AttemptOutcome::LeaseEnded,
+        _ => AttemptOutcome::WorkerCrashed,
+    }
+}
+
+/// Backoff after an attempt that may have crashed its worker: first and longest.
+const CRASH_BACKOFF_MS: (u64, u64) = (200, 2_000);
+
 /// How a worker stands.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerHealth {
@@ -144,6 +163,21 @@
         (first_ms << (2 * failures.saturating_sub(1)).min(12)).min(most_ms)
     }
 
+    /// Records that an attempt may have crashed its worker and returns how long the task should
+    /// wait; `crashes` is the ledger's count of such attempts in a row, this one included.
+    ///
+    /// Guards against unlimited retries of a task that crashes its workers: a crashed worker
+    /// reports no failure.
+    pub fn crashed(&mut self, job: &str, crashes: u32) -> u64 {
+        if crashes >= MOST_CRASHES {
+            let health = self.jobs.entry(job.to_owned()).or_default();
+            health.fatal = Some(format!("one of its tasks lost {crashes} workers in a row"));
+            self.doomed.insert(job.to_owned());
+        }
+        let (first_ms, most_ms) = CRASH_BACKOFF_MS;
+        (first_ms << crashes.saturating_sub(1).min(8)).min(most_ms)
+    }
+
     /// Forgets a closed job.
     pub fn closed(&mut self, job: &str) {
         self.doomed.remove(job);
--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -22,6 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 pub use explain::Explanation;
+pub use failures::lost_attempt_outcome;
 pub use input::{BatchConfig, Plan, ServiceUsage, TaskUsage, Throttle, UsageReport};
 
 use super::{
@@ -126,6 +127,9 @@
             self.parked.insert(job.spec.id.clone());
         }
         for (index, task) in job.tasks.iter().enumerate() {
+            if task.crashes > 0 && !task.state.is_closed() {
+                self.failures.crashed(&job.spec.id, task.crashes);
+            }
             if task.evictions > 0 && !task.state.is_closed() {
                 let evictions = vec![now_ms; task.evictions as usize];
                 self.evicted_ms.insert(job.task_id(index), evictions);
@@ -365,6 +369,7 @@
                 }
                 self.failures.failed(id, running.worker, *kind, task.failures, overruns)
             }
+            AttemptOutcome::WorkerCrashed => self.failures.crashed(id, job.tasks[index].crashes),
             AttemptOutcome::Stopped { .. } | AttemptOutcome::LeaseEnded => 0,
         }
     }
--- a/crates/agatesill_policy/src/batch/policy/notes.rs
+++ b/crates/agatesill_policy/src/batch/policy/notes.rs
@@ -99,6 +99,9 @@
                     format!("stopped with {checkpoint_ms} ms of work saved")
                 }
                 AttemptOutcome::LeaseEnded => "lost: its lease ended unheard".to_owned(),
+                AttemptOutcome::WorkerCrashed => {
+                    "lost with its worker soon after its start".to_owned()
+                }
             };
             format!("{at_ms} ms: task {task} on worker {worker} {how}")
         }
--- a/crates/agatesill_policy/src/batch/task.rs
+++ b/crates/agatesill_policy/src/batch/task.rs
@@ -70,6 +70,9 @@
     /// Attempts that were evicted.
     #[serde(default)]
     pub evictions: u32,
+    /// Consecutive attempts that may have crashed their workers.
+    #[serde(default)]
+    pub crashes: u32,
     /// What the task becomes once its live attempt has ended, when that is settled already.
     #[serde(default)]
     pub settled: Option<Settled>,
@@ -98,6 +101,7 @@
             failures: 0,
             overruns: 0,
             evictions: 0,
+            crashes: 0,
             settled: None,
         }
     }
--- a/crates/agatesill_policy/src/lib.rs
+++ b/crates/agatesill_policy/src/lib.rs
@@ -15,7 +15,7 @@
         Attempt, AttemptOutcome, BatchConfig, BatchPolicy, Cell, CellDelta, CellEffect,
         EvictReason, FailureKind, Job, JobOutcome, JobSpec, Plan, Resources, ServiceUsage, TaskId,
         TaskState, TaskUsage, TaskView, Throttle, UsageReport, Worker, WorkerId, WorkerSpec,
-        WorkerState,
+        WorkerState, lost_attempt_outcome,
     };
     pub use crate::profile::{ConfigDoc, Evacuation, Profile, ProfileClass, Service, Team};
     pub use crate::request::{
--- a/crates/agatesill_standin/src/workers/books.rs
+++ b/crates/agatesill_standin/src/workers/books.rs
@@ -46,6 +46,8 @@
         pub stopped: u64,
         /// Attempts whose lease ended.
         pub lapsed: u64,
+        /// Worker crashes.
+        pub crashes: u64,
         /// Attempts that failed by themselves.
         pub failed: u64,
         /// Starts refused because a stop of the same attempt had come first.
--- a/crates/agatesill_standin/src/workers/floor.rs
+++ b/crates/agatesill_standin/src/workers/floor.rs
@@ -14,6 +14,9 @@
 /// Attempt numbers from here on belong to runs doubled on purpose.
 const TWIN: Attempt = 1_000_000;
 
+/// Time from a worker's crash to its restart.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(300);
+
 /// Samples of usage kept for each worker.
 const SAMPLES_KEPT: usize = 256;
 
@@ -48,6 +51,7 @@
     live: BTreeSet<(TaskId, Attempt)>,
     samples: Vec<Sample>,
     faults: WorkerFaults,
+    down_until: Option<Instant>,
 }
 
 /// What an attempt is started with.
@@ -92,6 +96,26 @@
         self.workers.get(&worker).map(|worker| worker.faults.clone()).unwrap_or_default()
     }
 
+    /// Whether a worker has crashed and not restarted yet.
+    pub(super) fn is_down(&self, worker: WorkerId) -> bool {
+        let until = self.workers.get(&worker).and_then(|worker| worker.down_until);
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Crashes a worker: it loses all attempts and restarts after [`CRASH_DOWNTIME`].
+    fn crash(&mut self, id: WorkerId) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        worker.down_until = Some(Instant::now() + CRASH_DOWNTIME);
+        self.books.crashes += 1;
+        for key in std::mem::take(&mut worker.live) {
+            if let Some(places) = self.places.get_mut(&key.0) {
+                *places -= 1;
+            }
+        }
+        worker.attempts.clear();
+        worker.samples.clear();
+    }
+
     pub(super) fn age_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
@@ -188,6 +212,7 @@
             },
             settled: false,
         };
+        let crashes = worker.faults.crash_classes.contains(&start.class);
         let doubles = std::mem::take(&mut worker.faults.double_run);
         self.books.starts += 1;
         self.books.starts_after_success += u64::from(self.known_done.contains(&start.task));
@@ -203,6 +228,10 @@
             checkpoint_ms: 0,
             stopped_by_call: false,
         });
+        if crashes {
+            self.crash(id);
+            return;
+        }
         if doubles {
             self.insert(id, (start.task, start.attempt + TWIN), running.clone());
         }
--- a/crates/agatesill_standin/src/workers/mod.rs
+++ b/crates/agatesill_standin/src/workers/mod.rs
@@ -44,6 +44,8 @@
         pub fail_all: bool,
         /// Attempts of these classes fail at their start.
         pub fail_classes: Vec<String>,
+        /// Attempts of these classes crash the worker at their start.
+        pub crash_classes: Vec<String>,
         /// Attempts of these classes are stopped because they use more memory than reserved.
         pub overrun_classes: Vec<String>,
         /// The next start runs the attempt twice, against all rules.
@@ -110,7 +112,13 @@
             tokio::time::sleep(SILENCE).await;
             return Err(silent());
         }
+        if self.lock().is_down(worker) {
+            return Err(silent());
+        }
         let answer = self.lock().answer(worker, call);
+        if self.lock().is_down(worker) {
+            return Err(silent());
+        }
         if faults.lose_answers {
             tokio::time::sleep(SILENCE).await;
             return Err(silent());
--- a/crates/agatesilld/src/cells/links.rs
+++ b/crates/agatesilld/src/cells/links.rs
@@ -6,6 +6,8 @@
 use agatesill_policy::batch::Throttle;
 use agatesill_policy::prelude::*;
 
+use agatesill_wire::platform::{AttemptReport, AttemptState};
+
 use super::workers::WORKER_CALL_LIMIT;
 use crate::settings::CellSettings;
 
@@ -20,6 +22,31 @@
     pub(super) sent: Instant,
     /// Whether the worker's newest answer listed it.
     pub(super) seen: bool,
+    /// When an answer first listed it as running.
+    pub(super) seen_since: Option<Instant>,
+    /// When an answer last listed it as running.
+    pub(super) last_seen: Option<Instant>,
+    /// Whether a start may have been sent. A start is sent at most once.
+    pub(super) start_sent: bool,
+}
+
+impl Track {
+    /// Tracks an attempt that has not been started.
+    pub(super) fn new(now: Instant) -> Self {
+        Self { sent: now, seen: false, seen_since: None, last_seen: None, start_sent: false }
+    }
+
+    /// Tracks an attempt that an earlier owner placed and may have started.
+    pub(super) fn inherited(now: Instant) -> Self {
+        Self { start_sent: true, ..Self::new(now) }
+    }
+
+    /// Records that an answer listed it as running.
+    pub(super) fn mark_seen(&mut self, now: Instant) {
+        self.seen = true;
+        self.seen_since.get_or_insert(now);
+        self.last_seen = Some(now);
+    }
 }
 
 /// One worker.
@@ -55,11 +82,31 @@
 
     /// Notes an attempt that has to be started.
     pub(super) fn expect(&mut self, task: &str, attempt: Attempt) {
-        let track = Track { sent: Instant::now(), seen: false };
+        let track = Track::new(Instant::now());
         self.tracks.insert((task.to_owned(), attempt), track);
         self.due = true;
     }
 
+    /// Time from the first to the last answer that listed an attempt as running; `None` if no answer
+    /// did.
+    pub(super) fn seen_for_ms(&self, task: &str, attempt: Attempt) -> Option<u64> {
+        let track = self.tracks.get(&(task.to_owned(), attempt))?;
+        let seen = track.last_seen?.saturating_duration_since(track.seen_since?);
+        Some(seen.as_millis() as u64)
+    }
+
+    /// Whether an attempt may have been started and is absent from a worker's reports, or is
+    /// reported only as stopped without progress, as a barred attempt is.
+    pub(super) fn is_missing(&self, key: &(TaskId, Attempt), reports: &[AttemptReport]) -> bool {
+        let is_barred = |report: &AttemptReport| {
+            report.state == AttemptState::Stopped && report.checkpoint_ms == 0
+        };
+        self.tracks.get(key).is_some_and(|track| track.start_sent)
+            && !reports
+                .iter()
+                .any(|report| report.task == key.0 && report.attempt == key.1 && !is_barred(report))
+    }
+
     /// Drops what is known of an attempt that has ended.
     pub(super) fn forget(&mut self, task: &str, attempt: Attempt) {
         self.tracks.remove(&(task.to_owned(), attempt));
--- a/crates/agatesilld/src/cells/owned.rs
+++ b/crates/agatesilld/src/cells/owned.rs
@@ -118,13 +118,19 @@
             })
             .collect();
         for (task, attempt, worker) in over {
-            log::warn!(
-                event = "attempt_lost", task = task.as_str(), attempt = attempt, worker = worker; ""
-            );
-            self.push_end(&task, attempt, AttemptOutcome::LeaseEnded);
+            self.end_lost_attempt(&task, attempt, worker);
         }
     }
 
+    /// Queues the end of an attempt that was lost with its worker.
+    pub(super) fn end_lost_attempt(&mut self, task: &str, attempt: Attempt, worker: WorkerId) {
+        let seen_for_ms = self.links.get(&worker).and_then(|link| link.seen_for_ms(task, attempt));
+        let outcome = lost_attempt_outcome(seen_for_ms);
+        log::warn!(event = "attempt_lost", task = task, attempt = attempt, worker = worker,
+            seen_for_ms = seen_for_ms.unwrap_or(0), outcome:? = outcome; "");
+        self.push_end(task, attempt, outcome);
+    }
+
     /// Answers those whose commit takes too long. An acceptance that was not written yet is taken
     /// back, so that the refusal is true; for one that may stand the answer says so.
     pub(super) fn expire_waiters(&mut self) {
--- a/crates/agatesilld/src/cells/workers.rs
+++ b/crates/agatesilld/src/cells/workers.rs
@@ -88,7 +88,7 @@
     link.due = false;
     let mut calls = strays_and_throttles(link, epoch);
     let mut renewed = Vec::new();
-    let mut starts = Vec::new();
+    let mut starts: Vec<((TaskId, Attempt), WorkerCall)> = Vec::new();
     for task in live {
         let Some((job, index)) = owned.cell.locate(&task) else { continue };
         let view = &job.tasks[index];
@@ -106,21 +106,23 @@
         if silent {
             continue;
         }
-        let seen = link.tracks.get(&key).is_some_and(|track| track.seen);
-        if !seen && !context.may_start {
-            continue;
-        }
-        if seen {
-            renewed.push(key.clone());
-        } else {
-            starts.push(start_call(task, job, view, epoch, lease_ms));
+        let track = link.tracks.entry(key.clone()).or_insert_with(|| Track::inherited(now));
+        if track.seen {
+            track.sent = now;
+            renewed.push(key);
+        } else if !track.start_sent && context.may_start {
+            starts.push((key, start_call(task, job, view, epoch, lease_ms)));
         }
-        link.tracks.entry(key).or_insert(Track { sent: now, seen: false }).sent = now;
     }
     let settled = link.settled.iter().take(CALLS_IN_A_ROW).cloned().collect();
     let room = CALLS_IN_A_ROW.saturating_sub(calls.len());
     link.due = starts.len() > room;
-    calls.extend(starts.into_iter().take(room));
+    for (key, call) in starts.into_iter().take(room) {
+        let track = link.tracks.entry(key).or_insert_with(|| Track::new(now));
+        track.sent = now;
+        track.start_sent = true;
+        calls.push(call);
+    }
     calls.push(WorkerCall::Renew { epoch, attempts: renewed, settled, lease_ms });
     calls
 }
@@ -220,12 +222,20 @@
     answer.stopped.iter().for_each(|key| {
         link.strays.remove(key);
     });
+    let barred = answer.stopped.into_iter().filter(|key| link.is_missing(key, &reply.attempts));
+    let barred: Vec<(TaskId, Attempt)> = barred.collect();
     let first = link.reached.is_none();
     if first {
         link.reached = Some(Instant::now());
         ledger_check::compare(name, id, &owned.cell, &reply.attempts);
     }
     mark_seen(link, &reply.attempts);
+    for (task, attempt) in barred {
+        if owned.cell.is_placed(&task, attempt, id) {
+            owned.end_lost_attempt(&task, attempt, id);
+        }
+    }
+    stop_missing(id, owned, &reply.attempts);
     for report in &reply.attempts {
         take_report(id, owned, report);
     }
@@ -238,10 +248,29 @@
     let now = Instant::now();
     for report in reports.iter().filter(|report| report.state == AttemptState::Running) {
         let key = (report.task.clone(), report.attempt);
-        link.tracks.entry(key).or_insert(Track { sent: now, seen: true }).seen = true;
+        link.tracks.entry(key).or_insert_with(|| Track::new(now)).mark_seen(now);
     }
 }
 
+/// Queues stops of attempts that may have been started but that the worker does not know, because
+/// it has crashed since or the start was lost. The stop bars a late start; once the worker has
+/// confirmed it, the attempt ends.
+///
+/// Guards against repeated starts of an attempt that crashes its worker.
+fn stop_missing(id: WorkerId, owned: &mut Owned, reports: &[AttemptReport]) {
+    let Some(link) = owned.links.get_mut(&id) else { return };
+    let (cell, ending) = (&owned.cell, &owned.ending);
+    let missing: Vec<(TaskId, Attempt)> = link
+        .tracks
+        .keys()
+        .filter(|key| !ending.contains(*key) && cell.is_placed(&key.0, key.1, id))
+        .filter(|key| link.is_missing(key, reports))
+        .cloned()
+        .collect();
+    link.due |= !missing.is_empty();
+    link.strays.extend(missing);
+}
+
 /// Holds a worker's word on one attempt against the ledger.
 fn take_report(id: WorkerId, owned: &mut Owned, report: &AttemptReport) {
     let key = (report.task.clone(), report.attempt);
--- a/crates/agatesilld/tests/cells.rs
+++ b/crates/agatesilld/tests/cells.rs
@@ -293,3 +293,24 @@
     assert_eq!(wave_starts(&books), starts);
     assert_eq!((books.overcommitted, books.double_runs), (0, 0));
 }
+
+/// Guards against unlimited retries of a task that crashes its workers, and against giving up tasks
+/// that are lost in its crashes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_task_that_crashes_its_workers_fails_its_job_and_no_other() {
+    let floor = Floor::start(1).await;
+    let settings = batch::settings();
+    for spec in settings.cells.values().flat_map(|cell| &cell.workers) {
+        let mut faults = floor.world.workers.faults(spec.id);
+        faults.crash_classes = vec!["harmful".to_owned()];
+        floor.world.workers.set_faults(spec.id, faults);
+    }
+    floor.submit(0, &job("good", 12, 3_000)).await;
+    floor.submit(0, &JobSpec { class: "harmful".to_owned(), ..job("bad", 1, 500) }).await;
+    assert_eq!(floor.await_outcome(0, "bad").await.outcome, "failed");
+    assert_eq!(floor.await_outcome(0, "good").await.outcome, "done");
+    let books = floor.world.workers.books();
+    let starts = books.attempts["bad/0"].len();
+    assert!((3..=5).contains(&starts), "{starts} starts");
+    assert_eq!((books.double_runs, books.overcommitted), (0, 0));
+}
