Count a crash against a task only if it is the only suspect

Impact: callers would see a job shown as failed whose tasks did no harm, because they ran on the same worker as a crashing task in three crashes in a row.

Cause: all tasks lost in one crash were restarted at once, and packing placed them on one worker again, together with the task that had crashed it. The other tasks were thus lost with it again and collected as many crashes as it did.

Change: the suspects of one crash are restarted on different workers, from the first crash on, and new starts avoid these workers. A task with two crashes waits up to two seconds for a worker without another suspect. Two crashes in which a task was the only suspect, or five of any kind, fail its job (three and five before).

Test: suspects_of_one_crash_restart_on_different_workers (new). In new_starts_avoid_workers_with_a_repeat_suspect two tasks now share the first crash, because a task that is the only suspect in both of its first crashes is given up; its assertions are the same.

--- a/crates/agatesill_policy/src/fleet/crashes.rs
+++ b/crates/agatesill_policy/src/fleet/crashes.rs
@@ -6,9 +6,10 @@
 //!
 //! A run is a suspect until it has been observed running for [`PROBATION_US`]. If its worker is lost
 //! before that, the crash counts against the task; a run that lasts longer, or that ends by itself,
-//! resets the task's counts. Repeat suspects back off between runs and, where possible, are placed on
-//! workers without other repeat suspects, which new starts then avoid. The next crash thus has fewer
-//! possible causes.
+//! resets the task's counts. The suspects of one crash are restarted on different workers where possible,
+//! and new starts avoid these workers, so that the next crash has a single suspect. Such a crash is stronger
+//! evidence against a task, so fewer of them are allowed. Repeat suspects back off between runs and wait
+//! for a limited time for a worker without another suspect.
 
 use super::US_PER_MS;
 use super::job::{JobPhase, Task, TaskRef, TaskState};
@@ -18,8 +19,8 @@
 /// Running time after which a crash of the worker no longer counts against the task.
 const PROBATION_US: u64 = 2_000 * US_PER_MS;
 
-/// Consecutive crashes without another known cause after which a task is given up.
-const MOST_UNEXPLAINED_CRASHES: u32 = 3;
+/// Consecutive crashes in which a task was the only suspect after which it is given up.
+const MOST_UNEXPLAINED_CRASHES: u32 = 2;
 
 /// Consecutive crashes, whatever their cause, after which a task is given up.
 const MOST_CRASHES: u32 = 5;
@@ -33,6 +34,9 @@
 /// Upper limit of the backoff.
 const LONGEST_BACKOFF_US: u64 = 2_000 * US_PER_MS;
 
+/// Time after its backoff for which a repeat suspect waits for a worker without another suspect.
+const SEPARATION_WAIT_US: u64 = 2_000 * US_PER_MS;
+
 /// Number of workers going silent within [`CORRELATION_WINDOW_US`] of a crashed worker, itself included,
 /// from which the crash is attributed to a shared cause such as a power failure of a rack.
 const CORRELATED_WORKERS: usize = 4;
@@ -44,37 +48,55 @@
 const SILENCE_RETENTION_US: u64 = 30_000 * US_PER_MS;
 
 impl Task {
-    /// Whether it crashed workers repeatedly and its newest run is still on probation.
-    pub(super) fn is_repeat_suspect(&self) -> bool {
-        self.crashes >= REPEAT_SUSPECT_CRASHES && !self.is_past_probation
+    /// Whether it is to be placed apart from other suspects: its last run may have caused the crash in which
+    /// it was lost, or it is a repeat suspect, and no newer run has passed its probation.
+    pub(super) fn is_isolated(&self) -> bool {
+        let is_repeat_suspect = self.crashes >= REPEAT_SUSPECT_CRASHES;
+        (self.is_crash_suspect || is_repeat_suspect) && !self.is_past_probation
     }
 
     /// Whether its next run is delayed because of earlier crashes.
     pub(super) fn is_backing_off(&self, now_us: u64) -> bool {
-        let Some(doublings) = self.crashes.checked_sub(REPEAT_SUSPECT_CRASHES) else {
-            return false;
-        };
-        let backoff_us = (FIRST_BACKOFF_US << doublings.min(4)).min(LONGEST_BACKOFF_US);
-        now_us.saturating_sub(self.since_us) < backoff_us
+        now_us.saturating_sub(self.since_us) < self.backoff_us()
+    }
+
+    /// Whether it still waits for a worker without another suspect, after which it may share one.
+    pub(super) fn awaits_separation(&self, now_us: u64) -> bool {
+        let wait_us = self.backoff_us() + SEPARATION_WAIT_US;
+        self.crashes >= REPEAT_SUSPECT_CRASHES && now_us.saturating_sub(self.since_us) < wait_us
+    }
+
+    fn backoff_us(&self) -> u64 {
+        match self.crashes.checked_sub(REPEAT_SUSPECT_CRASHES) {
+            Some(doublings) => (FIRST_BACKOFF_US << doublings.min(4)).min(LONGEST_BACKOFF_US),
+            None => 0,
+        }
     }
 }
 
 impl Fleet {
-    pub(super) fn is_repeat_suspect(&self, at: TaskRef) -> bool {
-        self.job(at.job).is_some_and(|job| job.tasks[at.task as usize].is_repeat_suspect())
+    pub(super) fn is_isolated(&self, at: TaskRef) -> bool {
+        self.job(at.job).is_some_and(|job| job.tasks[at.task as usize].is_isolated())
+    }
+
+    pub(super) fn awaits_separation(&self, at: TaskRef, now_us: u64) -> bool {
+        self.job(at.job).is_some_and(|job| job.tasks[at.task as usize].awaits_separation(now_us))
     }
 
     /// Releases all tasks of a worker whose runs are lost, and counts a crash against those still on
     /// probation. `is_crash` is false if the worker may still be up; the crash is then not unexplained.
     pub(super) fn release_lost_runs(&mut self, index: WorkerIndex, is_crash: bool, now_us: u64) {
-        let is_unexplained = is_crash && self.is_unexplained(index);
-        for at in std::mem::take(&mut self.workers[index as usize].tasks) {
+        let is_attributable = is_crash && !self.has_other_cause(index);
+        let tasks = std::mem::take(&mut self.workers[index as usize].tasks);
+        let suspects = tasks.iter().filter(|at| self.is_suspect(**at)).count();
+        let is_unexplained = is_attributable && suspects == 1;
+        for at in tasks {
             let is_suspect = self.is_suspect(at);
             self.counts.lost += 1;
             self.mark(at.job, now_us);
             self.release(at, TaskState::Waiting, now_us);
             if is_suspect {
-                self.count_crash(at, is_unexplained);
+                self.count_crash(at, is_attributable, is_unexplained);
             }
             self.log_lost_run(index, at, is_suspect, is_unexplained);
             self.give_up_after_crashes(at, now_us);
@@ -113,19 +135,16 @@
     pub(super) fn clear_crashes(&mut self, at: TaskRef) {
         let Some(job) = self.job_mut(at.job) else { return };
         let task = &mut job.tasks[at.task as usize];
-        let suspect_worker = task.state.worker().filter(|_| task.is_repeat_suspect());
+        let suspect_worker = task.state.worker().filter(|_| task.is_isolated());
         task.crashes = 0;
         task.unexplained_crashes = 0;
+        task.is_crash_suspect = false;
         if let Some(worker) = suspect_worker {
-            self.remove_repeat_suspect(worker);
+            let worker = &mut self.workers[worker as usize];
+            worker.isolated_tasks = worker.isolated_tasks.saturating_sub(1);
         }
     }
 
-    pub(super) fn remove_repeat_suspect(&mut self, index: WorkerIndex) {
-        let worker = &mut self.workers[index as usize];
-        worker.repeat_suspects = worker.repeat_suspects.saturating_sub(1);
-    }
-
     /// Whether a run may have caused the crash of its worker: its start was ordered, and it is still on
     /// probation.
     fn is_suspect(&self, at: TaskRef) -> bool {
@@ -135,23 +154,24 @@
         })
     }
 
-    /// Whether a worker crashed without a known cause other than its tasks. A worker that never answered
-    /// this planner is excluded, because it is unknown how long its runs had lasted.
-    fn is_unexplained(&self, index: WorkerIndex) -> bool {
+    /// Whether the loss of a worker has, or may have, a cause other than its tasks. This includes a worker that
+    /// never answered this planner, because it is unknown how long its runs had lasted.
+    fn has_other_cause(&self, index: WorkerIndex) -> bool {
         let worker = &self.workers[index as usize];
         let is_correlated =
             |at_us: &&u64| at_us.abs_diff(worker.answered_us) <= CORRELATION_WINDOW_US;
-        worker.answered_us > 0
-            && !worker.entry.is_leaving
-            && self.silences_us.iter().filter(is_correlated).take(CORRELATED_WORKERS).count()
-                < CORRELATED_WORKERS
+        worker.answered_us == 0
+            || worker.entry.is_leaving
+            || self.silences_us.iter().filter(is_correlated).take(CORRELATED_WORKERS).count()
+                == CORRELATED_WORKERS
     }
 
-    fn count_crash(&mut self, at: TaskRef, is_unexplained: bool) {
+    fn count_crash(&mut self, at: TaskRef, is_attributable: bool, is_unexplained: bool) {
         let Some(job) = self.job_mut(at.job) else { return };
         let task = &mut job.tasks[at.task as usize];
         task.crashes += 1;
         task.unexplained_crashes += u32::from(is_unexplained);
+        task.is_crash_suspect = is_attributable;
     }
 
     fn give_up_after_crashes(&mut self, at: TaskRef, now_us: u64) {
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -270,8 +270,10 @@
     pub preempted: bool,
     /// Consecutive runs lost with their worker during probation.
     pub crashes: u32,
-    /// Those of the crashes without a known cause other than the worker's tasks.
+    /// Those of the crashes that have no other known cause and in which it was the only suspect.
     pub unexplained_crashes: u32,
+    /// Whether its last lost run was a suspect in a crash without another known cause.
+    pub is_crash_suspect: bool,
     /// Whether its newest run has lasted long enough not to be blamed for a crash of its worker.
     pub is_past_probation: bool,
 }
@@ -296,6 +298,7 @@
             preempted: false,
             crashes: 0,
             unexplained_crashes: 0,
+            is_crash_suspect: false,
             is_past_probation: false,
         }
     }
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -28,8 +28,10 @@
     pub advised: Option<Group>,
     /// Whether a worker that is closed for failing is better than none.
     pub takes_closed: bool,
-    /// Whether the task is a repeat suspect: its earlier runs were lost in worker crashes.
-    pub is_repeat_suspect: bool,
+    /// Whether the task is to be placed apart from other suspects.
+    pub is_isolated: bool,
+    /// Whether the task waits rather than share a worker with another suspect.
+    pub awaits_separation: bool,
     /// Racks that the step's tasks use already.
     pub chosen_racks: &'a [String],
 }
@@ -45,7 +47,7 @@
 /// whose caller waits goes there only where no other worker has room.
 const COLD_SCORE: f64 = 10.0;
 
-/// Added for a worker with a repeat suspect: if it crashes, tasks newly started there become suspects as
+/// Added for a worker with an isolated task: if it crashes, tasks newly started there become suspects as
 /// well. Lower than [`CLOSED_SCORE`]: such a worker is still preferred to a closed one.
 const SUSPECT_SCORE: f64 = 500.0;
 
@@ -125,6 +127,7 @@
         let is_open = worker.is_open(now_us);
         let may_take = (is_open || (request.takes_closed && worker.is_there()))
             && worker.has_room(&request.step.charge())
+            && !(request.awaits_separation && worker.isolated_tasks > 0)
             && may_run(request, index, worker)
             && request.advised.is_none_or(|group| self.ticket(group, index, now_us).is_some());
         if !may_take {
@@ -132,7 +135,7 @@
         }
         let closed = if is_open { 0.0 } else { CLOSED_SCORE };
         let cold = if worker.is_cold(now_us) && !request.step.fills { COLD_SCORE } else { 0.0 };
-        let suspect = if worker.repeat_suspects > 0 { SUSPECT_SCORE } else { 0.0 };
+        let suspect = if worker.isolated_tasks > 0 { SUSPECT_SCORE } else { 0.0 };
         let score = closed + cold + suspect + self.score(request, worker);
         score.is_finite().then_some(Score(score))
     }
@@ -175,7 +178,7 @@
             packing_score(request, worker)
         };
         // Prefer workers with few tasks, to limit the runs lost if the suspect crashes its worker.
-        let tasks_at_risk = if request.is_repeat_suspect { worker.tasks.len() as f64 } else { 0.0 };
+        let tasks_at_risk = if request.is_isolated { worker.tasks.len() as f64 } else { 0.0 };
         distance + room + tasks_at_risk
     }
 }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -101,6 +101,11 @@
             return;
         }
         let setting = Setting { step: &step, image, service: &service, advised, takes_closed };
+        // A task that waits for a worker without other suspects may fail to be placed although there is room,
+        // so its group is no evidence that other groups do not fit.
+        let awaits_separation = tasks
+            .iter()
+            .any(|task| self.awaits_separation(TaskRef { job: group.job, task: *task }, now_us));
         let placed = self.place_tasks(group, &setting, &tasks, now_us);
         if placed == waiting.len() {
             self.waiting.remove(&group);
@@ -108,7 +113,11 @@
             // The remaining tasks are backing off; the group stays waiting.
         } else if advised.is_some() {
             self.ask_advice(group, &service, now_us);
-        } else if step.label.is_empty() && step.max_per_worker == 0 && !step.is_gang {
+        } else if !awaits_separation
+            && step.label.is_empty()
+            && step.max_per_worker == 0
+            && !step.is_gang
+        {
             misfits.push(Misfit { service, charge, fills });
         }
     }
@@ -127,7 +136,9 @@
         let mut search: Option<Search> = None;
         let Setting { step, image, service, advised, takes_closed } = *setting;
         for task in tasks {
-            let is_repeat_suspect = self.is_repeat_suspect(TaskRef { job: group.job, task: *task });
+            let at = TaskRef { job: group.job, task: *task };
+            let is_isolated = self.is_isolated(at);
+            let awaits_separation = self.awaits_separation(at, now_us);
             let request = Request {
                 step,
                 service,
@@ -135,21 +146,25 @@
                 beside: &beside,
                 advised,
                 takes_closed,
-                is_repeat_suspect,
+                is_isolated,
+                awaits_separation,
                 chosen_racks: &racks,
             };
-            // A repeat suspect is scored differently, so its search is not shared with other tasks.
-            let mut examined = match search.take().filter(|_| !is_repeat_suspect) {
+            // An isolated task is scored differently, so its search is not shared with other tasks.
+            let mut examined = match search.take().filter(|_| !is_isolated) {
                 Some(examined) => examined,
                 None => self.search(&request, now_us),
             };
-            let Some(worker) = self.choose_worker(&request, &mut examined, now_us) else { break };
-            let at = TaskRef { job: group.job, task: *task };
+            let worker = match self.choose_worker(&request, &mut examined, now_us) {
+                Some(worker) => worker,
+                None if awaits_separation => continue,
+                None => break,
+            };
             *beside.entry(worker).or_default() += 1;
             if step.wants_one_rack {
                 // The racks chosen so far change the score of every worker: the next task searches anew.
                 racks.push(self.workers[worker as usize].entry.rack.clone());
-            } else if !is_repeat_suspect {
+            } else if !is_isolated {
                 search = Some(examined);
             }
             self.charge(at, worker, TaskState::Chosen(worker));
--- a/crates/agatesill_policy/src/fleet/record.rs
+++ b/crates/agatesill_policy/src/fleet/record.rs
@@ -22,7 +22,7 @@
         /// Consecutive runs lost in worker crashes during probation.
         #[serde(rename = "c", skip_serializing_if = "is_zero")]
         pub crashes: u32,
-        /// Those of the crashes without a known cause other than the worker's tasks.
+        /// Those of the crashes that have no other known cause and in which it was the only suspect.
         #[serde(rename = "u", skip_serializing_if = "is_zero")]
         pub unexplained_crashes: u32,
         /// Whether it is done.
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -314,10 +314,10 @@
         let task = &mut job.tasks[at.task as usize];
         task.state = state;
         task.is_past_probation = false;
-        let is_repeat_suspect = task.is_repeat_suspect();
+        let is_isolated = task.is_isolated();
         let index = worker;
         let worker = &mut self.workers[worker as usize];
-        worker.repeat_suspects += u32::from(is_repeat_suspect);
+        worker.isolated_tasks += u32::from(is_isolated);
         if serves && worker.serving.add(image) {
             self.pairs.serving_came(image, &worker.filling);
         } else if fills && !serves && worker.filling.add(image) {
@@ -335,7 +335,7 @@
     pub(super) fn release(&mut self, at: TaskRef, state: TaskState, now_us: u64) {
         let Some(job) = self.jobs[at.job as usize].as_mut() else { return };
         let before = job.tasks[at.task as usize].state;
-        let was_repeat_suspect = job.tasks[at.task as usize].is_repeat_suspect();
+        let was_isolated = job.tasks[at.task as usize].is_isolated();
         let (occurrence, step_index, _) = job.locate(at.task);
         let step = &job.spec.steps[step_index as usize];
         self.preemption.freeing.remove(&at);
@@ -359,8 +359,7 @@
                     worker.lasting_cpu_milli.saturating_sub(step.need.cpu_milli);
             }
             worker.tasks.retain(|other| *other != at);
-            worker.repeat_suspects =
-                worker.repeat_suspects.saturating_sub(u32::from(was_repeat_suspect));
+            worker.isolated_tasks = worker.isolated_tasks.saturating_sub(u32::from(was_isolated));
             self.rooms.update(index, worker);
         }
         let is_active = job.phase == JobPhase::Active;
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -177,8 +177,8 @@
     pub failed_in_a_row: Vec<u32>,
     /// Times that it was closed for failing.
     pub quarantines: u32,
-    /// Number of its tasks that are repeat suspects, whose newest runs are still on probation.
-    pub repeat_suspects: u32,
+    /// Number of its tasks that are to be placed apart from other suspects.
+    pub isolated_tasks: u32,
     /// How fast its tasks were seen to run.
     pub(super) speed: WorkerSpeed,
     /// Serving tasks there that were over their target, since when.
@@ -215,7 +215,7 @@
             closed_until_us: 0,
             failed_in_a_row: Vec::new(),
             quarantines: 0,
-            repeat_suspects: 0,
+            isolated_tasks: 0,
             speed: WorkerSpeed::default(),
             over_since_us: 0,
         }
--- a/crates/agatesill_policy/tests/fleet_crashes.rs
+++ b/crates/agatesill_policy/tests/fleet_crashes.rs
@@ -276,8 +276,9 @@
 fn new_starts_avoid_workers_with_a_repeat_suspect() {
     let mut fleet = CrashFleet::new(4);
     fleet.crashing_tasks.insert("bad.0.0.0".to_owned());
-    fleet.accept(job("bad", vec![step(1)]));
-    // The second crash makes it a repeat suspect; later runs do not crash their worker.
+    // The first crash has two suspects, so the second one does not give the task up but makes it a repeat
+    // suspect. Later runs do not crash their worker.
+    fleet.accept(job("bad", vec![step(2)]));
     while fleet.starts_of("bad.0.0.0") < 2 {
         fleet.pass_ms(TICK_MS);
     }
@@ -294,3 +295,18 @@
     fleet.pass_ms(2_000);
     assert_eq!(fleet.phase("bad"), Some(JobPhase::Completed));
 }
+
+/// Guards against restarting the suspects of a crash on the worker of the task that caused it.
+#[test]
+fn suspects_of_one_crash_restart_on_different_workers() {
+    let mut fleet = CrashFleet::new(8);
+    fleet.crashing_tasks.insert("bad.0.0.0".to_owned());
+    fleet.accept(job("bad", vec![step(3)]));
+    fleet.pass_ms(TICK_MS);
+    fleet.crashing_tasks.clear();
+    fleet.pass_ms(RESTART_MS + 2 * TICK_MS);
+    let workers: BTreeSet<WorkerIndex> =
+        fleet.rig.present("bad").iter().map(|(worker, ..)| *worker).collect();
+    assert_eq!(fleet.starts_of("bad.0.0.0"), 2);
+    assert_eq!(workers.len(), 3);
+}
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -15,6 +15,10 @@
 /// From this seed on each run also closes a zone; those before keep the faults that they had.
 const FIRST_WITH_ZONES: u64 = 1_000;
 
+/// From this seed on each run also has tasks that crash their workers, crashes of several workers at once
+/// and workers whose capacity is reduced for a time.
+const FIRST_WITH_CRASHES: u64 = 2_000;
+
 /// Most faults of one run.
 const MOST_FAULTS: u32 = 14;
 
@@ -54,6 +58,10 @@
     LeaveWorker(usize),
     /// The zone of half of the workers takes no new work for a time.
     CloseZone,
+    /// Two workers die at once.
+    CrashWorkers(usize),
+    /// A worker's capacity is reduced to a quarter for a time.
+    ReduceWorker(usize),
     /// A worker does wrong.
     Worker(usize, WorkerFault),
 }
@@ -76,6 +84,11 @@
     }
 }
 
+/// Whether some jobs of a run have tasks that crash their workers.
+pub fn has_crashing_tasks(seed: u64) -> bool {
+    seed >= FIRST_WITH_CRASHES
+}
+
 /// The faults of a seed. Every fourth run has planned maintenance alone, as only there callers may expect
 /// that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<Strike> {
@@ -96,6 +109,15 @@
             fault: Fault::CloseZone,
         });
     }
+    if has_crashing_tasks(seed) {
+        strikes.extend((0..4).map(|nth| {
+            let worker = random.random_range(0..workers);
+            let fault =
+                if nth < 2 { Fault::CrashWorkers(worker) } else { Fault::ReduceWorker(worker) };
+            let at = Duration::from_millis(random.random_range(500..SPAN.as_millis() as u64));
+            Strike { at, lasts: Duration::from_millis(random.random_range(1_000..7_000)), fault }
+        }));
+    }
     strikes.sort_by_key(|strike| strike.at);
     strikes
 }
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -1,5 +1,6 @@
 //! One run: daemons, workers, callers and faults, and the judgement at its end.
 
+use std::collections::HashSet;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -10,8 +11,8 @@
 
 use crate::callers::{Callers, Handing, Told};
 use crate::daemon::Daemon;
-use crate::faults::{Fault, SPAN, Strike};
-use crate::support::floor::{Floor, WorkerFault};
+use crate::faults::{self, Fault, SPAN, Strike};
+use crate::support::floor::{CPU_MILLI, Floor, WorkerFault};
 use crate::support::proxy::{LinkFault, Proxy};
 use crate::support::settings;
 use crate::support::store::{FakeStore, StoreFault};
@@ -31,9 +32,19 @@
 /// waited for until its longest lease of ten seconds has ended.
 const SETTLING: Duration = Duration::from_secs(30);
 
+/// Added in runs with tasks that crash their workers: such a task may run five times, and each loss of a
+/// worker is certain only after its lease of five seconds.
+const CRASH_SETTLING: Duration = Duration::from_secs(30);
+
 /// Silence after which a worker's entry leaves the store.
 const ENTRY_LIFE: Duration = Duration::from_millis(1_500);
 
+/// Time until a worker that a task has crashed is back.
+const RESTART: Duration = Duration::from_millis(700);
+
+/// Time between two checks for such workers.
+const RESTART_CHECK: Duration = Duration::from_millis(50);
+
 /// Jobs handed in a second.
 const JOBS_PER_S: u32 = 8;
 
@@ -101,6 +112,9 @@
         std::fs::create_dir_all(&folder).unwrap();
         let (store, store_addr) = FakeStore::start(&stop).await;
         let floor = Arc::new(Floor::new(true));
+        if faults::has_crashing_tasks(seed) {
+            floor.take_beyond_capacity();
+        }
         let history = Arc::new(History {
             unplanned: Mutex::default(),
             bad_workers: AtomicBool::new(false),
@@ -134,9 +148,43 @@
         run.daemons.iter().for_each(|daemon| daemon.start());
         run.until_ready().await;
         tokio::spawn(run.callers.clone().balance());
+        tokio::spawn(run.clone().restart_crashed_workers());
         run
     }
 
+    /// Starts workers again that tasks have crashed, until the run is over. The entry of the crashed one
+    /// stays listed for a while beside the new one.
+    async fn restart_crashed_workers(self: Arc<Self>) {
+        let mut restarted = HashSet::new();
+        while !self.history.is_over() {
+            tokio::time::sleep(RESTART_CHECK).await;
+            for at in 0..self.seats.len() {
+                let crashed = self.seats[at].worker();
+                let is_crashed = self.floor.was_crashed_by_task(crashed.incarnation);
+                if is_crashed && restarted.insert(crashed.incarnation) {
+                    tokio::spawn(self.clone().restart_worker(at, crashed));
+                }
+            }
+        }
+    }
+
+    async fn restart_worker(self: Arc<Self>, seat: usize, crashed: Arc<FakeWorker>) {
+        tokio::time::sleep(RESTART).await;
+        self.seats[seat].reseat(&crashed, &self.floor, &self.store, &self.stop).await;
+        tokio::time::sleep(ENTRY_LIFE).await;
+        self.store.remove(&format!("servers/{}", crashed.id));
+    }
+
+    /// Crashes a worker, and starts it again once its entry has been removed.
+    async fn crash_worker(&self, seat: usize) {
+        let seat = &self.seats[seat];
+        let worker = seat.worker();
+        worker.crash();
+        tokio::time::sleep(ENTRY_LIFE).await;
+        self.store.remove(&format!("servers/{}", worker.id));
+        seat.reseat(&worker, &self.floor, &self.store, &self.stop).await;
+    }
+
     async fn until_ready(&self) {
         for daemon in &self.daemons {
             let until = Instant::now() + SETTLING;
@@ -243,12 +291,20 @@
 
     async fn inflict_on_worker(&self, fault: Fault, lasts: Duration) {
         match fault {
-            Fault::CrashWorker(seat) => {
-                let seat = &self.seats[seat];
-                seat.worker().crash();
-                tokio::time::sleep(ENTRY_LIFE).await;
-                self.store.remove(&format!("servers/{}", seat.worker().id));
-                seat.reseat(&self.floor, &self.store, &self.stop).await;
+            Fault::CrashWorker(seat) => self.crash_worker(seat).await,
+            Fault::CrashWorkers(seat) => {
+                let next = (seat + 1) % self.seats.len();
+                tokio::join!(self.crash_worker(seat), self.crash_worker(next));
+            }
+            Fault::ReduceWorker(seat) => {
+                let (worker, link) = self.seats[seat].present.lock().unwrap().clone();
+                self.floor.set_capacity(worker.incarnation, CPU_MILLI / 4);
+                worker.register(&self.store, link.addr, "ready");
+                tokio::time::sleep(lasts).await;
+                self.floor.set_capacity(worker.incarnation, CPU_MILLI);
+                if self.seats[seat].worker().incarnation == worker.incarnation {
+                    worker.register(&self.store, link.addr, "ready");
+                }
             }
             Fault::WorkerLink(seat, fault) => {
                 let (worker, link) = self.seats[seat].present.lock().unwrap().clone();
@@ -264,7 +320,7 @@
                 tokio::time::sleep(lasts + ENTRY_LIFE).await;
                 worker.crash();
                 self.store.remove(&format!("servers/{}", worker.id));
-                seat.reseat(&self.floor, &self.store, &self.stop).await;
+                seat.reseat(&worker, &self.floor, &self.store, &self.stop).await;
             }
             Fault::Worker(seat, fault) => {
                 let incarnation = self.seats[seat].worker().incarnation;
@@ -298,7 +354,9 @@
             }
         }
         self.until_ready().await;
-        let until = Instant::now() + SETTLING;
+        let has_crashes = faults::has_crashing_tasks(self.seed);
+        let extra = if has_crashes { CRASH_SETTLING } else { Duration::ZERO };
+        let until = Instant::now() + SETTLING + extra;
         let mut open = self.open().await;
         while !open.is_empty() && Instant::now() < until {
             tokio::time::sleep(Duration::from_millis(200)).await;
@@ -311,6 +369,7 @@
         wrong.extend(self.troubles.lock().unwrap().clone());
         wrong.extend(self.daemons.iter().flat_map(|daemon| daemon.troubles()));
         wrong.extend(self.started_though_refused());
+        wrong.extend(self.without_crashes());
         wrong
     }
 
@@ -345,6 +404,12 @@
         open
     }
 
+    /// Guards against a run that is to have crashing tasks and in which none was started.
+    fn without_crashes(&self) -> Option<String> {
+        let is_idle = faults::has_crashing_tasks(self.seed) && self.floor.crashes_by_tasks() == 0;
+        is_idle.then(|| "no task has crashed its worker".to_owned())
+    }
+
     fn started_though_refused(&self) -> Vec<String> {
         let known = self.callers.known.lock().unwrap();
         let is_refused = |task: &str| {
@@ -374,7 +439,17 @@
         Self { name: name.to_owned(), lives: AtomicU64::new(1), present: Mutex::new(present) }
     }
 
-    async fn reseat(&self, floor: &Arc<Floor>, store: &FakeStore, stop: &CancellationToken) {
+    /// Puts a new incarnation into the place of a worker, unless that has been done.
+    async fn reseat(
+        &self,
+        worker: &FakeWorker,
+        floor: &Arc<Floor>,
+        store: &FakeStore,
+        stop: &CancellationToken,
+    ) {
+        if self.worker().incarnation != worker.incarnation {
+            return;
+        }
         let incarnation = self.lives.fetch_add(1, Ordering::Relaxed) + 1;
         let next = new_life(&format!("{}-{incarnation}", self.name), floor, store, stop).await;
         *self.present.lock().unwrap() = next;
