--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -15,7 +15,7 @@
 use crate::run::History;
 use crate::support::caller::{Line, Outcome};
 use crate::support::floor::Floor;
-use crate::support::settings::{self, Harm, Step};
+use crate::support::settings::{self, Step, TaskFault};
 
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -35,15 +35,15 @@
 /// From this long after the acceptance every daemon must know a job.
 const VISIBLE: Duration = Duration::from_secs(3);
 
-/// Numbers of the jobs whose tasks crash their workers, in runs that have such jobs.
-const CRASHING: [u32; 2] = [5, 23];
+/// Numbers of the jobs with tasks that crash their workers, in runs that have such jobs.
+const CRASHING_JOBS: [u32; 2] = [5, 23];
 
 /// What callers know about a job.
 #[derive(Clone, Debug)]
 pub struct Known {
     pub queue: &'static str,
     pub steps: Vec<Step>,
-    pub harm: Harm,
+    pub task_fault: TaskFault,
     pub handing: Handing,
     pub is_cancelled: bool,
     pub shown: String,
@@ -149,15 +149,15 @@
     pub async fn live(self: Arc<Self>, seed: u64, number: u32) {
         let mut random = Pcg64Mcg::seed_from_u64(seed << 16 | u64::from(number));
         let id = format!("{:08x}{number:08x}", seed as u32);
-        let (queue, steps, mut harm) = draw(&mut random, number);
-        if faults::has_crashing_tasks(seed) && CRASHING.contains(&number) {
-            harm = Harm::Crashes;
+        let (queue, steps, mut task_fault) = draw(&mut random, number);
+        if faults::has_crashing_tasks(seed) && CRASHING_JOBS.contains(&number) {
+            task_fault = TaskFault::CrashesWorker;
         }
         self.floor.hand_in(&id, &steps);
-        let body = settings::job(&steps, harm);
+        let body = settings::job(&steps, task_fault);
         let handing = self.hand_in(&mut random, queue, &id, &body).await;
         let known =
-            Known { queue, steps, harm, handing, is_cancelled: false, shown: String::new() };
+            Known { queue, steps, task_fault, handing, is_cancelled: false, shown: String::new() };
         self.known.lock().unwrap().insert(id.clone(), known);
         let Handing::Accepted(at) = handing else { return };
         if number % 7 == 0 && number > 0 {
@@ -226,8 +226,10 @@
         job.shown = state.to_owned();
         let wrong = match state {
             "completed" if !self.floor.is_done(id) => "though tasks are not done",
-            "completed" if job.harm == Harm::Crashes => "though one of its tasks can't be done",
-            "failed" if job.harm == Harm::None && !self.history.has_bad_workers() => {
+            "completed" if job.task_fault == TaskFault::CrashesWorker => {
+                "though one of its tasks crashes every worker"
+            }
+            "failed" if job.task_fault == TaskFault::None && !self.history.has_bad_workers() => {
                 "without a failure"
             }
             "cancelled" if !job.is_cancelled => "though nobody cancelled it",
@@ -243,7 +245,7 @@
 
 /// A job by its number: the first three last; the others are the desk's or batch work, some of
 /// which can't be done.
-fn draw(random: &mut Pcg64Mcg, number: u32) -> (&'static str, Vec<Step>, Harm) {
+fn draw(random: &mut Pcg64Mcg, number: u32) -> (&'static str, Vec<Step>, TaskFault) {
     let step = |count, work_ms, cpu_milli, is_filling, after| Step {
         count,
         work_ms,
@@ -252,16 +254,17 @@
         after,
     };
     if number < 3 {
-        return ("month", vec![step(3, 0, 2_000, false, Vec::new())], Harm::None);
+        return ("month", vec![step(3, 0, 2_000, false, Vec::new())], TaskFault::None);
     }
-    let harm = if random.random_range(0..25) == 0 { Harm::Fails } else { Harm::None };
+    let task_fault =
+        if random.random_range(0..25) == 0 { TaskFault::Fails } else { TaskFault::None };
     if random.random_bool(0.6) {
         let first = step(3, random.random_range(100..400), 1_000, false, Vec::new());
         let second = step(2, random.random_range(100..300), 500, false, vec![0]);
         let steps = if random.random_bool(0.5) { vec![first, second] } else { vec![first] };
-        return ("desk", steps, harm);
+        return ("desk", steps, task_fault);
     }
     let wide = step(6, random.random_range(300..900), 1_500, random.random_bool(0.5), Vec::new());
     let last = step(4, random.random_range(200..600), 1_000, false, vec![0]);
-    ("month", vec![wide, last], harm)
+    ("month", vec![wide, last], task_fault)
 }
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -15,8 +15,8 @@
 /// From this seed on each run also closes a zone; those before keep the faults that they had.
 const FIRST_WITH_ZONES: u64 = 1_000;
 
-/// From this seed on each run also has tasks that crash their workers, crashes of several workers at once
-/// and workers whose capacity is reduced for a time.
+/// From this seed on each run also has tasks that crash their workers, crashes of two workers at once and
+/// workers with temporarily reduced capacity.
 const FIRST_WITH_CRASHES: u64 = 2_000;
 
 /// Most faults of one run.
@@ -58,10 +58,10 @@
     LeaveWorker(usize),
     /// The zone of half of the workers takes no new work for a time.
     CloseZone,
-    /// Two workers die at once.
-    CrashWorkers(usize),
-    /// A worker's capacity is reduced to a quarter for a time.
-    ReduceWorker(usize),
+    /// Two workers crash at once; other incarnations start in their places.
+    CrashTwoWorkers(usize),
+    /// A worker's capacity is temporarily reduced to a quarter.
+    ReduceCapacity(usize),
     /// A worker does wrong.
     Worker(usize, WorkerFault),
 }
@@ -84,7 +84,7 @@
     }
 }
 
-/// Whether some jobs of a run have tasks that crash their workers.
+/// Whether the run of a seed has jobs with tasks that crash their workers.
 pub fn has_crashing_tasks(seed: u64) -> bool {
     seed >= FIRST_WITH_CRASHES
 }
@@ -112,8 +112,11 @@
     if has_crashing_tasks(seed) {
         strikes.extend((0..4).map(|nth| {
             let worker = random.random_range(0..workers);
-            let fault =
-                if nth < 2 { Fault::CrashWorkers(worker) } else { Fault::ReduceWorker(worker) };
+            let fault = if nth < 2 {
+                Fault::CrashTwoWorkers(worker)
+            } else {
+                Fault::ReduceCapacity(worker)
+            };
             let at = Duration::from_millis(random.random_range(500..SPAN.as_millis() as u64));
             Strike { at, lasts: Duration::from_millis(random.random_range(1_000..7_000)), fault }
         }));
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -21,9 +21,9 @@
 use self::run::{DAEMONS, Run, WORKERS, play};
 use self::support::store::StoreFault;
 
-/// Seeds of the short set: together they draw every kind of fault, seed 4 has maintenance alone, 1,001 closes a zone, 2,001 has
-/// tasks that crash their workers and workers with reduced capacity. Seed
-/// 46 once failed: a start that went unanswered, was rejected when it was sent again, and came late.
+/// Seeds of the short set: together they draw every kind of fault, seed 4 has maintenance alone, 1,001
+/// closes a zone, 2,001 has tasks that crash their workers and workers with reduced capacity. Seed 46
+/// once failed: a start that went unanswered, was rejected when it was sent again, and came late.
 const SEEDS: [u64; 7] = [1, 2, 3, 4, 46, 1_001, 2_001];
 
 /// Runs at once: each has three daemons that mostly wait.
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -32,18 +32,18 @@
 /// waited for until its longest lease of ten seconds has ended.
 const SETTLING: Duration = Duration::from_secs(30);
 
-/// Added in runs with tasks that crash their workers: such a task may run five times, and each loss of a
-/// worker is certain only after its lease of five seconds.
+/// Additional settling time of runs with tasks that crash their workers: such a task may be started five
+/// times, and each lost run is released only after the worker's lease of five seconds.
 const CRASH_SETTLING: Duration = Duration::from_secs(30);
 
 /// Silence after which a worker's entry leaves the store.
 const ENTRY_LIFE: Duration = Duration::from_millis(1_500);
 
-/// Time until a worker that a task has crashed is back.
-const RESTART: Duration = Duration::from_millis(700);
+/// Delay after which a worker that was crashed by a task is restarted.
+const RESTART_DELAY: Duration = Duration::from_millis(700);
 
-/// Time between two checks for such workers.
-const RESTART_CHECK: Duration = Duration::from_millis(50);
+/// Interval between checks for workers that were crashed by tasks.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Jobs handed in a second.
 const JOBS_PER_S: u32 = 8;
@@ -113,7 +113,7 @@
         let (store, store_addr) = FakeStore::start(&stop).await;
         let floor = Arc::new(Floor::new(true));
         if faults::has_crashing_tasks(seed) {
-            floor.take_beyond_capacity();
+            floor.allow_overcommit();
         }
         let history = Arc::new(History {
             unplanned: Mutex::default(),
@@ -152,12 +152,12 @@
         run
     }
 
-    /// Starts workers again that tasks have crashed, until the run is over. The entry of the crashed one
-    /// stays listed for a while beside the new one.
+    /// Restarts workers that were crashed by tasks, until the run is over. The entry of a crashed incarnation
+    /// stays listed beside its successor's until [`ENTRY_LIFE`] has passed.
     async fn restart_crashed_workers(self: Arc<Self>) {
         let mut restarted = HashSet::new();
         while !self.history.is_over() {
-            tokio::time::sleep(RESTART_CHECK).await;
+            tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
             for at in 0..self.seats.len() {
                 let crashed = self.seats[at].worker();
                 let is_crashed = self.floor.was_crashed_by_task(crashed.incarnation);
@@ -169,13 +169,13 @@
     }
 
     async fn restart_worker(self: Arc<Self>, seat: usize, crashed: Arc<FakeWorker>) {
-        tokio::time::sleep(RESTART).await;
+        tokio::time::sleep(RESTART_DELAY).await;
         self.seats[seat].reseat(&crashed, &self.floor, &self.store, &self.stop).await;
         tokio::time::sleep(ENTRY_LIFE).await;
         self.store.remove(&format!("servers/{}", crashed.id));
     }
 
-    /// Crashes a worker, and starts it again once its entry has been removed.
+    /// Crashes a worker and restarts it once its entry has been removed.
     async fn crash_worker(&self, seat: usize) {
         let seat = &self.seats[seat];
         let worker = seat.worker();
@@ -292,11 +292,11 @@
     async fn inflict_on_worker(&self, fault: Fault, lasts: Duration) {
         match fault {
             Fault::CrashWorker(seat) => self.crash_worker(seat).await,
-            Fault::CrashWorkers(seat) => {
+            Fault::CrashTwoWorkers(seat) => {
                 let next = (seat + 1) % self.seats.len();
                 tokio::join!(self.crash_worker(seat), self.crash_worker(next));
             }
-            Fault::ReduceWorker(seat) => {
+            Fault::ReduceCapacity(seat) => {
                 let (worker, link) = self.seats[seat].present.lock().unwrap().clone();
                 self.floor.set_capacity(worker.incarnation, CPU_MILLI / 4);
                 worker.register(&self.store, link.addr, "ready");
@@ -369,7 +369,7 @@
         wrong.extend(self.troubles.lock().unwrap().clone());
         wrong.extend(self.daemons.iter().flat_map(|daemon| daemon.troubles()));
         wrong.extend(self.started_though_refused());
-        wrong.extend(self.without_crashes());
+        wrong.extend(self.missing_crashes());
         wrong
     }
 
@@ -404,10 +404,11 @@
         open
     }
 
-    /// Guards against a run that is to have crashing tasks and in which none was started.
-    fn without_crashes(&self) -> Option<String> {
-        let is_idle = faults::has_crashing_tasks(self.seed) && self.floor.crashes_by_tasks() == 0;
-        is_idle.then(|| "no task has crashed its worker".to_owned())
+    /// Guards against a run whose crashing tasks never crashed a worker and that thus tests nothing of them.
+    fn missing_crashes(&self) -> Option<String> {
+        let is_missing =
+            faults::has_crashing_tasks(self.seed) && self.floor.crashes_by_tasks() == 0;
+        is_missing.then(|| "no task has crashed its worker".to_owned())
     }
 
     fn started_though_refused(&self) -> Vec<String> {
@@ -439,15 +440,15 @@
         Self { name: name.to_owned(), lives: AtomicU64::new(1), present: Mutex::new(present) }
     }
 
-    /// Puts a new incarnation into the place of a worker, unless that has been done.
+    /// Replaces an incarnation with a new one, unless it has already been replaced.
     async fn reseat(
         &self,
-        worker: &FakeWorker,
+        replaced: &FakeWorker,
         floor: &Arc<Floor>,
         store: &FakeStore,
         stop: &CancellationToken,
     ) {
-        if self.worker().incarnation != worker.incarnation {
+        if self.worker().incarnation != replaced.incarnation {
             return;
         }
         let incarnation = self.lives.fetch_add(1, Ordering::Relaxed) + 1;
