Three sole-suspect crashes are needed, and two workers silent together explain one another

Cause: only four or more workers that went silent within a second counted as correlated, and a task that had just been isolated is the only suspect by construction.

Change: two workers that go silent together (the crashed one included) are correlated, and three crashes as the only suspect are needed; five of any kind still end the retries, so a crashing task has five starts at most. The seven tests of fleet_crashes, and those of takeovers and capacity, pass unchanged. Costs up to two crashes more where two crashing tasks run in step. Also: one doc comment and the order of imports in the cells.

--- a/crates/agatesill_policy/src/fleet/crashes.rs
+++ b/crates/agatesill_policy/src/fleet/crashes.rs
@@ -20,7 +20,7 @@
 const PROBATION_US: u64 = 2_000 * US_PER_MS;
 
 /// Consecutive crashes in which a task was the only suspect after which it is given up.
-const MOST_UNEXPLAINED_CRASHES: u32 = 2;
+const MOST_UNEXPLAINED_CRASHES: u32 = 3;
 
 /// Consecutive crashes, whatever their cause, after which a task is given up.
 const MOST_CRASHES: u32 = 5;
@@ -39,7 +39,7 @@
 
 /// Number of workers going silent within [`CORRELATION_WINDOW_US`] of a crashed worker, itself included,
 /// from which the crash is attributed to a shared cause such as a power failure of a rack.
-const CORRELATED_WORKERS: usize = 4;
+const CORRELATED_WORKERS: usize = 2;
 
 /// Largest difference between the last answers of workers whose failures are correlated.
 const CORRELATION_WINDOW_US: u64 = 1_000 * US_PER_MS;
--- a/crates/agatesilld/src/cells/links.rs
+++ b/crates/agatesilld/src/cells/links.rs
@@ -5,7 +5,6 @@
 
 use agatesill_policy::batch::Throttle;
 use agatesill_policy::prelude::*;
-
 use agatesill_wire::platform::{AttemptReport, AttemptState};
 
 use super::workers::WORKER_CALL_LIMIT;
@@ -63,7 +62,7 @@
     /// When the worker first answered this owner; from then on it refuses earlier ones.
     pub(super) reached: Option<Instant>,
     pub(super) tracks: BTreeMap<(TaskId, Attempt), Track>,
-    /// Attempts that run there against the ledger.
+    /// Attempts to be stopped: they run there against the ledger, or a late start of them is to be barred.
     pub(super) strays: BTreeSet<(TaskId, Attempt)>,
     /// Ended attempts that the worker need not report again.
     pub(super) settled: BTreeSet<(TaskId, Attempt)>,
