Skip workers without enough memory before the search limit applies

Impact: on fleets of more than 128 workers, tasks with reserved processors waited although workers had room for them; lasting tasks among them count as lost (a lasting task of the large site that was preempted waited 18 to 23 s).

Cause: a search examines the 128 workers with the fewest free processors that still suffice. Tasks that fill reserve memory but no processors, so hundreds of workers can have free processors and no free memory. Every search examined these workers first and never reached the ones after them.

Evidence: the new test with 310 workers, 300 of them without memory: 0 of 6 tasks placed before, 6 after.

Change: workers whose free memory or accelerators do not suffice are skipped before 128 are taken for closer examination. One search compares at most 4,096 workers; if none of them has room, the next search continues after them, so that the cost of a search stays bounded and each worker is compared in turn. Searches by a label that more than 512 workers have are not bounded so, as before.

--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -117,6 +117,8 @@
         }
         if request.step.fills {
             self.rooms.found_none(request.service, request.image, &search.candidates);
+        } else if search.candidates.is_empty() && request.step.label.is_empty() {
+            self.rooms.found_no_room(request.service, &request.step.charge());
         }
         None
     }
@@ -148,19 +150,19 @@
         if let Some(group) = request.advised {
             return self.with_tickets(group);
         }
-        let cpu_milli = step.charge().cpu_milli;
+        let charge = step.charge();
         if !step.label.is_empty() {
-            return self.rooms.labelled(service, &step.label, cpu_milli);
+            return self.rooms.labelled(service, &step.label, &charge);
         }
         let mut candidates = Vec::new();
         let data_rack = Some(&step.data_rack).filter(|rack| !rack.is_empty());
         for rack in data_rack.into_iter().chain(request.chosen_racks.last()) {
-            candidates.extend(self.rooms.labelled(service, rack, cpu_milli));
+            candidates.extend(self.rooms.labelled(service, rack, &charge));
         }
         candidates.extend(if step.fills {
             self.rooms.least_crowded(service, request.image)
         } else {
-            self.rooms.tightest(service, cpu_milli)
+            self.rooms.tightest(service, &charge)
         });
         candidates
     }
--- a/crates/agatesill_policy/src/fleet/rooms.rs
+++ b/crates/agatesill_policy/src/fleet/rooms.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use crate::batch::Resources;
+
 use super::colocation::crowding_now;
 use super::images::ImageId;
 use super::worker::{Worker, WorkerIndex};
@@ -13,6 +15,9 @@
 /// Most workers that are examined for one task.
 pub(super) const MOST_EXAMINED: usize = 128;
 
+/// Most workers whose free resources are compared with the charge of a task in one search.
+const MOST_SCANNED: usize = 4_096;
+
 /// A label that no more workers than this have is searched worker by worker.
 const RARE_LABEL: usize = 512;
 
@@ -20,7 +25,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Place {
     service: usize,
-    free_milli: u64,
+    free: Resources,
     /// How crowded it is for tasks that fill; `None` while it takes none.
     crowding: Option<u32>,
 }
@@ -30,6 +35,8 @@
     by_free: BTreeSet<(u64, WorkerIndex)>,
     by_crowding: BTreeSet<(u32, WorkerIndex)>,
     by_label: HashMap<String, BTreeSet<WorkerIndex>>,
+    /// Where the search for tasks with reserved processors goes on after one that found nothing.
+    resume_reserved: Option<(u64, WorkerIndex)>,
     /// Where the search for each filling image goes on after one that found nothing.
     resume: HashMap<ImageId, (u32, WorkerIndex)>,
 }
@@ -84,12 +91,12 @@
                 self.services.len() - 1
             }
         };
-        Place { service, free_milli: worker.free().cpu_milli, crowding: crowding_now(worker) }
+        Place { service, free: worker.free(), crowding: crowding_now(worker) }
     }
 
     fn insert(&mut self, index: WorkerIndex, place: Place) {
         let service = &mut self.services[place.service];
-        service.by_free.insert((place.free_milli, index));
+        service.by_free.insert((place.free.cpu_milli, index));
         if let Some(crowding) = place.crowding {
             service.by_crowding.insert((crowding, index));
         }
@@ -97,7 +104,7 @@
 
     fn remove(&mut self, index: WorkerIndex, place: Place) {
         let service = &mut self.services[place.service];
-        service.by_free.remove(&(place.free_milli, index));
+        service.by_free.remove(&(place.free.cpu_milli, index));
         if let Some(crowding) = place.crowding {
             service.by_crowding.remove(&(crowding, index));
         }
@@ -107,11 +114,27 @@
         self.numbers.get(name).map(|number| &self.services[*number])
     }
 
-    /// Workers with at least `cpu_milli` to spare, the tightest first.
-    pub fn tightest(&self, service: &str, cpu_milli: u64) -> Vec<WorkerIndex> {
+    /// Workers with room for `charge`, those with the fewest free processors first, from where the
+    /// last search gave up. Workers that lack memory or accelerators are skipped, since they could
+    /// otherwise make up all of the [`MOST_EXAMINED`].
+    pub fn tightest(&self, service: &str, charge: &Resources) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
-        let from = (cpu_milli, 0);
-        service.by_free.range(from..).map(|(_, index)| *index).take(MOST_EXAMINED).collect()
+        let has_room = |index: &WorkerIndex| self.has_room(*index, charge);
+        let scanned = service.workers_to_scan(charge).take(MOST_SCANNED).map(|(_, index)| *index);
+        scanned.filter(has_room).take(MOST_EXAMINED).collect()
+    }
+
+    fn has_room(&self, index: WorkerIndex, charge: &Resources) -> bool {
+        self.places[index as usize].is_some_and(|place| place.free.holds(charge))
+    }
+
+    /// Notes that no worker was found for a task with this charge: the next search goes on after
+    /// those that were scanned, and begins anew after the last.
+    pub fn found_no_room(&mut self, service: &str, charge: &Resources) {
+        let Some(number) = self.numbers.get(service) else { return };
+        let service = &mut self.services[*number];
+        let next = service.workers_to_scan(charge).nth(MOST_SCANNED).copied();
+        service.resume_reserved = next;
     }
 
     /// Workers that take tasks that fill, the least crowded first, from where the last search for this
@@ -139,19 +162,28 @@
     }
 
     /// Workers with a label. Where most have it, the tightest among them.
-    pub fn labelled(&self, service: &str, label: &str, cpu_milli: u64) -> Vec<WorkerIndex> {
+    pub fn labelled(&self, service: &str, label: &str, charge: &Resources) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
         let Some(labelled) = service.by_label.get(label) else { return Vec::new() };
         if labelled.len() <= RARE_LABEL {
             return labelled.iter().copied().collect();
         }
-        let from = (cpu_milli, 0);
-        let by_free = service.by_free.range(from..).map(|(_, index)| *index);
-        by_free.filter(|index| labelled.contains(index)).take(MOST_EXAMINED).collect()
+        let by_free = service.by_free.range((charge.cpu_milli, 0)..).map(|(_, index)| *index);
+        by_free
+            .filter(|index| labelled.contains(index) && self.has_room(*index, charge))
+            .take(MOST_EXAMINED)
+            .collect()
     }
 }
 
 impl ServiceRooms {
+    /// Workers with enough free processors for `charge`, the fewest first, from where the last
+    /// search gave up.
+    fn workers_to_scan(&self, charge: &Resources) -> impl Iterator<Item = &(u64, WorkerIndex)> {
+        let from = self.resume_reserved.unwrap_or_default().max((charge.cpu_milli, 0));
+        self.by_free.range(from..)
+    }
+
     fn label(&mut self, index: WorkerIndex, worker: &Worker) {
         for label in &worker.entry.labels {
             self.by_label.entry(label.clone()).or_default().insert(index);
--- /dev/null
+++ b/crates/agatesill_policy/tests/fleet_memory.rs
@@ -0,0 +1,41 @@
+//! Placement on a large fleet where most workers have free processors but too little memory.
+
+mod fleet_support;
+
+use agatesill_policy::batch::Resources;
+use agatesill_policy::fleet::{Step, WorkerEntry};
+use fleet_support::{Rig, entry, job, step};
+
+fn worker(at: usize, cores: u64, memory_mb: u64) -> WorkerEntry {
+    let capacity = Resources { cpu_milli: cores * 1_000, memory_mb, accelerators: 0 };
+    let address = format!("10.0.{}.{}:80", at / 200, at % 200);
+    WorkerEntry { address, capacity, ..entry(&format!("w{at}"), &format!("r{}-1", at / 20)) }
+}
+
+/// Guards against tasks that wait because workers with too little memory use up the limit on workers
+/// examined for one task.
+#[test]
+fn workers_without_memory_do_not_use_up_the_search_limit() {
+    let without_memory = (0..300).map(|at| worker(at, 8, 500));
+    let with_room = (300..310).map(|at| worker(at, 16, 64_000));
+    let mut rig = Rig::new(without_memory.chain(with_room).collect());
+    rig.fleet.accept(job("lasting", vec![Step { is_lasting: true, ..step(6) }]), rig.now_us);
+    rig.fleet.accept(job("finite", vec![step(6)]), rig.now_us);
+    rig.settle();
+    assert_eq!(rig.present("lasting").len(), 6);
+    assert_eq!(rig.present("finite").len(), 6);
+}
+
+/// Guards against searches that scan the same workers each time on a fleet larger than one scan.
+#[test]
+fn repeated_searches_reach_workers_beyond_one_scan() {
+    let without_memory = (0..9_000).map(|at| worker(at, 8, 500));
+    let with_room = (9_000..9_010).map(|at| worker(at, 16, 64_000));
+    let mut rig = Rig::new(without_memory.chain(with_room).collect());
+    rig.fleet.accept(job("finite", vec![step(6)]), rig.now_us);
+    for _ in 0..4 {
+        rig.pass_ms(50);
+        rig.settle();
+    }
+    assert_eq!(rig.present("finite").len(), 6);
+}
