Log what the longest-waiting task of each kind lacks, and the planner's rounds

What a task that waits for long lacks was not in the log: the wait in task_placed began anew with each start that was not carried out, and no line named a task that is passed over.

- Task::idle_since_us counts since the newest run ended, across starts that were not carried out, which are counted beside it.
- longest_wait: once a second and kind the task that has been without a run for longest, why it is not tried (held back, backing off, ...), and the workers with room for it: open, closed, unavailable; most free processors on one worker, and most that are free or reserved by tasks that end by themselves.
With the epoch.
- planner_rounds: rounds of planning in the last second, the longest, the longest gap.
With the epoch.

One pass over the workers and the waiting steps for each kind, once a second.

--- a/crates/agatesill_policy/src/fleet/ages.rs
+++ b/crates/agatesill_policy/src/fleet/ages.rs
@@ -47,6 +47,7 @@
         for (task, since_us) in job.tasks.iter_mut().zip(since_us) {
             if task.state == TaskState::Waiting {
                 task.since_us = since_us;
+                task.idle_since_us = since_us;
             }
         }
     }
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -248,6 +248,11 @@
     pub saved: String,
     /// When it entered its state.
     pub since_us: u64,
+    /// Since when it has not run: its step's turn came, or its newest run ended. Starts that were not carried
+    /// out do not change it. 0 while it runs.
+    pub idle_since_us: u64,
+    /// Starts since then that were not carried out.
+    pub failed_starts: u32,
     /// Since when it has been slowed; 0 while it is not.
     pub slowed_us: u64,
     /// Progress of its newest run when its speed was first measured, and when that was.
@@ -279,6 +284,20 @@
 }
 
 impl Task {
+    /// How long it has been without a run.
+    pub fn idle_us(&self, now_us: u64) -> u64 {
+        match self.idle_since_us {
+            0 => 0,
+            since_us => now_us.saturating_sub(since_us),
+        }
+    }
+
+    /// Notes that its newest run is present at its worker.
+    pub(super) fn began_to_run(&mut self) {
+        self.idle_since_us = 0;
+        self.failed_starts = 0;
+    }
+
     fn new(state: TaskState, now_us: u64) -> Self {
         Self {
             state,
@@ -286,6 +305,8 @@
             failures: 0,
             saved: String::new(),
             since_us: now_us,
+            idle_since_us: now_us,
+            failed_starts: 0,
             slowed_us: 0,
             start_percent: 0,
             measured_us: now_us,
--- /dev/null
+++ b/crates/agatesill_policy/src/fleet/longest_wait.rs
@@ -0,0 +1,176 @@
+//! The task of each kind that has been without a run for longest, and what the workers have for it.
+
+use super::US_PER_MS;
+use super::job::{JobId, JobPhase, Step, TaskRef, TaskState};
+use super::state::{Fleet, Group};
+use super::usage::TaskKind;
+use super::worker::Worker;
+
+/// Why a waiting task is not tried in a round of planning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deferral {
+    /// It is tried.
+    None,
+    /// It was preempted and leaves its room to urgent steps.
+    HeldBack,
+    /// It pauses after crashes of its workers.
+    BackingOff,
+    /// It waits for a worker without other suspects of a crash.
+    AwaitsSeparation,
+    /// It needs advice on the workers that may run it.
+    AwaitsAdvice,
+}
+
+impl Deferral {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Deferral::None => "none",
+            Deferral::HeldBack => "held_back",
+            Deferral::BackingOff => "backing_off",
+            Deferral::AwaitsSeparation => "awaits_separation",
+            Deferral::AwaitsAdvice => "awaits_advice",
+        }
+    }
+}
+
+/// Workers with room for a task, by whether they take tasks now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fitting {
+    /// They take tasks.
+    pub open: u32,
+    /// Closed for a moment: they failed or rejected what they were to start, or are slow.
+    pub closed: u32,
+    /// They do not answer, leave, are not registered or lie in a closed zone.
+    pub unavailable: u32,
+}
+
+/// A task that has been without a run for longest among those of its kind that wait.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LongestWait {
+    /// Its kind.
+    pub kind: TaskKind,
+    /// Its job.
+    pub job: JobId,
+    /// Its step.
+    pub step: u32,
+    /// Its place among the job's tasks.
+    pub task: u32,
+    /// Time since its newest run ended, or since its step's turn came.
+    pub waited_ms: u64,
+    /// Starts since then that were not carried out.
+    pub failed_starts: u32,
+    /// Why it is not tried now.
+    pub deferral: Deferral,
+    /// Processors that it is charged for.
+    pub cpu_milli: u64,
+    /// Memory that it is charged for.
+    pub memory_mb: u64,
+    /// Workers with room for it.
+    pub fitting: Fitting,
+    /// Most free processors on one open worker.
+    pub most_free_milli: u64,
+    /// Most processors on one open worker that are free or reserved by tasks that end by themselves.
+    pub most_free_or_plain_milli: u64,
+}
+
+impl Fleet {
+    /// The task of each kind that has been without a run for longest among those that wait.
+    pub fn longest_waits(&self, now_us: u64) -> Vec<LongestWait> {
+        [TaskKind::Lasting, TaskKind::Plain, TaskKind::Filling]
+            .into_iter()
+            .filter_map(|kind| self.longest_wait(kind, now_us))
+            .collect()
+    }
+
+    fn longest_wait(&self, kind: TaskKind, now_us: u64) -> Option<LongestWait> {
+        let (group, task, waited_us) = self
+            .waiting
+            .iter()
+            .filter_map(|group| self.longest_of_group(*group, kind, now_us))
+            .max_by_key(|(_, _, waited_us)| *waited_us)?;
+        let job = self.job(group.job)?;
+        let step = &job.spec.steps[group.step as usize];
+        let charge = step.charge();
+        let mut wait = LongestWait {
+            kind,
+            job: job.spec.id.clone(),
+            step: group.step,
+            task,
+            waited_ms: waited_us / US_PER_MS,
+            failed_starts: job.tasks[task as usize].failed_starts,
+            deferral: self.deferral(group, task, now_us),
+            cpu_milli: charge.cpu_milli,
+            memory_mb: charge.memory_mb,
+            fitting: Fitting::default(),
+            most_free_milli: 0,
+            most_free_or_plain_milli: 0,
+        };
+        let service = &self.terms(job).service;
+        let serves = |worker: &&Worker| {
+            worker.entry.service == *service && has_label(step, &worker.entry.labels)
+        };
+        for (_, worker) in self.live_workers().filter(|(_, worker)| serves(worker)) {
+            wait.add_worker(worker, step, now_us);
+        }
+        Some(wait)
+    }
+
+    fn longest_of_group(
+        &self,
+        group: Group,
+        kind: TaskKind,
+        now_us: u64,
+    ) -> Option<(Group, u32, u64)> {
+        let job = self.job(group.job).filter(|job| job.phase == JobPhase::Active)?;
+        if TaskKind::of(&job.spec.steps[group.step as usize]) != kind {
+            return None;
+        }
+        job.tasks_of(group.occurrence, group.step)
+            .filter(|task| job.tasks[*task as usize].state == TaskState::Waiting)
+            .map(|task| (group, task, job.tasks[task as usize].idle_us(now_us)))
+            .max_by_key(|(_, _, waited_us)| *waited_us)
+    }
+
+    fn deferral(&self, group: Group, task: u32, now_us: u64) -> Deferral {
+        let Some(job) = self.job(group.job) else { return Deferral::None };
+        let is_lasting = job.spec.steps[group.step as usize].is_lasting;
+        if job.tasks[task as usize].is_backing_off(now_us) {
+            Deferral::BackingOff
+        } else if is_lasting && self.is_held_back(group, now_us) {
+            Deferral::HeldBack
+        } else if self.awaits_separation(TaskRef { job: group.job, task }, now_us) {
+            Deferral::AwaitsSeparation
+        } else if self.terms(job).needs_advice {
+            Deferral::AwaitsAdvice
+        } else {
+            Deferral::None
+        }
+    }
+}
+
+impl LongestWait {
+    fn add_worker(&mut self, worker: &Worker, step: &Step, now_us: u64) {
+        let is_open = worker.is_open(now_us);
+        if worker.has_room(&step.charge()) {
+            let fitting = &mut self.fitting;
+            let count = match (worker.is_there(), is_open) {
+                (false, _) => &mut fitting.unavailable,
+                (true, false) => &mut fitting.closed,
+                (true, true) => &mut fitting.open,
+            };
+            *count += 1;
+        }
+        if is_open {
+            let free_milli = worker.free().cpu_milli;
+            let plain_milli = worker.plain_cpu_milli();
+            self.most_free_milli = self.most_free_milli.max(free_milli);
+            self.most_free_or_plain_milli =
+                self.most_free_or_plain_milli.max(free_milli + plain_milli);
+        }
+    }
+}
+
+fn has_label(step: &Step, labels: &[String]) -> bool {
+    step.label.is_empty() || labels.contains(&step.label)
+}
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -210,6 +210,8 @@
                 task = at.task, run = task.run, worker = worker.entry.id.as_str(),
                 kind = TaskKind::of(step).name(), cpu_milli = step.need.cpu_milli,
                 waited_ms = waited_ms,
+                without_run_ms = task.idle_us(task.since_us) / US_PER_MS,
+                failed_starts = task.failed_starts,
                 used_cpu_milli = worker.used.cpu_milli, filling_milli = worker.filling_cpu_milli,
                 used_memory_mb = worker.used.memory_mb, lasting = worker.lasting,
                 answer_age_ms = task.since_us.saturating_sub(worker.answered_us) / 1_000; "");
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -220,6 +220,7 @@
             if task.state == TaskState::Blocked {
                 task.state = TaskState::Waiting;
                 task.since_us = now_us;
+                task.idle_since_us = now_us;
                 is_waiting = true;
             }
         }
@@ -368,6 +369,11 @@
         let task = &mut job.tasks[at.task as usize];
         task.state = state;
         task.since_us = now_us;
+        if task.idle_since_us == 0 {
+            task.idle_since_us = now_us;
+        } else if before.worker().is_some() {
+            task.failed_starts += 1;
+        }
         task.unanswered = 0;
         task.answered_us = 0;
         task.pace_percent = 100;
--- a/crates/agatesill_policy/src/fleet/usage.rs
+++ b/crates/agatesill_policy/src/fleet/usage.rs
@@ -103,7 +103,7 @@
         self.workers += 1;
         self.capacity_milli += worker.entry.capacity.cpu_milli;
         self.lasting_milli += worker.lasting_cpu_milli;
-        self.plain_milli += worker.used.cpu_milli.saturating_sub(worker.lasting_cpu_milli);
+        self.plain_milli += worker.plain_cpu_milli();
         self.filling_milli += worker.filling_cpu_milli;
         self.free_memory_mb += worker.free().memory_mb;
         self.pressed_workers += u32::from(worker.worst_tail > 1.0);
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -253,6 +253,11 @@
         !self.entry.capacity.holds(&self.used)
     }
 
+    /// Processors reserved by tasks that end by themselves.
+    pub fn plain_cpu_milli(&self) -> u64 {
+        self.used.cpu_milli.saturating_sub(self.lasting_cpu_milli)
+    }
+
     /// What is not charged.
     pub fn free(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -7,7 +7,7 @@
 
 use agatesill_platform::advice::Advised;
 use agatesill_policy::fleet::{
-    AdviceQuestion, ClosedZone, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, Order,
+    AdviceQuestion, ClosedZone, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, LongestWait, Order,
     OrderOutcome, Poll, QueueTerms, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{mpsc, oneshot};
@@ -178,6 +178,7 @@
         to_open: BTreeSet::new(),
         usage_us: 0,
         next_round_us: 0,
+        rounds: Rounds::default(),
         caught_up_us: site.clock.now_us(),
     };
     planner.registry(start.workers);
@@ -221,6 +222,7 @@
     usage_us: u64,
     /// No round of planning before.
     next_round_us: u64,
+    rounds: Rounds,
     /// When no answer was left to take in.
     caught_up_us: u64,
 }
@@ -425,6 +427,8 @@
         if now_us - self.usage_us > USAGE_LINE_US {
             self.usage_us = now_us;
             log_usage(&self.fleet.usage(now_us));
+            self.fleet.longest_waits(now_us).iter().for_each(|wait| log_wait(wait, self.epoch));
+            self.rounds.log_and_reset(self.epoch);
             self.log_if_behind(now_us);
             self.fleet.retire_ended();
         }
@@ -469,6 +473,7 @@
         }
         self.fleet.plan(begun_us, wall_ms());
         let ended_us = self.site.clock.now_us();
+        self.rounds.add(begun_us, ended_us);
         self.next_round_us = ended_us + (ended_us - begun_us) * REST;
     }
 
@@ -518,6 +523,32 @@
     }
 }
 
+/// The rounds of planning since the last log line about them.
+#[derive(Debug, Default)]
+struct Rounds {
+    count: u64,
+    longest_us: u64,
+    longest_gap_us: u64,
+    last_ended_us: u64,
+}
+
+impl Rounds {
+    fn add(&mut self, begun_us: u64, ended_us: u64) {
+        self.count += 1;
+        self.longest_us = self.longest_us.max(ended_us - begun_us);
+        if self.last_ended_us > 0 {
+            self.longest_gap_us = self.longest_gap_us.max(begun_us - self.last_ended_us);
+        }
+        self.last_ended_us = ended_us;
+    }
+
+    fn log_and_reset(&mut self, epoch: u64) {
+        log::info!(event = "planner_rounds", epoch = epoch, rounds = self.count,
+            longest_ms = self.longest_us / 1_000, longest_gap_ms = self.longest_gap_us / 1_000; "");
+        *self = Self { last_ended_us: self.last_ended_us, ..Self::default() };
+    }
+}
+
 /// One turn of the planner: what it takes in, what it decides, and what the daemon's other tasks do
 /// between.
 struct Turn<'a> {
@@ -555,6 +586,17 @@
     }
 }
 
+/// Why the task that has been without a run for longest does not start.
+fn log_wait(wait: &LongestWait, epoch: u64) {
+    log::info!(event = "longest_wait", epoch = epoch, kind = wait.kind.name(),
+        job = wait.job.as_str(), step = wait.step, task = wait.task, waited_ms = wait.waited_ms,
+        failed_starts = wait.failed_starts, deferral = wait.deferral.name(),
+        cpu_milli = wait.cpu_milli, memory_mb = wait.memory_mb, fitting_open = wait.fitting.open,
+        fitting_closed = wait.fitting.closed, fitting_unavailable = wait.fitting.unavailable,
+        most_free_milli = wait.most_free_milli,
+        most_free_or_plain_milli = wait.most_free_or_plain_milli; "");
+}
+
 /// What an operator needs to tell a fleet that is reserved full from one that is used full.
 fn log_usage(fleet: &FleetUsage) {
     log::info!(event = "fleet_usage", workers = fleet.workers, capacity_milli = fleet.capacity_milli,
