Log unchecked duties, held-up transitions and tasks on unlisted workers

New: planner_duties (how long leases were not checked, how long answers wait, lines to open, commits under way), longest_transition (the task that has been chosen, ordered or stopping for longest, and its worker), and the tasks on unlisted workers at the start of a planner.

--- a/crates/agatesill_policy/src/fleet/longest_wait.rs
+++ b/crates/agatesill_policy/src/fleet/longest_wait.rs
@@ -1,10 +1,12 @@
-//! The task of each kind that has been without a run for longest, and what the workers have for it.
+//! Tasks that have been without a run, or on their way to or from one, for longest, and what they lack.
+
+use std::collections::BTreeMap;
 
 use super::US_PER_MS;
 use super::job::{JobId, JobPhase, Step, TaskRef, TaskState};
 use super::state::{Fleet, Group};
 use super::usage::TaskKind;
-use super::worker::Worker;
+use super::worker::{Worker, WorkerIndex, WorkerStanding};
 
 /// Why a waiting task is not tried in a round of planning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,7 +76,67 @@
     pub most_free_or_plain_milli: u64,
 }
 
+/// The task that has been in one state between its choice and its run, or its stop and its end, for longest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LongestTransition {
+    /// The state: `chosen`, `ordered` or `stopping`.
+    pub state: &'static str,
+    /// Tasks in this state.
+    pub tasks: u32,
+    /// Its job.
+    pub job: JobId,
+    /// Its place among the job's tasks.
+    pub task: u32,
+    /// Its worker.
+    pub worker: String,
+    /// How far the worker can be counted on.
+    pub standing: WorkerStanding,
+    /// Whether the registry lists the worker.
+    pub is_listed: bool,
+    /// How long it has been in this state.
+    pub for_ms: u64,
+}
+
 impl Fleet {
+    /// The task that has been chosen, ordered or stopping for longest, for each of these states.
+    pub fn longest_transitions(&self, now_us: u64) -> Vec<LongestTransition> {
+        let mut longest: BTreeMap<&'static str, (u32, u64, TaskRef, WorkerIndex)> = BTreeMap::new();
+        for (index, worker) in self.live_workers() {
+            for at in &worker.tasks {
+                let Some(job) = self.job(at.job) else { continue };
+                let task = &job.tasks[at.task as usize];
+                let state = match task.state {
+                    TaskState::Chosen(_) => "chosen",
+                    TaskState::Ordered(_) => "ordered",
+                    TaskState::Stopping(_) => "stopping",
+                    _ => continue,
+                };
+                let for_us = now_us.saturating_sub(task.since_us);
+                let entry = longest.entry(state).or_insert((0, for_us, *at, index));
+                entry.0 += 1;
+                if for_us > entry.1 {
+                    *entry = (entry.0, for_us, *at, index);
+                }
+            }
+        }
+        longest
+            .into_iter()
+            .map(|(state, (tasks, for_us, at, index))| {
+                let worker = &self.workers[index as usize];
+                LongestTransition {
+                    state,
+                    tasks,
+                    job: self.job_id(at.job).to_owned(),
+                    task: at.task,
+                    worker: worker.entry.id.clone(),
+                    standing: worker.standing,
+                    is_listed: worker.is_listed,
+                    for_ms: for_us / US_PER_MS,
+                }
+            })
+            .collect()
+    }
+
     /// The task of each kind that has been without a run for longest among those that wait.
     pub fn longest_waits(&self, now_us: u64) -> Vec<LongestWait> {
         [TaskKind::Lasting, TaskKind::Plain, TaskKind::Filling]
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -39,7 +39,7 @@
 pub use comeback::comeback_ms;
 pub use effort::Effort;
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
-pub use longest_wait::{Deferral, Fitting, LongestWait};
+pub use longest_wait::{Deferral, Fitting, LongestTransition, LongestWait};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
 pub use record::{ProgressRecord, TaskRecord};
 pub use state::{Counts, Fleet};
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -123,6 +123,14 @@
         self.worker_changed(index);
     }
 
+    /// Tasks whose newest run may be on a worker that the registry does not list, and these workers.
+    pub fn tasks_on_unlisted_workers(&self) -> (usize, usize) {
+        let unlisted = self.live_workers().map(|(_, worker)| worker).filter(|w| !w.is_listed);
+        unlisted
+            .filter(|worker| !worker.tasks.is_empty())
+            .fold((0, 0), |(tasks, workers), worker| (tasks + worker.tasks.len(), workers + 1))
+    }
+
     /// The workers that the registry is known to list.
     pub fn listed(&self) -> Vec<String> {
         self.workers
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -7,8 +7,9 @@
 
 use agatesill_platform::advice::Advised;
 use agatesill_policy::fleet::{
-    AdviceQuestion, ClosedZone, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, LongestWait, Order,
-    OrderOutcome, Poll, QueueTerms, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    AdviceQuestion, ClosedZone, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, LongestTransition,
+    LongestWait, Order, OrderOutcome, Poll, QueueTerms, Worker, WorkerEntry, WorkerIndex,
+    WorkerStanding,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -177,6 +178,7 @@
         learned_us: site.clock.now_us(),
         to_open: BTreeSet::new(),
         usage_us: 0,
+        checked_us: site.clock.now_us(),
         next_round_us: 0,
         rounds: Rounds::default(),
         caught_up_us: site.clock.now_us(),
@@ -197,7 +199,9 @@
     ));
     tasks.spawn(followers::inbox(site.clone(), news.clone(), start.inbox_revision, stop.clone()));
     site.set_planner(Some(PlannerHandle { news }));
-    log::info!(event = "planner_started", epoch = epoch; "");
+    let (lost_tasks, lost_workers) = planner.fleet.tasks_on_unlisted_workers();
+    log::info!(event = "planner_started", epoch = epoch, lines_to_open = planner.to_open.len(),
+        tasks_on_unlisted_workers = lost_tasks, unlisted_workers = lost_workers; "");
     planner.serve(told, answered, &lost).await;
     site.set_planner(None);
     stop.cancel();
@@ -220,6 +224,8 @@
     /// Idle workers whose lines are to be opened.
     to_open: BTreeSet<WorkerIndex>,
     usage_us: u64,
+    /// When leases, due times and lines to open were last checked.
+    checked_us: u64,
     /// No round of planning before.
     next_round_us: u64,
     rounds: Rounds,
@@ -256,6 +262,7 @@
             turn.taken();
             self.act();
             turn.acted();
+            self.report();
             tokio::task::yield_now().await;
             turn.end(self.fleet.waiting_groups());
         }
@@ -424,14 +431,7 @@
         self.open_lines();
         self.fleet.open_due(wall_ms(), now_us);
         self.tell();
-        if now_us - self.usage_us > USAGE_LINE_US {
-            self.usage_us = now_us;
-            log_usage(&self.fleet.usage(now_us));
-            self.fleet.longest_waits(now_us).iter().for_each(|wait| log_wait(wait, self.epoch));
-            self.rounds.log_and_reset(self.epoch);
-            self.log_if_behind(now_us);
-            self.fleet.retire_ended();
-        }
+        self.checked_us = now_us;
         if now_us - self.learned_us > SAVE_LEARNED_US {
             self.learned_us = now_us;
             let learned = self.fleet.learned();
@@ -446,6 +446,26 @@
         }
     }
 
+    /// Once a second, logs how full the workers are, what waits and how planning goes, and retires jobs.
+    fn report(&mut self) {
+        let now_us = self.site.clock.now_us();
+        if now_us - self.usage_us <= USAGE_LINE_US {
+            return;
+        }
+        self.usage_us = now_us;
+        log_usage(&self.fleet.usage(now_us));
+        self.fleet.longest_waits(now_us).iter().for_each(|wait| log_wait(wait, self.epoch));
+        let transitions = self.fleet.longest_transitions(now_us);
+        transitions.iter().for_each(|transition| log_transition(transition, self.epoch));
+        self.rounds.log_and_reset(self.epoch);
+        log::info!(event = "planner_duties", epoch = self.epoch,
+            unchecked_ms = (now_us - self.checked_us) / 1_000,
+            behind_ms = (now_us - self.caught_up_us) / 1_000, lines_to_open = self.to_open.len(),
+            commits_under_way = self.commits_under_way; "");
+        self.log_if_behind(now_us);
+        self.fleet.retire_ended();
+    }
+
     fn log_if_behind(&self, now_us: u64) {
         let behind_us = now_us - self.caught_up_us;
         if behind_us > BEHIND_US {
@@ -597,6 +617,14 @@
         most_free_or_plain_milli = wait.most_free_or_plain_milli; "");
 }
 
+/// Which task is held up on its way to a run or from one.
+fn log_transition(transition: &LongestTransition, epoch: u64) {
+    log::info!(event = "longest_transition", epoch = epoch, state = transition.state,
+        tasks = transition.tasks, job = transition.job.as_str(), task = transition.task,
+        for_ms = transition.for_ms, worker = transition.worker.as_str(),
+        standing:? = transition.standing, is_listed = transition.is_listed; "");
+}
+
 /// What an operator needs to tell a fleet that is reserved full from one that is used full.
 fn log_usage(fleet: &FleetUsage) {
     log::info!(event = "fleet_usage", workers = fleet.workers, capacity_milli = fleet.capacity_milli,
