--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -20,6 +20,12 @@
 const ENTRIES_A_RECORD: usize = 2;
 
 impl Fleet {
+    /// Records that wait to be written, and how long the oldest of them has waited.
+    pub fn records_waiting(&self, now_us: u64) -> (usize, u64) {
+        let oldest_us = self.dirty.values().min().copied().unwrap_or(now_us);
+        (self.dirty.len(), now_us.saturating_sub(oldest_us) / US_PER_MS)
+    }
+
     /// Marks a job as changed, so that its record is written before long.
     pub(super) fn mark(&mut self, slot: u32, now_us: u64) {
         if let Some(job) = self.jobs[slot as usize].as_mut() {
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -458,7 +458,9 @@
         let transitions = self.fleet.longest_transitions(now_us);
         transitions.iter().for_each(|transition| log_transition(transition, self.epoch));
         self.rounds.log_and_reset(self.epoch);
+        let (records, oldest_record_ms) = self.fleet.records_waiting(now_us);
         log::info!(event = "planner_duties", epoch = self.epoch,
+            records_waiting = records, oldest_record_ms = oldest_record_ms,
             unchecked_ms = (now_us - self.checked_us) / 1_000,
             behind_ms = (now_us - self.caught_up_us) / 1_000, lines_to_open = self.to_open.len(),
             commits_under_way = self.commits_under_way; "");
