Records that are overdue are stored first

Cause (first of two): records of ends that nobody waits for came after all records of starts. Four transactions of fifteen records were under way all the time from second 13 on, and what they left waited without bound.

Change: a record that has waited for half a second goes ahead, the oldest first; then urgent records as before. While the store keeps up nothing is overdue, and where it doesn't, none waits for ever.

--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -15,6 +15,10 @@
 /// cost a transaction for nearly every end.
 const RECORD_WAIT_US: u64 = 200 * US_PER_MS;
 
+/// How long a record may wait before it goes ahead of all that have waited for less. A takeover trusts the
+/// records: while the store lacks an end, a successor takes the run for one that may still be there.
+const OVERDUE_US: u64 = 500 * US_PER_MS;
+
 /// Entries of a transaction that a record takes: the revision it replaces and its value. The record of
 /// a job that has ended takes one more, which clears the job.
 const ENTRIES_A_RECORD: usize = 2;
@@ -41,27 +45,32 @@
     }
 
     /// The records to write together in a transaction of at most `most_entries`, one at least: those
-    /// that something waits for, urgent queues first, and with them as many others as fit. Without any
-    /// of the first kind, others are written once they have waited for a moment. Each job has one
-    /// record on its way at most, so that a later one never meets an earlier one of unknown outcome.
+    /// that are overdue, the oldest first, then those that something waits for, urgent queues first, and
+    /// with them as many others as fit. Without any of the first kinds, others are written once they have
+    /// waited for a moment. Each job has one record on its way at most, so that a later one never meets an
+    /// earlier one of unknown outcome.
     pub fn take_writes(&mut self, most_entries: usize, now_us: u64) -> Vec<JobWrite> {
         let is_due = !self.urgent.is_empty()
             || self.dirty.values().any(|since_us| now_us - since_us > RECORD_WAIT_US);
         if !is_due {
             return Vec::new();
         }
-        let mut slots: Vec<(bool, u32, u32)> = self
+        let overdue_before_us = now_us.saturating_sub(OVERDUE_US);
+        let mut slots: Vec<(u64, bool, u32, u32)> = self
             .dirty
-            .keys()
-            .filter_map(|slot| self.job(*slot).map(|job| (job, *slot)))
-            .filter(|(job, _)| !job.is_committing)
-            .map(|(job, slot)| (!self.urgent.contains(&slot), self.terms(job).priority, slot))
+            .iter()
+            .filter_map(|(slot, since_us)| Some((self.job(*slot)?, *slot, *since_us)))
+            .filter(|(job, ..)| !job.is_committing)
+            .map(|(job, slot, since_us)| {
+                let order_us = if since_us <= overdue_before_us { since_us } else { u64::MAX };
+                (order_us, !self.urgent.contains(&slot), self.terms(job).priority, slot)
+            })
             .collect();
         slots.sort_unstable();
         let mut writes = Vec::new();
         let mut zones = BTreeSet::new();
         let mut entries = 0;
-        for (_, _, slot) in slots {
+        for (.., slot) in slots {
             let of_job = self.zones_of_choices(slot);
             let is_final = self.job(slot).is_some_and(|job| job.phase != JobPhase::Active);
             let own = ENTRIES_A_RECORD + usize::from(is_final);
