A successor waits for renewals only of planners that may still renew

Cause (second of two): a task whose record names a worker that can't be reached was taken for running for a lease (5.4 s) and 8 s more, the time for which an owner that is cut off from the store may renew. That holds for a predecessor that is cut off, not for one whose process has ended.

Change: a planner stores under `planners` that it plans, before it renews anything, with those before it that are unaccounted for. Its successor asks them over the link between daemons. One whose address this process holds, whose machine refuses the connection, or that answers that it calls no worker has stopped; where all have, the successor waits a lease only. One that is silent, and a store without the key, mean the full wait as before.

--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -7,8 +7,8 @@
 use super::state::Fleet;
 use super::worker::{Worker, WorkerEntry, WorkerIndex};
 
-/// How long an owner that has lost touch with the store may go on renewing leases. A successor
-/// waits this long, and a lease more, before it counts a task on a silent worker as ended.
+/// How long an owner that has lost touch with the store may go on renewing leases. A successor of one that may
+/// do so waits this long, and a lease more, before it counts a task on a silent worker as ended.
 pub const ORPHAN_MS: u64 = 8_000;
 
 impl Fleet {
@@ -117,10 +117,10 @@
         self.pressure.restore(learned, &mut self.images);
     }
 
-    /// Ends the rebuilding: what runs on silent workers may run until the longest lease that the
-    /// owner before could have asked for.
-    pub fn restored(&mut self, now_us: u64) {
-        let until_us = now_us + self.lease_us() + ORPHAN_MS * US_PER_MS;
+    /// Ends the rebuilding: what runs on silent workers may run until the longest lease that an owner before
+    /// could have asked for; `orphan_ms` is how long one of them may still ask.
+    pub fn restored(&mut self, orphan_ms: u64, now_us: u64) {
+        let until_us = now_us + self.lease_us() + orphan_ms * US_PER_MS;
         for worker in &mut self.workers {
             worker.lease_until_us = worker.lease_until_us.max(until_us);
         }
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -7,8 +7,8 @@
 
 use agatesill_policy::batch::Resources;
 use agatesill_policy::fleet::{
-    EndCause, EndRow, Fleet, FleetBounds, JobSpec, JobWrite, Order, OrderKind, OrderOutcome, Poll,
-    QueueTerms, RunRow, Step, TaskKey, WorkerEntry, WorkerIndex,
+    EndCause, EndRow, Fleet, FleetBounds, JobSpec, JobWrite, ORPHAN_MS, Order, OrderKind,
+    OrderOutcome, Poll, QueueTerms, RunRow, Step, TaskKey, WorkerEntry, WorkerIndex,
 };
 
 /// A millisecond.
@@ -252,7 +252,7 @@
                 .map(|(text, revision)| (serde_json::from_str(text).unwrap(), *revision));
             fleet.restore(spec.clone(), record, self.now_us);
         }
-        fleet.restored(self.now_us);
+        fleet.restored(ORPHAN_MS, self.now_us);
         for entry in entries {
             fleet.worker_listed(entry, self.now_us);
         }
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -81,6 +81,9 @@
     /// Whether call after call of the answering daemon to the store fails.
     #[prost(bool, tag = "8")]
     pub is_store_lost: bool,
+    /// Whether the answering daemon calls no worker: it does not plan, and what it did has ended.
+    #[prost(bool, tag = "9")]
+    pub has_no_planner: bool,
 }
 
 /// Where a job stands.
--- a/crates/agatesilld/src/fleet/keys.rs
+++ b/crates/agatesilld/src/fleet/keys.rs
@@ -18,6 +18,9 @@
 /// Range whose owner plans.
 pub const PLANNER: &str = "planner";
 
+/// The daemons that may renew leases at workers: the planner, and those before it that are unaccounted for.
+pub const PLANNERS: &str = "planners";
+
 /// Key of an accepted job.
 pub fn job(id: &str) -> String {
     format!("{JOB}{id}")
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod ownership;
 mod planner;
+mod predecessors;
 mod ready;
 mod recovery;
 mod site;
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -8,8 +8,8 @@
 use agatesill_platform::advice::Advised;
 use agatesill_policy::fleet::{
     AdviceQuestion, ClosedZone, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, LongestTransition,
-    LongestWait, Order, OrderOutcome, Poll, QueueTerms, Worker, WorkerEntry, WorkerIndex,
-    WorkerStanding,
+    LongestWait, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms, Worker, WorkerEntry,
+    WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -19,7 +19,7 @@
 use super::commits::{self, Committed};
 use super::lines::WorkerLines;
 use super::site::{Planned, Site};
-use super::{advisor, followers, recovery};
+use super::{advisor, followers, predecessors, recovery};
 
 /// Answers of workers that may wait; a full ring holds up the lines, which ask for less then.
 const RING_ANSWERS: usize = 8_192;
@@ -157,7 +157,7 @@
 pub async fn run(site: Arc<Site>, epoch: u64, lost: CancellationToken) {
     let (answers, answered) = mpsc::channel(RING_ANSWERS);
     let (news, told) = mpsc::channel(RING_NEWS);
-    let Some(start) = recovery::recover(&site, &lost).await else { return };
+    let Some(start) = recovery::recover(&site, epoch, &lost).await else { return };
     let tasks = TaskTracker::new();
     // Everything that this planner started ends with it.
     let stop = lost.child_token();
@@ -198,6 +198,9 @@
         stop.clone(),
     ));
     tasks.spawn(followers::inbox(site.clone(), news.clone(), start.inbox_revision, stop.clone()));
+    if start.predecessors.orphan_ms() > 0 {
+        tasks.spawn(forget_predecessors(site.clone(), epoch, stop.clone()));
+    }
     site.set_planner(Some(PlannerHandle { news }));
     let (lost_tasks, lost_workers) = planner.fleet.tasks_on_unlisted_workers();
     log::info!(event = "planner_started", epoch = epoch, lines_to_open = planner.to_open.len(),
@@ -209,6 +212,17 @@
     tasks.wait().await;
 }
 
+/// Stores that no earlier planner renews leases any more, once that is certain.
+async fn forget_predecessors(site: Arc<Site>, epoch: u64, stop: CancellationToken) {
+    let wait = tokio::time::sleep(Duration::from_millis(ORPHAN_MS));
+    if stop.run_until_cancelled(wait).await.is_none() {
+        return;
+    }
+    if let Err(error) = predecessors::announce(&site, epoch, &[]).await {
+        log::debug!(event = "predecessors_not_forgotten"; "{error}");
+    }
+}
+
 struct Planner {
     site: Arc<Site>,
     epoch: u64,
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -11,6 +11,7 @@
 use super::clock::wall_ms;
 use super::followers;
 use super::keys::{self, InboxKey};
+use super::predecessors::{self, Predecessors};
 use super::site::Site;
 
 /// Pause between two tries.
@@ -30,13 +31,15 @@
     pub inbox_revision: u64,
     /// Revision of the reading of closed zones.
     pub zones_revision: u64,
+    /// Planners before this one.
+    pub predecessors: Predecessors,
 }
 
-/// Reads the ledger back; `None` if ownership is lost meanwhile.
+/// Reads the ledger back for the planner of `epoch`; `None` if ownership is lost meanwhile.
 ///
 /// Progress is read after the inbox: a job that is in the second but not the first would be known
 /// to nobody, while one that is only in the first has simply not begun.
-pub async fn recover(site: &Site, lost: &CancellationToken) -> Option<Start> {
+pub async fn recover(site: &Site, epoch: u64, lost: &CancellationToken) -> Option<Start> {
     let jobs = async {
         let inbox = read(site, keys::INBOX).await;
         let progress = read(site, keys::PROGRESS).await;
@@ -48,10 +51,11 @@
             jobs,
             read(site, registry::PREFIX),
             read(site, keys::LEARNED),
-            read(site, zones::PREFIX)
+            read(site, zones::PREFIX),
+            follow_predecessors(site, epoch)
         )
     };
-    let ((inbox, progress), workers, learned, zones) = tokio::select! {
+    let ((inbox, progress), workers, learned, zones, predecessors) = tokio::select! {
         () = lost.cancelled() => return None,
         read = read => read,
     };
@@ -68,10 +72,15 @@
     }
     let closed: Vec<ClosedZone> = zones.entries.iter().filter_map(zones::decode).collect();
     fleet.set_closed_zones(&closed, zones.revision, site.clock.now_us());
-    restore(&mut fleet, &inbox.entries, &progress.entries, site.clock.now_us());
+    let Some(predecessors) = predecessors else {
+        lost.cancel();
+        return None;
+    };
+    let orphan_ms = predecessors.orphan_ms();
+    restore(&mut fleet, &inbox.entries, &progress.entries, orphan_ms, site.clock.now_us());
     log::info!(event = "ledger_read", jobs = inbox.entries.len(),
         records = progress.entries.len(), workers = workers.entries.len(),
-        closed_zones = closed.len(),
+        closed_zones = closed.len(), orphan_ms = orphan_ms,
         revision = inbox.revision; "");
     Some(Start {
         fleet,
@@ -80,10 +89,36 @@
         registry_read_us,
         inbox_revision: inbox.revision,
         zones_revision: zones.revision,
+        predecessors,
     })
 }
 
-fn restore(fleet: &mut Fleet, inbox: &[Entry], progress: &[Entry], now_us: u64) {
+/// Finds out which daemons that planned before may still renew leases, and stores that this one plans now;
+/// `None` if another daemon owns the range. Nothing is renewed here before it is stored: the next successor
+/// must know whom to ask.
+async fn follow_predecessors(site: &Site, epoch: u64) -> Option<Predecessors> {
+    let predecessors = loop {
+        match predecessors::find(site).await {
+            Ok(predecessors) => break predecessors,
+            Err(error) => {
+                log::warn!(event = "ledger_unread", prefix = keys::PLANNERS; "{error}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    };
+    loop {
+        match predecessors::announce(site, epoch, &predecessors.renewing).await {
+            Ok(true) => return Some(predecessors),
+            Ok(false) => return None,
+            Err(error) => {
+                log::warn!(event = "planner_unannounced", epoch = epoch; "{error}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn restore(fleet: &mut Fleet, inbox: &[Entry], progress: &[Entry], orphan_ms: u64, now_us: u64) {
     let mut records: HashMap<&str, (ProgressRecord, u64)> = progress
         .iter()
         .filter_map(|entry| {
@@ -112,7 +147,7 @@
         }
     }
     cancels.into_iter().for_each(|id| fleet.cancel(id, now_us));
-    fleet.restored(now_us);
+    fleet.restored(orphan_ms, now_us);
 }
 
 async fn read(site: &Site, prefix: &str) -> StoreReply {
--- a/crates/agatesilld/src/fleet/site.rs
+++ b/crates/agatesilld/src/fleet/site.rs
@@ -141,6 +141,11 @@
         self.planner().filter(|_| age_us < CERTAIN_US)
     }
 
+    /// Whether this daemon's planner runs, or what it started has not ended yet.
+    pub fn is_planning(&self) -> bool {
+        self.confirmed_us.load(Ordering::Acquire) > 0
+    }
+
     /// Whether the news of the registry still comes, so that starts may be sent.
     ///
     /// Guards against a registry that is not heard of for long: workers that left since would get starts.
