At most half of a transaction goes to overdue records

With all records by age once they are overdue, urgent starts waited behind ends where the store can't keep up: in a virtual fleet with turns of 100 ms and transactions of 200 ms the median wait of urgent tasks was 902 ms against 302 ms. On the large site nearly four hundred records waited, the oldest for 16 s.

--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -15,8 +15,8 @@
 /// cost a transaction for nearly every end.
 const RECORD_WAIT_US: u64 = 200 * US_PER_MS;
 
-/// How long a record may wait before it goes ahead of all that have waited for less. A takeover trusts the
-/// records: while the store lacks an end, a successor takes the run for one that may still be there.
+/// How long a record may wait before it is overdue. A takeover trusts the records: while the store lacks an
+/// end, a successor takes the run for one that may still be there.
 const OVERDUE_US: u64 = 500 * US_PER_MS;
 
 /// Entries of a transaction that a record takes: the revision it replaces and its value. The record of
@@ -45,32 +45,21 @@
     }
 
     /// The records to write together in a transaction of at most `most_entries`, one at least: those
-    /// that are overdue, the oldest first, then those that something waits for, urgent queues first, and
-    /// with them as many others as fit. Without any of the first kinds, others are written once they have
-    /// waited for a moment. Each job has one record on its way at most, so that a later one never meets an
-    /// earlier one of unknown outcome.
+    /// that something waits for, urgent queues first, and with them as many others as fit. Without any
+    /// of the first kind, others are written once they have waited for a moment. Up to half of a
+    /// transaction goes to records that are overdue. Each job has one record on its way at most, so that a
+    /// later one never meets an earlier one of unknown outcome.
     pub fn take_writes(&mut self, most_entries: usize, now_us: u64) -> Vec<JobWrite> {
         let is_due = !self.urgent.is_empty()
             || self.dirty.values().any(|since_us| now_us - since_us > RECORD_WAIT_US);
         if !is_due {
             return Vec::new();
         }
-        let overdue_before_us = now_us.saturating_sub(OVERDUE_US);
-        let mut slots: Vec<(u64, bool, u32, u32)> = self
-            .dirty
-            .iter()
-            .filter_map(|(slot, since_us)| Some((self.job(*slot)?, *slot, *since_us)))
-            .filter(|(job, ..)| !job.is_committing)
-            .map(|(job, slot, since_us)| {
-                let order_us = if since_us <= overdue_before_us { since_us } else { u64::MAX };
-                (order_us, !self.urgent.contains(&slot), self.terms(job).priority, slot)
-            })
-            .collect();
-        slots.sort_unstable();
+        let slots = self.slots_to_write(most_entries / ENTRIES_A_RECORD / 2, now_us);
         let mut writes = Vec::new();
         let mut zones = BTreeSet::new();
         let mut entries = 0;
-        for (.., slot) in slots {
+        for slot in slots {
             let of_job = self.zones_of_choices(slot);
             let is_final = self.job(slot).is_some_and(|job| job.phase != JobPhase::Active);
             let own = ENTRIES_A_RECORD + usize::from(is_final);
@@ -85,6 +74,27 @@
         writes
     }
 
+    /// Jobs with a record to write, in the order in which they are written: the `most_overdue` that have been
+    /// overdue for longest, then all others.
+    fn slots_to_write(&self, most_overdue: usize, now_us: u64) -> Vec<u32> {
+        let mut overdue = Vec::new();
+        let mut others = Vec::new();
+        for (slot, since_us) in &self.dirty {
+            let Some(job) = self.job(*slot).filter(|job| !job.is_committing) else { continue };
+            if now_us.saturating_sub(*since_us) >= OVERDUE_US {
+                overdue.push((*since_us, *slot));
+            }
+            others.push((!self.urgent.contains(slot), self.terms(job).priority, *slot));
+        }
+        overdue.sort_unstable();
+        overdue.truncate(most_overdue);
+        let first: BTreeSet<u32> = overdue.iter().map(|(_, slot)| *slot).collect();
+        others.retain(|(.., slot)| !first.contains(slot));
+        others.sort_unstable();
+        let others = others.into_iter().map(|(.., slot)| slot);
+        overdue.into_iter().map(|(_, slot)| slot).chain(others).collect()
+    }
+
     fn take_write(&mut self, slot: u32, zones: BTreeSet<String>) -> Option<JobWrite> {
         self.dirty.remove(&slot);
         self.urgent.remove(&slot);
