Leases, due times and lines are checked every 50 ms, however much news there is

Cause: the check ran on a timer that the planner's loop took only in a moment without news, and with the store always answering some transaction there was none.

So every answer carries the moment at which its line told it, and a lease counts as over only if it ended before all that was told has been taken in, less a turn for the lines to tell what has arrived. In lag eight lines are opened a round in place of 64. behind_ms now is the age of the answers taken in, not the time since none was left.

Test of the policy: a lease that ended after the answers taken in is not over.

--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -112,30 +112,33 @@
         std::mem::take(&mut self.gone)
     }
 
-    /// Ends the lives that must be over: silent past every lease that could have been granted.
-    pub fn expire_workers(&mut self, now_us: u64) {
+    /// Ends the lives that must be over: silent past every lease that could have been granted. All that workers
+    /// answered before `as_of_us` has been taken in.
+    ///
+    /// Guards against a planner that lags: an answer that waits to be taken in may have renewed a lease.
+    pub fn expire_workers(&mut self, as_of_us: u64, now_us: u64) {
         let expired: Vec<WorkerIndex> = self
             .live_workers()
             .filter(|(_, worker)| {
                 let is_silent = worker.standing != WorkerStanding::Good;
-                is_silent && !worker.is_listed && now_us > worker.lease_until_us
+                is_silent && !worker.is_listed && as_of_us > worker.lease_until_us
             })
             .map(|(index, _)| index)
             .collect();
         for index in expired {
             self.worker_gone(index, "silent past its lease and not registered", now_us);
         }
-        self.free_lapsed(now_us);
+        self.free_lapsed(as_of_us, now_us);
     }
 
     /// Frees the tasks of workers that are registered but silent past their lease: their runs have
     /// lapsed, though the worker lives.
-    fn free_lapsed(&mut self, now_us: u64) {
+    fn free_lapsed(&mut self, as_of_us: u64, now_us: u64) {
         let lapsed: Vec<WorkerIndex> = self
             .live_workers()
             .filter(|(_, worker)| {
                 worker.standing != WorkerStanding::Good
-                    && now_us > worker.lease_until_us
+                    && as_of_us > worker.lease_until_us
                     && !worker.tasks.is_empty()
             })
             .map(|(index, _)| index)
--- a/crates/agatesill_policy/tests/fleet_crashes.rs
+++ b/crates/agatesill_policy/tests/fleet_crashes.rs
@@ -146,7 +146,7 @@
         // The poll was sent before the orders of the last 10 ms were answered.
         let sent_us = self.rig.now_us - 10 * MS;
         up.into_iter().for_each(|worker| self.rig.poll_sent(worker, sent_us));
-        self.rig.fleet.expire_workers(self.rig.now_us);
+        self.rig.fleet.expire_workers(self.rig.now_us, self.rig.now_us);
     }
 
     /// Replaces the planner with one that knows only the stored records.
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -154,10 +154,10 @@
     rig.fleet.lease_asked(worker, asked_us);
     rig.fleet.worker_silent(worker, rig.now_us + 1_200 * MS);
     rig.now_us = asked_us + 5_050 * MS;
-    rig.fleet.expire_workers(rig.now_us);
+    rig.fleet.expire_workers(rig.now_us, rig.now_us);
     assert!(starts(&rig.plan()).is_empty(), "the lease of a slow clock has not ended yet");
     rig.now_us = asked_us + 5_500 * MS;
-    rig.fleet.expire_workers(rig.now_us);
+    rig.fleet.expire_workers(rig.now_us, rig.now_us);
     assert_eq!(starts(&rig.plan()).len(), 1);
 }
 
--- a/crates/agatesill_policy/tests/fleet_random.rs
+++ b/crates/agatesill_policy/tests/fleet_random.rs
@@ -117,7 +117,7 @@
         self.lapse();
         self.give_up_waiting();
         self.poll_all();
-        self.rig.fleet.expire_workers(self.rig.now_us);
+        self.rig.fleet.expire_workers(self.rig.now_us, self.rig.now_us);
         self.act();
         self.check();
     }
@@ -449,7 +449,7 @@
         world.lapse();
         world.give_up_waiting();
         world.poll_all();
-        world.rig.fleet.expire_workers(world.rig.now_us);
+        world.rig.fleet.expire_workers(world.rig.now_us, world.rig.now_us);
         world.act();
         world.check();
     }
--- a/crates/agatesill_policy/tests/fleet_takeover.rs
+++ b/crates/agatesill_policy/tests/fleet_takeover.rs
@@ -2,7 +2,9 @@
 
 mod fleet_support;
 
-use agatesill_policy::fleet::{EndCause, JobPhase, OrderKind, Poll, Step, WorkerEntry};
+use agatesill_policy::fleet::{
+    EndCause, JobPhase, OrderKind, Poll, Step, WorkerEntry, WorkerStanding,
+};
 use fleet_support::{MS, Rig, entry, job, step};
 
 /// The planner dies with a task running. Its successor finds the run on the worker's list and keeps
@@ -59,11 +61,11 @@
     rig.fleet.polled(index, &poll, rig.now_us);
     rig.now_us = taken_us + 12_900 * MS;
     rig.fleet.polled(index, &Poll { sent_us: rig.now_us, ..poll.clone() }, rig.now_us);
-    rig.fleet.expire_workers(rig.now_us);
+    rig.fleet.expire_workers(rig.now_us, rig.now_us);
     assert!(rig.plan().is_empty());
     rig.now_us = taken_us + 13_600 * MS;
     rig.fleet.polled(index, &Poll { sent_us: rig.now_us, ..poll }, rig.now_us);
-    rig.fleet.expire_workers(rig.now_us);
+    rig.fleet.expire_workers(rig.now_us, rig.now_us);
     assert_eq!(rig.plan().len(), 1);
 }
 
@@ -83,7 +85,7 @@
     rig.fleet.worker_unlisted(&id);
     rig.fleet.worker_silent(worker, rig.now_us);
     rig.pass_ms(5_600);
-    rig.fleet.expire_workers(rig.now_us);
+    rig.fleet.expire_workers(rig.now_us, rig.now_us);
     let orders = rig.plan();
     assert!(orders.iter().any(|order| matches!(order.kind, OrderKind::Start { .. })), "{orders:?}");
 }
@@ -157,3 +159,20 @@
         assert_eq!(live_count, 2, "crashed first: {crashed_first}");
     }
 }
+
+/// Guards against leases taken for ended while an answer that may have renewed them waits.
+#[test]
+fn a_lease_is_not_over_while_older_answers_wait() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    rig.fleet.accept(job("j", vec![step(1)]), rig.now_us);
+    rig.settle();
+    rig.poll_all();
+    rig.fleet.worker_unlisted("w1");
+    rig.fleet.worker_silent(0, rig.now_us);
+    let as_of_us = rig.now_us;
+    rig.pass_ms(20_000);
+    rig.fleet.expire_workers(as_of_us, rig.now_us);
+    assert_eq!(rig.fleet.worker(0).standing, WorkerStanding::Silent);
+    rig.fleet.expire_workers(rig.now_us, rig.now_us);
+    assert_eq!(rig.fleet.worker(0).standing, WorkerStanding::Gone);
+}
--- a/crates/agatesilld/src/fleet/lines.rs
+++ b/crates/agatesilld/src/fleet/lines.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::planner::Event;
+use super::planner::{Answer, Event};
 use super::site::Site;
 
 /// How long a poll waits for an end. Figures of the last half second come with each poll, so a
@@ -110,7 +110,7 @@
     site: Arc<Site>,
     epoch: u64,
     lease_ms: u64,
-    events: mpsc::Sender<Event>,
+    answers: mpsc::Sender<Answer>,
     stop: CancellationToken,
     tasks: TaskTracker,
     lines: HashMap<WorkerIndex, (Arc<Line>, mpsc::Sender<Order>)>,
@@ -121,12 +121,12 @@
     pub fn new(
         site: Arc<Site>,
         epoch: u64,
-        events: mpsc::Sender<Event>,
+        answers: mpsc::Sender<Answer>,
         stop: CancellationToken,
         tasks: TaskTracker,
     ) -> Self {
         let lease_ms = Fleet::new(site.settings.bounds.clone()).lease_ms();
-        Self { site, epoch, lease_ms, events, stop, tasks, lines: HashMap::new() }
+        Self { site, epoch, lease_ms, answers, stop, tasks, lines: HashMap::new() }
     }
 
     /// Whether the line to a worker is open.
@@ -168,7 +168,7 @@
             site: self.site.clone(),
             epoch: self.epoch,
             lease_ms: self.lease_ms,
-            events: self.events.clone(),
+            answers: self.answers.clone(),
         }
     }
 
@@ -219,10 +219,16 @@
     site: Arc<Site>,
     epoch: u64,
     lease_ms: u64,
-    events: mpsc::Sender<Event>,
+    answers: mpsc::Sender<Answer>,
 }
 
 impl Caller {
+    /// Tells the planner; false once it has ended.
+    async fn tell(&self, event: Event) -> bool {
+        let answer = Answer { told_us: self.site.clock.now_us(), event };
+        self.answers.send(answer).await.is_ok()
+    }
+
     /// End of the lease to ask for, on the worker's clock; `None` if none may be asked for.
     ///
     /// Guards against an owner that is cut off from the store and goes on renewing for ever: its
@@ -289,7 +295,7 @@
                     (Event::Silent(line.worker, lease.map(|_| sent_us)), POLL_PAUSE)
                 }
             };
-            if self.events.send(event).await.is_err() {
+            if !self.tell(event).await {
                 return;
             }
             if let Some(end) = newest_end {
@@ -334,7 +340,7 @@
                     give.await
                 }
             };
-            if self.events.send(event).await.is_err() {
+            if !self.tell(event).await {
                 return;
             }
         }
@@ -362,7 +368,7 @@
                 let Ok(next) = next.await else { break };
                 let Some(order) = next else { return };
                 let event = self.give(line, &mut channel, order).await;
-                if self.events.send(event).await.is_err() {
+                if !self.tell(event).await {
                     return;
                 }
             }
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -43,10 +43,16 @@
 /// that run something stand behind the handshakes of those that do not, and their leases end.
 const LINES_A_ROUND: usize = 64;
 
+/// The same while answers wait for longer than [`LAG_US`].
+const LINES_A_ROUND_IN_LAG: usize = 8;
+
+/// How long answers may wait until opening lines makes way for them.
+const LAG_US: u64 = 100_000;
+
 /// How long answers must have waited for the planner to count as behind.
 const BEHIND_US: u64 = 500_000;
 
-/// Time between two rounds without an event: leases and due times are checked this often.
+/// Time between two checks of leases and due times, and between two rounds without an event.
 const ROUND: Duration = Duration::from_millis(50);
 
 /// Transactions of records on their way to the store at once: enough for a store that answers slowly,
@@ -108,6 +114,15 @@
     Pending(String, oneshot::Sender<u64>),
 }
 
+/// What the line to a worker tells.
+#[derive(Debug)]
+pub struct Answer {
+    /// When it was told.
+    pub told_us: u64,
+    /// What happened.
+    pub event: Event,
+}
+
 /// The way to the planner of this daemon.
 #[derive(Clone, Debug)]
 pub struct PlannerHandle {
@@ -181,7 +196,8 @@
         checked_us: site.clock.now_us(),
         next_round_us: 0,
         rounds: Rounds::default(),
-        caught_up_us: site.clock.now_us(),
+        answers_as_of_us: site.clock.now_us(),
+        turns_begun_us: [site.clock.now_us(); 2],
     };
     planner.registry(start.workers);
     site.registry_as_of_us.store(start.registry_read_us, Ordering::Release);
@@ -243,15 +259,17 @@
     /// No round of planning before.
     next_round_us: u64,
     rounds: Rounds,
-    /// When no answer was left to take in.
-    caught_up_us: u64,
+    /// All that workers answered before this was taken in.
+    answers_as_of_us: u64,
+    /// When the present turn began, and the one before it.
+    turns_begun_us: [u64; 2],
 }
 
 impl Planner {
     async fn serve(
         &mut self,
         mut news: mpsc::Receiver<Event>,
-        mut answers: mpsc::Receiver<Event>,
+        mut answers: mpsc::Receiver<Answer>,
         lost: &CancellationToken,
     ) {
         let mut rounds = tokio::time::interval(ROUND);
@@ -265,14 +283,16 @@
                     Some(event) => self.take(event),
                     None => break,
                 },
-                _ = rounds.tick() => self.check_times(),
-                event = answers.recv() => match event {
-                    Some(event) => self.take(event),
+                _ = rounds.tick() => {}
+                answer = answers.recv() => match answer {
+                    Some(answer) => self.take_answer(answer),
                     None => break,
                 },
             }
             let mut turn = Turn::begin(&site);
+            self.turns_begun_us = [turn.begun_us, self.turns_begun_us[0]];
             self.take_waiting(&mut news, &mut answers);
+            self.check_times();
             turn.taken();
             self.act();
             turn.acted();
@@ -290,7 +310,7 @@
     fn take_waiting(
         &mut self,
         news: &mut mpsc::Receiver<Event>,
-        answers: &mut mpsc::Receiver<Event>,
+        answers: &mut mpsc::Receiver<Answer>,
     ) {
         while let Ok(event) = news.try_recv() {
             self.take(event);
@@ -298,15 +318,20 @@
         let begun_us = self.site.clock.now_us();
         while self.site.clock.now_us() - begun_us < TURN_US {
             match answers.try_recv() {
-                Ok(event) => self.take(event),
+                Ok(answer) => self.take_answer(answer),
                 Err(_) => {
-                    self.caught_up_us = self.site.clock.now_us();
+                    self.answers_as_of_us = self.site.clock.now_us();
                     return;
                 }
             }
         }
     }
 
+    fn take_answer(&mut self, answer: Answer) {
+        self.answers_as_of_us = self.answers_as_of_us.max(answer.told_us);
+        self.take(answer.event);
+    }
+
     /// Waits a moment for the records on their way, so that a successor reads them.
     async fn finish_commits(&mut self, news: &mut mpsc::Receiver<Event>) {
         let until = tokio::time::Instant::now() + LAST_COMMITS;
@@ -406,7 +431,9 @@
 
     /// Opens the lines to some of the idle workers that wait for one.
     fn open_lines(&mut self) {
-        for _ in 0..LINES_A_ROUND {
+        let is_lagging = self.behind_us() > LAG_US;
+        let count = if is_lagging { LINES_A_ROUND_IN_LAG } else { LINES_A_ROUND };
+        for _ in 0..count {
             let Some(index) = self.to_open.pop_first() else { return };
             self.lines.open(index, self.fleet.worker(index));
         }
@@ -439,13 +466,21 @@
         }
     }
 
+    /// Checks leases, due times and lines to open, whatever news there is.
+    ///
+    /// Guards against news that never pauses: workers that are gone would keep their tasks.
     fn check_times(&mut self) {
         let now_us = self.site.clock.now_us();
-        self.fleet.expire_workers(now_us);
+        if now_us - self.checked_us < ROUND.as_micros() as u64 {
+            return;
+        }
+        self.checked_us = now_us;
+        // The lines had two turns to tell what had arrived before the one before this.
+        let as_of_us = self.answers_as_of_us.min(self.turns_begun_us[1]);
+        self.fleet.expire_workers(as_of_us, now_us);
         self.open_lines();
         self.fleet.open_due(wall_ms(), now_us);
         self.tell();
-        self.checked_us = now_us;
         if now_us - self.learned_us > SAVE_LEARNED_US {
             self.learned_us = now_us;
             let learned = self.fleet.learned();
@@ -476,14 +511,19 @@
         log::info!(event = "planner_duties", epoch = self.epoch,
             records_waiting = records, oldest_record_ms = oldest_record_ms,
             unchecked_ms = (now_us - self.checked_us) / 1_000,
-            behind_ms = (now_us - self.caught_up_us) / 1_000, lines_to_open = self.to_open.len(),
+            behind_ms = self.behind_us() / 1_000, lines_to_open = self.to_open.len(),
             commits_under_way = self.commits_under_way; "");
-        self.log_if_behind(now_us);
+        self.log_if_behind();
         self.fleet.retire_ended();
     }
 
-    fn log_if_behind(&self, now_us: u64) {
-        let behind_us = now_us - self.caught_up_us;
+    /// How long the answers that are taken in next have waited.
+    fn behind_us(&self) -> u64 {
+        self.site.clock.now_us().saturating_sub(self.answers_as_of_us)
+    }
+
+    fn log_if_behind(&self) {
+        let behind_us = self.behind_us();
         if behind_us > BEHIND_US {
             log::warn!(event = "planner_behind", behind_ms = behind_us / 1_000,
                 waiting_steps = self.fleet.waiting_groups(); "answers of workers wait");
@@ -495,7 +535,7 @@
         self.site.set_planned(Planned {
             counts: self.fleet.counts(),
             effort: self.fleet.effort(),
-            behind_us: self.site.clock.now_us() - self.caught_up_us,
+            behind_us: self.behind_us(),
             waiting_steps: self.fleet.waiting_groups() as u64,
             workers: self.fleet.live_workers().count() as u64,
             silent_workers: self.fleet.live_workers().map(|(_, w)| w).filter(silent).count() as u64,
