--- a/crates/agatesill_policy/src/fleet/ages.rs
+++ b/crates/agatesill_policy/src/fleet/ages.rs
@@ -34,7 +34,8 @@
         let mut since_us = vec![turn_us; job.tasks.len()];
         for task in record.into_iter().flat_map(|record| &record.tasks) {
             if let Some(since) = since_us.get_mut(task.task as usize) {
-                *since = recorded(task.waits_since_ms).unwrap_or(now_us);
+                let runs = !task.worker.is_empty();
+                *since = recorded(task.waits_since_ms).unwrap_or(if runs { 0 } else { now_us });
             }
         }
         let is_timed = job.spec.occurrences > 0;
@@ -45,9 +46,14 @@
             return;
         }
         for (task, since_us) in job.tasks.iter_mut().zip(since_us) {
-            if task.state == TaskState::Waiting {
-                task.since_us = since_us;
-                task.idle_since_us = since_us;
+            match task.state {
+                TaskState::Waiting => {
+                    task.since_us = since_us;
+                    task.idle_since_us = since_us;
+                }
+                // It runs, or was about to start.
+                TaskState::Ordered(_) => task.idle_since_us = since_us,
+                _ => {}
             }
         }
     }
--- a/crates/agatesill_policy/src/fleet/order.rs
+++ b/crates/agatesill_policy/src/fleet/order.rs
@@ -99,7 +99,7 @@
     job.tasks_of(group.occurrence, group.step)
         .map(|task| &job.tasks[task as usize])
         .filter(|task| task.state == TaskState::Waiting)
-        .map(|task| now_us.saturating_sub(task.since_us))
+        .map(|task| task.idle_us(now_us))
         .max()
         .unwrap_or(0)
 }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -84,9 +84,8 @@
         }
         // A lasting task has no attempts to lose; where only a failing worker has room, it goes back
         // there after a moment rather than being missing until that worker is tried again.
-        let waits_us = now_us.saturating_sub(
-            tasks.iter().map(|t| job.tasks[*t as usize].since_us).min().unwrap_or(now_us),
-        );
+        let waits_us =
+            tasks.iter().map(|t| job.tasks[*t as usize].idle_us(now_us)).max().unwrap_or(0);
         let takes_closed = step.is_lasting && waits_us > LASTING_WAIT_US;
         let charge = step.charge();
         let image = job.images[group.step as usize];
--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -111,8 +111,7 @@
     /// Whether all waiting tasks of a lasting step still leave the room that they gave up to others.
     pub(super) fn is_held_back(&self, group: Group, now_us: u64) -> bool {
         let Some(job) = self.job(group.job) else { return false };
-        let is_held =
-            |task: &Task| task.preempted && now_us.saturating_sub(task.since_us) < HOLD_US;
+        let is_held = |task: &Task| task.preempted && task.idle_us(now_us) < HOLD_US;
         self.misses_little(job, group)
             && job
                 .tasks_of(group.occurrence, group.step)
@@ -137,7 +136,7 @@
         job.tasks_of(group.occurrence, group.step)
             .map(|task| &job.tasks[task as usize])
             .filter(|task| task.state == TaskState::Waiting)
-            .filter(|task| now_us.saturating_sub(task.since_us) >= PATIENCE_US)
+            .filter(|task| task.idle_us(now_us) >= PATIENCE_US)
             .map(|_| step.need.cpu_milli)
             .sum()
     }
--- a/crates/agatesill_policy/src/fleet/record.rs
+++ b/crates/agatesill_policy/src/fleet/record.rs
@@ -34,7 +34,7 @@
         /// Newest checkpoint known when the record was made.
         #[serde(rename = "s", skip_serializing_if = "String::is_empty")]
         pub saved: String,
-        /// Time of day since when it waits for a worker; 0 while it does not.
+        /// Time of day since when it has been without a run; 0 while it runs.
         #[serde(rename = "a", skip_serializing_if = "is_zero64")]
         pub waits_since_ms: u64,
     }
@@ -102,9 +102,9 @@
                     .map(|worker| workers[worker as usize].entry.id.clone())
                     .unwrap_or_default(),
                 saved: task.saved.clone(),
-                waits_since_ms: match task.state {
-                    TaskState::Waiting => wall_ms(task.since_us),
-                    _ => 0,
+                waits_since_ms: match (task.state, task.idle_since_us) {
+                    (TaskState::Done | TaskState::Blocked, _) | (_, 0) => 0,
+                    (_, since_us) => wall_ms(since_us),
                 },
             })
             .collect();
--- a/crates/agatesill_policy/src/fleet/usage.rs
+++ b/crates/agatesill_policy/src/fleet/usage.rs
@@ -119,7 +119,7 @@
         for task in job.tasks_of(occurrence, step_index) {
             let task = &job.tasks[task as usize];
             if task.state == TaskState::Waiting {
-                let waited_ms = now_us.saturating_sub(task.since_us) / super::US_PER_MS;
+                let waited_ms = task.idle_us(now_us) / super::US_PER_MS;
                 waiting.tasks += 1;
                 waiting.cpu_milli += step.need.cpu_milli;
                 waiting.longest_ms = waiting.longest_ms.max(waited_ms);
--- a/crates/agatesill_policy/tests/fleet_ages.rs
+++ b/crates/agatesill_policy/tests/fleet_ages.rs
@@ -2,7 +2,7 @@
 
 mod fleet_support;
 
-use agatesill_policy::fleet::{EndCause, Step};
+use agatesill_policy::fleet::{EndCause, OrderOutcome, Step};
 use fleet_support::{MS, Rig, entry, job, step};
 
 fn accepted_now(rig: &Rig, id: &str, steps: Vec<Step>) -> agatesill_policy::fleet::JobSpec {
@@ -126,3 +126,36 @@
         assert!((waited_ms - 5_000 - step_ms).abs() <= 10, "{waited_ms}");
     }
 }
+
+/// Guards against lasting tasks whose wait begins anew with each start that their worker rejects.
+#[test]
+fn a_rejected_start_does_not_restart_the_wait() {
+    let mut rig = Rig::new(vec![entry("w", "r1-1")]);
+    let spec = accepted_now(&rig, "watch", vec![Step { is_lasting: true, ..step(1) }]);
+    rig.fleet.accept(spec, rig.now_us);
+    for _ in 0..4 {
+        for order in rig.plan() {
+            rig.fleet.order_answered(&order, OrderOutcome::NoRoom, rig.now_us);
+        }
+        rig.pass_ms(1_000);
+        rig.poll_all();
+    }
+    let waited_ms = rig.fleet.usage(rig.now_us).lasting.longest_ms;
+    assert!(waited_ms >= 4_000, "{waited_ms}");
+}
+
+/// Guards against a successor that forgets how long a task waited whose start was not carried out.
+#[test]
+fn the_wait_of_a_task_that_was_about_to_start_survives_a_takeover() {
+    let mut rig = Rig::new(vec![entry("w", "r1-1")]);
+    let spec = accepted_now(&rig, "watch", vec![Step { is_lasting: true, ..step(1) }]);
+    rig.fleet.worker_silent(0, rig.now_us);
+    rig.fleet.accept(spec.clone(), rig.now_us);
+    rig.pass_ms(5_000);
+    rig.poll_all();
+    assert_eq!(rig.plan().len(), 1, "ordered, and not carried out");
+    rig.fleet = rig.successor(&[spec], vec![entry("w", "r1-1")]);
+    rig.poll_all();
+    let waited_ms = rig.fleet.usage(rig.now_us).lasting.longest_ms;
+    assert!(waited_ms >= 5_000, "{waited_ms}");
+}
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code)] // Each test file uses its own part.
 #![allow(clippy::unwrap_used)] // A broken assumption of a test ends the test.
 
+pub mod world;
+
 use std::collections::BTreeMap;
 
 use agatesill_policy::batch::Resources;
