--- a/crates/agatesill_policy/tests/fleet_capacity.rs
+++ b/crates/agatesill_policy/tests/fleet_capacity.rs
@@ -126,3 +126,21 @@
     rig.fleet.polled(0, &poll, rig.now_us);
     assert_eq!(count_starts(&rig.plan()), 4);
 }
+
+/// Guards against a successor that starts more than a worker holds which shrank under the planner before.
+#[test]
+fn a_successor_keeps_to_a_capacity_that_shrank_before() {
+    let mut rig = Rig::new(vec![worker_with_cores("w1", 16)]);
+    let first = job("first", vec![step(12)]);
+    let second = job("second", vec![step(4)]);
+    rig.fleet.accept(first.clone(), rig.now_us);
+    rig.settle();
+    rig.list(worker_with_cores("w1", 8));
+    rig.fleet = rig.successor(&[first, second], vec![worker_with_cores("w1", 8)]);
+    rig.poll_all();
+    rig.settle();
+    assert_eq!(rig.present("second").len(), 0, "twelve cores run where eight are left");
+    end_runs(&mut rig, "first", 6);
+    rig.settle();
+    assert_eq!(rig.present("second").len(), 2);
+}
--- a/crates/agatesill_policy/tests/fleet_crashes.rs
+++ b/crates/agatesill_policy/tests/fleet_crashes.rs
@@ -310,3 +310,18 @@
     assert_eq!(fleet.starts_of("bad.0.0.0"), 2);
     assert_eq!(workers.len(), 3);
 }
+
+/// Guards against crash counts that are lost where crashes and takeovers follow one another at once.
+#[test]
+fn a_crash_at_the_moment_of_a_takeover_counts() {
+    let mut fleet = CrashFleet::new(8);
+    fleet.crashing_tasks.insert("bad.0.0.0".to_owned());
+    fleet.accept(job("bad", vec![step(1)]));
+    for _ in 0..60 {
+        fleet.pass_ms(500);
+        fleet.take_over();
+        fleet.pass_ms(500);
+    }
+    assert_eq!(fleet.phase("bad"), Some(JobPhase::Failed));
+    assert!(fleet.starts_of("bad.0.0.0") <= MOST_STARTS, "{}", fleet.starts_of("bad.0.0.0"));
+}
