Batch steps wait while a thousand starts are on their way

Not traced to the end; this mends one cause that the logs show, not surely all.

Cause: nothing bounded what was decided but not yet stored, sent and answered. A start is given up unanswered after 2.5 s, so many were stopped before they were sent, and urgent and lasting starts waited behind batch ones, which hold room in the ledger meanwhile. Change: steps of less urgent queues are not placed while 1,024 tasks are starting. In calm about a hundred are.

The test fails before: all 3,200 batch starts go out.

--- a/crates/agatesill_policy/src/fleet/answers.rs
+++ b/crates/agatesill_policy/src/fleet/answers.rs
@@ -53,7 +53,7 @@
             OrderOutcome::Done => {
                 job.is_started = true;
                 task.answered_us = now_us;
-                task.began_to_run();
+                self.starting -= u32::from(task.began_to_run());
                 if matches!(task.state, TaskState::Ordered(_)) {
                     task.state = TaskState::Running(order.worker);
                     task.since_us = now_us;
--- a/crates/agatesill_policy/src/fleet/ends.rs
+++ b/crates/agatesill_policy/src/fleet/ends.rs
@@ -370,7 +370,7 @@
         if !row.saved.is_empty() && row.saved != task.saved {
             task.saved.clone_from(&row.saved);
         }
-        task.began_to_run();
+        self.starting -= u32::from(task.began_to_run());
         if matches!(task.state, TaskState::Stopping(_)) {
             self.stop_again(at, now_us);
             return;
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -265,6 +265,8 @@
     pub progress_us: u64,
     /// Share of processor time that it may use.
     pub pace_percent: u32,
+    /// Whether a worker was chosen and neither a run nor the end of the attempt is known yet.
+    pub is_starting: bool,
     /// Orders to start the newest run that were not answered.
     pub unanswered: u32,
     /// When the newest answer to an order about it came; 0 while none has.
@@ -292,10 +294,11 @@
         }
     }
 
-    /// Notes that its newest run is present at its worker.
-    pub(super) fn began_to_run(&mut self) {
+    /// Notes that its newest run is present at its worker; whether it was starting until now.
+    pub(super) fn began_to_run(&mut self) -> bool {
         self.idle_since_us = 0;
         self.failed_starts = 0;
+        std::mem::take(&mut self.is_starting)
     }
 
     fn new(state: TaskState, now_us: u64) -> Self {
@@ -313,6 +316,7 @@
             percent: 0,
             progress_us: now_us,
             pace_percent: 100,
+            is_starting: false,
             unanswered: 0,
             answered_us: 0,
             chosen_version: 0,
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -16,6 +16,13 @@
 /// seconds in all, starts included.
 const LASTING_WAIT_US: u64 = 1_500 * US_PER_MS;
 
+/// Tasks that may be starting at once for further ones of less urgent queues to be placed.
+///
+/// Guards against a planner that lacks processor time and goes on choosing: records and orders then wait
+/// for seconds, those of urgent and lasting tasks behind thousands of batch tasks, and starts are given up
+/// before they are sent.
+const MOST_STARTING: u32 = 1_024;
+
 /// A need that found no worker in this round; no equal or larger one is tried after it.
 #[derive(Debug)]
 struct Misfit {
@@ -75,6 +82,9 @@
             self.waiting.remove(&group);
             return;
         }
+        if self.terms(job).priority > 0 && self.starting >= MOST_STARTING {
+            return;
+        }
         if step.is_gang && tasks.len() < step.count as usize {
             // The others still end; a gang starts only as a whole.
             return;
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -80,6 +80,8 @@
     /// Those among them that something waits for.
     pub(super) urgent: BTreeSet<u32>,
     pub(super) orders: Vec<Order>,
+    /// Tasks that are starting: see [`super::Task::is_starting`].
+    pub(super) starting: u32,
     /// Workers whose incarnation has ended and whose lines are still open.
     pub(super) gone: Vec<WorkerIndex>,
     /// Times of the last answers of workers that recently went silent.
@@ -120,6 +122,7 @@
             dirty: BTreeMap::new(),
             urgent: BTreeSet::new(),
             orders: Vec::new(),
+            starting: 0,
             silences_us: VecDeque::new(),
             acked: Vec::new(),
             gone: Vec::new(),
@@ -314,6 +317,7 @@
         let image = job.image(at.task);
         let task = &mut job.tasks[at.task as usize];
         task.state = state;
+        self.starting += u32::from(!std::mem::replace(&mut task.is_starting, true));
         task.is_past_probation = false;
         let is_isolated = task.is_isolated();
         let index = worker;
@@ -369,6 +373,7 @@
         let task = &mut job.tasks[at.task as usize];
         task.state = state;
         task.since_us = now_us;
+        self.starting -= u32::from(std::mem::take(&mut task.is_starting));
         if task.idle_since_us == 0 {
             task.idle_since_us = now_us;
         } else if before.worker().is_some() {
@@ -460,6 +465,11 @@
             .map(|(index, worker)| (index as WorkerIndex, worker))
     }
 
+    /// Tasks for which a worker was chosen and that are not known to run yet.
+    pub fn starting(&self) -> u32 {
+        self.starting
+    }
+
     /// Tasks that wait for a worker.
     pub fn waiting_groups(&self) -> usize {
         self.waiting.len()
--- a/crates/agatesill_policy/tests/fleet_overload.rs
+++ b/crates/agatesill_policy/tests/fleet_overload.rs
@@ -2,7 +2,7 @@
 
 mod fleet_support;
 
-use agatesill_policy::fleet::{EndCause, JobPhase, JobSpec};
+use agatesill_policy::fleet::{EndCause, JobPhase, JobSpec, WorkerEntry};
 use fleet_support::{MS, Rig, entry, job, step};
 
 fn review(index: u32, accepted_at_ms: u64) -> JobSpec {
@@ -90,3 +90,27 @@
         }
     }
 }
+
+/// Guards against urgent starts that wait behind all batch starts of a planner that lags.
+#[test]
+fn batch_starts_are_bounded_while_earlier_ones_are_on_their_way() {
+    let workers = (0..200).map(|at| WorkerEntry {
+        address: format!("10.0.1.{at}:80"),
+        ..entry(&format!("w{at}"), "r1-1")
+    });
+    let mut rig = Rig::new(workers.collect());
+    for at in 0..40 {
+        let mut spec = job(&format!("batch{at}"), vec![step(80)]);
+        spec.queue = "month-end".to_owned();
+        spec.terms.priority = 2;
+        rig.fleet.accept(spec, rig.now_us);
+    }
+    let starts: usize = (0..10).map(|_| rig.plan().len()).sum();
+    assert!((1_024..1_104).contains(&starts), "{starts} starts with none carried out");
+    rig.fleet.accept(job("urgent", vec![step(4)]), rig.now_us);
+    let orders = rig.plan();
+    assert_eq!(orders.len(), 4, "an urgent step is not held up");
+    let earlier: Vec<_> = rig.orders.clone();
+    earlier.iter().for_each(|order| rig.obey(order));
+    assert!(!rig.plan().is_empty(), "batch goes on once its starts are answered");
+}
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -509,7 +509,7 @@
         self.rounds.log_and_reset(self.epoch);
         let (records, oldest_record_ms) = self.fleet.records_waiting(now_us);
         log::info!(event = "planner_duties", epoch = self.epoch,
-            records_waiting = records, oldest_record_ms = oldest_record_ms,
+            starting = self.fleet.starting(), records_waiting = records, oldest_record_ms = oldest_record_ms,
             unchecked_ms = (now_us - self.checked_us) / 1_000,
             behind_ms = self.behind_us() / 1_000, lines_to_open = self.to_open.len(),
             commits_under_way = self.commits_under_way; "");
