Tasks read back by a successor, and starts that were given up, do not count as starting

A takeover counted every task that runs as starting until its worker answered, and a start that was given up until the worker listed its end: with a zone of the large site cut off, batch would have waited for leases to end. A restored task does not count, and a stop ends the count. The test fails before (8 in place of 0).

--- a/crates/agatesill_policy/src/fleet/answers.rs
+++ b/crates/agatesill_policy/src/fleet/answers.rs
@@ -65,6 +65,7 @@
             OrderOutcome::Old => {
                 task.answered_us = now_us;
                 task.state = TaskState::Stopping(order.worker);
+                self.starting -= u32::from(std::mem::take(&mut task.is_starting));
             }
             OrderOutcome::Fenced => task.answered_us = 0,
             OrderOutcome::Late
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -265,7 +265,7 @@
     pub progress_us: u64,
     /// Share of processor time that it may use.
     pub pace_percent: u32,
-    /// Whether a worker was chosen and neither a run nor the end of the attempt is known yet.
+    /// Whether this planner chose a worker, and the start is neither known to be carried out nor given up.
     pub is_starting: bool,
     /// Orders to start the newest run that were not answered.
     pub unanswered: u32,
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -304,6 +304,9 @@
             let task = &mut job.tasks[at.task as usize];
             task.state = state;
             task.since_us = now_us;
+            if matches!(state, TaskState::Stopping(_)) {
+                self.starting -= u32::from(std::mem::take(&mut task.is_starting));
+            }
         }
     }
 
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -71,9 +71,12 @@
             let at = TaskRef { job: slot, task: record.task };
             self.charge(at, worker, TaskState::Ordered(worker));
             if let Some(job) = self.jobs[slot as usize].as_mut() {
+                let task = &mut job.tasks[record.task as usize];
+                // Most of them run, some on workers that do not answer.
+                self.starting -= u32::from(std::mem::take(&mut task.is_starting));
                 // The first poll under the new epoch bars all older orders, so a run that it does
                 // not show is not there and never will be.
-                job.tasks[record.task as usize].answered_us = 1;
+                task.answered_us = 1;
             }
             if phase != JobPhase::Active {
                 self.stop(at, now_us);
--- a/crates/agatesill_policy/tests/fleet_overload.rs
+++ b/crates/agatesill_policy/tests/fleet_overload.rs
@@ -2,7 +2,7 @@
 
 mod fleet_support;
 
-use agatesill_policy::fleet::{EndCause, JobPhase, JobSpec, WorkerEntry};
+use agatesill_policy::fleet::{EndCause, JobPhase, JobSpec, OrderOutcome, WorkerEntry};
 use fleet_support::{MS, Rig, entry, job, step};
 
 fn review(index: u32, accepted_at_ms: u64) -> JobSpec {
@@ -114,3 +114,19 @@
     earlier.iter().for_each(|order| rig.obey(order));
     assert!(!rig.plan().is_empty(), "batch goes on once its starts are answered");
 }
+
+/// Guards against batch that waits after a takeover for tasks on workers that do not answer.
+#[test]
+fn tasks_that_were_read_back_or_given_up_are_not_starting() {
+    let mut rig = Rig::new(vec![entry("w1", "r1-1")]);
+    let spec = job("running", vec![step(8)]);
+    rig.fleet.accept(spec.clone(), rig.now_us);
+    let orders = rig.plan();
+    assert_eq!(rig.fleet.starting(), 8);
+    for order in orders.iter().cycle().take(16) {
+        rig.fleet.order_answered(order, OrderOutcome::Unanswered, rig.now_us);
+    }
+    assert_eq!(rig.fleet.starting(), 0, "each start was given up after two tries");
+    let successor = rig.successor(&[spec], Vec::new());
+    assert_eq!(successor.starting(), 0);
+}
