Log each long-running task that is without a run, and its starts from record to outcome

The lines told only the longest wait of a kind and the longest transition, so neither the state in which such a task waits nor its last order could be seen. Change: task_missing (once a second, at most 16: state and time in it, age of the record, worker, standing, age of its last answer, unanswered orders; for a task without a worker the request, the deferral, and the workers with room, also if no start were in progress), start_ordered, order_answered, order_overdue, order_dropped (an order for a worker without an open connection was dropped without a line). No decision changes.

--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -255,6 +255,8 @@
     /// Since when the task has not run: its step became runnable, or its newest run ended. Starts
     /// that were not carried out do not change it. 0 while the task runs.
     pub idle_since_us: u64,
+    /// When the newest run was last known to be present at its worker.
+    pub present_us: u64,
     /// Starts since [`Task::idle_since_us`] that were not carried out.
     pub failed_starts: u32,
     /// Since when the task has been slowed; 0 while it is not.
@@ -300,8 +302,9 @@
     }
 
     /// Records that the newest run is present at its worker. Returns whether the task was starting.
-    pub(super) fn mark_running(&mut self) -> bool {
+    pub(super) fn mark_running(&mut self, now_us: u64) -> bool {
         self.idle_since_us = 0;
+        self.present_us = now_us;
         self.failed_starts = 0;
         std::mem::take(&mut self.is_starting)
     }
@@ -314,6 +317,7 @@
             saved: String::new(),
             since_us: now_us,
             idle_since_us: now_us,
+            present_us: now_us,
             failed_starts: 0,
             slowed_us: 0,
             start_percent: 0,
--- a/crates/agatesill_policy/src/fleet/longest_wait.rs
+++ b/crates/agatesill_policy/src/fleet/longest_wait.rs
@@ -47,6 +47,18 @@
     pub unavailable: u32,
 }
 
+impl FittingWorkers {
+    /// Counts one worker with capacity.
+    pub(super) fn count(&mut self, is_available: bool, is_open: bool) {
+        let count = match (is_available, is_open) {
+            (false, _) => &mut self.unavailable,
+            (true, false) => &mut self.closed,
+            (true, true) => &mut self.open,
+        };
+        *count += 1;
+    }
+}
+
 /// The waiting task of one kind that has been without a run for longest.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LongestWait {
@@ -196,7 +208,7 @@
             .max_by_key(|(_, _, waited_us)| *waited_us)
     }
 
-    fn deferral(&self, group: TaskGroup, task: u32, now_us: u64) -> Deferral {
+    pub(super) fn deferral(&self, group: TaskGroup, task: u32, now_us: u64) -> Deferral {
         let Some(job) = self.job(group.job) else { return Deferral::None };
         let is_lasting = job.spec.steps[group.step as usize].is_lasting;
         if job.tasks[task as usize].is_backing_off(now_us) {
@@ -217,13 +229,7 @@
     fn add_worker(&mut self, worker: &Worker, step: &Step, now_us: u64) {
         let is_open = worker.is_open(now_us);
         if worker.has_capacity_for(&step.allocation()) {
-            let fitting = &mut self.fitting;
-            let count = match (worker.is_available(), is_open) {
-                (false, _) => &mut fitting.unavailable,
-                (true, false) => &mut fitting.closed,
-                (true, true) => &mut fitting.open,
-            };
-            *count += 1;
+            self.fitting.count(worker.is_available(), is_open);
         }
         if is_open {
             let free_milli = worker.free().cpu_milli;
--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -34,10 +34,14 @@
         else {
             return;
         };
+        let is_lasting = job.step(order.task_ref.task).is_lasting;
         let task = &mut job.tasks[order.task_ref.task as usize];
         if task.run != order.run || task.state.worker() != Some(order.worker) {
             return;
         }
+        if is_lasting && !matches!(order.kind, OrderKind::Pace { .. }) {
+            log_answer(order, outcome, now_us);
+        }
         match &order.kind {
             OrderKind::Start { .. } => self.start_answered(order, outcome, now_us),
             OrderKind::Stop => task.answered_us = now_us,
@@ -54,7 +58,7 @@
             OrderOutcome::Done => {
                 job.is_started = true;
                 task.answered_us = now_us;
-                self.starting -= u32::from(task.mark_running());
+                self.starting -= u32::from(task.mark_running(now_us));
                 if matches!(task.state, TaskState::Ordered(_)) {
                     task.state = TaskState::Running(order.worker);
                     task.since_us = now_us;
@@ -141,6 +145,7 @@
         if task.run != order.run || task.state.worker() != Some(order.worker) {
             return;
         }
+        log_answer(order, OrderOutcome::Unanswered, now_us);
         task.unanswered += 1;
         let gives_up = task.unanswered >= MAX_UNANSWERED_ORDERS || !takes_starts;
         match (&order.kind, task.state) {
@@ -160,3 +165,11 @@
         }
     }
 }
+
+/// Logs the outcome of a start or stop, with the time since the decision.
+fn log_answer(order: &Order, outcome: OrderOutcome, now_us: u64) {
+    log::info!(event = "order_answered", kind = order.kind.name(), job = order.task.job.as_str(),
+        step = order.task.step, index = order.task.index, run = order.run, worker = order.worker,
+        outcome:? = outcome,
+        decided_ms = now_us.saturating_sub(order.decided_us) / US_PER_MS; "");
+}
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -381,7 +381,7 @@
         if !row.saved.is_empty() && row.saved != task.saved {
             task.saved.clone_from(&row.saved);
         }
-        self.starting -= u32::from(task.mark_running());
+        self.starting -= u32::from(task.mark_running(now_us));
         if matches!(task.state, TaskState::Stopping(_)) {
             self.repeat_stop(task_ref, now_us);
             return;
@@ -470,7 +470,12 @@
             .copied()
             .filter(|task_ref| !present.contains(task_ref) && self.is_overdue(*task_ref, now_us))
             .collect();
-        overdue.into_iter().for_each(|task_ref| self.stop(task_ref, now_us));
+        for task_ref in overdue {
+            log::info!(event = "order_overdue", job = self.job_id(task_ref.job),
+                task = task_ref.task, state:? = self.task_state(task_ref),
+                worker = self.workers[index as usize].entry.id.as_str(); "stopping the run");
+            self.stop(task_ref, now_us);
+        }
     }
 
     fn is_overdue(&self, task_ref: TaskRef, now_us: u64) -> bool {
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -62,6 +62,7 @@
         task.unexplained_crashes = record.unexplained_crashes;
         task.saved.clone_from(&record.saved);
         task.since_us = now_us;
+        task.present_us = now_us;
         if record.is_done {
             task.state = TaskState::Done;
             job.remaining[position] -= 1;
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -157,10 +157,24 @@
             self.release(task_ref, TaskState::Waiting, now_us);
             return;
         }
+        self.log_start_ordered(task_ref, worker, now_us);
         self.set_state(task_ref, TaskState::Ordered(worker), now_us);
         self.send_start(task_ref, worker, now_us);
     }
 
+    /// Logs the start of a long-running task whose record is stored, with the time since its choice.
+    fn log_start_ordered(&self, task_ref: TaskRef, worker: WorkerIndex, now_us: u64) {
+        let Some(job) = self.job(task_ref.job).filter(|job| job.step(task_ref.task).is_lasting)
+        else {
+            return;
+        };
+        let task = &job.tasks[task_ref.task as usize];
+        log::info!(event = "start_ordered", job = job.spec.id.as_str(), task = task_ref.task,
+            run = task.run, worker = self.workers[worker as usize].entry.id.as_str(),
+            chosen_ms = now_us.saturating_sub(task.since_us) / US_PER_MS,
+            without_run_ms = task.idle_us(now_us) / US_PER_MS; "");
+    }
+
     pub(super) fn send_start(&mut self, task_ref: TaskRef, worker: WorkerIndex, now_us: u64) {
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
         let payload = job.spec.payload.clone();
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -8,8 +8,8 @@
 use agatesill_platform::advice::AdviceReply;
 use agatesill_policy::fleet::{
     AdviceQuestion, ClosedZone, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, LongestTransition,
-    LongestWait, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms, Worker, WorkerEntry,
-    WorkerIndex, WorkerStanding,
+    LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms, Worker,
+    WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -72,6 +72,9 @@
 /// Interval between log lines on the utilisation of the workers.
 const USAGE_LOG_INTERVAL_US: u64 = 1_000_000;
 
+/// Maximum number of long-running tasks without a run that are logged once a second.
+const MAX_MISSING_TASKS_LOGGED: usize = 16;
+
 /// Timeout of the last commits at a planned stop.
 const LAST_COMMITS_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -526,6 +529,8 @@
         self.fleet.longest_waits(now_us).iter().for_each(|wait| log_wait(wait, self.epoch));
         let transitions = self.fleet.longest_transitions(now_us);
         transitions.iter().for_each(|transition| log_transition(transition, self.epoch));
+        let (missing, described) = self.fleet.missing_tasks(MAX_MISSING_TASKS_LOGGED, now_us);
+        described.iter().for_each(|task| log_missing(task, missing, self.epoch));
         self.rounds.log_and_reset(self.epoch);
         let (records, oldest_record_ms) = self.fleet.records_waiting(now_us);
         log::info!(event = "planner_duties", epoch = self.epoch,
@@ -708,6 +713,37 @@
         standing:? = transition.standing, is_listed = transition.is_listed; "");
 }
 
+/// Logs a long-running task that has been without a run for seconds; `missing` is the number of
+/// such tasks.
+fn log_missing(task: &MissingTask, missing: usize, epoch: u64) {
+    let detail = match (&task.worker, &task.wait) {
+        (Some(worker), _) => format!(
+            "worker {}, {:?}, listed {}, answered {} ms ago, order answered {}, unanswered {}",
+            worker.id,
+            worker.standing,
+            worker.is_listed,
+            worker.answer_age_ms,
+            worker.is_order_answered,
+            worker.unanswered_orders
+        ),
+        (None, Some(wait)) => format!(
+            "{}, needs {} milli {} MB, fitting open {} closed {} unavailable {}, without starts {}",
+            wait.deferral.name(),
+            wait.cpu_milli,
+            wait.memory_mb,
+            wait.fitting.open,
+            wait.fitting.closed,
+            wait.fitting.unavailable,
+            wait.fitting_without_starts
+        ),
+        (None, None) => String::new(),
+    };
+    log::info!(event = "task_missing", epoch = epoch, missing = missing, job = task.job.as_str(),
+        task = task.task, run = task.run, state = task.state, missing_ms = task.missing_ms,
+        in_state_ms = task.in_state_ms, failed_starts = task.failed_starts,
+        record_age_ms:? = task.record_age_ms, is_committing = task.is_committing; "{detail}");
+}
+
 /// Logs the figures that distinguish a fleet whose capacity is fully reserved from one whose
 /// capacity is fully used.
 fn log_usage(fleet: &FleetUsage) {
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -178,7 +178,12 @@
 
     /// Queues an order for its worker.
     pub fn send(&self, order: Order) {
-        let Some((connection, orders)) = self.connections.get(&order.worker) else { return };
+        let Some((connection, orders)) = self.connections.get(&order.worker) else {
+            log::warn!(event = "order_dropped", kind = order.kind.name(), job = order.task.job.as_str(),
+                step = order.task.step, index = order.task.index, run = order.run;
+                "no connection to the worker is open");
+            return;
+        };
         if connection.is_idle.swap(false, Ordering::Relaxed) {
             connection.got_order.notify_one();
         }
