An end of a run begins a new wait also if only the predecessor saw the run

Seen: after a takeover a task that had run for 14 s and then failed was ranked as if it had waited those 14 s, and its lines said so (without_run_ms 14,516, failed_starts 1). Cause: the record holds the choice, not that the run was seen, and an end that reaches the successor before any list of present runs kept the wait of the record. Change: an end proves that the run was present, so the wait begins anew. Checked: end_of_a_run_that_only_the_predecessor_saw_begins_a_new_wait failed before (14,001 ms for at most 10) and passes; all tests of the policy crate pass; linter clean.

--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -252,6 +252,8 @@
         if !end.saved.is_empty() {
             task.saved = end.saved.clone();
         }
+        // An end proves that the run was present, also if no poll has shown it.
+        self.starting -= u32::from(task.mark_running(now_us));
         let ran_us = now_us.saturating_sub(task.since_us);
         let measured_us = now_us.saturating_sub(task.measured_us);
         log::info!(event = "run_ended", job = end.task.job.as_str(),
--- a/crates/agatesill_policy/tests/fleet_ages.rs
+++ b/crates/agatesill_policy/tests/fleet_ages.rs
@@ -131,6 +131,23 @@
     }
 }
 
+/// Guards against a successor that counts the wait before a run as part of the wait after it.
+#[test]
+fn end_of_a_run_that_only_the_predecessor_saw_begins_a_new_wait() {
+    let mut harness = Harness::new(vec![entry("w", "r1-1")]);
+    let spec = accepted_now(&harness, "watch", vec![Step { is_lasting: true, ..step(1) }]);
+    harness.fleet.accept(spec.clone(), harness.now_us);
+    harness.advance_ms(5_000);
+    harness.settle();
+    harness.advance_ms(9_000);
+    let (worker, task, run) = harness.present("watch").remove(0);
+    harness.end(worker, &task, run, EndCause::Failed);
+    harness.fleet = harness.successor(&[spec], vec![entry("w", "r1-1")]);
+    harness.poll_all();
+    let waited_ms = harness.fleet.usage(harness.now_us).lasting.longest_ms;
+    assert!(waited_ms <= 10, "{waited_ms}");
+}
+
 /// Guards against rejected starts that reset the wait of a long-running task.
 #[test]
 fn rejected_start_does_not_reset_the_wait() {
