The planner's own lag does not count as the silence of a worker

Seen by callers: a long-running task that was stopped did not run again for 11 to 23 s although there was room (LOST). Cause: answers of workers wait for seconds before the planner handles them, and time was taken at their handling. (2) The rejection of a start that was given up was ignored, and its task waited for the proof that a run that never was is absent. (3) The answer to a repeated stop, and the handling in place of the arrival, moved that proof on, so that no poll on the way counted. Change: a start is overdue by the time at which the poll was sent; a rejection frees the task also while it is being stopped, unless an earlier order may still be carried out; the first answer to a stop counts, from its arrival. Why it works: answers are handled in the order of their arrival, so each of these times is now one of the worker's.

--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -20,7 +20,8 @@
 const RECENT_ANSWER_US: u64 = 1_000 * US_PER_MS;
 
 impl Fleet {
-    /// Applies the outcome of an order.
+    /// Applies the outcome of an order. `now_us` is when the answer arrived, which may be seconds
+    /// before it is handled: a poll sent after that time shows the effect of the order.
     pub fn order_answered(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
         if outcome == OrderOutcome::OtherIncarnation {
             self.worker_gone(order.worker, "another incarnation answers", now_us);
@@ -44,7 +45,9 @@
         }
         match &order.kind {
             OrderKind::Start { .. } => self.start_answered(order, outcome, now_us),
-            OrderKind::Stop => task.answered_us = now_us,
+            // Stops are repeated. The run is barred from the first answer on.
+            OrderKind::Stop if task.answered_us == 0 => task.answered_us = now_us,
+            OrderKind::Stop => {}
             OrderKind::Pace { .. } => {}
         }
     }
@@ -113,7 +116,8 @@
             worker = worker.entry.id.as_str(), outcome:? = outcome,
             may_begin_later = may_begin_later, used_cpu_milli = worker.used.cpu_milli,
             used_memory_mb = worker.used.memory_mb; "");
-        if matches!(self.task_state(order.task_ref), TaskState::Stopping(_)) {
+        let is_stopping = matches!(self.task_state(order.task_ref), TaskState::Stopping(_));
+        if is_stopping && may_begin_later {
             return;
         }
         self.mark_dirty(order.task_ref.job, now_us);
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -460,17 +460,27 @@
             self.mark_dirty(task_ref.job, now_us);
             self.release(task_ref, TaskState::Waiting, now_us);
         }
-        self.bar_overdue_starts(index, present, now_us);
+        self.bar_overdue_starts(index, present, sent_us, now_us);
     }
 
-    /// Bars starts that were neither answered nor carried out within [`START_TIMEOUT_US`]. The
-    /// order may be lost, or arrive seconds late.
-    fn bar_overdue_starts(&mut self, index: WorkerIndex, present: &HashSet<TaskRef>, now_us: u64) {
+    /// Bars starts that were neither answered nor carried out within [`START_TIMEOUT_US`] when the
+    /// poll was sent. The order may be lost, or arrive seconds late.
+    ///
+    /// Guards against a planner that handles answers late and stops runs whose answers still wait:
+    /// answers are handled in the order in which they arrive, so one that arrived before the poll
+    /// was sent has been handled.
+    fn bar_overdue_starts(
+        &mut self,
+        index: WorkerIndex,
+        present: &HashSet<TaskRef>,
+        sent_us: u64,
+        now_us: u64,
+    ) {
         let overdue: Vec<TaskRef> = self.workers[index as usize]
             .tasks
             .iter()
             .copied()
-            .filter(|task_ref| !present.contains(task_ref) && self.is_overdue(*task_ref, now_us))
+            .filter(|task_ref| !present.contains(task_ref) && self.is_overdue(*task_ref, sent_us))
             .collect();
         for task_ref in overdue {
             log::info!(event = "order_overdue", job = self.job_id(task_ref.job),
@@ -480,13 +490,13 @@
         }
     }
 
-    fn is_overdue(&self, task_ref: TaskRef, now_us: u64) -> bool {
+    fn is_overdue(&self, task_ref: TaskRef, sent_us: u64) -> bool {
         self.job(task_ref.job).is_some_and(|job| {
             let task = &job.tasks[task_ref.task as usize];
             let is_unanswered =
                 matches!(task.state, TaskState::Ordered(_) | TaskState::Stopping(_))
                     && task.answered_us == 0;
-            is_unanswered && now_us.saturating_sub(task.since_us) > START_TIMEOUT_US
+            is_unanswered && sent_us.saturating_sub(task.since_us) > START_TIMEOUT_US
         })
     }
 
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -346,7 +346,29 @@
 
     fn handle_answer(&mut self, answer: Answer) {
         self.answers_as_of_us = self.answers_as_of_us.max(answer.reported_us);
-        self.handle(answer.event);
+        match answer.event {
+            // Counts from its arrival, however long it has waited here.
+            Event::Answered(order, outcome, requested_us) => {
+                self.order_answered(&order, outcome, requested_us, answer.reported_us);
+            }
+            event => self.handle(event),
+        }
+    }
+
+    fn order_answered(
+        &mut self,
+        order: &Order,
+        outcome: OrderOutcome,
+        requested_us: Option<u64>,
+        answered_us: u64,
+    ) {
+        if let Some(requested_us) = requested_us {
+            self.fleet.lease_requested(order.worker, requested_us);
+        }
+        self.fleet.order_answered(order, outcome, answered_us);
+        if outcome == OrderOutcome::Fenced {
+            self.lost.cancel();
+        }
     }
 
     /// Waits briefly for the commits under way, so that a successor reads their records.
@@ -398,13 +420,7 @@
                 self.lost.cancel();
             }
             Event::Answered(order, outcome, requested_us) => {
-                if let Some(requested_us) = requested_us {
-                    self.fleet.lease_requested(order.worker, requested_us);
-                }
-                self.fleet.order_answered(&order, outcome, now_us);
-                if outcome == OrderOutcome::Fenced {
-                    self.lost.cancel();
-                }
+                self.order_answered(&order, outcome, requested_us, now_us);
             }
             Event::Advised(question, reply) => {
                 let good = reply.as_ref().map(|reply| reply.good.as_slice());
