At most one answer of a worker waits before the planner

Cause: a worker was polled again as soon as its answer was queued, not handled. Each answer lists all that the worker has to report, so the older ones are work for nothing; they filled the queue, and orders and their outcomes waited behind them. Change: the answer to a poll carries a permit that its handling returns; the next poll waits for it, at most a second, as the lease must be renewed. Why it works: what waits before the planner is one answer a worker, and one more for each second that it is behind.

--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -11,7 +11,7 @@
     LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms, Worker,
     WorkerEntry, WorkerIndex, WorkerStanding,
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -128,6 +128,8 @@
     pub reported_us: u64,
     /// The event.
     pub event: Event,
+    /// Lets the worker be polled again at once when the answer is dropped after its handling.
+    pub poll_permit: Option<OwnedSemaphorePermit>,
 }
 
 /// Handle to the planner of this daemon.
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -10,7 +10,7 @@
 use agatesill_policy::fleet::{
     Fleet, Order, OrderKind, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
 };
-use tokio::sync::{Mutex, Notify, mpsc};
+use tokio::sync::{Mutex, Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -40,6 +40,10 @@
 /// discard it. An earlier poll would return at once with the same end and no new information.
 const ACK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Longest time for which a poll waits until the planner has handled the answer to the previous one.
+/// A lease of the worker must be renewed meanwhile.
+const MAX_HANDLING_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Wait time of a poll at an idle worker. No run can end there, and its tail figures are not
 /// needed.
 const IDLE_WAIT_MS: u64 = MAX_POLL_WAIT_MS;
@@ -89,10 +93,23 @@
     takes_starts: AtomicBool,
     /// Notified when an order blocks those queued behind it.
     blocked: Notify,
+    /// The permit of the one answer to a poll that may wait for the planner.
+    unhandled_poll: Arc<Semaphore>,
     stop: CancellationToken,
 }
 
 impl WorkerConnection {
+    /// Waits until the planner has handled the answer to the previous poll, at most
+    /// [`MAX_HANDLING_WAIT`]; `None` if it has not.
+    ///
+    /// Each answer lists everything that the worker has to report, so a newer one adds nothing
+    /// while an older one waits. Without this limit, the answers of all workers pile up before a
+    /// planner that lacks processor time, and it decides on a state that is seconds old.
+    async fn poll_permit(&self) -> Option<OwnedSemaphorePermit> {
+        let permit = self.unhandled_poll.clone().acquire_owned();
+        tokio::time::timeout(MAX_HANDLING_WAIT, permit).await.ok()?.ok()
+    }
+
     /// Waits until the worker may discard an end, so that the next poll waits for another one.
     async fn wait_until_acked(&self, end: u64) {
         tokio::time::sleep(GATHER_DELAY).await;
@@ -156,6 +173,7 @@
             got_order: Notify::new(),
             takes_starts: AtomicBool::new(worker.takes_starts()),
             blocked: Notify::new(),
+            unhandled_poll: Arc::new(Semaphore::new(1)),
             stop: self.stop.child_token(),
         });
         let (orders, order_queue) = mpsc::channel(ORDER_QUEUE_CAPACITY);
@@ -232,8 +250,8 @@
 
 impl WorkerClient {
     /// Reports an event to the planner; false if the planner has ended.
-    async fn send_event(&self, event: Event) -> bool {
-        let answer = Answer { reported_us: self.daemon.clock.now_us(), event };
+    async fn send_event(&self, event: Event, poll_permit: Option<OwnedSemaphorePermit>) -> bool {
+        let answer = Answer { reported_us: self.daemon.clock.now_us(), event, poll_permit };
         self.answers.send(answer).await.is_ok()
     }
 
@@ -268,6 +286,7 @@
         let mut channel = WorkerChannel::new(connection.addr, &connection.incarnation);
         let mut wait_ms = 0;
         loop {
+            let permit = connection.poll_permit().await;
             let mut newest_end = None;
             let sent_us = self.daemon.clock.now_us();
             let lease = self.lease_to_request_ms(connection);
@@ -306,7 +325,7 @@
                     (Event::Silent(connection.worker, lease.map(|_| sent_us)), POLL_BACKOFF)
                 }
             };
-            if !self.send_event(event).await {
+            if !self.send_event(event, permit).await {
                 return;
             }
             if let Some(end) = newest_end {
@@ -362,7 +381,7 @@
                     sending.await
                 }
             };
-            if !self.send_event(event).await {
+            if !self.send_event(event, None).await {
                 return;
             }
         }
@@ -395,7 +414,7 @@
                 let Ok(next) = next.await else { break };
                 let Some(order) = next else { return };
                 let event = self.send_order(connection, &mut channel, order).await;
-                if !self.send_event(event).await {
+                if !self.send_event(event, None).await {
                     return;
                 }
             }
