Only long-running tasks are placed while choices wait to be stored

Cause: nothing bounded the choices whose records wait. They hold room that the workers have free, and records of long-running starts wait behind those of all others; a successor reads them back as starts that may be under way. Change: while as many jobs wait as are stored at a time (60), only long-running tasks are placed. Why it works: a choice waits for one transaction at most; what could not be stored is chosen anew, in order, from the room that is then there. Checked: fleet_missing (whole scheduler in virtual time, 1,100 workers). The simulation holds polls back until the answer before is handled, as the daemon does now, and counts answers to orders from their arrival.

--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -25,6 +25,14 @@
 /// those of thousands of batch tasks, and starts would be given up before they are sent.
 const MAX_STARTING_TASKS: u32 = 1_024;
 
+/// Number of jobs whose choices wait to be stored from which only long-running tasks are placed. As
+/// many are stored at a time, so a choice waits for one transaction at most.
+///
+/// Without this limit, a planner whose records are stored slowly, or not at all for seconds, would
+/// go on choosing. Tasks whose start is not ordered would hold capacity that the workers have free,
+/// and records of long-running tasks would wait behind those of all others.
+const MAX_UNSTORED_CHOICES: usize = 60;
+
 /// A demand that fitted no worker in this planning round; equal or larger demands are skipped.
 #[derive(Debug)]
 struct UnplacedDemand {
@@ -91,6 +99,9 @@
         if self.terms(job).priority > 0 && self.starting >= MAX_STARTING_TASKS {
             return;
         }
+        if !step.is_lasting && self.urgent.len() >= MAX_UNSTORED_CHOICES {
+            return;
+        }
         if step.is_gang && tasks.len() < step.count as usize {
             // Some members are not ready to start yet, and a gang starts only as a whole.
             return;
--- a/crates/agatesill_policy/tests/fleet_given_up.rs
+++ b/crates/agatesill_policy/tests/fleet_given_up.rs
@@ -13,7 +13,7 @@
 }
 
 fn two_workers() -> Harness {
-    let mut harness = Harness::new(vec![entry("w1", "r1-1"), entry("w2", "r1-1")]);
+    let mut harness = Harness::new(vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
     harness.fleet.accept(job("watch", vec![lasting()]), harness.now_us);
     harness
 }
--- a/crates/agatesill_policy/tests/fleet_support/simulation.rs
+++ b/crates/agatesill_policy/tests/fleet_support/simulation.rs
@@ -3,7 +3,7 @@
 //! that are missing although there is capacity for them.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 
 use agatesill_policy::batch::Resources;
 use agatesill_policy::fleet::{
@@ -40,6 +40,24 @@
 /// Time for which a missing task must have had capacity on two workers.
 const CAPACITY_DURATION_US: u64 = 3 * S;
 
+/// Capacity of the queue of answers; a full one delays polls.
+const MAX_QUEUED_ANSWERS: usize = 8_192;
+
+/// Longest time for which a poll waits until the answer to the previous one is handled.
+const MAX_HANDLING_WAIT_US: u64 = 1_000 * MS;
+
+/// Age from which a start is not sent.
+const MAX_START_AGE_US: u64 = 3 * S;
+
+/// Time after which an order counts as unanswered.
+const ORDER_TIMEOUT_US: u64 = 400 * MS;
+
+/// Time after which a poll counts as unanswered.
+const POLL_TIMEOUT_US: u64 = 1_200 * MS;
+
+/// Lease that each poll requests.
+const LEASE_US: u64 = 5 * S;
+
 /// Time after a store outage for which missing tasks are not reported.
 const RECOVERY_US: u64 = 4 * S;
 
@@ -63,7 +81,11 @@
     ended: Vec<EndRow>,
     number: u64,
     polled_us: u64,
+    has_unhandled_answer: bool,
     exits_us: u64,
+    silent_until_us: u64,
+    lease_until_us: u64,
+    barred: HashMap<TaskKey, u32>,
 }
 
 #[derive(Debug)]
@@ -71,6 +93,7 @@
     OrderArrives(Order),
     Answered(Order, OrderOutcome),
     Polled(WorkerIndex, Box<Poll>),
+    Silent(WorkerIndex),
     Stored(Vec<JobWrite>),
     Failed(Vec<JobWrite>),
 }
@@ -88,6 +111,57 @@
     pub planner_stops_ms: u64,
 }
 
+/// Faults of calls, and the share of the planner. The default is a planner that handles all answers
+/// at once, and calls that never fail.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Maximum number of answers of workers handled in one turn.
+    pub answers_per_turn: usize,
+    /// Largest delay of an order before it reaches its worker.
+    pub order_delay_ms: u64,
+    /// Orders in a thousand that are dropped before they are sent, without an outcome.
+    pub dropped_permille: u64,
+    /// Orders in a thousand that are lost on the way and have no answer.
+    pub lost_permille: u64,
+    /// Orders in a thousand that are carried out and have no answer.
+    pub unanswered_permille: u64,
+    /// Orders in a thousand that a worker refuses.
+    pub refused_permille: u64,
+    /// Transactions in a thousand that fail.
+    pub failed_commits_permille: u64,
+    /// Worker visits in a thousand, one each half second, that leave the worker silent for
+    /// [`Faults::silence_ms`].
+    pub silent_permille: u64,
+    /// Duration of the silence of a worker.
+    pub silence_ms: u64,
+    /// Whether the registry does not list silent workers.
+    pub unlists_silent: bool,
+    /// Whether a takeover counts as a disturbance, so that nothing is reported until
+    /// [`RECOVERY_US`] after it.
+    pub excuses_takeover: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            answers_per_turn: usize::MAX,
+            order_delay_ms: 0,
+            dropped_permille: 0,
+            lost_permille: 0,
+            unanswered_permille: 0,
+            refused_permille: 0,
+            failed_commits_permille: 0,
+            silent_permille: 0,
+            silence_ms: 0,
+            unlists_silent: false,
+            excuses_takeover: false,
+        }
+    }
+}
+
 /// The scheduler and its environment.
 pub struct Simulation {
     /// The fleet under test.
@@ -99,6 +173,16 @@
     pub waits_ms: BTreeMap<String, Vec<u64>>,
     /// Long-running tasks that were missing although there was capacity for them.
     pub missing: Vec<String>,
+    /// Faults of calls.
+    pub faults: Faults,
+    /// Long-running tasks that by the ledger had no run for at least [`MISSING_AFTER_US`], by state:
+    /// how often one was seen at the end of a turn, and the longest time without a run.
+    pub states: BTreeMap<String, (u32, u64)>,
+    /// Longest age of an answer at its handling.
+    pub longest_lag_ms: u64,
+    answers: VecDeque<(u64, Event)>,
+    answers_as_of_us: u64,
+    random: u64,
     conditions: Conditions,
     workers: Vec<SimulatedWorker>,
     index_of: HashMap<WorkerIndex, usize>,
@@ -111,6 +195,7 @@
     revision: u64,
     commits_under_way: usize,
     has_planner: bool,
+    planner_since_us: u64,
     lasting: BTreeMap<(String, u32), LongRunningTask>,
 }
 
@@ -134,6 +219,12 @@
             now_us: 10 * S,
             waits_ms: BTreeMap::new(),
             missing: Vec::new(),
+            faults: Faults::default(),
+            states: BTreeMap::new(),
+            longest_lag_ms: 0,
+            answers: VecDeque::new(),
+            answers_as_of_us: 0,
+            random: 0,
             conditions,
             workers: Vec::new(),
             index_of: HashMap::new(),
@@ -146,6 +237,7 @@
             revision: 1,
             commits_under_way: 0,
             has_planner: true,
+            planner_since_us: 0,
             lasting: BTreeMap::new(),
         };
         for position in 0..count {
@@ -159,7 +251,11 @@
                 ended: Vec::new(),
                 number: 0,
                 polled_us: 0,
+                has_unhandled_answer: false,
                 exits_us: u64::MAX,
+                silent_until_us: 0,
+                lease_until_us: u64::MAX,
+                barred: HashMap::new(),
             });
         }
         simulation.register_all();
@@ -173,6 +269,7 @@
             let index = self.fleet.worker_listed(entry, self.now_us);
             self.index_of.insert(index, position);
             self.workers[position].polled_us = 0;
+            self.workers[position].has_unhandled_answer = false;
         }
     }
 
@@ -215,6 +312,7 @@
     pub fn advance_until(&mut self, until_us: u64) {
         while self.now_us < until_us {
             self.now_us += self.conditions.turn_ms * MS;
+            self.end_silences();
             self.end_due_runs();
             self.process_events();
             self.update_planner();
@@ -237,6 +335,7 @@
             self.has_planner = false;
             self.events.clear();
             self.payloads.clear();
+            self.answers.clear();
             self.commits_under_way = 0;
         } else if !self.has_planner && self.now_us >= starts_us {
             self.start_successor();
@@ -255,11 +354,13 @@
         fleet.finish_restore(0, self.now_us);
         self.fleet = fleet;
         self.has_planner = true;
+        self.planner_since_us = self.now_us;
         self.register_all();
     }
 
     fn run_planner(&mut self) {
-        self.fleet.expire_workers(self.now_us, self.now_us);
+        self.handle_answers();
+        self.fleet.expire_workers(self.answers_as_of_us, self.now_us);
         self.poll_workers();
         self.fleet.plan(self.now_us, self.now_us / MS);
         while self.commits_under_way < MAX_COMMITS {
@@ -268,7 +369,8 @@
                 break;
             }
             self.commits_under_way += 1;
-            let is_unavailable = self.is_store_unavailable();
+            let fails = self.chance(self.faults.failed_commits_permille);
+            let is_unavailable = fails || self.is_store_unavailable();
             let after_us = if is_unavailable { 100 * MS } else { self.conditions.commit_ms * MS };
             self.schedule(
                 after_us,
@@ -278,7 +380,10 @@
         drop(self.fleet.take_acked());
         drop(self.fleet.take_terminated());
         for order in self.fleet.take_orders() {
-            self.schedule(ROUND_TRIP_US / 2, Event::OrderArrives(order));
+            if !self.chance(self.faults.dropped_permille) {
+                let delay_us = self.below(self.faults.order_delay_ms + 1) * MS;
+                self.schedule(ROUND_TRIP_US / 2 + delay_us, Event::OrderArrives(order));
+            }
         }
         self.fleet.retire_ended();
     }
@@ -298,10 +403,9 @@
             let Some(event) = self.payloads.remove(&number) else { continue };
             match event {
                 Event::OrderArrives(order) => self.deliver_order(order, at_us),
-                Event::Answered(order, outcome) => {
-                    self.fleet.order_answered(&order, outcome, self.now_us);
+                Event::Answered(..) | Event::Polled(..) | Event::Silent(_) => {
+                    self.answers.push_back((at_us, event));
                 }
-                Event::Polled(index, poll) => self.fleet.polled(index, &poll, self.now_us),
                 Event::Stored(writes) => self.store(&writes),
                 Event::Failed(writes) => {
                     self.commits_under_way -= 1;
@@ -311,6 +415,51 @@
         }
     }
 
+    /// Handles the oldest answers of workers, as many as one turn allows.
+    fn handle_answers(&mut self) {
+        for _ in 0..self.faults.answers_per_turn {
+            let Some((at_us, event)) = self.answers.pop_front() else {
+                self.answers_as_of_us = self.now_us;
+                return;
+            };
+            self.answers_as_of_us = at_us;
+            self.longest_lag_ms = self.longest_lag_ms.max((self.now_us - at_us) / MS);
+            match event {
+                Event::Answered(order, outcome) => {
+                    self.fleet.order_answered(&order, outcome, at_us);
+                }
+                Event::Polled(index, poll) => {
+                    self.answer_handled(index);
+                    self.fleet.polled(index, &poll, self.now_us);
+                }
+                Event::Silent(index) => {
+                    self.answer_handled(index);
+                    self.fleet.worker_silent(index, self.now_us);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn answer_handled(&mut self, index: WorkerIndex) {
+        if let Some(position) = self.index_of.get(&index) {
+            self.workers[*position].has_unhandled_answer = false;
+        }
+    }
+
+    /// Returns a random number below `limit`.
+    fn below(&mut self, limit: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.random ^ self.faults.seed.wrapping_mul(0xd134_2543_de82_ef95))
+            .wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 32)) % limit.max(1)
+    }
+
+    fn chance(&mut self, permille: u64) -> bool {
+        permille > 0 && self.below(1_000) < permille
+    }
+
     fn store(&mut self, writes: &[JobWrite]) {
         self.commits_under_way -= 1;
         self.revision += 1;
@@ -322,12 +471,23 @@
 
     fn deliver_order(&mut self, order: Order, at_us: u64) {
         let Some(position) = self.index_of.get(&order.worker).copied() else { return };
-        let outcome = if self.workers[position].exits_us <= at_us {
+        let worker = &self.workers[position];
+        let is_unreachable = worker.exits_us <= at_us || worker.silent_until_us > at_us;
+        let is_start = matches!(order.kind, OrderKind::Start { .. });
+        let outcome = if is_unreachable || self.chance(self.faults.lost_permille) {
             OrderOutcome::Unanswered
+        } else if is_start && at_us.saturating_sub(order.decided_us) > MAX_START_AGE_US {
+            OrderOutcome::Withheld
+        } else if self.chance(self.faults.refused_permille) {
+            OrderOutcome::Refused
         } else {
-            self.execute_order(position, &order, at_us)
+            let outcome = self.execute_order(position, &order, at_us);
+            let is_lost = self.chance(self.faults.unanswered_permille);
+            if is_lost { OrderOutcome::Unanswered } else { outcome }
         };
-        self.schedule(ROUND_TRIP_US / 2, Event::Answered(order, outcome));
+        let is_answered = outcome != OrderOutcome::Unanswered;
+        let after_us = if is_answered { ROUND_TRIP_US / 2 } else { ORDER_TIMEOUT_US };
+        self.schedule(after_us, Event::Answered(order, outcome));
     }
 
     fn execute_order(&mut self, position: usize, order: &Order, at_us: u64) -> OrderOutcome {
@@ -336,6 +496,12 @@
         let worker = &mut self.workers[position];
         match &order.kind {
             OrderKind::Start { .. } => {
+                if worker.runs.iter().any(|run| run.task == order.task && run.run == order.run) {
+                    return OrderOutcome::Done;
+                }
+                if worker.barred.get(&order.task).is_some_and(|barred| *barred >= order.run) {
+                    return OrderOutcome::Old;
+                }
                 let used = worker.used.plus(&step.allocation());
                 if !worker.entry.capacity.holds(&used) {
                     return OrderOutcome::NoRoom;
@@ -355,6 +521,8 @@
                 self.record_start(order, at_us);
             }
             OrderKind::Stop => {
+                let barred = worker.barred.entry(order.task.clone()).or_default();
+                *barred = order.run.max(*barred);
                 let run =
                     worker.runs.iter_mut().find(|r| r.task == order.task && r.run == order.run);
                 if let Some(run) = run.filter(|run| !run.is_stopped) {
@@ -403,6 +571,8 @@
             for run in ended_runs {
                 worker.used = worker.used.minus(&run.cpu);
                 worker.number += 1;
+                let barred = worker.barred.entry(run.task.clone()).or_default();
+                *barred = run.run.max(*barred);
                 let cause = if run.is_stopped { EndCause::Stopped } else { EndCause::Done };
                 if run.is_lasting {
                     let key = (run.task.job.clone(), run.task.index);
@@ -432,11 +602,14 @@
             let worker = &mut self.workers[position];
             worker.ended.retain(|end| end.number > acked);
             let has_updates = worker.ended.last().is_some_and(|end| end.number > worker.number - 1);
+            let is_queue_full = self.answers.len() >= MAX_QUEUED_ANSWERS;
             let waited_us = now_us - worker.polled_us;
-            if worker.polled_us > 0
+            let is_recent = worker.polled_us > 0
                 && waited_us < POLL_INTERVAL_US
-                && !(has_updates && waited_us >= 25 * MS)
-            {
+                && !(has_updates && waited_us >= 25 * MS);
+            let waits_for_handling =
+                worker.has_unhandled_answer && waited_us < MAX_HANDLING_WAIT_US;
+            if is_recent || is_queue_full || waits_for_handling {
                 continue;
             }
             worker.polled_us = now_us;
@@ -444,6 +617,16 @@
                 self.fleet.worker_silent(index, now_us);
                 continue;
             }
+            self.workers[position].has_unhandled_answer = true;
+            if self.chance(self.faults.silent_permille) {
+                self.silence(position);
+            }
+            if self.workers[position].silent_until_us > now_us {
+                self.schedule(POLL_TIMEOUT_US, Event::Silent(index));
+                continue;
+            }
+            let worker = &mut self.workers[position];
+            worker.lease_until_us = now_us + LEASE_US;
             let running = worker.runs.iter().map(|run| row(run, now_us)).collect();
             let poll = Poll {
                 sent_us: now_us,
@@ -456,17 +639,62 @@
         }
     }
 
+    /// Makes a worker unreachable for a while.
+    fn silence(&mut self, position: usize) {
+        let worker = &mut self.workers[position];
+        worker.silent_until_us = self.now_us + self.faults.silence_ms * MS;
+        if self.faults.unlists_silent {
+            let id = worker.entry.id.clone();
+            self.fleet.worker_unlisted(&id);
+        }
+    }
+
+    /// Lists workers again that answer again, and ends the runs of workers whose lease has lapsed.
+    fn end_silences(&mut self) {
+        for position in 0..self.workers.len() {
+            let worker = &mut self.workers[position];
+            if worker.silent_until_us == 0 {
+                continue;
+            }
+            if worker.lease_until_us < self.now_us {
+                worker.runs.iter_mut().for_each(|run| {
+                    run.is_stopped = true;
+                    run.ends_us = run.ends_us.min(self.now_us);
+                });
+            }
+            if worker.silent_until_us <= self.now_us {
+                worker.silent_until_us = 0;
+                let entry = worker.entry.clone();
+                if self.faults.unlists_silent && self.has_planner {
+                    self.fleet.worker_listed(entry, self.now_us);
+                }
+            }
+        }
+    }
+
+    /// Describes the state of a missing task in the ledger.
+    fn describe(&self, job: &str, task: u32) -> String {
+        let (_, missing) = self.fleet.missing_tasks(usize::MAX, self.now_us);
+        let found = missing.into_iter().find(|other| other.job == job && other.task == task);
+        found.map_or_else(|| "unknown to the planner".to_owned(), |found| format!("{found:?}"))
+    }
+
     /// Reports long-running tasks that are missing although two workers have had capacity for them.
     fn verify(&mut self) {
         let (from_ms, to_ms) = self.conditions.store_outage_ms;
         let is_outside_outage =
             self.now_us < from_ms * MS || self.now_us > to_ms * MS + RECOVERY_US;
+        let is_after_takeover =
+            !self.has_planner || self.now_us < self.planner_since_us + RECOVERY_US;
+        let is_outside_outage =
+            is_outside_outage && !(self.faults.excuses_takeover && is_after_takeover);
         let free: Vec<Resources> = self
             .workers
             .iter()
             .filter(|worker| !worker.entry.is_leaving)
             .map(|worker| worker.entry.capacity.minus(&worker.used))
             .collect();
+        let mut reported = Vec::new();
         for (key, tracked_task) in &mut self.lasting {
             let Some(missing_since_us) = tracked_task.missing_since_us else { continue };
             let fits = free.iter().filter(|free| free.holds(&tracked_task.cpu)).take(2).count();
@@ -487,9 +715,23 @@
                     self.now_us / MS,
                     missing_since_us / MS
                 );
-                self.missing.push(message);
+                reported.push((key.clone(), message));
             }
         }
+        for ((job, task), message) in reported {
+            let state = self.describe(&job, task);
+            self.missing.push(format!("{message}: {state}"));
+        }
+        self.count_states();
+    }
+
+    fn count_states(&mut self) {
+        let (_, missing) = self.fleet.missing_tasks(usize::MAX, self.now_us);
+        for task in missing.iter().filter(|task| task.missing_ms * MS >= MISSING_AFTER_US) {
+            let entry = self.states.entry(task.state.to_owned()).or_default();
+            entry.0 += 1;
+            entry.1 = entry.1.max(task.missing_ms);
+        }
     }
 
     /// Longest time for which a long-running task has been without a run.
