--- a/crates/agatesill_policy/tests/fleet_missing.rs
+++ b/crates/agatesill_policy/tests/fleet_missing.rs
@@ -2,14 +2,8 @@
 
 mod fleet_support;
 
-use agatesill_policy::fleet::{JobSpec, Step};
+use fleet_support::full_fleet::{WORKERS, filling, submit_long_running, urgent};
 use fleet_support::simulation::{Conditions, Faults, S, Simulation};
-use fleet_support::{job, step};
-
-const WORKERS: usize = 1_100;
-
-/// Fraction of the CPU that long-running tasks reserve.
-const RESERVED_SHARE: f64 = 0.9;
 
 /// Seeds of the faults of orders.
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
@@ -26,55 +20,11 @@
 /// Urgent jobs submitted at once, and as many best-effort jobs.
 const JOBS_PER_TICK: u64 = 2;
 
-fn lasting(number: usize) -> JobSpec {
-    let mut watch = step(24);
-    watch.is_lasting = true;
-    watch.image = format!("watch{}", number % 16);
-    watch.target_ms = 100;
-    watch.may_miss = Some(2);
-    watch.need.cpu_milli = 1_900 + (number as u64 * 13 % 9) * 400;
-    watch.need.memory_mb = 4_000;
-    job(&format!("watch-{number}"), vec![watch])
-}
-
-fn urgent(number: u64) -> JobSpec {
-    let mut price: Step = step(6 + (number * 5 % 15) as u32);
-    price.need.cpu_milli = 1_200 + (number * 7 % 11) * 500;
-    price.need.memory_mb = 3_000;
-    price.estimate_ms = 640;
-    let second = Step { after: vec![0], ..price.clone() };
-    let steps = if number % 5 < 3 { vec![price, second] } else { vec![price] };
-    job(&format!("price-{number}"), steps)
-}
-
-fn filling(number: u64) -> JobSpec {
-    let mut bill = step(10 + (number * 11 % 40) as u32);
-    bill.fills = true;
-    bill.saves_progress = true;
-    bill.image = format!("bill{}", number % 30);
-    bill.need.cpu_milli = 1_800;
-    bill.need.memory_mb = 1_200;
-    bill.estimate_ms = 2_200;
-    let second = Step { after: vec![0], ..bill.clone() };
-    let mut spec = job(&format!("bill-{number}"), vec![bill, second]);
-    spec.queue = "month-end".to_owned();
-    spec.terms.priority = 2;
-    spec
-}
-
 /// Simulates 25 seconds of a fleet whose long-running tasks reserve nine tenths of the CPU, while
 /// more urgent work arrives than the rest can carry. The faults begin with that work.
 fn simulate(conditions: Conditions, faults: Faults) -> Simulation {
     let mut simulation = Simulation::new(WORKERS, conditions);
-    let capacity_milli: f64 = WORKERS as f64 * 20_000.0;
-    let mut reserved_milli = 0.0;
-    let mut number = 0;
-    while reserved_milli < capacity_milli * RESERVED_SHARE {
-        let spec = lasting(number);
-        reserved_milli += 24.0 * spec.steps[0].need.cpu_milli as f64;
-        simulation.submit(spec);
-        number += 1;
-    }
+    submit_long_running(&mut simulation);
     let begin_us = simulation.now_us + SETTLING_US;
     simulation.advance_until(begin_us);
     simulation.faults = faults;
