Batch: propose quarantines, releases, failures and parking until the ledger shows them

What callers saw: by reading, a job that was given up, or that fits on no worker, waited until the next takeover, neither failed nor parked nor started; a worker stayed in quarantine as long. Not seen in a run of the daemon. Cause: BatchPolicy::plan proposed these changes once and relied on its caller to keep them. The cell manager drops what does not fit into the record behind the pending deltas (next_group), as after a store outage when more than 96 KB of ends wait, and queues only events and requests again when a record was not written (is_required). The policy had already removed the job from its queue, or ended the quarantine on its side, so nobody proposed the change again. Change: the policy keeps its proposed changes by subject and proposes them in each plan until the ledger shows them or can no longer take them; a newer change on the same subject replaces an older one. A plan may now always be dropped, which is what the cell manager assumes.

--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -34,6 +34,7 @@
 use history::{History, HistoryEvent};
 use interference::InterferenceModel;
 use placement::PlacementError;
+use plan::ChangeSubject;
 use protection::MitigationStates;
 use queue::{PriorityTier, Queue};
 use token_bucket::TokenBucket;
@@ -93,6 +94,8 @@
     exploring_until_ms: BTreeMap<WorkerId, u64>,
     jobs_to_check: BTreeSet<String>,
     parked: BTreeSet<String>,
+    /// Proposed changes that the ledger does not show yet, other than placements and evictions.
+    uncommitted: BTreeMap<ChangeSubject, CellDelta>,
     workers_changed: bool,
     starts: TokenBucket,
     evictions: TokenBucket,
--- a/crates/agatesill_policy/src/batch/policy/plan.rs
+++ b/crates/agatesill_policy/src/batch/policy/plan.rs
@@ -1,15 +1,25 @@
 //! One planning round.
 
-use super::super::{Cell, CellDelta, JobSpec, Resources, TaskState};
+use super::super::{Cell, CellDelta, JobSpec, Resources, TaskState, WorkerId};
 use super::failures::HealthAction;
 use super::{BatchConfig, BatchPolicy, Plan};
 
+/// What a proposed change is about. A newer change replaces an older one with the same subject.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum ChangeSubject {
+    /// The quarantine of a worker.
+    Quarantine(WorkerId),
+    /// The failure of a job.
+    Failure(String),
+    /// The parking of a job.
+    Parking(String),
+}
+
 impl BatchPolicy {
     /// Proposes deltas to commit, and throttles, which need no commit.
     ///
-    /// Placements and evictions that are not committed are proposed again, since only
-    /// [`BatchPolicy::apply`] records them. Quarantines, releases and failed jobs are proposed
-    /// once, so a caller whose commit failed keeps its deltas and commits them later.
+    /// Everything that is not committed is proposed again: only [`BatchPolicy::apply`] records
+    /// placements and evictions, and the other changes are proposed until the ledger shows them.
     pub fn plan(&mut self, now_ms: u64, cell: &Cell, config: &BatchConfig) -> Plan {
         self.workers.undo(cell);
         if self.config != *config {
@@ -17,8 +27,10 @@
         }
         let mut plan = Plan::default();
         self.return_delayed(now_ms, cell);
-        self.evaluate_failures(now_ms, cell, &mut plan);
-        self.check_fit(cell, &mut plan);
+        self.uncommitted.retain(|_, delta| !is_reflected(cell, delta));
+        self.evaluate_failures(now_ms, cell);
+        self.check_fit(now_ms, cell);
+        self.propose_uncommitted(&mut plan);
         self.protect(now_ms, cell, &mut plan);
         self.place(now_ms, cell, &mut plan);
         plan
@@ -47,41 +59,65 @@
         }
     }
 
-    fn evaluate_failures(&mut self, now_ms: u64, cell: &Cell, plan: &mut Plan) {
+    fn evaluate_failures(&mut self, now_ms: u64, cell: &Cell) {
         let worker_count = cell.workers().len();
-        let actions = self.failures.evaluate(now_ms, worker_count);
-        // The ledger would refuse a placement on a worker that is quarantined in this round, or of
-        // a job that fails in it.
-        for action in &actions {
-            match action {
-                HealthAction::Quarantine(worker) => self.workers.exclude(*worker),
-                HealthAction::FailJob(job, _) => self.queue.remove(job),
-                HealthAction::Release(_) => {}
-            }
+        for action in self.failures.evaluate(now_ms, worker_count) {
+            let (subject, delta) = match action {
+                HealthAction::Quarantine(worker) => {
+                    (ChangeSubject::Quarantine(worker), CellDelta::Quarantine { worker })
+                }
+                HealthAction::Release(worker) => {
+                    (ChangeSubject::Quarantine(worker), CellDelta::Release { worker })
+                }
+                HealthAction::FailJob(job, reason) => {
+                    (ChangeSubject::Failure(job.clone()), CellDelta::Fail { job, reason })
+                }
+            };
+            self.uncommitted.insert(subject, delta);
         }
-        plan.deltas.extend(actions.into_iter().map(|action| match action {
-            HealthAction::Quarantine(worker) => CellDelta::Quarantine { worker },
-            HealthAction::Release(worker) => CellDelta::Release { worker },
-            HealthAction::FailJob(job, reason) => CellDelta::Fail { job, reason },
-        }));
     }
 
     /// Parks jobs that fit on no worker, and unparks them once a changed worker can hold them.
-    fn check_fit(&mut self, cell: &Cell, plan: &mut Plan) {
+    fn check_fit(&mut self, now_ms: u64, cell: &Cell) {
         if std::mem::take(&mut self.workers_changed) {
             self.jobs_to_check.extend(self.queue.jobs().map(|(id, _)| id.to_owned()));
             self.jobs_to_check.extend(self.parked.iter().cloned());
+            let parking = self.uncommitted.keys().filter_map(|subject| match subject {
+                ChangeSubject::Parking(job) => Some(job.clone()),
+                _ => None,
+            });
+            self.jobs_to_check.extend(parking);
         }
         for id in std::mem::take(&mut self.jobs_to_check) {
             let Some(job) = cell.job(&id).filter(|job| job.outcome.is_none()) else { continue };
+            let subject = ChangeSubject::Parking(id.clone());
             match (cell.impossible_now(&job.spec), &job.parked) {
                 (Some(reason), None) => {
-                    self.queue.remove(&id);
-                    plan.deltas.push(CellDelta::Park { job: id, reason });
+                    self.uncommitted.insert(subject, CellDelta::Park { job: id, reason });
+                }
+                (None, Some(_)) => {
+                    self.uncommitted.insert(subject, CellDelta::Unpark { job: id });
+                }
+                (None, None) if self.uncommitted.remove(&subject).is_some() => {
+                    self.enqueue(now_ms, job);
                 }
-                (None, Some(_)) => plan.deltas.push(CellDelta::Unpark { job: id }),
+                _ => {
+                    self.uncommitted.remove(&subject);
+                }
+            }
+        }
+    }
+
+    /// Proposes the changes that the ledger does not show yet. The ledger would refuse a placement
+    /// on a worker that is quarantined in this round, or of a job that fails or is parked in it.
+    fn propose_uncommitted(&mut self, plan: &mut Plan) {
+        for delta in self.uncommitted.values() {
+            match delta {
+                CellDelta::Quarantine { worker } => self.workers.exclude(*worker),
+                CellDelta::Fail { job, .. } | CellDelta::Park { job, .. } => self.queue.remove(job),
                 _ => {}
             }
+            plan.deltas.push(delta.clone());
         }
     }
 
@@ -92,3 +128,18 @@
         if cell.fits_active_worker(&reserve) { reserve } else { spec.need }
     }
 }
+
+/// Whether the ledger shows a proposed change or can no longer take it.
+fn is_reflected(cell: &Cell, delta: &CellDelta) -> bool {
+    let is_quarantined = |id: &WorkerId| cell.worker(*id).map(|worker| worker.quarantined);
+    let open_job =
+        |id: &str| cell.job(id).filter(|job| job.outcome.is_none() && job.forwarded.is_none());
+    match delta {
+        CellDelta::Quarantine { worker } => is_quarantined(worker) != Some(false),
+        CellDelta::Release { worker } => is_quarantined(worker) != Some(true),
+        CellDelta::Fail { job, .. } => open_job(job).is_none(),
+        CellDelta::Park { job, .. } => open_job(job).is_none_or(|job| job.parked.is_some()),
+        CellDelta::Unpark { job } => open_job(job).is_none_or(|job| job.parked.is_none()),
+        _ => true,
+    }
+}
