Cells: refuse a job that fits into no record at once

What callers saw: a job with a specification of more than about 96 KB was answered after 2 s with store_unavailable and a Retry-After of 1 s, although no retry can succeed; until then no job of the cell was accepted, no end recorded and no task placed, again with each retry. Cause: a record takes the pending deltas in order, as many as fit. An Accept that fits into none stays first, so nothing is written until its submitter's time limit withdraws it. Change: the owner of the cell checks the size before it queues the job, and answers too_large without a Retry-After.

--- a/crates/agatesilld/src/cells/jobs.rs
+++ b/crates/agatesilld/src/cells/jobs.rs
@@ -1,6 +1,7 @@
 //! Calls about jobs, answered from the cells owned here or forwarded to the daemon that owns the
 //! job's cell.
 
+use agatesill_coord::prelude::*;
 use agatesill_policy::prelude::*;
 use agatesill_wire::api::{JobExplanation, JobStatus};
 use agatesill_wire::jobs::{JobAnswer, JobCall};
@@ -165,8 +166,19 @@
             let message = format!("after: there is no job {on} in cell {cell}");
             return reply(Err(Error::new(ErrorKind::BadRequest, message)));
         }
-        owned.wait(&job.id, Awaited::Accept, reply);
-        owned.pending.push(CellDelta::Accept { job, at_ms: now_ms() });
+        let id = job.id.clone();
+        let delta = CellDelta::Accept { job, at_ms: now_ms() };
+        // A record takes the pending deltas in order, so one that fits into none holds up the rest.
+        match CommitLog::count_fitting(std::slice::from_ref(&delta)) {
+            Ok(0) => {
+                let message = format!("job {id}: the specification does not fit into one record");
+                return reply(Err(Error::new(ErrorKind::TooLarge, message)));
+            }
+            Ok(_) => {}
+            Err(error) => return reply(Err(error)),
+        }
+        owned.wait(&id, Awaited::Accept, reply);
+        owned.pending.push(delta);
     }
 
     fn cancel(&mut self, id: &str, reply: JobReply) {
--- a/crates/agatesilld/tests/cells.rs
+++ b/crates/agatesilld/tests/cells.rs
@@ -319,3 +319,19 @@
     assert!((3..=5).contains(&starts), "{starts} starts");
     assert_eq!((audit.double_runs, audit.overcommitted), (0, 0));
 }
+
+/// Guards against a job that fits into no record: it would hold up all other writes of its cell, and
+/// its submitter would be told to try again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_fits_into_no_record_is_refused_at_once() {
+    let cluster = Cluster::start(1).await;
+    for nth in 0..4 {
+        cluster.submit(0, &job(&format!("small-{nth}"), 1, 10)).await;
+    }
+    let class = "c".repeat(200_000);
+    let refused: Result<JobStatus, Error> =
+        cluster.ask(Method::POST, 0, "/v1/jobs", &JobSpec { class, ..job("wide", 1, 10) }).await;
+    let error = refused.unwrap_err();
+    assert_eq!((error.kind, error.retry_after_ms), (ErrorKind::TooLarge, 0), "{error}");
+    assert_eq!(cluster.await_outcome(0, "small-0").await.outcome, "done");
+}
