Cells: a cell that is given up for a lost lease is not released under the next one

What callers saw: after each lease that expired in a store outage, each cell was taken over twice, a renewal interval apart. In between its key was free for any daemon. By reading: submissions that wait for a commit at the second takeover lose their answer and are told stopping, not run, although the record may be stored. Cause: the loop gives its cells up when it learns of the new lease. By then the lease keeper has claimed them again under that lease in the same renewal; it handles the call afterwards and releases the new claim. The loop keeps acting on the cell until the next takeover replaces it. Change: giving up names the lease, and the keeper ignores it for an earlier one: those claims ended with their lease. So that they are forgotten also when a renewal fails after it got a new lease, the keeper compares with the lease of its claims and not with the lease before the renewal. Checked: a_cell_is_taken_over_once_after_a_lost_lease failed before (epochs 1, 2, 3 at all six workers) and passes with the other tests of cells.rs (11); fmt and clippy clean.

--- a/crates/agatesilld/src/cells/lease_keeper.rs
+++ b/crates/agatesilld/src/cells/lease_keeper.rs
@@ -27,7 +27,12 @@
 #[derive(Debug)]
 pub(super) enum LeaseKeeperCall {
     /// The loop no longer acts on the cell; release it.
-    GiveUp(String),
+    GiveUp {
+        /// Name of the cell.
+        name: String,
+        /// Store lease under which the loop owned the cell.
+        lease_id: u64,
+    },
     /// The loop has stopped; release the lease.
     Release,
 }
@@ -68,7 +73,9 @@
     store: Store,
     shared: Shared,
     ownership: Ownership,
+    /// Cells claimed under the lease `claimed_lease_id`.
     claimed: BTreeSet<String>,
+    claimed_lease_id: u64,
     unowned_since: BTreeMap<String, Instant>,
 }
 
@@ -80,6 +87,7 @@
             store,
             shared,
             claimed: BTreeSet::new(),
+            claimed_lease_id: 0,
             unowned_since: BTreeMap::new(),
         }
     }
@@ -94,7 +102,9 @@
         loop {
             tokio::select! {
                 call = calls.recv() => match call {
-                    Some(LeaseKeeperCall::GiveUp(name)) => self.give_up(&name).await,
+                    Some(LeaseKeeperCall::GiveUp { name, lease_id }) => {
+                        self.give_up(&name, lease_id).await;
+                    }
                     Some(LeaseKeeperCall::Release) | None => break,
                 },
                 _ = renew.tick() => {
@@ -109,7 +119,12 @@
         }
     }
 
-    async fn give_up(&mut self, name: &str) {
+    /// Releases a cell. A claim under an earlier lease has ended with that lease, and the cell may
+    /// have been claimed again since.
+    async fn give_up(&mut self, name: &str, lease_id: u64) {
+        if lease_id != self.ownership.lease_id() {
+            return;
+        }
         self.claimed.remove(name);
         if let Err(error) = self.ownership.give_up(&range(name)).await {
             log::warn!(event = "give_up_failed", cell = name; "{error}");
@@ -117,12 +132,12 @@
     }
 
     async fn renew(&mut self, events: &mpsc::Sender<Event>) -> Result<(), Error> {
-        let before = self.ownership.lease_id();
         let sent = Instant::now();
         self.ownership.renew().await?;
         let lease_id = self.ownership.lease_id();
-        if lease_id != before {
+        if lease_id != self.claimed_lease_id {
             self.claimed.clear();
+            self.claimed_lease_id = lease_id;
         }
         let until = sent + self.settings.ttl * USABLE_LEASE_PERCENT / 100;
         let _ = events.send(Event::Lease { lease_id, until }).await;
--- a/crates/agatesilld/src/cells/mod.rs
+++ b/crates/agatesilld/src/cells/mod.rs
@@ -269,7 +269,9 @@
         log::warn!(event = "cell_lost", cell = name, epoch = owned.epoch; "{why}");
         owned.fail_waiters();
         self.shared.cells().remove(name);
-        let _ = self.keeper.try_send(LeaseKeeperCall::GiveUp(name.to_owned()));
+        let given_up =
+            LeaseKeeperCall::GiveUp { name: name.to_owned(), lease_id: self.lease.lease_id };
+        let _ = self.keeper.try_send(given_up);
     }
 }
 
--- a/crates/agatesilld/tests/cells.rs
+++ b/crates/agatesilld/tests/cells.rs
@@ -335,3 +335,36 @@
     assert_eq!((error.kind, error.retry_after_ms), (ErrorKind::TooLarge, 0), "{error}");
     assert_eq!(cluster.await_outcome(0, "small-0").await.outcome, "done");
 }
+
+/// The store is unavailable until the lease of the only daemon has expired. Guards against a cell that
+/// is claimed anew, given up for the lost lease and taken over once more, which drops the submissions
+/// that wait for a commit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cell_is_taken_over_once_after_a_lost_lease() {
+    let mut base = batch::settings();
+    base.store.lease_ms = 4_000;
+    base.store.renew_ms = 400;
+    base.cells.values_mut().for_each(|cell| cell.outage_renew_ms = 600_000);
+    let (lease, renew_interval) = (Duration::from_millis(4_000), Duration::from_millis(400));
+    let cluster = Cluster::start_with(1, base).await;
+    cluster.submit(0, &job("long", 1, 60_000)).await;
+    let epochs = || cluster.harness.workers.audit().epochs;
+    let started = Instant::now();
+    while epochs().len() < 6 {
+        assert!(started.elapsed() < WAIT_TIMEOUT);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let before = epochs();
+    let outage = Fault { kind: FaultKind::StoreOutage, target: 0 };
+    cluster.harness.begin(outage).await;
+    tokio::time::sleep(lease + renew_interval).await;
+    cluster.harness.end(outage).await;
+    let has_new_epoch = |(id, epochs): (&WorkerId, &Vec<u64>)| epochs.len() > before[id].len();
+    while !epochs().iter().all(has_new_epoch) {
+        assert!(started.elapsed() < WAIT_TIMEOUT);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(renew_interval * 4).await;
+    let added = epochs().iter().map(|(id, epochs)| epochs.len() - before[id].len()).max();
+    assert_eq!(added, Some(1), "before {before:?}, after {:?}", epochs());
+}
