Cells: renew the lease while logs are taken over

What callers saw: with a store that takes 300 ms for each call and a lease of 3 s, a daemon that restarts never owned its cells: submissions and cancels were refused with no_upstream. By reading, nobody renewed the cells' attempts either. Cause: the lease keeper took the logs over in its own loop, 17 or 18 calls to the store for each cell, one cell after another. Its lease expired meanwhile, the claims ended with it, and the same began again. By that count a lease of 5 s, the default, is too short as well; not run. Change: each takeover runs in a task of its own; the keeper goes on renewing and passes the result on if the lease is still the one under which the cell was claimed. A takeover that fails or ends with a panic is forgotten, so the next renewal claims the cell again.

--- a/crates/agatesilld/src/cells/lease_keeper.rs
+++ b/crates/agatesilld/src/cells/lease_keeper.rs
@@ -11,6 +11,7 @@
 use agatesill_policy::prelude::*;
 use agatesill_wire::prelude::*;
 use tokio::sync::mpsc;
+use tokio::task::{Id, JoinError, JoinSet};
 
 use super::Event;
 use crate::settings::Settings;
@@ -67,7 +68,18 @@
     }
 }
 
+/// A claimed cell whose log is being taken over.
+struct PendingTakeover {
+    name: String,
+    lease_id: u64,
+}
+
+type TakeoverResult = Result<(CommitLog, Replay<Cell, CellDelta>), Error>;
+
 /// Renews the lease and claims cells.
+///
+/// Takeovers run in tasks of their own, because reading the logs at a slow store can take longer than
+/// the lease.
 pub(super) struct LeaseKeeper {
     settings: LeaseKeeperSettings,
     store: Store,
@@ -76,6 +88,8 @@
     /// Cells claimed under the lease `claimed_lease_id`.
     claimed: BTreeSet<String>,
     claimed_lease_id: u64,
+    takeovers: JoinSet<TakeoverResult>,
+    pending_takeovers: BTreeMap<Id, PendingTakeover>,
     unowned_since: BTreeMap<String, Instant>,
 }
 
@@ -88,6 +102,8 @@
             shared,
             claimed: BTreeSet::new(),
             claimed_lease_id: 0,
+            takeovers: JoinSet::new(),
+            pending_takeovers: BTreeMap::new(),
             unowned_since: BTreeMap::new(),
         }
     }
@@ -107,6 +123,9 @@
                     }
                     Some(LeaseKeeperCall::Release) | None => break,
                 },
+                Some(finished) = self.takeovers.join_next_with_id() => {
+                    self.takeover_finished(finished, &events).await;
+                }
                 _ = renew.tick() => {
                     if let Err(error) = self.renew(&events).await {
                         log::warn!(event = "lease_renewal_failed"; "{error}");
@@ -114,6 +133,7 @@
                 }
             }
         }
+        self.takeovers.shutdown().await;
         if let Err(error) = self.ownership.release().await {
             log::warn!(event = "release_failed"; "{error}");
         }
@@ -137,13 +157,14 @@
         let lease_id = self.ownership.lease_id();
         if lease_id != self.claimed_lease_id {
             self.claimed.clear();
+            self.takeovers.abort_all();
             self.claimed_lease_id = lease_id;
         }
         let until = sent + self.settings.ttl * USABLE_LEASE_PERCENT / 100;
         let _ = events.send(Event::Lease { lease_id, until }).await;
         for name in self.claimable().await? {
             if self.ownership.claim(&range(&name)).await? {
-                self.take_over(name, lease_id, events).await;
+                self.start_takeover(name, lease_id);
             }
         }
         Ok(())
@@ -196,17 +217,44 @@
             .collect()
     }
 
-    async fn take_over(&mut self, name: String, lease_id: u64, events: &mpsc::Sender<Event>) {
+    fn start_takeover(&mut self, name: String, lease_id: u64) {
+        let (store, instance) = (self.store.clone(), self.settings.instance.clone());
         let prefix = format!("cell/{name}");
-        let instance = &self.settings.instance;
-        match CommitLog::take_over::<Cell, CellDelta>(self.store.clone(), &prefix, instance).await {
+        let task = self.takeovers.spawn(async move {
+            CommitLog::take_over::<Cell, CellDelta>(store, &prefix, &instance).await
+        });
+        self.claimed.insert(name.clone());
+        self.unowned_since.remove(&name);
+        self.pending_takeovers.insert(task.id(), PendingTakeover { name, lease_id });
+    }
+
+    async fn takeover_finished(
+        &mut self,
+        finished: Result<(Id, TakeoverResult), JoinError>,
+        events: &mpsc::Sender<Event>,
+    ) {
+        let (id, result) = match finished {
+            Ok((id, result)) => (id, result),
+            Err(error) => {
+                (error.id(), Err(Error::new(ErrorKind::StoreUnavailable, error.to_string())))
+            }
+        };
+        let Some(PendingTakeover { name, lease_id }) = self.pending_takeovers.remove(&id) else {
+            return;
+        };
+        // The cell may have been claimed again under the present lease.
+        if lease_id != self.claimed_lease_id {
+            return;
+        }
+        match result {
             Ok((log, replay)) => {
-                self.claimed.insert(name.clone());
-                self.unowned_since.remove(&name);
                 let takeover = Takeover { name, lease_id, log, replay };
                 let _ = events.send(Event::Takeover(Box::new(takeover))).await;
             }
-            Err(error) => log::warn!(event = "takeover_failed", cell = name.as_str(); "{error}"),
+            Err(error) => {
+                log::warn!(event = "takeover_failed", cell = name.as_str(); "{error}");
+                self.claimed.remove(&name);
+            }
         }
     }
 }
--- a/crates/agatesilld/tests/cells.rs
+++ b/crates/agatesilld/tests/cells.rs
@@ -8,6 +8,7 @@
 
 use agatesill_policy::prelude::*;
 use agatesill_standin::faults::{Fault, FaultKind, Simulation, SimulationOptions, batch};
+use agatesill_standin::store::StoreFaults;
 use agatesill_wire::api::{JobExplanation, JobStatus, VersionedConfig};
 use agatesill_wire::http::JsonClient;
 use agatesill_wire::prelude::*;
@@ -368,3 +369,25 @@
     let added = epochs().iter().map(|(id, epochs)| epochs.len() - before[id].len()).max();
     assert_eq!(added, Some(1), "before {before:?}, after {:?}", epochs());
 }
+
+/// A daemon restarts while each call to the store takes 300 ms. Guards against a lease that expires
+/// while the cells' logs are read: the cells would be claimed again and again and never be owned.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cells_are_taken_over_while_the_store_is_slow() {
+    let mut base = batch::settings();
+    base.store.lease_ms = 3_000;
+    base.store.renew_ms = 300;
+    let cluster = Cluster::start_with(1, base).await;
+    for nth in 0..4 {
+        cluster.submit(0, &job(&format!("night-{nth}"), 1, 60_000)).await;
+    }
+    let slow = StoreFaults { delay_ms: 300, ..StoreFaults::default() };
+    cluster.harness.store.set_faults(slow);
+    cluster.harness.daemons[0].kill();
+    cluster.harness.daemons[0].start().unwrap();
+    for nth in 0..4 {
+        let cancelled: JobStatus =
+            cluster.ask_until(Method::DELETE, 0, &format!("/v1/jobs/night-{nth}"), &()).await;
+        assert_eq!(cancelled.outcome, "cancelled");
+    }
+}
