Requests: pass the slots of a crashed daemon to the live ones

What callers saw: after a daemon crashed, the others left its slots at each upstream unused until it was back: with one of two daemons down, requests waited or were refused at half of the upstream's slots. By reading, its last reported load also stayed counted. Cause: the decision thread is told of the end of a daemon only by a heartbeat that says stopping, which a crashed process never sends. Membership knows which members are dead; nothing used it for the slots. Change: a check at the heartbeat interval reports each member that membership calls dead, once, and again if the ring was full. A daemon that is only unheard, paused or cut off from one peer keeps its slots as before; a heartbeat gives them back.

--- a/crates/agatesilld/src/decide/mod.rs
+++ b/crates/agatesilld/src/decide/mod.rs
@@ -59,7 +59,7 @@
         /// Its requests in flight, by upstream.
         loads: Vec<(UpstreamId, u32)>,
     },
-    /// Another daemon reported that it is stopping.
+    /// Another daemon reported that it is stopping, or is dead.
     PeerTerminated(String),
     /// An upstream indicated that it is leaving.
     Leaving {
--- a/crates/agatesilld/src/peers.rs
+++ b/crates/agatesilld/src/peers.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use agatesill_coord::lease::{MEMBER_RANGE_PREFIX, OWNER_PREFIX};
-use agatesill_coord::membership::{Membership, PLATFORM_PREFIX, Peer};
+use agatesill_coord::membership::{Membership, PLATFORM_PREFIX, Peer, PeerState};
 use agatesill_coord::peer_calls::{PeerConnection, fetch_config, serve_peer_calls};
 use agatesill_coord::prelude::*;
 use agatesill_coord::store;
@@ -112,6 +112,7 @@
         }
         tokio::spawn(self.clone().follow_leases(stop.clone()));
         tokio::spawn(self.clone().follow_platform(stop.clone()));
+        tokio::spawn(self.clone().report_dead_members(stop.clone()));
         let max_accepted =
             self.settings.members.len() * MAX_CONNECTIONS_PER_MEMBER + MAX_UNIDENTIFIED_CONNECTIONS;
         let permits = Arc::new(Semaphore::new(max_accepted));
@@ -152,6 +153,27 @@
         .await;
     }
 
+    /// Reports members that have died to the decision thread, so that their slots pass to the live
+    /// daemons. A crashed process sends no heartbeat that says so.
+    async fn report_dead_members(self, stop: CancellationToken) {
+        let mut checks = tokio::time::interval(Duration::from_millis(self.settings.heartbeat_ms));
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut reported = BTreeSet::new();
+        while stop.run_until_cancelled(checks.tick()).await.is_some() {
+            let now = Instant::now();
+            for name in self.settings.members.keys().filter(|name| **name != self.instance) {
+                if self.membership().state_of(name, now) != PeerState::Dead {
+                    reported.remove(name);
+                } else if !reported.contains(name)
+                    && self.decider.try_send(DecideEvent::PeerTerminated(name.clone())).is_ok()
+                {
+                    log::info!(event = "peer_dead", peer = name.as_str(); "");
+                    reported.insert(name.clone());
+                }
+            }
+        }
+    }
+
     async fn keep_connected(self, name: String, addr: SocketAddr, stop: CancellationToken) {
         while !stop.is_cancelled() {
             let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
--- a/crates/agatesilld/tests/relay.rs
+++ b/crates/agatesilld/tests/relay.rs
@@ -397,3 +397,29 @@
     wait_until(|| async { kind(&harness.send(0, &read_request("r1")).await) == "answer" }).await?;
     Ok(())
 }
+
+/// One of two daemons does not run, as after a crash of both. Guards against its slots staying reserved
+/// for it, so that callers wait or are refused at an upstream that has free ones.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slots_of_a_crashed_daemon_pass_to_the_live_one() -> TestResult {
+    let sizes = HarnessSizes { upstreams: 1, service_us: 300_000, ..SIZES };
+    let mut environment = Harness::start(sizes, |_| {}).await?;
+    environment.settings.truncate(1);
+    let stop = CancellationToken::new();
+    start(&environment.settings[0], &stop)?;
+    environment.configure().await?;
+    let entry = environment.settings[0].entry.addr;
+    let all_used = wait_until(|| async {
+        let wave = (0..sizes.slots).map(|nth| {
+            let caller = Caller::default();
+            let ask = read_request(&format!("r{nth}"));
+            async move { caller.send(entry, &ask).await }
+        });
+        futures::future::join_all(wave).await;
+        environment.upstreams[0].audit().most_at_once == sizes.slots
+    });
+    drop(all_used.await);
+    stop.cancel();
+    assert_eq!(environment.upstreams[0].audit().most_at_once, sizes.slots);
+    Ok(())
+}
