Only the proof that a run is absent counts from the arrival of an answer

Change: order_answered_at takes both times; the ledger's own times stay those of handling, like those of polls.

--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -20,9 +20,20 @@
 const RECENT_ANSWER_US: u64 = 1_000 * US_PER_MS;
 
 impl Fleet {
-    /// Applies the outcome of an order. `now_us` is when the answer arrived, which may be seconds
-    /// before it is handled: a poll sent after that time shows the effect of the order.
+    /// Applies the outcome of an order whose answer has just arrived.
     pub fn order_answered(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
+        self.order_answered_at(order, outcome, now_us, now_us);
+    }
+
+    /// Applies the outcome of an order. The answer arrived at `answered_us`, which may be seconds
+    /// before it is handled: a poll sent after its arrival shows the effect of the order.
+    pub fn order_answered_at(
+        &mut self,
+        order: &Order,
+        outcome: OrderOutcome,
+        answered_us: u64,
+        now_us: u64,
+    ) {
         if outcome == OrderOutcome::OtherIncarnation {
             self.worker_gone(order.worker, "another incarnation answers", now_us);
             return;
@@ -44,15 +55,21 @@
             log_answer(order, outcome, now_us);
         }
         match &order.kind {
-            OrderKind::Start { .. } => self.start_answered(order, outcome, now_us),
+            OrderKind::Start { .. } => self.start_answered(order, outcome, answered_us, now_us),
             // Stops are repeated. The run is barred from the first answer on.
-            OrderKind::Stop if task.answered_us == 0 => task.answered_us = now_us,
+            OrderKind::Stop if task.answered_us == 0 => task.answered_us = answered_us,
             OrderKind::Stop => {}
             OrderKind::Pace { .. } => {}
         }
     }
 
-    fn start_answered(&mut self, order: &Order, outcome: OrderOutcome, now_us: u64) {
+    fn start_answered(
+        &mut self,
+        order: &Order,
+        outcome: OrderOutcome,
+        answered_us: u64,
+        now_us: u64,
+    ) {
         let task_ref = order.task_ref;
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
         let task = &mut job.tasks[task_ref.task as usize];
@@ -60,7 +77,7 @@
         match outcome {
             OrderOutcome::Done => {
                 job.is_started = true;
-                task.answered_us = now_us;
+                task.answered_us = answered_us;
                 self.starting -= u32::from(task.mark_running(now_us));
                 if matches!(task.state, TaskState::Ordered(_)) {
                     task.state = TaskState::Running(order.worker);
@@ -71,7 +88,7 @@
             }
             // The run has ended on the worker or was barred. The next poll shows which.
             OrderOutcome::Old => {
-                task.answered_us = now_us;
+                task.answered_us = answered_us;
                 task.state = TaskState::Stopping(order.worker);
                 self.starting -= u32::from(std::mem::take(&mut task.is_starting));
             }
--- a/crates/agatesill_policy/tests/fleet_support/simulation.rs
+++ b/crates/agatesill_policy/tests/fleet_support/simulation.rs
@@ -426,7 +426,7 @@
             self.longest_lag_ms = self.longest_lag_ms.max((self.now_us - at_us) / MS);
             match event {
                 Event::Answered(order, outcome) => {
-                    self.fleet.order_answered(&order, outcome, at_us);
+                    self.fleet.order_answered_at(&order, outcome, at_us, self.now_us);
                 }
                 Event::Polled(index, poll) => {
                     self.answer_handled(index);
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -349,7 +349,6 @@
     fn handle_answer(&mut self, answer: Answer) {
         self.answers_as_of_us = self.answers_as_of_us.max(answer.reported_us);
         match answer.event {
-            // Counts from its arrival, however long it has waited here.
             Event::Answered(order, outcome, requested_us) => {
                 self.order_answered(&order, outcome, requested_us, answer.reported_us);
             }
@@ -367,7 +366,8 @@
         if let Some(requested_us) = requested_us {
             self.fleet.lease_requested(order.worker, requested_us);
         }
-        self.fleet.order_answered(order, outcome, answered_us);
+        let now_us = self.daemon.clock.now_us();
+        self.fleet.order_answered_at(order, outcome, answered_us, now_us);
         if outcome == OrderOutcome::Fenced {
             self.lost.cancel();
         }
