A stop that the worker rejected does not bar its run

What callers could see: two runs of one task. Evidence: a start without an answer is given up, its stop is answered Refused, Malformed or Late, the next poll lacks the run and the task starts elsewhere; then the first start is carried out. Cause: each answer to a stop counted as its effect; with the first one was final. Change: only an answer that says that the stop was carried out, or that the run is over, bars the run; a rejected stop is repeated once it is overdue. Checked: rejected_stop_does_not_prove_that_a_run_is_barred failed before and passes; fleet_orders, fleet_given_up and fleet_missing pass.

--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -56,9 +56,14 @@
         }
         match &order.kind {
             OrderKind::Start { .. } => self.start_answered(order, outcome, answered_us, now_us),
-            // Stops are repeated. The run is barred from the first answer on.
-            OrderKind::Stop if task.answered_us == 0 => task.answered_us = answered_us,
-            OrderKind::Stop => {}
+            OrderKind::Stop => {
+                // A rejected stop bars nothing and is repeated once it is overdue. The run is
+                // barred from the first other answer on.
+                let is_barred = matches!(outcome, OrderOutcome::Done | OrderOutcome::Old);
+                if is_barred && task.answered_us == 0 {
+                    task.answered_us = answered_us;
+                }
+            }
             OrderKind::Pace { .. } => {}
         }
     }
