--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -11,7 +11,7 @@
     LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms, Worker,
     WorkerEntry, WorkerIndex, WorkerStanding,
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -128,6 +128,8 @@
     pub reported_us: u64,
     /// The event.
     pub event: Event,
+    /// Lets the worker be polled again at once when the answer is dropped after its handling.
+    pub poll_permit: Option<OwnedSemaphorePermit>,
 }
 
 /// Handle to the planner of this daemon.
@@ -346,7 +348,29 @@
 
     fn handle_answer(&mut self, answer: Answer) {
         self.answers_as_of_us = self.answers_as_of_us.max(answer.reported_us);
-        self.handle(answer.event);
+        match answer.event {
+            Event::Answered(order, outcome, requested_us) => {
+                self.order_answered(&order, outcome, requested_us, answer.reported_us);
+            }
+            event => self.handle(event),
+        }
+    }
+
+    fn order_answered(
+        &mut self,
+        order: &Order,
+        outcome: OrderOutcome,
+        requested_us: Option<u64>,
+        answered_us: u64,
+    ) {
+        if let Some(requested_us) = requested_us {
+            self.fleet.lease_requested(order.worker, requested_us);
+        }
+        let now_us = self.daemon.clock.now_us();
+        self.fleet.order_answered_at(order, outcome, answered_us, now_us);
+        if outcome == OrderOutcome::Fenced {
+            self.lost.cancel();
+        }
     }
 
     /// Waits briefly for the commits under way, so that a successor reads their records.
@@ -398,13 +422,7 @@
                 self.lost.cancel();
             }
             Event::Answered(order, outcome, requested_us) => {
-                if let Some(requested_us) = requested_us {
-                    self.fleet.lease_requested(order.worker, requested_us);
-                }
-                self.fleet.order_answered(&order, outcome, now_us);
-                if outcome == OrderOutcome::Fenced {
-                    self.lost.cancel();
-                }
+                self.order_answered(&order, outcome, requested_us, now_us);
             }
             Event::Advised(question, reply) => {
                 let good = reply.as_ref().map(|reply| reply.good.as_slice());
--- a/crates/agatesilld/tests/cells.rs
+++ b/crates/agatesilld/tests/cells.rs
@@ -8,6 +8,7 @@
 
 use agatesill_policy::prelude::*;
 use agatesill_standin::faults::{Fault, FaultKind, Simulation, SimulationOptions, batch};
+use agatesill_standin::store::StoreFaults;
 use agatesill_wire::api::{JobExplanation, JobStatus, VersionedConfig};
 use agatesill_wire::http::JsonClient;
 use agatesill_wire::prelude::*;
@@ -319,3 +320,74 @@
     assert!((3..=5).contains(&starts), "{starts} starts");
     assert_eq!((audit.double_runs, audit.overcommitted), (0, 0));
 }
+
+/// Guards against a job that fits into no record: it would hold up all other writes of its cell, and
+/// its submitter would be told to try again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_fits_into_no_record_is_refused_at_once() {
+    let cluster = Cluster::start(1).await;
+    for nth in 0..4 {
+        cluster.submit(0, &job(&format!("small-{nth}"), 1, 10)).await;
+    }
+    let class = "c".repeat(200_000);
+    let refused: Result<JobStatus, Error> =
+        cluster.ask(Method::POST, 0, "/v1/jobs", &JobSpec { class, ..job("wide", 1, 10) }).await;
+    let error = refused.unwrap_err();
+    assert_eq!((error.kind, error.retry_after_ms), (ErrorKind::TooLarge, 0), "{error}");
+    assert_eq!(cluster.await_outcome(0, "small-0").await.outcome, "done");
+}
+
+/// The store is unavailable until the lease of the only daemon has expired. Guards against a cell that
+/// is claimed anew, given up for the lost lease and taken over once more, which drops the submissions
+/// that wait for a commit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cell_is_taken_over_once_after_a_lost_lease() {
+    let mut base = batch::settings();
+    base.store.lease_ms = 4_000;
+    base.store.renew_ms = 400;
+    base.cells.values_mut().for_each(|cell| cell.outage_renew_ms = 600_000);
+    let (lease, renew_interval) = (Duration::from_millis(4_000), Duration::from_millis(400));
+    let cluster = Cluster::start_with(1, base).await;
+    cluster.submit(0, &job("long", 1, 60_000)).await;
+    let epochs = || cluster.harness.workers.audit().epochs;
+    let started = Instant::now();
+    while epochs().len() < 6 {
+        assert!(started.elapsed() < WAIT_TIMEOUT);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let before = epochs();
+    let outage = Fault { kind: FaultKind::StoreOutage, target: 0 };
+    cluster.harness.begin(outage).await;
+    tokio::time::sleep(lease + renew_interval).await;
+    cluster.harness.end(outage).await;
+    let has_new_epoch = |(id, epochs): (&WorkerId, &Vec<u64>)| epochs.len() > before[id].len();
+    while !epochs().iter().all(has_new_epoch) {
+        assert!(started.elapsed() < WAIT_TIMEOUT);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    tokio::time::sleep(renew_interval * 4).await;
+    let added = epochs().iter().map(|(id, epochs)| epochs.len() - before[id].len()).max();
+    assert_eq!(added, Some(1), "before {before:?}, after {:?}", epochs());
+}
+
+/// A daemon restarts while each call to the store takes 300 ms. Guards against a lease that expires
+/// while the cells' logs are read: the cells would be claimed again and again and never be owned.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cells_are_taken_over_while_the_store_is_slow() {
+    let mut base = batch::settings();
+    base.store.lease_ms = 3_000;
+    base.store.renew_ms = 300;
+    let cluster = Cluster::start_with(1, base).await;
+    for nth in 0..4 {
+        cluster.submit(0, &job(&format!("night-{nth}"), 1, 60_000)).await;
+    }
+    let slow = StoreFaults { delay_ms: 300, ..StoreFaults::default() };
+    cluster.harness.store.set_faults(slow);
+    cluster.harness.daemons[0].kill();
+    cluster.harness.daemons[0].start().unwrap();
+    for nth in 0..4 {
+        let cancelled: JobStatus =
+            cluster.ask_until(Method::DELETE, 0, &format!("/v1/jobs/night-{nth}"), &()).await;
+        assert_eq!(cancelled.outcome, "cancelled");
+    }
+}
