--- a/crates/agatesill_policy/src/fleet/missing_tasks.rs
+++ b/crates/agatesill_policy/src/fleet/missing_tasks.rs
@@ -13,7 +13,7 @@
 /// Time without a run after which a long-running task is reported. Its users tolerate six seconds.
 const REPORTED_AFTER_US: u64 = 4_000 * US_PER_MS;
 
-/// A long-running task that has been without a run for longer than [`REPORTED_AFTER_US`].
+/// A long-running task that has been without a run for four seconds or more.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MissingTask {
     /// Job of the task.
@@ -73,8 +73,8 @@
 }
 
 impl Fleet {
-    /// Returns the number of long-running tasks that have been without a run for longer than
-    /// [`REPORTED_AFTER_US`], and the `max` ones that have been so for longest.
+    /// Returns the number of long-running tasks that have been without a run for four seconds or
+    /// more, and the `max` ones that have been so for longest.
     pub fn missing_tasks(&self, max: usize, now_us: u64) -> (usize, Vec<MissingTask>) {
         let mut missing: Vec<(u64, TaskRef)> = Vec::new();
         for (slot, job) in self.jobs.iter().enumerate() {
