--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -52,7 +52,8 @@
             return;
         }
         if is_lasting && !matches!(order.kind, OrderKind::Pace { .. }) {
-            log_answer(order, outcome, now_us);
+            let worker = &self.workers[order.worker as usize].entry.id;
+            log_answer(order, worker, outcome, now_us);
         }
         match &order.kind {
             OrderKind::Start { .. } => self.start_answered(order, outcome, answered_us, now_us),
@@ -171,7 +172,8 @@
         if task.run != order.run || task.state.worker() != Some(order.worker) {
             return;
         }
-        log_answer(order, OrderOutcome::Unanswered, now_us);
+        let worker = &self.workers[order.worker as usize].entry.id;
+        log_answer(order, worker, OrderOutcome::Unanswered, now_us);
         task.unanswered += 1;
         let gives_up = task.unanswered >= MAX_UNANSWERED_ORDERS || !takes_starts;
         match (&order.kind, task.state) {
@@ -193,9 +195,9 @@
 }
 
 /// Logs the outcome of a start or stop, with the time since the decision.
-fn log_answer(order: &Order, outcome: OrderOutcome, now_us: u64) {
+fn log_answer(order: &Order, worker: &str, outcome: OrderOutcome, now_us: u64) {
     log::info!(event = "order_answered", kind = order.kind.name(), job = order.task.job.as_str(),
-        step = order.task.step, index = order.task.index, run = order.run, worker = order.worker,
+        step = order.task.step, index = order.task.index, run = order.run, worker = worker,
         outcome:? = outcome,
         decided_ms = now_us.saturating_sub(order.decided_us) / US_PER_MS; "");
 }
