--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -25,24 +25,6 @@
 /// those of thousands of batch tasks, and starts would be given up before they are sent.
 const MAX_STARTING_TASKS: u32 = 1_024;
 
-/// Number of urgent records, most of them of choices, that wait to be stored from which only
-/// long-running tasks are placed. As many are stored at a time, so a choice normally waits for one
-/// transaction. Records of less urgent queues are stored later and don't count.
-///
-/// Without this limit, a planner whose records are stored slowly, or not at all for seconds, would
-/// go on choosing. Tasks whose start is not ordered would hold capacity that the workers have free,
-/// and records of long-running tasks would wait behind those of all others.
-const MAX_URGENT_RECORDS: usize = 60;
-
-/// Urgent records that wait to be stored, in one planning round.
-#[derive(Clone, Copy, Debug)]
-struct RecordBacklog {
-    /// All of them at the start of the round.
-    at_start: usize,
-    /// Those of the most urgent queues at the start of the round.
-    most_urgent: usize,
-}
-
 /// A demand that fitted no worker in this planning round; equal or larger demands are skipped.
 #[derive(Debug)]
 struct UnplacedDemand {
@@ -74,11 +56,10 @@
         if self.waiting.is_empty() {
             return;
         }
-        let backlog = self.record_backlog();
         let mut unplaced = Vec::new();
         let mut still_waiting = Vec::new();
         for ranked in self.ranked(now_us, now_ms) {
-            self.place_group(ranked.group, backlog, &mut unplaced, now_us);
+            self.place_group(ranked.group, &mut unplaced, now_us);
             if self.waiting.contains(&ranked.group) {
                 still_waiting.push((ranked.group, ranked.density));
             }
@@ -86,31 +67,7 @@
         self.preempt_for_urgent(&still_waiting, now_us);
     }
 
-    fn record_backlog(&self) -> RecordBacklog {
-        let is_most_urgent =
-            |slot: &&u32| self.job(**slot).is_some_and(|job| self.terms(job).priority == 0);
-        RecordBacklog {
-            at_start: self.urgent.len(),
-            most_urgent: self.urgent.iter().filter(is_most_urgent).count(),
-        }
-    }
-
-    /// Number of urgent records that wait to be stored before one of a queue with this priority.
-    /// The most urgent queues are placed first, so what a round adds before them is theirs.
-    fn records_ahead(&self, priority: u32, backlog: RecordBacklog) -> usize {
-        if priority > 0 {
-            return self.urgent.len();
-        }
-        backlog.most_urgent + self.urgent.len().saturating_sub(backlog.at_start)
-    }
-
-    fn place_group(
-        &mut self,
-        group: TaskGroup,
-        backlog: RecordBacklog,
-        unplaced: &mut Vec<UnplacedDemand>,
-        now_us: u64,
-    ) {
+    fn place_group(&mut self, group: TaskGroup, unplaced: &mut Vec<UnplacedDemand>, now_us: u64) {
         let Some(job) = self.job(group.job) else {
             self.waiting.remove(&group);
             return;
@@ -134,10 +91,6 @@
         if self.terms(job).priority > 0 && self.starting >= MAX_STARTING_TASKS {
             return;
         }
-        let priority = self.terms(job).priority;
-        if !step.is_lasting && self.records_ahead(priority, backlog) >= MAX_URGENT_RECORDS {
-            return;
-        }
         if step.is_gang && tasks.len() < step.count as usize {
             // Some members are not ready to start yet, and a gang starts only as a whole.
             return;
