--- a/crates/agatesill_policy/tests/fleet_support/simulation.rs
+++ b/crates/agatesill_policy/tests/fleet_support/simulation.rs
@@ -138,8 +138,7 @@
     pub silence_ms: u64,
     /// Whether the registry does not list silent workers.
     pub unlists_silent: bool,
-    /// Whether a takeover counts as a disturbance, so that nothing is reported until
-    /// [`RECOVERY_US`] after it.
+    /// Whether missing tasks are not reported during a takeover and for [`RECOVERY_US`] after it.
     pub excuses_takeover: bool,
 }
 
