Log each job of which nothing has run for three seconds, with the reason

The lines of today cannot tell why: longest_wait compares free capacity only, task_missing covers long-running tasks, and nothing says that a planner does not know a job.

Adds, once a second and for at most 8 jobs, job_idle: the states of the open tasks, whether the step is queued, the age of the unstored record, the worker with its standing, or the deferral and the number of workers that would take the task and that each rule excludes. Placement and the report evaluate workers with the same function, which now returns the rule instead of nothing, so the report cannot differ from the decision. Deferrals name the gang, the limit of starts and a demand that is known not to fit. job_unknown says that the state of an active job came from the store because no planner that knows it answered; planner_duties says whether the registry is current.

No decision changes.

--- a/crates/agatesill_policy/src/fleet/colocation/capacity.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/capacity.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::images::ImageId;
 use crate::fleet::place::PlacementRequest;
+use crate::fleet::refusals::{Refusal, refuse_if};
 use crate::fleet::state::Fleet;
 use crate::fleet::worker::Worker;
 
@@ -96,8 +97,7 @@
 }
 
 impl Fleet {
-    /// Returns the score of a worker for a best-effort task; infinite if the worker must not run
-    /// it.
+    /// Returns the score of a worker for a best-effort task, or why the worker must not run it.
     ///
     /// The score is the crowding of the worker plus a penalty for each pair of images that is not
     /// classified. Workers with a harmful pair are excluded, because a serving task that misses its
@@ -106,22 +106,23 @@
         &self,
         request: &PlacementRequest<'_>,
         worker: &Worker,
-    ) -> f64 {
+    ) -> Result<f64, Refusal> {
         let mut score = crowding(worker, request.step.need.cpu_milli);
-        if worker.lasting == 0 || !score.is_finite() {
-            return score;
+        refuse_if(!score.is_finite(), Refusal::Crowded)?;
+        if worker.lasting == 0 {
+            return Ok(score);
         }
         for serving in worker.serving.iter() {
             match self.interference.classify(serving, request.image) {
-                PairClass::Harmful => return f64::INFINITY,
+                PairClass::Harmful => return Err(Refusal::HarmfulPair),
                 PairClass::Harmless => {}
                 PairClass::Unknown if !self.may_run_trial(worker, serving, request.image) => {
-                    return f64::INFINITY;
+                    return Err(Refusal::TrialLimit);
                 }
                 PairClass::Unknown => score += UNKNOWN_PAIR_PENALTY,
             }
         }
-        score
+        Ok(score)
     }
 
     /// Whether one more task of a best-effort image may be started beside a serving image while the
--- a/crates/agatesill_policy/src/fleet/longest_wait.rs
+++ b/crates/agatesill_policy/src/fleet/longest_wait.rs
@@ -21,6 +21,12 @@
     AwaitsSeparation,
     /// The task needs advice on which workers may run it.
     AwaitsAdvice,
+    /// Other members of its gang are not ready to start.
+    AwaitsGang,
+    /// Too many starts of less urgent queues are in progress.
+    StartsInProgress,
+    /// An equal or smaller demand fitted no worker in the last planning round.
+    KnownNotToFit,
 }
 
 impl Deferral {
@@ -32,6 +38,9 @@
             Deferral::BackingOff => "backing_off",
             Deferral::AwaitsSeparation => "awaits_separation",
             Deferral::AwaitsAdvice => "awaits_advice",
+            Deferral::AwaitsGang => "awaits_gang",
+            Deferral::StartsInProgress => "starts_in_progress",
+            Deferral::KnownNotToFit => "known_not_to_fit",
         }
     }
 }
@@ -210,15 +219,25 @@
 
     pub(super) fn deferral(&self, group: TaskGroup, task: u32, now_us: u64) -> Deferral {
         let Some(job) = self.job(group.job) else { return Deferral::None };
-        let is_lasting = job.spec.steps[group.step as usize].is_lasting;
+        let step = &job.spec.steps[group.step as usize];
+        let is_ready = |task: u32| {
+            let task = &job.tasks[task as usize];
+            task.state == TaskState::Waiting && !task.is_backing_off(now_us)
+        };
         if job.tasks[task as usize].is_backing_off(now_us) {
             Deferral::BackingOff
-        } else if is_lasting && self.is_held_back(group, now_us) {
+        } else if self.are_starts_limited(job) {
+            Deferral::StartsInProgress
+        } else if step.is_gang && !job.tasks_of(group.occurrence, group.step).all(is_ready) {
+            Deferral::AwaitsGang
+        } else if step.is_lasting && self.is_held_back(group, now_us) {
             Deferral::HeldBack
         } else if self.awaits_separation(TaskRef { job: group.job, task }, now_us) {
             Deferral::AwaitsSeparation
         } else if self.terms(job).needs_advice {
             Deferral::AwaitsAdvice
+        } else if self.is_known_not_to_fit(job, group.step, &self.unplaced) {
+            Deferral::KnownNotToFit
         } else {
             Deferral::None
         }
--- a/crates/agatesill_policy/src/fleet/missing_tasks.rs
+++ b/crates/agatesill_policy/src/fleet/missing_tasks.rs
@@ -13,7 +13,7 @@
 /// Time without a run after which a long-running task is reported. Its users tolerate six seconds.
 const REPORTED_AFTER_US: u64 = 4_000 * US_PER_MS;
 
-/// A long-running task that has been without a run for four seconds or more.
+/// A task that has been without a run for seconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MissingTask {
     /// Job of the task.
@@ -72,6 +72,9 @@
     pub fitting_without_starts: u32,
 }
 
+/// Resources allocated on each worker to tasks whose start is in progress.
+pub(super) type StartsByWorker = HashMap<WorkerIndex, Resources>;
+
 impl Fleet {
     /// Returns the number of long-running tasks that have been without a run for four seconds or
     /// more, and the `max` ones that have been so for longest.
@@ -111,8 +114,8 @@
     }
 
     /// Resources allocated on each worker to tasks whose start is in progress.
-    fn starting_by_worker(&self) -> HashMap<WorkerIndex, Resources> {
-        let mut starting: HashMap<WorkerIndex, Resources> = HashMap::new();
+    pub(super) fn starting_by_worker(&self) -> StartsByWorker {
+        let mut starting = StartsByWorker::new();
         for (index, worker) in self.live_workers() {
             for task_ref in &worker.tasks {
                 let Some(job) = self.job(task_ref.job) else { continue };
@@ -126,11 +129,11 @@
         starting
     }
 
-    fn describe_missing(
+    pub(super) fn describe_missing(
         &self,
         task_ref: TaskRef,
         absent_us: u64,
-        starting: &HashMap<WorkerIndex, Resources>,
+        starting: &StartsByWorker,
         now_us: u64,
     ) -> Option<MissingTask> {
         let job = self.job(task_ref.job)?;
@@ -178,7 +181,7 @@
         step: &Step,
         service: &str,
         deferral: Deferral,
-        starting: &HashMap<WorkerIndex, Resources>,
+        starting: &StartsByWorker,
         now_us: u64,
     ) -> PlacementWait {
         let allocation = step.allocation();
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -10,6 +10,7 @@
 
 use super::images::ImageId;
 use super::job::Step;
+use super::refusals::{Refusal, Refusals, refuse_if};
 use super::state::{Fleet, TaskGroup};
 use super::worker::{Worker, WorkerIndex};
 
@@ -90,7 +91,7 @@
             .iter()
             .enumerate()
             .filter_map(|(place, index)| {
-                Some(Reverse((self.score_if_eligible(request, *index, now_us)?, place)))
+                Some(Reverse((self.evaluate(request, *index, now_us).ok()?, place)))
             })
             .collect();
         WorkerSearch { candidates, by_score }
@@ -108,13 +109,13 @@
             // The score may be stale: the worker may have been chosen since, or its trial limit
             // reached.
             self.effort.count_workers_examined(1);
-            match self.score_if_eligible(request, index, now_us) {
-                Some(current) if current <= score => {
+            match self.evaluate(request, index, now_us) {
+                Ok(current) if current <= score => {
                     search.by_score.push(Reverse((score, place)));
                     return Some(index);
                 }
-                Some(current) => search.by_score.push(Reverse((current, place))),
-                None => {}
+                Ok(current) => search.by_score.push(Reverse((current, place))),
+                Err(_) => {}
             }
         }
         if request.step.fills {
@@ -125,28 +126,38 @@
         None
     }
 
-    /// Returns the score of a worker, or `None` if the worker may not take the task.
-    fn score_if_eligible(
+    /// Returns the score of a worker, or why the worker may not take the task.
+    fn evaluate(
         &self,
         request: &PlacementRequest<'_>,
         index: WorkerIndex,
         now_us: u64,
-    ) -> Option<Score> {
+    ) -> Result<Score, Refusal> {
         let worker = &self.workers[index as usize];
         let is_open = worker.is_open(now_us);
-        let is_eligible = (is_open || (request.accepts_closed && worker.is_available()))
-            && worker.has_capacity_for(&request.step.allocation())
-            && !(request.awaits_separation && worker.isolated_tasks > 0)
-            && meets_constraints(request, index, worker)
-            && request.ticket_group.is_none_or(|group| self.ticket(group, index, now_us).is_some());
-        if !is_eligible {
-            return None;
-        }
+        refuse_if(!worker.is_available(), Refusal::Unavailable)?;
+        refuse_if(!is_open && !request.accepts_closed, Refusal::Closed)?;
+        refuse_if(worker.has_stray_runs, Refusal::StrayRuns)?;
+        refuse_if(!worker.has_capacity_for(&request.step.allocation()), Refusal::Capacity)?;
+        refuse_if(request.awaits_separation && worker.isolated_tasks > 0, Refusal::Separation)?;
+        refuse_if(!meets_constraints(request, index, worker), Refusal::Constraint)?;
+        let lacks_ticket = |group| self.ticket(group, index, now_us).is_none();
+        refuse_if(request.ticket_group.is_some_and(lacks_ticket), Refusal::Ticket)?;
         let closed = if is_open { 0.0 } else { CLOSED_PENALTY };
         let cold = if worker.is_cold(now_us) && !request.step.fills { COLD_PENALTY } else { 0.0 };
         let suspect = if worker.isolated_tasks > 0 { SUSPECT_PENALTY } else { 0.0 };
-        let score = closed + cold + suspect + self.placement_score(request, worker);
-        score.is_finite().then_some(Score(score))
+        Ok(Score(closed + cold + suspect + self.placement_score(request, worker)?))
+    }
+
+    /// Counts the workers of the service by whether they would take the task now, and if not, why.
+    pub(super) fn count_refusals(&self, request: &PlacementRequest<'_>, now_us: u64) -> Refusals {
+        let mut refusals = Refusals::default();
+        for (index, worker) in self.live_workers() {
+            if worker.entry.service == request.service {
+                refusals.count(self.evaluate(request, index, now_us).err());
+            }
+        }
+        refusals
     }
 
     /// Returns the candidate workers in the order in which equally scored ones are preferred: the
@@ -174,7 +185,11 @@
         candidates
     }
 
-    fn placement_score(&self, request: &PlacementRequest<'_>, worker: &Worker) -> f64 {
+    fn placement_score(
+        &self,
+        request: &PlacementRequest<'_>,
+        worker: &Worker,
+    ) -> Result<f64, Refusal> {
         let step = request.step;
         let is_remote = !step.data_rack.is_empty() && step.data_rack != worker.entry.rack;
         let is_outside_chosen_racks = step.wants_one_rack
@@ -182,13 +197,13 @@
             && !request.chosen_racks.contains(&worker.entry.rack);
         let distance = if is_remote || is_outside_chosen_racks { REMOTE_PENALTY } else { 0.0 };
         let fit = if step.fills {
-            self.best_effort_score(request, worker)
+            self.best_effort_score(request, worker)?
         } else {
             packing_score(request, worker)
         };
         // Prefer workers with few tasks to limit the runs lost if the suspect crashes its worker.
         let tasks_at_risk = if request.is_isolated { worker.tasks.len() as f64 } else { 0.0 };
-        distance + fit + tasks_at_risk
+        Ok(distance + fit + tasks_at_risk)
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -6,7 +6,7 @@
 
 use super::US_PER_MS;
 use super::images::ImageId;
-use super::job::{JobPhase, Step, TaskRef, TaskState};
+use super::job::{Job, JobPhase, Step, TaskRef, TaskState};
 use super::place::{PlacementRequest, WorkerSearch};
 use super::state::{Fleet, TaskGroup};
 use super::usage::TaskKind;
@@ -27,7 +27,7 @@
 
 /// A demand that fitted no worker in this planning round; equal or larger demands are skipped.
 #[derive(Debug)]
-struct UnplacedDemand {
+pub(super) struct UnplacedDemand {
     service: String,
     allocation: Resources,
     /// Image of a best-effort task; `None` for other tasks. An image that harms serving tasks on a
@@ -64,9 +64,34 @@
                 still_waiting.push((ranked.group, ranked.density));
             }
         }
+        self.unplaced = unplaced;
         self.preempt_for_urgent(&still_waiting, now_us);
     }
 
+    /// Whether no further task of the job's queue is placed because of the starts in progress.
+    pub(super) fn are_starts_limited(&self, job: &Job) -> bool {
+        self.terms(job).priority > 0 && self.starting >= MAX_STARTING_TASKS
+    }
+
+    /// Whether a demand of a planning round that fitted no worker shows that the tasks of a step do
+    /// not fit either.
+    pub(super) fn is_known_not_to_fit(
+        &self,
+        job: &Job,
+        step: u32,
+        unplaced: &[UnplacedDemand],
+    ) -> bool {
+        let image = job.images[step as usize];
+        let step = &job.spec.steps[step as usize];
+        let fills = step.fills.then_some(image);
+        step.label.is_empty()
+            && unplaced.iter().any(|demand| {
+                demand.service == self.terms(job).service
+                    && demand.fills == fills
+                    && step.allocation().holds(&demand.allocation)
+            })
+    }
+
     fn place_group(&mut self, group: TaskGroup, unplaced: &mut Vec<UnplacedDemand>, now_us: u64) {
         let Some(job) = self.job(group.job) else {
             self.waiting.remove(&group);
@@ -88,7 +113,7 @@
             self.waiting.remove(&group);
             return;
         }
-        if self.terms(job).priority > 0 && self.starting >= MAX_STARTING_TASKS {
+        if self.are_starts_limited(job) {
             return;
         }
         if step.is_gang && tasks.len() < step.count as usize {
@@ -107,13 +132,7 @@
         let allocation = step.allocation();
         let image = job.images[group.step as usize];
         let fills = step.fills.then_some(image);
-        let is_known_not_to_fit = |demand: &UnplacedDemand| {
-            demand.service == service
-                && demand.fills == fills
-                && allocation.holds(&demand.allocation)
-                && step.label.is_empty()
-        };
-        if !accepts_closed && unplaced.iter().any(is_known_not_to_fit) {
+        if !accepts_closed && self.is_known_not_to_fit(job, group.step, unplaced) {
             return;
         }
         let context =
@@ -246,7 +265,7 @@
     }
 
     /// Number of tasks of the group on each worker.
-    fn count_tasks_by_worker(&self, group: TaskGroup) -> HashMap<WorkerIndex, u32> {
+    pub(super) fn count_tasks_by_worker(&self, group: TaskGroup) -> HashMap<WorkerIndex, u32> {
         let mut members = HashMap::new();
         if let Some(job) = self.job(group.job) {
             job.tasks_of(group.occurrence, group.step)
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -9,6 +9,7 @@
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
 use super::orders::{Order, OrderKind};
+use super::plan::UnplacedDemand;
 use super::preempt::Preemption;
 use super::worker::{Worker, WorkerIndex, WorkerStanding};
 use super::zones::ClosedZones;
@@ -74,6 +75,8 @@
     /// Wall clock minus the clock of this ledger.
     pub(super) wall_offset_ms: i64,
     pub(super) waiting: BTreeSet<TaskGroup>,
+    /// Demands that fitted no worker in the last planning round.
+    pub(super) unplaced: Vec<UnplacedDemand>,
     pub(super) due: BTreeMap<u64, Vec<(u32, u32)>>,
     /// Jobs with changes that are not being written yet, and when the first of these was made.
     pub(super) dirty: BTreeMap<u32, u64>,
@@ -119,6 +122,7 @@
             closed_zones: ClosedZones::new(),
             wall_offset_ms: 0,
             waiting: BTreeSet::new(),
+            unplaced: Vec::new(),
             due: BTreeMap::new(),
             dirty: BTreeMap::new(),
             urgent: BTreeSet::new(),
--- a/crates/agatesilld/src/fleet/job_store.rs
+++ b/crates/agatesilld/src/fleet/job_store.rs
@@ -169,7 +169,19 @@
             return Ok(Some(((phase_of(answer.phase()), answer.is_started), "peer")));
         }
     }
-    Ok(read_state(daemon, id).await?.map(|state| (state, "store")))
+    let state = read_state(daemon, id).await?;
+    if let Some((JobPhase::Active, _)) = state {
+        log_unknown_job(daemon, id);
+    }
+    Ok(state.map(|state| (state, "store")))
+}
+
+/// Logs that the state of an active job came from the store, because no planner that knows it
+/// answered.
+fn log_unknown_job(daemon: &DaemonState, id: &str) {
+    let planner = daemon.owner().map(|owner| owner.instance).unwrap_or_default();
+    log::info!(event = "job_unknown", job = id, planner = planner.as_str(),
+        is_local = daemon.planner().is_some(); "no planner that knows the job answered");
 }
 
 async fn read_state(daemon: &DaemonState, id: &str) -> Result<Option<JobState>, Error> {
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -7,9 +7,9 @@
 
 use agatesill_platform::advice::AdviceReply;
 use agatesill_policy::fleet::{
-    AdviceQuestion, ClosedZone, Fleet, FleetUsage, JobPhase, JobSpec, JobWrite, LongestTransition,
-    LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms, Worker,
-    WorkerEntry, WorkerIndex, WorkerStanding,
+    AdviceQuestion, ClosedZone, Fleet, FleetUsage, IdleJob, JobPhase, JobSpec, JobWrite,
+    LongestTransition, LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms,
+    Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -75,6 +75,9 @@
 /// Maximum number of long-running tasks without a run that are logged once a second.
 const MAX_MISSING_TASKS_LOGGED: usize = 16;
 
+/// Maximum number of jobs without a run that are logged once a second.
+const MAX_IDLE_JOBS_LOGGED: usize = 8;
+
 /// Timeout of the last commits at a planned stop.
 const LAST_COMMITS_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -549,6 +552,8 @@
         transitions.iter().for_each(|transition| log_transition(transition, self.epoch));
         let (missing, described) = self.fleet.missing_tasks(MAX_MISSING_TASKS_LOGGED, now_us);
         described.iter().for_each(|task| log_missing(task, missing, self.epoch));
+        let (idle, described) = self.fleet.idle_jobs(MAX_IDLE_JOBS_LOGGED, now_us);
+        described.iter().for_each(|job| log_idle(job, idle, self.epoch));
         self.rounds.log_and_reset(self.epoch);
         let (records, oldest_record_ms) = self.fleet.records_waiting(now_us);
         log::info!(event = "planner_duties", epoch = self.epoch,
@@ -556,7 +561,8 @@
             oldest_record_ms = oldest_record_ms,
             unchecked_ms = (now_us - self.last_check_us) / 1_000,
             behind_ms = self.behind_us() / 1_000, lines_to_open = self.workers_to_connect.len(),
-            commits_under_way = self.commits_under_way; "");
+            commits_under_way = self.commits_under_way,
+            is_registry_current = self.daemon.is_registry_current(); "");
         self.log_if_behind();
         self.fleet.retire_ended();
     }
@@ -734,7 +740,29 @@
 /// Logs a long-running task that has been without a run for seconds; `missing` is the number of
 /// such tasks.
 fn log_missing(task: &MissingTask, missing: usize, epoch: u64) {
-    let detail = match (&task.worker, &task.wait) {
+    let detail = wait_detail(task);
+    log::info!(event = "task_missing", epoch = epoch, missing = missing, job = task.job.as_str(),
+        task = task.task, run = task.run, state = task.state, missing_ms = task.missing_ms,
+        in_state_ms = task.in_state_ms, failed_starts = task.failed_starts,
+        record_age_ms:? = task.record_age_ms, is_committing = task.is_committing; "{detail}");
+}
+
+/// Logs a job of which nothing has run for seconds; `idle` is the number of such jobs.
+fn log_idle(job: &IdleJob, idle: usize, epoch: u64) {
+    let (open, task) = (&job.open, &job.task);
+    let refusals = job.refusals.map(|refusals| refusals.to_string()).unwrap_or_default();
+    let detail = wait_detail(task);
+    log::info!(event = "job_idle", epoch = epoch, idle = idle, job = task.job.as_str(),
+        idle_ms = job.idle_ms, waiting = open.waiting, chosen = open.chosen,
+        ordered = open.ordered, stopping = open.stopping, task = task.task, run = task.run,
+        state = task.state, in_state_ms = task.in_state_ms, failed_starts = task.failed_starts,
+        is_queued = job.is_queued, record_age_ms:? = task.record_age_ms,
+        is_committing = task.is_committing, workers = refusals.as_str(); "{detail}");
+}
+
+/// Describes the worker of a task without a run or, if it has none, what it waits for.
+fn wait_detail(task: &MissingTask) -> String {
+    match (&task.worker, &task.wait) {
         (Some(worker), _) => format!(
             "worker {}, {:?}, listed {}, answered {} ms ago, order answered {}, unanswered {}",
             worker.id,
@@ -755,11 +783,7 @@
             wait.fitting_without_starts
         ),
         (None, None) => String::new(),
-    };
-    log::info!(event = "task_missing", epoch = epoch, missing = missing, job = task.job.as_str(),
-        task = task.task, run = task.run, state = task.state, missing_ms = task.missing_ms,
-        in_state_ms = task.in_state_ms, failed_starts = task.failed_starts,
-        record_age_ms:? = task.record_age_ms, is_committing = task.is_committing; "{detail}");
+    }
 }
 
 /// Logs the figures that distinguish a fleet whose capacity is fully reserved from one whose
