Refuse a job with more tasks than its record can hold, and one without tasks

What callers would see: after one job whose task counts exceed a 32-bit sum, no job of any caller runs again. The accepting daemon stores it and panics on its log line; the planner panics on creating it, and so does each later planner that reads it. Nothing checked the number of tasks. A smaller job of tens of thousands of tasks would be accepted and could never be stored in full, since its record exceeds a value of the store; a job without tasks would stay queued for ever. Class: accepted work that can never run.

Such jobs are refused with 400 at once, and a stored one that another daemon accepted is skipped with a line (job_unreadable). The limit follows from the size of a value and the longest row of a record.

--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -109,6 +109,10 @@
     }
 }
 
+/// Maximum number of tasks of a job, over all steps and occurrences. The record of the progress of
+/// more tasks could exceed the size of a value in the store, and the job could not be continued.
+const MAX_TASKS: u64 = 8_192;
+
 value_type! {
     /// A job as stored when it is accepted.
     pub struct JobSpec {
@@ -160,6 +164,14 @@
         if self.steps.is_empty() {
             return Some("job has no steps");
         }
+        let per_occurrence: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let tasks = per_occurrence.saturating_mul(u64::from(self.rounds()));
+        if tasks == 0 {
+            return Some("job has no tasks");
+        }
+        if tasks > MAX_TASKS {
+            return Some("job has too many tasks");
+        }
         let is_out_of_order =
             |(index, step): (usize, &Step)| step.after.iter().any(|after| *after as usize >= index);
         if self.steps.iter().enumerate().any(is_out_of_order) {
--- a/crates/agatesilld/src/fleet/store_watchers.rs
+++ b/crates/agatesilld/src/fleet/store_watchers.rs
@@ -113,8 +113,17 @@
 }
 
 /// Decodes an accepted job.
+///
+/// Guards against a stored job that a daemon with other limits accepted: the planner could not
+/// handle it, and no other job would run.
 pub fn job(entry: &Entry) -> Option<JobSpec> {
-    serde_json::from_str(&entry.value)
+    let spec: Result<JobSpec, String> =
+        serde_json::from_str(&entry.value).map_err(|error| error.to_string());
+    let valid = spec.and_then(|spec| match spec.fault() {
+        Some(fault) => Err(fault.to_owned()),
+        None => Ok(spec),
+    });
+    valid
         .map_err(|error| {
             log::error!(event = "job_unreadable", key = entry.key.as_str(); "{error}");
         })
