A planner that fails gives up its range

What callers would see: accepted jobs never run, long-running tasks lapse after five seconds, and most of the capacity is free, until the daemon that holds the range is restarted. Cause: the planner ran as a task that nobody watched. After a panic its daemon went on renewing the ownership of the range, since renew_while_held waits for the store, a stop or a handover only; the other daemons saw an owner that answers, and the line planner_failed came only after the range was lost. Class: a lease that is renewed for a component that does not run any more.

The planner's task now cancels the token of its ownership however it ends, also by a panic; its connections to workers are closed before the daemon says that it does not plan, the range is given up, and the daemon waits for a second before it claims it again, so that another one plans.

--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod ready;
 mod recovery;
 mod store_watchers;
+pub mod supervision;
 pub mod worker_connections;
 
 use std::net::SocketAddr;
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -15,6 +15,7 @@
 use super::keys::PLANNER;
 use super::peer_connection::PeerReply;
 use super::planner;
+use super::supervision::spawn_supervised;
 
 /// Lease on the planner's range. No task starts after a crash until it has expired, and a renewal
 /// at a slow store must still be in time. The store's minimum is one second.
@@ -50,6 +51,10 @@
 /// may be a short restart.
 const MAX_FAILED_CHECKS: u32 = 2;
 
+/// Delay before a daemon whose planner has failed claims the range again, so that another daemon
+/// claims it first.
+const FAILED_PLANNER_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Delay after a failed call.
 const RETRY_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -208,20 +213,22 @@
     daemon.confirmed_us.store(daemon.clock.now_us(), Ordering::Release);
     daemon.set_owner(Some(ownership.owner()));
     let lost = abort.child_token();
-    let running = tokio::spawn(planner::run(daemon.clone(), epoch, lost.clone()));
+    let running = spawn_supervised(planner::run(daemon.clone(), epoch, lost.clone()), &lost);
     let passes_on = renew_while_held(daemon, ownership, &lost, stop).await;
     lost.cancel();
-    if let Err(error) = running.await {
-        log::error!(event = "planner_failed"; "{error}");
-    }
+    let failure = running.await.and_then(|outcome| outcome).err();
     daemon.confirmed_us.store(0, Ordering::Release);
     log::info!(event = "planner_left", epoch = epoch, passes_on = passes_on; "");
     daemon.set_owner(None);
-    if passes_on {
+    if passes_on || failure.is_some() {
         if let Err(error) = ownership.give_up(PLANNER).await {
             log::warn!(event = "range_not_given_up"; "{error}");
         }
     }
+    if let Some(error) = failure {
+        log::error!(event = "planner_failed", epoch = epoch; "{error}");
+        tokio::time::sleep(FAILED_PLANNER_BACKOFF).await;
+    }
 }
 
 /// Renews the lease until the store reports it lost, the planner meets a higher epoch, a planned
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -12,12 +12,14 @@
     Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::task::JoinError;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::clock::wall_ms;
 use super::commits::{self, Committed};
 use super::daemon_state::{DaemonState, PlannerStats};
+use super::supervision::spawn_supervised;
 use super::worker_connections::WorkerConnections;
 use super::{advice_client, predecessors, recovery, store_watchers};
 
@@ -182,11 +184,15 @@
 }
 
 /// Plans under `epoch` until `lost` is cancelled. The planner itself cancels `lost` when it
-/// observes a higher epoch.
-pub async fn run(daemon: Arc<DaemonState>, epoch: u64, lost: CancellationToken) {
+/// observes a higher epoch. Fails if the planner panics; all that it spawned has ended then, too.
+pub async fn run(
+    daemon: Arc<DaemonState>,
+    epoch: u64,
+    lost: CancellationToken,
+) -> Result<(), JoinError> {
     let (answers, answered) = mpsc::channel(ANSWER_QUEUE_CAPACITY);
     let (events, queued_events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-    let Some(start) = recovery::recover(&daemon, epoch, &lost).await else { return };
+    let Some(start) = recovery::recover(&daemon, epoch, &lost).await else { return Ok(()) };
     let tasks = TaskTracker::new();
     // All tasks that this planner spawns end with it.
     let stop = lost.child_token();
@@ -242,11 +248,14 @@
     log::info!(event = "planner_started", epoch = epoch,
         lines_to_open = planner.workers_to_connect.len(),
         tasks_on_unlisted_workers = lost_tasks, unlisted_workers = lost_workers; "");
-    planner.serve(queued_events, answered, &lost).await;
+    let ended = lost.clone();
+    let serving = async move { planner.serve(queued_events, answered, &ended).await };
+    let outcome = spawn_supervised(serving, &lost).await;
     daemon.set_planner(None);
     stop.cancel();
     tasks.close();
     tasks.wait().await;
+    outcome
 }
 
 /// Clears the stored list of earlier planners after [`ORPHAN_MS`], when none of them can still
