A best-effort job does not wait behind one that needs more CPU

Cause: a round skips a demand that is at least as large as one that fitted no worker. The comparison used the allocation, which holds no CPU for best-effort tasks, although they are mostly refused for the CPU that they request. A job that needs much CPU and little memory thus held back every job of its image with more memory, however little CPU these need, in each round and for as long as it waits itself. Class: a refusal that is inherited by fewer dimensions than the rule has that caused it.

The demands are compared by all that they request.

Checked: best_effort_job_does_not_wait_behind_one_that_needs_more_cpu failed before (0 of 1 placed) and passes.

--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -29,7 +29,9 @@
 #[derive(Debug)]
 pub(super) struct UnplacedDemand {
     service: String,
-    allocation: Resources,
+    /// Resources requested, including the CPU that a best-effort task requests without reserving
+    /// it: the task that fitted nowhere may have lacked CPU.
+    need: Resources,
     /// Image of a best-effort task; `None` for other tasks. An image that harms serving tasks on a
     /// worker is not placed there, but another image may be.
     fills: Option<ImageId>,
@@ -88,7 +90,7 @@
             && unplaced.iter().any(|demand| {
                 demand.service == self.terms(job).service
                     && demand.fills == fills
-                    && step.allocation().holds(&demand.allocation)
+                    && step.need.holds(&demand.need)
             })
     }
 
@@ -129,7 +131,6 @@
         let wait_us =
             tasks.iter().map(|task| job.tasks[*task as usize].idle_us(now_us)).max().unwrap_or(0);
         let accepts_closed = step.is_lasting && wait_us > HEALTHY_WORKER_TIMEOUT_US;
-        let allocation = step.allocation();
         let image = job.images[group.step as usize];
         let fills = step.fills.then_some(image);
         if !accepts_closed && self.is_known_not_to_fit(job, group.step, unplaced) {
@@ -154,7 +155,7 @@
             && step.max_per_worker == 0
             && !step.is_gang
         {
-            unplaced.push(UnplacedDemand { service, allocation, fills });
+            unplaced.push(UnplacedDemand { service, need: step.need, fills });
         }
     }
 
