All searches of a round for a best-effort image begin at the same worker

Cause: a search examines 128 workers, and a failed one moved the position from which the next search of its image begins, also that of another job in the same round. With three jobs that fit nowhere, or fit only in another part, and 350 workers, each job was shown the same third of the workers in every round. A job whose only worker lay in another third was never placed. Class: a cursor shared by several readers that divide the data instead of each reading all of it.

A failed search now moves the position for the next round only, once for each image, so that every job sees all workers in turn. The same for the search for reserved CPU, where it takes more than 4,096 workers to show.

Checked: searches_of_an_image_reach_every_worker_for_each_job failed before (0 of 1 placed after 20 rounds of orders) and passes; all tests of agatesill_policy but the four known failures pass, fleet_scale among them.

--- a/crates/agatesill_policy/src/fleet/capacity_index.rs
+++ b/crates/agatesill_policy/src/fleet/capacity_index.rs
@@ -36,11 +36,14 @@
     by_free: BTreeSet<(u64, WorkerIndex)>,
     by_crowding: BTreeSet<(u32, WorkerIndex)>,
     by_label: HashMap<String, BTreeSet<WorkerIndex>>,
-    /// Position from which the next search for reserved CPU continues after a failed search.
+    /// Position from which searches for reserved CPU begin.
     reserved_cursor: Option<(u64, WorkerIndex)>,
-    /// Position from which the next search for each best-effort image continues after a failed
-    /// search.
+    /// Position from which searches for each best-effort image begin.
     best_effort_cursors: HashMap<ImageId, (u32, WorkerIndex)>,
+    /// These positions in the next round, if a search has failed in this one; `None` for the
+    /// beginning.
+    next_reserved_cursor: Option<Option<(u64, WorkerIndex)>>,
+    next_best_effort_cursors: HashMap<ImageId, Option<(u32, WorkerIndex)>>,
 }
 
 /// Available workers by service and free capacity.
@@ -118,8 +121,28 @@
         self.service_numbers.get(name).map(|number| &self.services[*number])
     }
 
+    /// Begins a planning round: searches continue after the workers that failed searches of the last
+    /// round examined.
+    ///
+    /// All searches of a round begin at the same position. If each failed search moved it, the
+    /// demands that wait would divide the workers among them, and one that always comes after the
+    /// same number of others would see the same part in every round.
+    pub fn begin_round(&mut self) {
+        for service in &mut self.services {
+            if let Some(next) = service.next_reserved_cursor.take() {
+                service.reserved_cursor = next;
+            }
+            for (image, next) in service.next_best_effort_cursors.drain() {
+                match next {
+                    Some(place) => drop(service.best_effort_cursors.insert(image, place)),
+                    None => drop(service.best_effort_cursors.remove(&image)),
+                }
+            }
+        }
+    }
+
     /// Returns workers with capacity for `allocation`, those with the least free CPU first, from
-    /// where the last search gave up. Workers that lack memory or accelerators are skipped, since
+    /// where the searches of the last round gave up. Workers that lack memory or accelerators are skipped, since
     /// they could otherwise use up [`MAX_EXAMINED`].
     pub fn tightest_fit(&self, service: &str, allocation: &Resources) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
@@ -133,25 +156,25 @@
         self.places[index as usize].is_some_and(|place| place.free.holds(allocation))
     }
 
-    /// Records that no worker was found for an allocation. The next search continues after the
-    /// scanned workers and wraps around after the last.
+    /// Records that no worker was found for an allocation. Searches of the next round continue after
+    /// the scanned workers and wrap around after the last.
     pub fn record_no_capacity(&mut self, service: &str, allocation: &Resources) {
         let Some(number) = self.service_numbers.get(service) else { return };
         let service = &mut self.services[*number];
         let next = service.workers_to_scan(allocation).nth(MAX_SCANNED).copied();
-        service.reserved_cursor = next;
+        service.next_reserved_cursor.get_or_insert(next);
     }
 
-    /// Returns workers that take best-effort tasks, the least crowded first, from where the last
-    /// search for this image gave up.
+    /// Returns workers that take best-effort tasks, the least crowded first, from where the searches
+    /// of the last round for this image gave up.
     pub fn least_crowded(&self, service: &str, image: ImageId) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
         let from = service.best_effort_cursors.get(&image).copied().unwrap_or((0, 0));
         service.by_crowding.range(from..).map(|(_, index)| *index).take(MAX_EXAMINED).collect()
     }
 
-    /// Records that none of the examined workers takes a task of the image. The next search
-    /// continues after them and wraps around after the last.
+    /// Records that none of the examined workers takes a task of the image. Searches of the next round
+    /// continue after them and wrap around after the last.
     ///
     /// Guards against an image that harms the serving tasks on the emptiest workers: they stay the
     /// emptiest, and a search that always began with them would never reach another worker.
@@ -159,11 +182,8 @@
         let Some(number) = self.service_numbers.get(service) else { return };
         let last = examined.last().filter(|_| examined.len() == MAX_EXAMINED);
         let place = last.and_then(|index| Some((*index, self.places[*index as usize]?.crowding?)));
-        let cursors = &mut self.services[*number].best_effort_cursors;
-        match place {
-            Some((index, crowding)) => drop(cursors.insert(image, (crowding, index + 1))),
-            None => drop(cursors.remove(&image)),
-        }
+        let next = place.map(|(index, crowding)| (crowding, index + 1));
+        self.services[*number].next_best_effort_cursors.entry(image).or_insert(next);
     }
 
     /// Returns workers with a label; if many have it, those with the tightest fit.
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -58,6 +58,7 @@
         if self.waiting.is_empty() {
             return;
         }
+        self.capacity_index.begin_round();
         let mut unplaced = Vec::new();
         let mut still_waiting = Vec::new();
         for ranked in self.ranked(now_us, now_ms) {
--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -3,7 +3,7 @@
 mod fleet_support;
 
 use agatesill_policy::batch::Resources;
-use agatesill_policy::fleet::{JobSpec, Step};
+use agatesill_policy::fleet::{JobSpec, Step, WorkerEntry};
 use fleet_support::{Harness, entry, job, step};
 
 /// A job of one best-effort task. The less work it has, the higher it ranks.
@@ -32,3 +32,31 @@
     assert!(harness.present("large").is_empty(), "the case needs a job that fits nowhere");
     assert_eq!(harness.present("small").len(), 1);
 }
+
+/// Workers in one more than two searches, but fewer than three.
+const WORKERS: usize = 350;
+
+/// The only worker with free memory.
+const FREE_WORKER: usize = 10;
+
+/// Guards against searches that divide the workers among the jobs of an image, so that each job
+/// sees the same part of them in every round.
+#[test]
+fn searches_of_an_image_reach_every_worker_for_each_job() {
+    let entries = (0..WORKERS).map(|position| {
+        let memory_mb = if position == FREE_WORKER { 20_000 } else { 500 };
+        WorkerEntry {
+            address: format!("10.0.{}.{}:80", position / 250, position % 250),
+            capacity: Resources { cpu_milli: 16_000, memory_mb, accelerators: 0 },
+            ..entry(&format!("w{position}"), "r1-1")
+        }
+    });
+    let mut harness = Harness::new(entries.collect());
+    harness.fleet.accept(best_effort("first", 1_000, 40_000, 1_000), harness.now_us);
+    harness.fleet.accept(best_effort("second", 2_000, 30_000, 2_000), harness.now_us);
+    harness.fleet.accept(best_effort("third", 3_000, 10_000, 60_000), harness.now_us);
+    for _ in 0..20 {
+        harness.settle();
+    }
+    assert_eq!(harness.present("third").len(), 1);
+}
