A best-effort job is not idle for ever where its image harms what is served

Cause: a pair of a best-effort and a serving image that was classified as harmful excludes the worker without any limit of time, room or tail, and since it never runs again it is never observed again. Reduced capacity and workers that restart raise tails, which is blamed on what runs beside. If every worker serves such an image, the job never runs. Class: a refusal that nothing ends and that prevents the observation that could lift it.

A job of which nothing has run for 1.5 s may place one task, the only one of its image there, on a worker with a harmful or unknown pair, if the tails are expected to stay within their targets at a quarter of its CPU. The run starts at that pace, and the reaction to tails speeds it up, slows it or moves it as before. Any worker where the task is harmless is preferred.

Checked: best_effort_job_runs_slowed_where_its_image_harms_all_serving_images failed before (0 of 1 placed in 3 s) and passes; best_effort_job_waits_while_tails_are_high passes before and after.

--- a/crates/agatesill_policy/src/fleet/colocation/capacity.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/capacity.rs
@@ -1,12 +1,15 @@
 //! Capacity of workers for best-effort tasks, and the placement score of best-effort tasks.
 
+use crate::fleet::US_PER_MS;
 use crate::fleet::images::ImageId;
+use crate::fleet::job::{Job, TaskRef};
 use crate::fleet::place::PlacementRequest;
 use crate::fleet::refusals::{Refusal, refuse_if};
 use crate::fleet::state::Fleet;
-use crate::fleet::worker::Worker;
+use crate::fleet::worker::{Worker, WorkerIndex};
 
-use super::interference::PairClass;
+use super::interference::{HARMFUL_WEIGHT, PairClass, usage_units};
+use super::pacing::{TARGET_TAIL_RATIO, THROTTLED_PACE_PERCENT};
 
 /// Share of their reserved CPU that long-running tasks use; they reserve about twice their load.
 const LONG_RUNNING_USED_SHARE: f64 = 0.55;
@@ -51,6 +54,28 @@
 /// work waits.
 const MAX_TRIAL_WORKERS: u32 = 3;
 
+/// Penalty of a worker where the task has to run slowed beside a serving task that it harms. Any
+/// worker where it is harmless is preferred.
+const THROTTLED_PENALTY: f64 = 100.0;
+
+/// Time without a run after which a best-effort job accepts a worker where it has to run slowed.
+///
+/// Without a limit, a job whose image harms an image that every worker serves would never run, and
+/// a pair that was classified wrongly would never be observed again.
+const MAX_IDLE_US: u64 = 1_500 * US_PER_MS;
+
+/// Minimum time between two searches for such a worker by one job.
+const THROTTLED_SEARCH_INTERVAL_US: u64 = 500 * US_PER_MS;
+
+impl Job {
+    /// Whether the next task may be placed beside serving tasks that it harms.
+    pub(in crate::fleet) fn accepts_throttling(&self, now_us: u64) -> bool {
+        let since_search_us = now_us.saturating_sub(self.throttled_search_us);
+        since_search_us >= THROTTLED_SEARCH_INTERVAL_US
+            && self.idle_us(now_us).is_some_and(|idle_us| idle_us >= MAX_IDLE_US)
+    }
+}
+
 /// Maximum ratio of the CPU requested by best-effort tasks to the CPU left for them. Beyond it a
 /// worker accepts no more, because tasks that get so little CPU are better left waiting.
 const MAX_CROWDING: f64 = 2.5;
@@ -114,17 +139,59 @@
         }
         for serving in worker.serving.iter() {
             match self.interference.classify(serving, request.image) {
-                PairClass::Harmful => return Err(Refusal::HarmfulPair),
                 PairClass::Harmless => {}
-                PairClass::Unknown if !self.may_run_trial(worker, serving, request.image) => {
-                    return Err(Refusal::TrialLimit);
+                PairClass::Unknown if self.may_run_trial(worker, serving, request.image) => {
+                    score += UNKNOWN_PAIR_PENALTY;
+                }
+                class => {
+                    let is_allowed = request.accepts_throttling
+                        && self.may_run_throttled(worker, serving, request);
+                    let is_harmful = class == PairClass::Harmful;
+                    refuse_if(!is_allowed && is_harmful, Refusal::HarmfulPair)?;
+                    refuse_if(!is_allowed, Refusal::TrialLimit)?;
+                    score += THROTTLED_PENALTY;
                 }
-                PairClass::Unknown => score += UNKNOWN_PAIR_PENALTY,
             }
         }
         Ok(score)
     }
 
+    /// Whether one task of a best-effort image may run slowed beside a serving image that it harms,
+    /// or may harm: it is the only task of its image there, and the tails are expected to stay
+    /// within their targets.
+    fn may_run_throttled(
+        &self,
+        worker: &Worker,
+        serving: ImageId,
+        request: &PlacementRequest<'_>,
+    ) -> bool {
+        let weight = self.interference.weight(serving, request.image).unwrap_or(HARMFUL_WEIGHT);
+        let cpu_milli = request.step.need.cpu_milli as f64;
+        let usage = usage_units(worker, cpu_milli) * f64::from(THROTTLED_PACE_PERCENT) / 100.0;
+        let tail = worker.worst_tail.max(LOW_TAIL_RATIO) * (weight * usage).exp();
+        worker.filling.of(request.image) == 0 && tail <= TARGET_TAIL_RATIO
+    }
+
+    /// Marks a task that is about to be placed on a worker if it may harm a serving task there, so
+    /// that its run starts slowed.
+    pub(in crate::fleet) fn throttle_if_harmful(
+        &mut self,
+        task_ref: TaskRef,
+        image: ImageId,
+        worker: WorkerIndex,
+    ) {
+        let target = &self.workers[worker as usize];
+        let is_harmless =
+            target.serving.iter().all(|serving| match self.interference.classify(serving, image) {
+                PairClass::Harmless => true,
+                PairClass::Harmful => false,
+                PairClass::Unknown => self.may_run_trial(target, serving, image),
+            });
+        if let Some(job) = self.job_mut(task_ref.job).filter(|_| !is_harmless) {
+            job.tasks[task_ref.task as usize].is_throttled = true;
+        }
+    }
+
     /// Whether one more task of a best-effort image may be started beside a serving image while the
     /// pair is not classified.
     fn may_run_trial(&self, worker: &Worker, serving: ImageId, filling: ImageId) -> bool {
--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -24,7 +24,7 @@
 const RECOVERED_TAIL_RATIO: f64 = 0.85;
 
 /// Tail ratio that slowing aims at.
-const TARGET_TAIL_RATIO: f64 = 0.75;
+pub(super) const TARGET_TAIL_RATIO: f64 = 0.75;
 
 /// Mean tail ratio above which a worker may be close to saturation.
 const LOADED_MEAN_TAIL_RATIO: f64 = 0.5;
@@ -44,6 +44,10 @@
 /// granularity of slowing to the available capacity.
 const SLOWED_PACE_PERCENT: u32 = 25;
 
+/// Pace at which a task starts beside a serving task that it harms. It is sped up as far as the tails
+/// allow.
+pub(super) const THROTTLED_PACE_PERCENT: u32 = 25;
+
 /// Percentage of the allowed time over target after which all best-effort tasks of the worker are
 /// paced to zero. Half of the time is left for the order, for the pace to take effect and for a
 /// lost answer.
@@ -69,6 +73,7 @@
     saves_progress: bool,
     percent: u32,
     slowed_us: u64,
+    is_throttled: bool,
 }
 
 /// A serving task on a worker.
@@ -123,11 +128,31 @@
         now_us: u64,
     ) {
         let is_movable = |task: &&BestEffortTask| {
-            task.slowed_us > 0 && task.saves_progress && now_us - task.slowed_us > MAX_SLOWED_US
+            task.slowed_us > 0
+                && task.saves_progress
+                && !(task.is_throttled && task.pace_percent > 0)
+                && now_us - task.slowed_us > MAX_SLOWED_US
         };
         best_effort.iter().filter(is_movable).for_each(|task| self.move_or_pause(index, task));
     }
 
+    /// Slows a run that has just begun beside a serving task that it harms.
+    pub(in crate::fleet) fn throttle(
+        &mut self,
+        index: WorkerIndex,
+        task_ref: TaskRef,
+        now_us: u64,
+    ) {
+        let Some(job) = self.job_mut(task_ref.job) else { return };
+        let task = &mut job.tasks[task_ref.task as usize];
+        if task.is_throttled && task.pace_percent == 100 && task.slowed_us == 0 {
+            task.pace_percent = THROTTLED_PACE_PERCENT;
+            self.counts.paced += 1;
+            let percent = THROTTLED_PACE_PERCENT;
+            self.push_order(task_ref, index, OrderKind::Pace { percent }, now_us);
+        }
+    }
+
     fn classify_rows(
         &self,
         index: WorkerIndex,
@@ -158,6 +183,7 @@
                     saves_progress: step.saves_progress,
                     percent: row.percent,
                     slowed_us: task.slowed_us,
+                    is_throttled: task.is_throttled,
                 });
             }
         }
--- a/crates/agatesill_policy/src/fleet/idle_jobs.rs
+++ b/crates/agatesill_policy/src/fleet/idle_jobs.rs
@@ -109,6 +109,7 @@
             accepts_closed: false,
             is_isolated: self.is_isolated(task_ref),
             awaits_separation: self.awaits_separation(task_ref, now_us),
+            accepts_throttling: false,
             chosen_racks: &[],
         };
         self.count_refusals(&request, now_us)
@@ -118,7 +119,7 @@
 impl Job {
     /// Time for which nothing of the job has run although a task is open; `None` if a task runs or
     /// none is open.
-    fn idle_us(&self, now_us: u64) -> Option<u64> {
+    pub(super) fn idle_us(&self, now_us: u64) -> Option<u64> {
         if self.phase != JobPhase::Active || !self.tasks.iter().any(|task| is_open(task.state)) {
             return None;
         }
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -283,6 +283,8 @@
     pub progress_us: u64,
     /// Share of CPU time that the task may use.
     pub pace_percent: u32,
+    /// Whether the newest run was placed beside serving tasks that it may harm, and starts slowed.
+    pub is_throttled: bool,
     /// Whether this planner chose a worker and the start is neither confirmed nor given up.
     pub is_starting: bool,
     /// Unanswered orders about the newest run.
@@ -337,6 +339,7 @@
             percent: 0,
             progress_us: now_us,
             pace_percent: 100,
+            is_throttled: false,
             is_starting: false,
             unanswered: 0,
             answered_us: 0,
@@ -388,6 +391,8 @@
     pub accepted_us: u64,
     /// When the newest step became runnable.
     pub runnable_us: u64,
+    /// When placement beside serving tasks that the job may harm was last tried.
+    pub throttled_search_us: u64,
 }
 
 impl Job {
@@ -414,6 +419,7 @@
             ended_us: 0,
             accepted_us: now_us,
             runnable_us: now_us,
+            throttled_search_us: 0,
             spec,
         }
     }
--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -90,6 +90,7 @@
                     task.since_us = now_us;
                     task.progress_us = now_us;
                     task.measured_us = now_us;
+                    self.throttle(order.worker, task_ref, now_us);
                 }
             }
             // The run has ended on the worker or was barred. The next poll shows which.
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -33,6 +33,8 @@
     pub is_isolated: bool,
     /// Whether the task waits rather than share a worker with another suspect.
     pub awaits_separation: bool,
+    /// Whether the best-effort task may be placed beside serving tasks that it harms, slowed.
+    pub accepts_throttling: bool,
     /// Racks already used by the tasks of the step; only tracked if the step wants one rack.
     pub chosen_racks: &'a [String],
 }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -47,6 +47,8 @@
     ticket_group: Option<TaskGroup>,
     /// Whether the tasks accept a worker that is closed after failures if no open one fits.
     accepts_closed: bool,
+    /// Whether the first task may be placed beside serving tasks that it harms, slowed.
+    accepts_throttling: bool,
 }
 
 impl Fleet {
@@ -134,16 +136,29 @@
         let accepts_closed = step.is_lasting && wait_us > HEALTHY_WORKER_TIMEOUT_US;
         let image = job.images[group.step as usize];
         let fills = step.fills.then_some(image);
-        if !accepts_closed && self.is_known_not_to_fit(job, group.step, unplaced) {
+        let accepts_throttling = step.fills && job.accepts_throttling(now_us);
+        if !accepts_closed
+            && !accepts_throttling
+            && self.is_known_not_to_fit(job, group.step, unplaced)
+        {
             return;
         }
-        let context =
-            GroupContext { step: &step, image, service: &service, ticket_group, accepts_closed };
+        let context = GroupContext {
+            step: &step,
+            image,
+            service: &service,
+            ticket_group,
+            accepts_closed,
+            accepts_throttling,
+        };
         // A task suspected of crashing workers waits for a worker without other suspected tasks. It
         // may remain unplaced despite free capacity, so other groups may still fit.
         let awaits_separation = tasks
             .iter()
             .any(|task| self.awaits_separation(TaskRef { job: group.job, task: *task }, now_us));
+        if let Some(job) = self.job_mut(group.job).filter(|_| accepts_throttling) {
+            job.throttled_search_us = now_us;
+        }
         let placed = self.place_tasks(group, &context, &tasks, now_us);
         if placed == waiting.len() {
             self.waiting.remove(&group);
@@ -173,11 +188,13 @@
         let mut racks: Vec<String> = Vec::new();
         let mut chosen: Vec<TaskRef> = Vec::with_capacity(tasks.len());
         let mut search: Option<WorkerSearch> = None;
-        let GroupContext { step, image, service, ticket_group, accepts_closed } = *context;
+        let GroupContext { step, image, service, ticket_group, accepts_closed, .. } = *context;
         for task in tasks {
             let task_ref = TaskRef { job: group.job, task: *task };
             let is_isolated = self.is_isolated(task_ref);
             let awaits_separation = self.awaits_separation(task_ref, now_us);
+            // One run ends the wait of the job.
+            let accepts_throttling = context.accepts_throttling && chosen.is_empty();
             let request = PlacementRequest {
                 step,
                 service,
@@ -187,6 +204,7 @@
                 accepts_closed,
                 is_isolated,
                 awaits_separation,
+                accepts_throttling,
                 chosen_racks: &racks,
             };
             // An isolated task is scored differently, so its search is not shared with other tasks.
@@ -207,6 +225,9 @@
             } else if !is_isolated {
                 search = Some(worker_search);
             }
+            if accepts_throttling {
+                self.throttle_if_harmful(task_ref, image, worker);
+            }
             self.allocate(task_ref, worker, TaskState::Chosen(worker));
             chosen.push(task_ref);
         }
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -401,6 +401,7 @@
             task.progress_us = now_us;
             task.start_percent = row.percent;
             task.measured_us = now_us;
+            self.throttle(index, task_ref, now_us);
         } else if is_first && !row.saved.is_empty() {
             task.start_percent = row.percent;
             task.measured_us = now_us;
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -392,6 +392,7 @@
         task.unanswered = 0;
         task.answered_us = 0;
         task.pace_percent = 100;
+        task.is_throttled = false;
         task.slowed_us = 0;
         if state == TaskState::Waiting {
             self.waiting.insert(TaskGroup { job: task_ref.job, occurrence, step: step_index });
--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -3,7 +3,9 @@
 mod fleet_support;
 
 use agatesill_policy::batch::Resources;
-use agatesill_policy::fleet::{JobSpec, Step, WorkerEntry};
+use agatesill_policy::fleet::{
+    JobSpec, LearnedImage, LearnedInterference, Order, OrderKind, Step, WorkerEntry,
+};
 use fleet_support::{Harness, entry, job, step};
 
 /// A job of one best-effort task. The less work it has, the higher it ranks.
@@ -60,3 +62,87 @@
     }
     assert_eq!(harness.present("third").len(), 1);
 }
+
+/// Longest time for which a job may be idle while workers have capacity for it.
+const MAX_IDLE_MS: u64 = 3_000;
+
+/// What a planner has learned of an image that triples the tails of the serving image with every
+/// seventh of a worker that it uses.
+fn learned_harm() -> LearnedInterference {
+    const FEATURES: usize = 49;
+    let mut weights = vec![0.0; FEATURES];
+    weights[0] = -0.9;
+    weights[1] = 0.25;
+    LearnedInterference {
+        filling: vec!["bill".to_owned()],
+        serving: vec![LearnedImage {
+            image: "watch".to_owned(),
+            weights,
+            variances: vec![0.0001; FEATURES],
+            seen: vec![100.0; FEATURES - 1],
+        }],
+    }
+}
+
+/// Two workers that both serve `watch`, beside which the best-effort image is harmful.
+fn serving_workers() -> Harness {
+    let mut harness = Harness::new(vec![entry("w1", "r1-1"), entry("w22", "r1-1")]);
+    harness.fleet.restore_learned(&learned_harm());
+    let watch = Step {
+        is_lasting: true,
+        image: "watch".to_owned(),
+        target_ms: 100,
+        max_per_worker: 1,
+        ..step(2)
+    };
+    harness.fleet.accept(job("watch", vec![watch]), harness.now_us);
+    harness.settle();
+    harness
+}
+
+/// Polls all workers, with this tail of the serving tasks, and carries out the orders.
+fn poll_with_tail(harness: &mut Harness, tail_ms: u64) -> Vec<Order> {
+    for fake_worker in harness.workers.values_mut() {
+        for row in fake_worker.running.values_mut() {
+            let serves = row.task.job == "watch";
+            (row.percent, row.figure) = if serves { (100, tail_ms) } else { (50, 500) };
+        }
+    }
+    harness.advance_ms(500);
+    harness.poll_all();
+    let orders = harness.plan();
+    orders.iter().for_each(|order| harness.execute(order));
+    let more = harness.plan();
+    more.iter().for_each(|order| harness.execute(order));
+    orders.into_iter().chain(more).collect()
+}
+
+/// Guards against a best-effort job that never runs because its image harms an image that every
+/// worker serves, while the workers have capacity.
+#[test]
+fn best_effort_job_runs_slowed_where_its_image_harms_all_serving_images() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 30);
+    harness.fleet.accept(best_effort("bill-run", 2_000, 1_000, 1_000), harness.now_us);
+    let mut orders = Vec::new();
+    for _ in 0..MAX_IDLE_MS / 500 {
+        orders.extend(poll_with_tail(&mut harness, 30));
+    }
+    assert_eq!(harness.present("bill-run").len(), 1);
+    let started_at = orders.iter().position(|order| order.task.job == "bill-run");
+    let is_slowed =
+        |order: &Order| matches!(order.kind, OrderKind::Pace { percent } if percent <= 25);
+    assert!(orders[started_at.unwrap()..].iter().any(is_slowed), "the run was not slowed");
+}
+
+/// Guards against harmful tasks that start while the tails leave no room for them.
+#[test]
+fn best_effort_job_waits_while_tails_are_high() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 70);
+    harness.fleet.accept(best_effort("bill-run", 2_000, 1_000, 1_000), harness.now_us);
+    for _ in 0..2 * MAX_IDLE_MS / 500 {
+        poll_with_tail(&mut harness, 70);
+    }
+    assert!(harness.present("bill-run").is_empty());
+}
