--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -109,6 +109,10 @@
     }
 }
 
+/// Maximum number of tasks of a job, over all steps and occurrences. The record of the progress of
+/// more tasks could exceed the size of a value in the store, and the job could not be continued.
+const MAX_TASKS: u64 = 8_192;
+
 value_type! {
     /// A job as stored when it is accepted.
     pub struct JobSpec {
@@ -160,6 +164,14 @@
         if self.steps.is_empty() {
             return Some("job has no steps");
         }
+        let per_occurrence: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let tasks = per_occurrence.saturating_mul(u64::from(self.rounds()));
+        if tasks == 0 {
+            return Some("job has no tasks");
+        }
+        if tasks > MAX_TASKS {
+            return Some("job has too many tasks");
+        }
         let is_out_of_order =
             |(index, step): (usize, &Step)| step.after.iter().any(|after| *after as usize >= index);
         if self.steps.iter().enumerate().any(is_out_of_order) {
@@ -271,6 +283,8 @@
     pub progress_us: u64,
     /// Share of CPU time that the task may use.
     pub pace_percent: u32,
+    /// Whether the newest run was placed beside serving tasks that it may harm, and starts slowed.
+    pub is_throttled: bool,
     /// Whether this planner chose a worker and the start is neither confirmed nor given up.
     pub is_starting: bool,
     /// Unanswered orders about the newest run.
@@ -325,6 +339,7 @@
             percent: 0,
             progress_us: now_us,
             pace_percent: 100,
+            is_throttled: false,
             is_starting: false,
             unanswered: 0,
             answered_us: 0,
@@ -376,6 +391,8 @@
     pub accepted_us: u64,
     /// When the newest step became runnable.
     pub runnable_us: u64,
+    /// When placement beside serving tasks that the job may harm was last tried.
+    pub throttled_search_us: u64,
 }
 
 impl Job {
@@ -402,6 +419,7 @@
             ended_us: 0,
             accepted_us: now_us,
             runnable_us: now_us,
+            throttled_search_us: 0,
             spec,
         }
     }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -6,7 +6,7 @@
 
 use super::US_PER_MS;
 use super::images::ImageId;
-use super::job::{JobPhase, Step, TaskRef, TaskState};
+use super::job::{Job, JobPhase, Step, TaskRef, TaskState};
 use super::place::{PlacementRequest, WorkerSearch};
 use super::state::{Fleet, TaskGroup};
 use super::usage::TaskKind;
@@ -27,9 +27,11 @@
 
 /// A demand that fitted no worker in this planning round; equal or larger demands are skipped.
 #[derive(Debug)]
-struct UnplacedDemand {
+pub(super) struct UnplacedDemand {
     service: String,
-    allocation: Resources,
+    /// Resources requested, including the CPU that a best-effort task requests without reserving
+    /// it: the task that fitted nowhere may have lacked CPU.
+    need: Resources,
     /// Image of a best-effort task; `None` for other tasks. An image that harms serving tasks on a
     /// worker is not placed there, but another image may be.
     fills: Option<ImageId>,
@@ -45,6 +47,8 @@
     ticket_group: Option<TaskGroup>,
     /// Whether the tasks accept a worker that is closed after failures if no open one fits.
     accepts_closed: bool,
+    /// Whether the first task may be placed beside serving tasks that it harms, slowed.
+    accepts_throttling: bool,
 }
 
 impl Fleet {
@@ -56,6 +60,7 @@
         if self.waiting.is_empty() {
             return;
         }
+        self.capacity_index.begin_round();
         let mut unplaced = Vec::new();
         let mut still_waiting = Vec::new();
         for ranked in self.ranked(now_us, now_ms) {
@@ -64,9 +69,34 @@
                 still_waiting.push((ranked.group, ranked.density));
             }
         }
+        self.unplaced = unplaced;
         self.preempt_for_urgent(&still_waiting, now_us);
     }
 
+    /// Whether no further task of the job's queue is placed because of the starts in progress.
+    pub(super) fn are_starts_limited(&self, job: &Job) -> bool {
+        self.terms(job).priority > 0 && self.starting >= MAX_STARTING_TASKS
+    }
+
+    /// Whether a demand of a planning round that fitted no worker shows that the tasks of a step do
+    /// not fit either.
+    pub(super) fn is_known_not_to_fit(
+        &self,
+        job: &Job,
+        step: u32,
+        unplaced: &[UnplacedDemand],
+    ) -> bool {
+        let image = job.images[step as usize];
+        let step = &job.spec.steps[step as usize];
+        let fills = step.fills.then_some(image);
+        step.label.is_empty()
+            && unplaced.iter().any(|demand| {
+                demand.service == self.terms(job).service
+                    && demand.fills == fills
+                    && step.need.holds(&demand.need)
+            })
+    }
+
     fn place_group(&mut self, group: TaskGroup, unplaced: &mut Vec<UnplacedDemand>, now_us: u64) {
         let Some(job) = self.job(group.job) else {
             self.waiting.remove(&group);
@@ -88,7 +118,7 @@
             self.waiting.remove(&group);
             return;
         }
-        if self.terms(job).priority > 0 && self.starting >= MAX_STARTING_TASKS {
+        if self.are_starts_limited(job) {
             return;
         }
         if step.is_gang && tasks.len() < step.count as usize {
@@ -104,25 +134,31 @@
         let wait_us =
             tasks.iter().map(|task| job.tasks[*task as usize].idle_us(now_us)).max().unwrap_or(0);
         let accepts_closed = step.is_lasting && wait_us > HEALTHY_WORKER_TIMEOUT_US;
-        let allocation = step.allocation();
         let image = job.images[group.step as usize];
         let fills = step.fills.then_some(image);
-        let is_known_not_to_fit = |demand: &UnplacedDemand| {
-            demand.service == service
-                && demand.fills == fills
-                && allocation.holds(&demand.allocation)
-                && step.label.is_empty()
-        };
-        if !accepts_closed && unplaced.iter().any(is_known_not_to_fit) {
+        let accepts_throttling = step.fills && job.accepts_throttling(now_us);
+        if !accepts_closed
+            && !accepts_throttling
+            && self.is_known_not_to_fit(job, group.step, unplaced)
+        {
             return;
         }
-        let context =
-            GroupContext { step: &step, image, service: &service, ticket_group, accepts_closed };
+        let context = GroupContext {
+            step: &step,
+            image,
+            service: &service,
+            ticket_group,
+            accepts_closed,
+            accepts_throttling,
+        };
         // A task suspected of crashing workers waits for a worker without other suspected tasks. It
         // may remain unplaced despite free capacity, so other groups may still fit.
         let awaits_separation = tasks
             .iter()
             .any(|task| self.awaits_separation(TaskRef { job: group.job, task: *task }, now_us));
+        if let Some(job) = self.job_mut(group.job).filter(|_| accepts_throttling) {
+            job.throttled_search_us = now_us;
+        }
         let placed = self.place_tasks(group, &context, &tasks, now_us);
         if placed == waiting.len() {
             self.waiting.remove(&group);
@@ -135,7 +171,7 @@
             && step.max_per_worker == 0
             && !step.is_gang
         {
-            unplaced.push(UnplacedDemand { service, allocation, fills });
+            unplaced.push(UnplacedDemand { service, need: step.need, fills });
         }
     }
 
@@ -152,11 +188,13 @@
         let mut racks: Vec<String> = Vec::new();
         let mut chosen: Vec<TaskRef> = Vec::with_capacity(tasks.len());
         let mut search: Option<WorkerSearch> = None;
-        let GroupContext { step, image, service, ticket_group, accepts_closed } = *context;
+        let GroupContext { step, image, service, ticket_group, accepts_closed, .. } = *context;
         for task in tasks {
             let task_ref = TaskRef { job: group.job, task: *task };
             let is_isolated = self.is_isolated(task_ref);
             let awaits_separation = self.awaits_separation(task_ref, now_us);
+            // One run ends the wait of the job.
+            let accepts_throttling = context.accepts_throttling && chosen.is_empty();
             let request = PlacementRequest {
                 step,
                 service,
@@ -166,6 +204,7 @@
                 accepts_closed,
                 is_isolated,
                 awaits_separation,
+                accepts_throttling,
                 chosen_racks: &racks,
             };
             // An isolated task is scored differently, so its search is not shared with other tasks.
@@ -186,6 +225,9 @@
             } else if !is_isolated {
                 search = Some(worker_search);
             }
+            if accepts_throttling {
+                self.throttle_if_harmful(task_ref, image, worker);
+            }
             self.allocate(task_ref, worker, TaskState::Chosen(worker));
             chosen.push(task_ref);
         }
@@ -246,7 +288,7 @@
     }
 
     /// Number of tasks of the group on each worker.
-    fn count_tasks_by_worker(&self, group: TaskGroup) -> HashMap<WorkerIndex, u32> {
+    pub(super) fn count_tasks_by_worker(&self, group: TaskGroup) -> HashMap<WorkerIndex, u32> {
         let mut members = HashMap::new();
         if let Some(job) = self.job(group.job) {
             job.tasks_of(group.occurrence, group.step)
