A successor meets the next incarnation of a worker that only the records name

Cause: a record names the incarnation of a worker, and its address is known to the registry alone, which has dropped the entry by then. The planner before would have seen another incarnation answer at that address within three seconds; its successor cannot ask, and waits for the longest lease that anybody may have requested. Class: a successor that waits for what only its predecessor could tell.

The planner stores the addresses of its workers under 'workers' when new ones are listed, at most once a second. A successor opens connections to the workers that only records name: another incarnation that answers there (421) proves the end of the one before, and a worker that lives but is not listed keeps its leases. The order of registry entries decides nothing here, only the answer from the address. Daemons from before this change neither write nor read the key: with them the wait stays.

--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -52,7 +52,8 @@
 pub use takeover::ORPHAN_MS;
 pub use usage::{FleetUsage, TaskKind, Waiting};
 pub use worker::{
-    EndCause, EndRow, Poll, RunRow, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    EndCause, EndRow, Poll, RunRow, Worker, WorkerAddresses, WorkerEntry, WorkerIndex,
+    WorkerStanding,
 };
 pub use zones::ClosedZone;
 
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -16,9 +16,10 @@
             if worker.entry.service != entry.service || worker.entry.labels != entry.labels {
                 self.capacity_index.withdraw(index, worker);
             }
-            // A worker known only from job records gets its address now.
-            let has_new_address =
-                worker.entry.address != entry.address && worker.standing != WorkerStanding::Gone;
+            // A worker known only from job records claims its address now.
+            let is_first_entry = worker.entry.service.is_empty();
+            let has_new_address = (is_first_entry || worker.entry.address != entry.address)
+                && worker.standing != WorkerStanding::Gone;
             let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
             worker.is_zone_closed = self.closed_zones.contains_key(&entry.zone);
             worker.cold_until_us = cold_until_us(&entry, now_us);
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -11,7 +11,7 @@
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
 use super::preempt::Preemption;
-use super::worker::{Worker, WorkerIndex, WorkerStanding};
+use super::worker::{Worker, WorkerAddresses, WorkerIndex, WorkerStanding};
 use super::zones::ClosedZones;
 use super::{FleetBounds, US_PER_MS};
 
@@ -68,6 +68,8 @@
     pub(super) by_id: HashMap<JobId, u32>,
     pub(super) workers: Vec<Worker>,
     pub(super) worker_by_id: HashMap<String, WorkerIndex>,
+    /// Addresses that the previous planner knew.
+    pub(super) previous_addresses: WorkerAddresses,
     /// Newest worker incarnation at each address.
     pub(super) worker_by_address: HashMap<String, WorkerIndex>,
     pub(super) queues: HashMap<String, QueueTerms>,
@@ -117,6 +119,7 @@
             by_id: HashMap::new(),
             workers: Vec::new(),
             worker_by_id: HashMap::new(),
+            previous_addresses: WorkerAddresses::new(),
             worker_by_address: HashMap::new(),
             queues: HashMap::new(),
             closed_zones: ClosedZones::new(),
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -5,7 +5,7 @@
 use super::job::{Job, JobPhase, JobSpec, TaskRef, TaskState};
 use super::record::{ProgressRecord, TaskRecord};
 use super::state::Fleet;
-use super::worker::{Worker, WorkerEntry, WorkerIndex};
+use super::worker::{Worker, WorkerAddresses, WorkerEntry, WorkerIndex};
 
 /// How long an owner that has lost contact with the store may continue to renew leases. The
 /// successor of such an owner waits for this time plus one lease before it counts a task on an
@@ -93,9 +93,10 @@
         }
         let index = self.workers.len() as WorkerIndex;
         self.worker_by_id.insert(id.to_owned(), index);
+        let address = self.previous_addresses.get(id).cloned().unwrap_or_default();
         let mut worker = Worker::new(WorkerEntry {
             id: id.to_owned(),
-            address: String::new(),
+            address,
             service: String::new(),
             zone: String::new(),
             rack: String::new(),
@@ -111,6 +112,31 @@
         index
     }
 
+    /// Returns the addresses of all workers that may run tasks, for the next planner.
+    pub fn worker_addresses(&self) -> WorkerAddresses {
+        self.live_workers()
+            .filter(|(_, worker)| !worker.entry.address.is_empty())
+            .map(|(_, worker)| (worker.entry.id.clone(), worker.entry.address.clone()))
+            .collect()
+    }
+
+    /// Restores the addresses that the previous planner knew, before any job is restored.
+    ///
+    /// Guards against a successor that waits for a lease on a worker that has terminated: the
+    /// registry no longer lists the worker, and without its address nothing can show that another
+    /// incarnation has taken its place.
+    pub fn restore_worker_addresses(&mut self, addresses: WorkerAddresses) {
+        self.previous_addresses = addresses;
+    }
+
+    /// Workers that have tasks by the restored records and are not registered.
+    pub fn unlisted_workers_with_tasks(&self) -> Vec<WorkerIndex> {
+        self.live_workers()
+            .filter(|(_, worker)| !worker.is_listed && !worker.tasks.is_empty())
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     /// Returns the learned behaviour of images, for the next planner. Without it each takeover
     /// would try all harmful pairs again.
     pub fn learned(&self) -> LearnedInterference {
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -1,6 +1,6 @@
 //! Workers as described by the registry and by their answers to polls.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::batch::Resources;
 use crate::value_type;
@@ -12,6 +12,9 @@
 /// Index of a worker in the ledger; never reused within one ledger.
 pub type WorkerIndex = u32;
 
+/// Addresses of worker incarnations by their identifiers.
+pub type WorkerAddresses = BTreeMap<String, String>;
+
 value_type! {
     /// Registration of one worker incarnation.
     pub struct WorkerEntry {
--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -7,7 +7,7 @@
 use agatesill_coord::lease::owner_key;
 use agatesill_platform::zones;
 use agatesill_policy::fleet::{
-    ClosedZone, JobId, JobPhase, JobWrite, LearnedInterference, ProgressRecord,
+    ClosedZone, JobId, JobPhase, JobWrite, LearnedInterference, ProgressRecord, WorkerAddresses,
 };
 use agatesill_wire::platform::{Entry, KeyVersion, Put, StoreCall};
 use agatesill_wire::prelude::*;
@@ -151,6 +151,32 @@
     }
 }
 
+/// Stores the addresses of the workers if this daemon still owns the range. Returns false if the
+/// write is to be repeated. A successor waits for the leases of terminated workers whose addresses
+/// it does not know.
+pub async fn save_worker_addresses(
+    daemon: &DaemonState,
+    epoch: u64,
+    addresses: &WorkerAddresses,
+) -> bool {
+    let value = match serde_json::to_string(addresses) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(event = "addresses_unencodable"; "{error}");
+            return true;
+        }
+    };
+    let expected = vec![KeyVersion { key: owner_key(PLANNER), version: epoch }];
+    let put = Put { key: keys::WORKERS.to_owned(), value, lease_id: 0 };
+    match daemon.store.txn(expected, vec![put], Vec::new()).await {
+        Ok(_) => true,
+        Err(error) => {
+            log::info!(event = "addresses_unsaved"; "{error}");
+            false
+        }
+    }
+}
+
 /// Stores the learned interference between images if this daemon still owns the range. If the write
 /// is lost, a successor spends some seconds learning it again; nothing else depends on it.
 pub async fn save_learned(daemon: Arc<DaemonState>, epoch: u64, learned: LearnedInterference) {
--- a/crates/agatesilld/src/fleet/keys.rs
+++ b/crates/agatesilld/src/fleet/keys.rs
@@ -15,6 +15,9 @@
 /// Interference between images that the planner has learned, kept for its successor.
 pub const LEARNED: &str = "learned/images";
 
+/// Addresses of the workers that may run tasks, kept for the planner's successor.
+pub const WORKERS: &str = "workers";
+
 /// The range whose owner runs the planner.
 pub const PLANNER: &str = "planner";
 
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -71,6 +71,9 @@
 /// one interval.
 const SAVE_LEARNED_INTERVAL_US: u64 = 5_000_000;
 
+/// Minimum interval between writes of the workers' addresses.
+const SAVE_ADDRESSES_INTERVAL_US: u64 = 1_000_000;
+
 /// Interval between log lines on the utilisation of the workers.
 const USAGE_LOG_INTERVAL_US: u64 = 1_000_000;
 
@@ -118,6 +121,8 @@
     Advised(Box<AdviceQuestion>, Option<AdviceReply>),
     /// Outcome of a commit.
     Committed(Committed),
+    /// The addresses of the workers could not be stored.
+    AddressesUnsaved,
     /// The configuration has changed.
     QueuesChanged(HashMap<String, QueueTerms>),
     /// Query for a job's state.
@@ -212,6 +217,8 @@
         lost: lost.clone(),
         last_cleanup_us: daemon.clock.now_us(),
         last_learned_save_us: daemon.clock.now_us(),
+        last_addresses_save_us: 0,
+        has_new_workers: false,
         workers_to_connect: BTreeSet::new(),
         last_usage_log_us: 0,
         last_check_us: daemon.clock.now_us(),
@@ -221,6 +228,7 @@
         turn_starts_us: [daemon.clock.now_us(); 2],
     };
     planner.registry_read(start.workers);
+    planner.connect_unlisted_workers();
     daemon.registry_as_of_us.store(start.registry_read_us, Ordering::Release);
     tasks.spawn(store_watchers::registry(
         daemon.clone(),
@@ -282,6 +290,9 @@
     lost: CancellationToken,
     last_cleanup_us: u64,
     last_learned_save_us: u64,
+    last_addresses_save_us: u64,
+    /// Whether workers have been listed whose addresses are not stored.
+    has_new_workers: bool,
     /// Idle workers whose connections are to be opened.
     workers_to_connect: BTreeSet<WorkerIndex>,
     last_usage_log_us: u64,
@@ -442,6 +453,7 @@
                 self.fleet.advice_answered(&question, good, valid_ms, now_us);
             }
             Event::Committed(committed) => self.committed(committed),
+            Event::AddressesUnsaved => self.has_new_workers = true,
             Event::QueuesChanged(queues) => self.fleet.set_queues(queues),
             Event::StateOf(id, reply) => drop(reply.send(self.fleet.state_of(&id))),
             Event::Pending(queue, reply) => drop(reply.send(self.fleet.pending(&queue) as u64)),
@@ -450,6 +462,8 @@
 
     fn worker_listed(&mut self, entry: WorkerEntry) {
         let index = self.fleet.worker_listed(entry, self.daemon.clock.now_us());
+        let is_new = self.fleet.worker(index).answered_us == 0;
+        self.has_new_workers |= is_new && !self.connections.is_open(index);
         if self.connections.is_open(index) {
             self.connections.set_takes_starts(index, self.fleet.worker(index).takes_starts());
             return;
@@ -477,6 +491,33 @@
         }
     }
 
+    /// Opens the connections to workers that only job records name, at the addresses that the
+    /// previous planner knew. Their answers show whether they have terminated.
+    fn connect_unlisted_workers(&mut self) {
+        for index in self.fleet.unlisted_workers_with_tasks() {
+            self.connections.open(index, self.fleet.worker(index));
+        }
+    }
+
+    /// Stores the addresses of the workers for a successor if they have changed.
+    fn save_worker_addresses(&mut self, now_us: u64) {
+        if now_us - self.last_addresses_save_us < SAVE_ADDRESSES_INTERVAL_US
+            || !std::mem::take(&mut self.has_new_workers)
+        {
+            return;
+        }
+        self.last_addresses_save_us = now_us;
+        let addresses = self.fleet.worker_addresses();
+        let (daemon, epoch, events) = (self.daemon.clone(), self.epoch, self.events.clone());
+        self.tasks.spawn(async move {
+            if !commits::save_worker_addresses(&daemon, epoch, &addresses).await
+                && events.send(Event::AddressesUnsaved).await.is_err()
+            {
+                log::debug!(event = "addresses_unsaved"; "the planner has ended");
+            }
+        });
+    }
+
     /// Opens the connections to some of the idle workers that have none yet.
     fn open_connections(&mut self) {
         let is_lagging = self.behind_us() > LAG_THRESHOLD_US;
@@ -533,6 +574,7 @@
         self.open_connections();
         self.fleet.open_due(wall_ms(), now_us);
         self.publish_stats();
+        self.save_worker_addresses(now_us);
         if now_us - self.last_learned_save_us > SAVE_LEARNED_INTERVAL_US {
             self.last_learned_save_us = now_us;
             let learned = self.fleet.learned();
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -53,11 +53,12 @@
             jobs,
             read_with_retries(daemon, registry::PREFIX),
             read_with_retries(daemon, keys::LEARNED),
+            read_with_retries(daemon, keys::WORKERS),
             read_with_retries(daemon, zones::PREFIX),
             register_as_planner(daemon, epoch)
         )
     };
-    let ((inbox, progress), workers, learned, zones, predecessors) = tokio::select! {
+    let ((inbox, progress), workers, learned, addresses, zones, predecessors) = tokio::select! {
         () = lost.cancelled() => return None,
         read = read => read,
     };
@@ -72,6 +73,12 @@
             Err(error) => log::warn!(event = "learned_unreadable"; "{error}"),
         }
     }
+    if let Some(entry) = addresses.entries.iter().find(|entry| entry.key == keys::WORKERS) {
+        match serde_json::from_str(&entry.value) {
+            Ok(addresses) => fleet.restore_worker_addresses(addresses),
+            Err(error) => log::warn!(event = "addresses_unreadable"; "{error}"),
+        }
+    }
     let closed: Vec<ClosedZone> = zones.entries.iter().filter_map(zones::decode).collect();
     fleet.set_closed_zones(&closed, zones.revision, daemon.clock.now_us());
     let Some(predecessors) = predecessors else {
