Closed workers and those with crash suspects do not hide others from a search

Cause: a search examines the 128 best fits. Workers that are closed after rejected starts, and those with a suspect that the task must not join, counted among them, and they are the best fits for as long as they are avoided. Class: a bound on a search that counts what cannot be chosen.

The best fits are now taken from the workers that are open and without a suspect; only if none has capacity, those with suspects follow, as before for tasks that need not stay apart. What is scanned stays bounded.

Checked: closed_workers_do_not_hide_open_ones failed before (0 of 4 placed) and passes; fleet_crashes, fleet_scale and fleet_best_effort_waits pass.

--- a/crates/agatesill_policy/src/fleet/capacity_index.rs
+++ b/crates/agatesill_policy/src/fleet/capacity_index.rs
@@ -141,12 +141,18 @@
         }
     }
 
-    /// Returns workers with capacity for `allocation`, those with the least free CPU first, from
-    /// where the searches of the last round gave up. Workers that lack memory or accelerators are skipped, since
-    /// they could otherwise use up [`MAX_EXAMINED`].
-    pub fn tightest_fit(&self, service: &str, allocation: &Resources) -> Vec<WorkerIndex> {
+    /// Returns workers that `may_take` accepts and that have capacity for `allocation`, those with
+    /// the least free CPU first, from where the searches of the last round gave up. All others are
+    /// skipped, since they could otherwise use up [`MAX_EXAMINED`].
+    pub fn tightest_fit(
+        &self,
+        service: &str,
+        allocation: &Resources,
+        may_take: impl Fn(WorkerIndex) -> bool,
+    ) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
-        let fits = |index: &WorkerIndex| self.has_capacity_for(*index, allocation);
+        let fits =
+            |index: &WorkerIndex| self.has_capacity_for(*index, allocation) && may_take(*index);
         let scanned =
             service.workers_to_scan(allocation).take(MAX_SCANNED).map(|(_, index)| *index);
         scanned.filter(fits).take(MAX_EXAMINED).collect()
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -8,6 +8,8 @@
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BinaryHeap, HashMap};
 
+use crate::batch::Resources;
+
 use super::images::ImageId;
 use super::job::Step;
 use super::refusals::{Refusal, Refusals, refuse_if};
@@ -87,7 +89,7 @@
 impl Fleet {
     /// Scores the candidate workers for the tasks of a step.
     pub(super) fn search(&self, request: &PlacementRequest<'_>, now_us: u64) -> WorkerSearch {
-        let candidates = self.find_candidates(request);
+        let candidates = self.find_candidates(request, now_us);
         self.effort.count_workers_examined(candidates.len());
         let by_score = candidates
             .iter()
@@ -165,7 +167,7 @@
     /// Returns the candidate workers in the order in which equally scored ones are preferred: the
     /// workers selected by tickets, a label or the rack of the data, plus a bounded number of best
     /// fits if neither tickets nor a label are required.
-    fn find_candidates(&self, request: &PlacementRequest<'_>) -> Vec<WorkerIndex> {
+    fn find_candidates(&self, request: &PlacementRequest<'_>, now_us: u64) -> Vec<WorkerIndex> {
         let PlacementRequest { step, service, .. } = request;
         if let Some(group) = request.ticket_group {
             return self.workers_with_tickets(group);
@@ -182,11 +184,38 @@
         candidates.extend(if step.fills {
             self.capacity_index.least_crowded(service, request.image)
         } else {
-            self.capacity_index.tightest_fit(service, &allocation)
+            self.tightest_fit(request, &allocation, now_us)
         });
         candidates
     }
 
+    /// Returns the best fits among the workers that may take the task, at first those without a
+    /// crash suspect.
+    ///
+    /// If closed workers and those with suspects counted as candidates, enough of them could hide
+    /// all others: tasks would wait, and suspects that must not share a worker would end up
+    /// together on the tightest one.
+    fn tightest_fit(
+        &self,
+        request: &PlacementRequest<'_>,
+        allocation: &Resources,
+        now_us: u64,
+    ) -> Vec<WorkerIndex> {
+        let may_take = |index: WorkerIndex| {
+            let worker = &self.workers[index as usize];
+            (worker.is_open(now_us) || request.accepts_closed) && !worker.has_stray_runs
+        };
+        let has_no_suspect = |index: WorkerIndex| {
+            self.workers[index as usize].isolated_tasks == 0 && may_take(index)
+        };
+        let service = request.service;
+        let candidates = self.capacity_index.tightest_fit(service, allocation, has_no_suspect);
+        if candidates.is_empty() && !request.awaits_separation {
+            return self.capacity_index.tightest_fit(service, allocation, may_take);
+        }
+        candidates
+    }
+
     fn placement_score(
         &self,
         request: &PlacementRequest<'_>,
