Report idle jobs whose recorded runs a successor does not find

job_idle took the time without a run from idle_since_us, which is 0 for a task that ran when its record was built. After a takeover such a task is ordered on a worker that only the record names, and nothing reported the job although nothing of it had run for many seconds.

Tasks that are not known to run now count from when a run was last known to be present, as task_missing does. No decision changes. The new test failed before (no job was reported).

--- a/crates/agatesill_policy/src/fleet/idle_jobs.rs
+++ b/crates/agatesill_policy/src/fleet/idle_jobs.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use super::US_PER_MS;
-use super::job::{Job, JobPhase, TaskRef, TaskState};
-use super::missing_tasks::{MissingTask, StartsByWorker};
+use super::job::{Job, JobPhase, Task, TaskRef, TaskState};
+use super::missing_tasks::{MissingTask, StartsByWorker, absent_us};
 use super::place::PlacementRequest;
 use super::refusals::Refusals;
 use super::state::{Fleet, TaskGroup};
@@ -81,7 +81,7 @@
             .iter()
             .enumerate()
             .filter(|(_, task)| is_open(task.state))
-            .map(|(task, state)| (task as u32, state.idle_us(now_us)))
+            .map(|(task, state)| (task as u32, absent_us(state, now_us)))
             .max_by_key(|(_, idle_us)| *idle_us)?;
         let task_ref = TaskRef { job: slot, task };
         let (occurrence, step, _) = job.locate(task);
@@ -122,8 +122,13 @@
         if self.phase != JobPhase::Active || !self.tasks.iter().any(|task| is_open(task.state)) {
             return None;
         }
+        let idle_us = |task: &Task| match task.state {
+            TaskState::Running(_) | TaskState::Done => task.idle_us(now_us),
+            // After a takeover, a run that was present by the record may have been lost since.
+            _ => absent_us(task, now_us),
+        };
         let begun = self.tasks.iter().filter(|task| task.state != TaskState::Blocked);
-        begun.map(|task| task.idle_us(now_us)).min().filter(|idle_us| *idle_us > 0)
+        begun.map(idle_us).min().filter(|idle_us| *idle_us > 0)
     }
 
     fn open_tasks(&self) -> OpenTasks {
--- a/crates/agatesill_policy/src/fleet/missing_tasks.rs
+++ b/crates/agatesill_policy/src/fleet/missing_tasks.rs
@@ -211,7 +211,7 @@
 }
 
 /// Time since a run of the task was last known to be present.
-fn absent_us(task: &Task, now_us: u64) -> u64 {
+pub(super) fn absent_us(task: &Task, now_us: u64) -> u64 {
     match task.state {
         TaskState::Blocked | TaskState::Done => 0,
         _ if task.idle_since_us > 0 => task.idle_us(now_us),
--- a/crates/agatesill_policy/tests/fleet_idle_jobs.rs
+++ b/crates/agatesill_policy/tests/fleet_idle_jobs.rs
@@ -117,3 +117,24 @@
     assert!(idle.is_queued);
     assert_eq!(idle.refusals.unwrap().accepting, 2);
 }
+
+/// Guards against a job that is not reported after a takeover although its only run was lost with
+/// its worker, because the record says that the run was present.
+#[test]
+fn job_whose_run_a_successor_does_not_find_is_reported() {
+    let mut harness = two_workers();
+    let spec = accepted(&mut harness, "price", vec![Step { max_per_worker: 1, ..step(2) }]);
+    harness.settle();
+    harness.poll_all();
+    let mut present = harness.present("price");
+    let (worker, task, run) = present.remove(0);
+    harness.end(worker, &task, run, EndCause::Done);
+    harness.poll_all();
+    harness.commit();
+    let listed = harness.fleet.worker(worker).entry.clone();
+    harness.fleet = harness.successor(&[spec], vec![listed]);
+    harness.advance_ms(IDLE_MS + 100);
+    let idle = only_idle_job(&harness);
+    assert_eq!((idle.task.state, idle.open.ordered), ("ordered", 1));
+    assert!(!idle.task.worker.unwrap().is_listed);
+}
