Rejected starts no longer begin the backoff of a repeat suspect anew

The backoff of a task that may have crashed its workers, and its wait for a worker without another suspect, counted from when the task entered its state. Each start that was rejected, withheld or withdrawn moved the task back to waiting, so it backed off again for up to 2 s and could wait for separation for up to 2 s more, although no worker had crashed since. With two rejections a job whose only open task is a repeat suspect exceeds the 3 s that an accepted job may go without a run.

Both waits count from the newest crash now; the next crash begins them anew. After a takeover they count from when the task last ran, as before. rejected_start_does_not_begin_the_backoff_anew failed before (no order after the rejection); next_crash_begins_the_backoff_anew passed before and after.

--- a/crates/agatesill_policy/src/fleet/ages.rs
+++ b/crates/agatesill_policy/src/fleet/ages.rs
@@ -56,6 +56,7 @@
                 TaskState::Waiting => {
                     task.since_us = since_us;
                     task.idle_since_us = since_us;
+                    task.crashed_us = since_us;
                 }
                 // The task runs, or its start had been ordered.
                 TaskState::Ordered(_) => task.idle_since_us = since_us,
--- a/crates/agatesill_policy/src/fleet/crashes.rs
+++ b/crates/agatesill_policy/src/fleet/crashes.rs
@@ -59,14 +59,14 @@
 
     /// Whether the next run of the task is delayed because of earlier crashes.
     pub(super) fn is_backing_off(&self, now_us: u64) -> bool {
-        now_us.saturating_sub(self.since_us) < self.backoff_us()
+        now_us.saturating_sub(self.crashed_us) < self.backoff_us()
     }
 
     /// Whether the task still waits for a worker without another suspect. After the wait it may
     /// share one.
     pub(super) fn awaits_separation(&self, now_us: u64) -> bool {
         let wait_us = self.backoff_us() + SEPARATION_TIMEOUT_US;
-        self.crashes >= REPEAT_SUSPECT_CRASHES && now_us.saturating_sub(self.since_us) < wait_us
+        self.crashes >= REPEAT_SUSPECT_CRASHES && now_us.saturating_sub(self.crashed_us) < wait_us
     }
 
     fn backoff_us(&self) -> u64 {
@@ -101,7 +101,7 @@
             self.mark_dirty(task_ref.job, now_us);
             self.release(task_ref, TaskState::Waiting, now_us);
             if is_suspect {
-                self.count_crash(task_ref, is_attributable, is_unexplained);
+                self.count_crash(task_ref, is_attributable, is_unexplained, now_us);
             }
             self.log_lost_run(index, task_ref, is_suspect, is_unexplained);
             self.give_up_after_crashes(task_ref, now_us);
@@ -181,10 +181,17 @@
                 == MIN_CORRELATED_WORKERS
     }
 
-    fn count_crash(&mut self, task_ref: TaskRef, is_attributable: bool, is_unexplained: bool) {
+    fn count_crash(
+        &mut self,
+        task_ref: TaskRef,
+        is_attributable: bool,
+        is_unexplained: bool,
+        now_us: u64,
+    ) {
         let Some(job) = self.job_mut(task_ref.job) else { return };
         let task = &mut job.tasks[task_ref.task as usize];
         task.crashes += 1;
+        task.crashed_us = now_us;
         task.unexplained_crashes += u32::from(is_unexplained);
         task.is_crash_suspect = is_attributable;
     }
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -286,6 +286,8 @@
     /// Number of these crashes that have no other known cause and in which the task was the only
     /// suspect.
     pub unexplained_crashes: u32,
+    /// When the newest of these crashes was counted.
+    pub crashed_us: u64,
     /// Whether the last lost run was a suspect in a crash without another known cause.
     pub is_crash_suspect: bool,
     /// Whether the newest run has lasted long enough not to be suspected of a crash of its worker.
@@ -332,6 +334,7 @@
             preempted: false,
             crashes: 0,
             unexplained_crashes: 0,
+            crashed_us: 0,
             is_crash_suspect: false,
             is_past_probation: false,
         }
