Faults simulation: gangs and labels

Gangs start only as a whole, so one member on a lost worker keeps all of them waiting, and labels leave fewer workers. Both were missing in the simulation of random faults. Members work only while all are present, end alone after two seconds, and break when one is lost; a gang counts as idle only if there is capacity for all members twice over, and is excused while any member may hold a lease on a lost worker.

--- a/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
@@ -6,6 +6,7 @@
 //! failed without a cause, and, once all is calm, jobs without a run although there is capacity.
 
 mod checks;
+mod gangs;
 mod lives;
 mod planner;
 mod store;
@@ -264,6 +265,7 @@
             self.submit_jobs();
             self.disturb_workers();
             self.start_lives();
+            self.update_gangs();
             self.end_runs();
             self.update_registry();
             self.process_events();
@@ -364,6 +366,13 @@
         if self.random.random_bool(0.1) {
             price.data_rack = "r1".to_owned();
         }
+        if self.random.random_bool(0.08) {
+            price.label = "r1".to_owned();
+        }
+        if price.count > 1 && self.random.random_bool(0.1) {
+            price.is_gang = true;
+            price.count = price.count.min(4);
+        }
         let mut second = price.clone();
         second.after = vec![0];
         let steps = if number % 3 == 0 { vec![price, second] } else { vec![price] };
