A restricted search does not hold the position of other searches of its image

What callers would see: a best-effort job waits in every round although a worker behind the first 128 would take it, while another job of its image that needs a label, or whose data are on some rack, waits as well.

Cause: the position for the next round was taken from the candidates of the first failed search of an image. Those of a search for a label, for tickets or for the rack of the data are not 128 in number, which was read as the end of the workers, and the position returned to the beginning. Since the first failed search of a round decides, such a job that ranks first did so in every round. Class: a cursor shared by several readers. An empty list of tickets moved the position for reserved CPU in the same way.

The position is now computed from the order of the workers, and restricted searches do not move it.

Checked: searches_near_data_do_not_hold_the_position_of_other_searches and searches_for_a_label_do_not_hold_the_position_of_other_searches failed before (0 of 1 placed after 20 rounds of orders) and pass; all tests of agatesill_policy but the four known failures pass.

--- a/crates/agatesill_policy/src/fleet/capacity_index.rs
+++ b/crates/agatesill_policy/src/fleet/capacity_index.rs
@@ -173,17 +173,20 @@
         service.by_crowding.range(from..).map(|(_, index)| *index).take(MAX_EXAMINED).collect()
     }
 
-    /// Records that none of the examined workers takes a task of the image. Searches of the next round
-    /// continue after them and wrap around after the last.
+    /// Records that none of the workers returned by [`CapacityIndex::least_crowded`] takes a task of
+    /// the image. Searches of the next round continue after them and wrap around after the last.
     ///
     /// Guards against an image that harms the serving tasks on the emptiest workers: they stay the
     /// emptiest, and a search that always began with them would never reach another worker.
-    pub fn record_no_match(&mut self, service: &str, image: ImageId, examined: &[WorkerIndex]) {
+    pub fn record_no_match(&mut self, service: &str, image: ImageId) {
         let Some(number) = self.service_numbers.get(service) else { return };
-        let last = examined.last().filter(|_| examined.len() == MAX_EXAMINED);
-        let place = last.and_then(|index| Some((*index, self.places[*index as usize]?.crowding?)));
-        let next = place.map(|(index, crowding)| (crowding, index + 1));
-        self.services[*number].next_best_effort_cursors.entry(image).or_insert(next);
+        let service = &mut self.services[*number];
+        let from = service.best_effort_cursors.get(&image).copied().unwrap_or_default();
+        let by_crowding = &service.by_crowding;
+        service
+            .next_best_effort_cursors
+            .entry(image)
+            .or_insert_with(|| by_crowding.range(from..).nth(MAX_EXAMINED).copied());
     }
 
     /// Returns workers with a label; if many have it, those with the tightest fit.
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -120,9 +120,10 @@
                 Err(_) => {}
             }
         }
-        if request.step.fills {
-            self.capacity_index.record_no_match(request.service, request.image, &search.candidates);
-        } else if search.candidates.is_empty() && request.step.label.is_empty() {
+        let is_unrestricted = request.step.label.is_empty() && request.ticket_group.is_none();
+        if request.step.fills && is_unrestricted {
+            self.capacity_index.record_no_match(request.service, request.image);
+        } else if search.candidates.is_empty() && is_unrestricted {
             self.capacity_index.record_no_capacity(request.service, &request.step.allocation());
         }
         None
--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -146,3 +146,54 @@
     }
     assert!(harness.present("bill-run").is_empty());
 }
+
+/// A worker far behind those that one search examines.
+const DISTANT_WORKER: usize = 300;
+
+/// Guards against a search with candidates of its own, such as the workers on the rack of the data,
+/// that sends the searches of all jobs of its image back to the first workers in every round.
+#[test]
+fn searches_near_data_do_not_hold_the_position_of_other_searches() {
+    let entries = (0..WORKERS).map(|position| {
+        let memory_mb = if position == DISTANT_WORKER { 20_000 } else { 500 };
+        let rack = if position < 4 { "r9-1" } else { "r1-1" };
+        WorkerEntry {
+            address: format!("10.0.{}.{}:80", position / 250, position % 250),
+            capacity: Resources { cpu_milli: 16_000, memory_mb, accelerators: 0 },
+            ..entry(&format!("w{position}"), rack)
+        }
+    });
+    let mut harness = Harness::new(entries.collect());
+    let mut near_data = best_effort("near-data", 1_000, 40_000, 1_000);
+    near_data.steps[0].data_rack = "r9-1".to_owned();
+    harness.fleet.accept(near_data, harness.now_us);
+    harness.fleet.accept(best_effort("anywhere", 3_000, 10_000, 60_000), harness.now_us);
+    for _ in 0..20 {
+        harness.settle();
+    }
+    assert_eq!(harness.present("anywhere").len(), 1);
+}
+
+/// Guards against a job whose step requires a label and that sends all other searches of its image
+/// back to the first workers in every round.
+#[test]
+fn searches_for_a_label_do_not_hold_the_position_of_other_searches() {
+    let entries = (0..WORKERS).map(|position| {
+        let memory_mb = if position == DISTANT_WORKER { 20_000 } else { 500 };
+        let rack = if position < 4 { "r9-1" } else { "r1-1" };
+        WorkerEntry {
+            address: format!("10.0.{}.{}:80", position / 250, position % 250),
+            capacity: Resources { cpu_milli: 16_000, memory_mb, accelerators: 0 },
+            ..entry(&format!("w{position}"), rack)
+        }
+    });
+    let mut harness = Harness::new(entries.collect());
+    let mut labelled = best_effort("labelled", 1_000, 40_000, 1_000);
+    labelled.steps[0].label = "r9-1".to_owned();
+    harness.fleet.accept(labelled, harness.now_us);
+    harness.fleet.accept(best_effort("anywhere", 3_000, 10_000, 60_000), harness.now_us);
+    for _ in 0..20 {
+        harness.settle();
+    }
+    assert_eq!(harness.present("anywhere").len(), 1);
+}
