A paused best-effort run returns to the pace at which it was placed

What callers would see: a job that needs much CPU is placed slowed, is paused when the tails rise, and stays paused after they have come down, until its worker goes: it counts as running and never ends. A run that can't resume and has done a third of its work is not moved either, and a paused run is not stalled.

Cause: a job is placed if the tails stay within their targets at a quarter of its pace, but a paused run was sped up by half of its pace or not at all.

The speed-up falls back to steps of a quarter.

Checked: paused_run_returns_to_the_pace_at_which_it_started failed before (one pace order, to zero) and passes; all tests of agatesill_policy but the four known failures pass.

--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -37,8 +37,9 @@
 /// together share the blame until one of them is removed.
 const MIN_BLAME_SHARE: f64 = 0.5;
 
-/// Increase of the pace per poll while a task is sped up again.
-const SPEED_UP_STEP_PERCENT: u32 = 50;
+/// Increases of the pace per poll while a task is sped up again, the preferred one first. With the
+/// larger one alone, a paused task that harms serving tasks might never continue.
+const SPEED_UP_STEPS_PERCENT: [u32; 2] = [50, 25];
 
 /// Pace of all best-effort tasks of a worker when the cause of its high tails is unknown; also the
 /// granularity of slowing to the available capacity.
@@ -326,15 +327,20 @@
                     self.interference.weight(serving_task.image, task.image).unwrap_or(0.0)
                 })
                 .fold(0.0, f64::max);
-            let cores =
-                f64::from(SPEED_UP_STEP_PERCENT) / 100.0 * self.requested_cores(task.task_ref);
-            let usage = usage_units(&self.workers[index as usize], cores * 1_000.0);
-            if weight * usage > headroom || cores > cores_left {
+            let requested = self.requested_cores(task.task_ref);
+            let cores_of = |step_percent: u32| f64::from(step_percent) / 100.0 * requested;
+            let worker = &self.workers[index as usize];
+            let effect_of =
+                |step_percent| weight * usage_units(worker, cores_of(step_percent) * 1_000.0);
+            let fits = |step_percent: &u32| {
+                effect_of(*step_percent) <= headroom && cores_of(*step_percent) <= cores_left
+            };
+            let Some(step_percent) = SPEED_UP_STEPS_PERCENT.into_iter().find(fits) else {
                 continue;
-            }
-            headroom -= weight * usage;
-            cores_left -= cores;
-            let percent = (task.pace_percent + SPEED_UP_STEP_PERCENT).min(100);
+            };
+            headroom -= effect_of(step_percent);
+            cores_left -= cores_of(step_percent);
+            let percent = (task.pace_percent + step_percent).min(100);
             self.set_pace(index, task.task_ref, percent);
         }
     }
--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -197,3 +197,27 @@
     }
     assert_eq!(harness.present("anywhere").len(), 1);
 }
+
+/// Guards against a run that is paused for good: its job was placed because a quarter of its pace is
+/// harmless, and it must return to that pace when the tails have come down.
+#[test]
+fn paused_run_returns_to_the_pace_at_which_it_started() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 30);
+    harness.fleet.accept(best_effort("bill-run", 6_000, 1_000, 1_000), harness.now_us);
+    for _ in 0..6 {
+        poll_with_tail(&mut harness, 30);
+    }
+    assert_eq!(harness.present("bill-run").len(), 1, "the case needs a run");
+    let mut paces = Vec::new();
+    for tail in [[110; 8], [30; 8]].concat() {
+        for order in poll_with_tail(&mut harness, tail) {
+            if let OrderKind::Pace { percent } = order.kind {
+                paces.push(percent);
+            }
+        }
+    }
+    assert!(paces.contains(&0), "the case needs a paused run: {paces:?}");
+    assert_eq!(harness.present("bill-run").len(), 1);
+    assert!(paces.last().is_some_and(|percent| *percent > 0), "{paces:?}");
+}
