A run that continues after a pause is not stopped as stalled

What callers would see: a paused best-effort run is stopped at the first poll after it continues, loses its work if it can't resume, and its worker is counted as failed once more, up to a quarantine.

Cause: the time without progress counts from the last change of the percentage, so it includes the pause, and is multiplied by the new pace. A run that was paused for five seconds and continues at half pace is over the limit of 2.5 s at once.

The time counts anew whenever the pace is raised.

--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -387,8 +387,12 @@
         if percent == task.pace_percent || task.state != TaskState::Running(index) {
             return;
         }
-        task.pace_percent = percent;
         let now_us = self.workers[index as usize].sampled_us;
+        if percent > task.pace_percent {
+            // The time at the lower pace is no evidence of a stall at the higher one.
+            task.progress_us = now_us;
+        }
+        task.pace_percent = percent;
         task.slowed_us = match (percent, task.slowed_us) {
             (100, _) => 0,
             (_, 0) => now_us,
--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -221,3 +221,22 @@
     assert_eq!(harness.present("bill-run").len(), 1);
     assert!(paces.last().is_some_and(|percent| *percent > 0), "{paces:?}");
 }
+
+/// Guards against a run that was paused for seconds and is stopped as stalled as soon as it
+/// continues, because the time without progress includes the pause.
+#[test]
+fn run_that_continues_after_a_pause_is_not_stalled() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 30);
+    harness.fleet.accept(best_effort("bill-run", 2_000, 1_000, 60_000), harness.now_us);
+    for tail in [[30; 6].as_slice(), &[110; 12]].concat() {
+        poll_with_tail(&mut harness, tail);
+    }
+    let mut orders = Vec::new();
+    for _ in 0..4 {
+        orders.extend(poll_with_tail(&mut harness, 30));
+    }
+    let is_resumed = |order: &Order| matches!(order.kind, OrderKind::Pace { percent: 1.. });
+    assert!(orders.iter().any(is_resumed), "the case needs a run that continues: {orders:?}");
+    assert!(!orders.iter().any(|order| order.kind == OrderKind::Stop), "{orders:?}");
+}
