--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -146,3 +146,97 @@
     }
     assert!(harness.present("bill-run").is_empty());
 }
+
+/// A worker far behind those that one search examines.
+const DISTANT_WORKER: usize = 300;
+
+/// Guards against a search with candidates of its own, such as the workers on the rack of the data,
+/// that sends the searches of all jobs of its image back to the first workers in every round.
+#[test]
+fn searches_near_data_do_not_hold_the_position_of_other_searches() {
+    let entries = (0..WORKERS).map(|position| {
+        let memory_mb = if position == DISTANT_WORKER { 20_000 } else { 500 };
+        let rack = if position < 4 { "r9-1" } else { "r1-1" };
+        WorkerEntry {
+            address: format!("10.0.{}.{}:80", position / 250, position % 250),
+            capacity: Resources { cpu_milli: 16_000, memory_mb, accelerators: 0 },
+            ..entry(&format!("w{position}"), rack)
+        }
+    });
+    let mut harness = Harness::new(entries.collect());
+    let mut near_data = best_effort("near-data", 1_000, 40_000, 1_000);
+    near_data.steps[0].data_rack = "r9-1".to_owned();
+    harness.fleet.accept(near_data, harness.now_us);
+    harness.fleet.accept(best_effort("anywhere", 3_000, 10_000, 60_000), harness.now_us);
+    for _ in 0..20 {
+        harness.settle();
+    }
+    assert_eq!(harness.present("anywhere").len(), 1);
+}
+
+/// Guards against a job whose step requires a label and that sends all other searches of its image
+/// back to the first workers in every round.
+#[test]
+fn searches_for_a_label_do_not_hold_the_position_of_other_searches() {
+    let entries = (0..WORKERS).map(|position| {
+        let memory_mb = if position == DISTANT_WORKER { 20_000 } else { 500 };
+        let rack = if position < 4 { "r9-1" } else { "r1-1" };
+        WorkerEntry {
+            address: format!("10.0.{}.{}:80", position / 250, position % 250),
+            capacity: Resources { cpu_milli: 16_000, memory_mb, accelerators: 0 },
+            ..entry(&format!("w{position}"), rack)
+        }
+    });
+    let mut harness = Harness::new(entries.collect());
+    let mut labelled = best_effort("labelled", 1_000, 40_000, 1_000);
+    labelled.steps[0].label = "r9-1".to_owned();
+    harness.fleet.accept(labelled, harness.now_us);
+    harness.fleet.accept(best_effort("anywhere", 3_000, 10_000, 60_000), harness.now_us);
+    for _ in 0..20 {
+        harness.settle();
+    }
+    assert_eq!(harness.present("anywhere").len(), 1);
+}
+
+/// Guards against a run that is paused for good: its job was placed because a quarter of its pace is
+/// harmless, and it must return to that pace when the tails have come down.
+#[test]
+fn paused_run_returns_to_the_pace_at_which_it_started() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 30);
+    harness.fleet.accept(best_effort("bill-run", 6_000, 1_000, 1_000), harness.now_us);
+    for _ in 0..6 {
+        poll_with_tail(&mut harness, 30);
+    }
+    assert_eq!(harness.present("bill-run").len(), 1, "the case needs a run");
+    let mut paces = Vec::new();
+    for tail in [[110; 8], [30; 8]].concat() {
+        for order in poll_with_tail(&mut harness, tail) {
+            if let OrderKind::Pace { percent } = order.kind {
+                paces.push(percent);
+            }
+        }
+    }
+    assert!(paces.contains(&0), "the case needs a paused run: {paces:?}");
+    assert_eq!(harness.present("bill-run").len(), 1);
+    assert!(paces.last().is_some_and(|percent| *percent > 0), "{paces:?}");
+}
+
+/// Guards against a run that was paused for seconds and is stopped as stalled as soon as it
+/// continues, because the time without progress includes the pause.
+#[test]
+fn run_that_continues_after_a_pause_is_not_stalled() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 30);
+    harness.fleet.accept(best_effort("bill-run", 2_000, 1_000, 60_000), harness.now_us);
+    for tail in [[30; 6].as_slice(), &[110; 12]].concat() {
+        poll_with_tail(&mut harness, tail);
+    }
+    let mut orders = Vec::new();
+    for _ in 0..4 {
+        orders.extend(poll_with_tail(&mut harness, 30));
+    }
+    let is_resumed = |order: &Order| matches!(order.kind, OrderKind::Pace { percent: 1.. });
+    assert!(orders.iter().any(is_resumed), "the case needs a run that continues: {orders:?}");
+    assert!(!orders.iter().any(|order| order.kind == OrderKind::Stop), "{orders:?}");
+}
