Deltas that compress badly fit into a record as counted

count_fitting estimated the size of a record by encoding its deltas twice as JSON, but records hold deflated JSON in base64, which is longer for text that deflate cannot shorten. A group of such deltas was counted as fitting and rejected by append as too large each time. The cell manager then queued the same group again, ahead of everything else of its cell: nothing of the cell was written any more, so accepted jobs never ran.

The count now uses the largest size that a payload can have, and packs the first delta when it decides whether that fits alone.

Checked: deltas_that_compress_badly_fit_as_counted, which failed before with TooLarge, and the other tests of the commit log.

--- a/crates/agatesill_coord/src/commit_log/mod.rs
+++ b/crates/agatesill_coord/src/commit_log/mod.rs
@@ -39,7 +39,7 @@
 use serde::de::DeserializeOwned;
 
 use self::load::load;
-use self::pack::pack;
+use self::pack::{max_packed_bytes, pack};
 use self::record::{CasOutcome, encode, idempotent_cas};
 pub use self::record::{Chunk, Record, SnapshotManifest};
 use self::snapshot::PendingManifest;
@@ -66,6 +66,9 @@
 /// Maximum size of a stored record without its deltas.
 const RECORD_OVERHEAD_BYTES: usize = 1 << 10;
 
+/// Size of the separator between two deltas in a record.
+const SEPARATOR_BYTES: usize = 1;
+
 /// Maximum number of takeover attempts while the current owner keeps writing.
 const MAX_TAKEOVER_ATTEMPTS: usize = 8;
 
@@ -182,14 +185,20 @@
         self.fenced
     }
 
-    /// Length of the longest prefix of `deltas` that fits into one record.
+    /// Length of a prefix of `deltas` that fits into one record however badly it compresses; 0 only
+    /// if the first delta does not fit alone, compressed or not.
     pub fn count_fitting<D: Serialize>(deltas: &[D]) -> Result<usize, Error> {
-        let mut used_bytes = RECORD_OVERHEAD_BYTES;
+        let mut json_bytes = 0;
         for (count, delta) in deltas.iter().enumerate() {
-            used_bytes += encode(&encode(delta)?)?.len();
-            if used_bytes > MAX_RECORD_BYTES {
+            json_bytes += encode(delta)?.len() + SEPARATOR_BYTES;
+            if RECORD_OVERHEAD_BYTES + max_packed_bytes(json_bytes) <= MAX_RECORD_BYTES {
+                continue;
+            }
+            if count > 0 {
                 return Ok(count);
             }
+            let bytes = encode(&encode(delta)?)?.len().max(pack(&deltas[..1])?.len());
+            return Ok(usize::from(RECORD_OVERHEAD_BYTES + bytes <= MAX_RECORD_BYTES));
         }
         Ok(deltas.len())
     }
--- a/crates/agatesill_coord/src/commit_log/pack.rs
+++ b/crates/agatesill_coord/src/commit_log/pack.rs
@@ -18,6 +18,12 @@
 /// Maximum size of the JSON in a payload: ten times the largest ledger at the target size.
 pub const MAX_UNPACKED_BYTES: u64 = 64 << 20;
 
+/// Maximum size of the payload of `json_bytes` of JSON, apart from a few bytes for each 30 kB: deflate
+/// stores incompressible blocks as they are, and base64 encodes three bytes in four characters.
+pub fn max_packed_bytes(json_bytes: usize) -> usize {
+    json_bytes.div_ceil(3) * 4
+}
+
 /// Encodes `value` as a payload.
 pub fn pack<T: Serialize + ?Sized>(value: &T) -> Result<String, Error> {
     let protocol_error =
--- a/crates/agatesill_coord/tests/commit_log.rs
+++ b/crates/agatesill_coord/tests/commit_log.rs
@@ -7,6 +7,8 @@
 use agatesill_coord::commit_log::{MAX_INLINE_BYTES, SLOTS};
 use agatesill_coord::prelude::*;
 use agatesill_wire::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use support::{Faults, MemStore};
 
 const PREFIX: &str = "cell/a";
@@ -184,3 +186,27 @@
         assert!(error.detail.contains("cell/a"), "{error}");
     }
 }
+
+/// Texts that deflate cannot shorten, such as keys and digests, grow in base64. Guards against a group
+/// of deltas that `count_fitting` accepts and `append` rejects each time, which would block the log.
+#[tokio::test(start_paused = true)]
+async fn deltas_that_compress_badly_fit_as_counted() {
+    let client = MemStore::default().client(1);
+    let taken =
+        CommitLog::take_over::<Vec<String>, String>(client.store.clone(), PREFIX, "a").await;
+    let (mut log, _) = taken.unwrap();
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut text = |length| -> String {
+        let mut character = || match rng.random_range(b'#'..=b'~') {
+            b'\\' => '!',
+            other => char::from(other),
+        };
+        (0..length).map(|_| character()).collect()
+    };
+    for length in [200, 20_000, 90_000] {
+        let deltas: Vec<String> = (0..200_000 / length).map(|_| text(length)).collect();
+        let count = CommitLog::count_fitting(&deltas).unwrap();
+        let appended = log.append(&deltas[..count]).await.map_err(|error| error.kind);
+        assert_eq!(appended, Ok(()), "{count} deltas of {length} bytes");
+    }
+}
