Jobs that fit nowhere for now do not hold back those of their team

A round of the batch policy skips a team after three misses, and each round began at the head of the team's queue. Three jobs that need more than is free on any worker, for example whole workers beside a service that runs on each, thus held back every later job of their team for as long as they waited, with three quarters of the workers free.

A round still tries the head of the queue first, but spends its last miss of a team behind the jobs that earlier rounds have skipped, and begins at the head again after the end of the queue. A round costs no more misses than before.

Checked: jobs_that_fit_nowhere_do_not_hold_back_their_team, which failed before (not placed within an hour), and the other tests of the batch policy.

--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -87,6 +87,8 @@
     evicted_ms: BTreeMap<TaskId, Vec<u64>>,
     holds: BTreeMap<TaskId, WorkerHold>,
     waits: BTreeMap<String, PlacementError>,
+    /// For each team with more jobs than the misses of a round, the last job that was tried.
+    resume_after: BTreeMap<String, (bool, u64, String)>,
     mitigation_states: MitigationStates,
     at_risk: BTreeSet<WorkerId>,
     throttled: BTreeSet<TaskId>,
--- a/crates/agatesill_policy/src/batch/policy/plan_place.rs
+++ b/crates/agatesill_policy/src/batch/policy/plan_place.rs
@@ -188,7 +188,10 @@
         while round.placements > 0 && round.misses > 0 {
             let Some(Reverse((virtual_time, team))) = heap.pop() else { break };
             let cursor: &mut Cursor = cursors.entry(team.clone()).or_default();
-            let Some((id, index)) = self.next_task(&team, cursor) else { continue };
+            let Some((id, index)) = self.next_task(&team, cursor) else {
+                self.resume_after.remove(&team);
+                continue;
+            };
             let Some(job) = cell.job(&id) else { continue };
             if round.proposed.contains(&job.task_id(index as usize)) {
                 cursor.after = Some(index);
@@ -204,9 +207,7 @@
                 Err(refused) => {
                     self.record_miss(&id, refused, round);
                     self.hold_worker_for(cell, job, index as usize, refused, round);
-                    cursor.misses += 1;
-                    cursor.skip_job = true;
-                    if cursor.misses < MAX_MISSES_PER_TEAM {
+                    if self.skip_job(&team, cursor) {
                         heap.push(Reverse((virtual_time, team)));
                     }
                 }
@@ -214,6 +215,26 @@
         }
     }
 
+    /// Skips a job that was not placed; false if the round has to skip its team.
+    ///
+    /// Guards against jobs that wait for ever behind a few that fit nowhere: the last miss of a round
+    /// goes to the jobs behind those that earlier rounds have skipped.
+    fn skip_job(&mut self, team: &str, cursor: &mut Cursor) -> bool {
+        cursor.misses += 1;
+        cursor.skip_job = true;
+        let Some(job) = &cursor.job else { return false };
+        if cursor.misses >= MAX_MISSES_PER_TEAM {
+            self.resume_after.insert(team.to_owned(), job.clone());
+            return false;
+        }
+        if cursor.misses + 1 == MAX_MISSES_PER_TEAM
+            && let Some(resume_after) = self.resume_after.get(team).filter(|after| *after > job)
+        {
+            cursor.job = Some(resume_after.clone());
+        }
+        true
+    }
+
     /// The team's next task in the order of its queue, if its quota permits one.
     fn next_task(&self, team: &str, cursor: &mut Cursor) -> Option<(String, u32)> {
         let queue = self.queue.team(team)?;
