Urgent jobs that fit nowhere do not use up all misses of a round

The misses that bound the time of a planning round were shared by all tiers, and the prioritized jobs came first: 96 urgent jobs that fit on no worker for now and can preempt nothing ended each round before any other job was tried, so that all shares of all teams waited as long.

The prioritized jobs now leave two thirds of the misses to the others, as the jobs with a close deadline already left half of them.

Checked: urgent_jobs_that_fit_nowhere_do_not_hold_back_other_jobs, which failed before (not placed within an hour), and the other tests of the batch policy.

--- a/crates/agatesill_policy/src/batch/policy/plan_place.rs
+++ b/crates/agatesill_policy/src/batch/policy/plan_place.rs
@@ -33,6 +33,10 @@
 /// workers are full.
 const MAX_MISSES_PER_ROUND: usize = 96;
 
+/// Number of these that the prioritized jobs leave to the others. Guards against batch work that waits
+/// for as long as many urgent jobs fit nowhere.
+const MISSES_LEFT_BY_PRIORITIZED: usize = 64;
+
 /// Time after which a worker is held for a waiting task that fits nowhere.
 const HOLD_AFTER_MS: u64 = 10_000;
 
@@ -105,7 +109,7 @@
         for (id, ready, tier) in jobs {
             let Some(job) = cell.job(&id) else { continue };
             for index in ready {
-                if round.placements == 0 || round.misses == 0 {
+                if round.placements == 0 || round.misses <= MISSES_LEFT_BY_PRIORITIZED {
                     return;
                 }
                 match self.place_task(cell, job, index as usize, tier, round, plan) {
--- a/crates/agatesill_policy/tests/batch_head_of_line.rs
+++ b/crates/agatesill_policy/tests/batch_head_of_line.rs
@@ -103,3 +103,15 @@
     let placed = shared.placed_after_ms("small", 3_600_000);
     assert!(placed.is_some_and(|after_ms| after_ms <= 60_000), "placed after {placed:?} ms");
 }
+
+/// Guards against batch work that waits for ever behind urgent jobs that need more than is free.
+#[test]
+fn urgent_jobs_that_fit_nowhere_do_not_hold_back_other_jobs() {
+    let mut shared = SharedCell::new(4);
+    for nth in 0..128 {
+        shared.accept(JobSpec { urgent: true, ..job(&format!("large-{nth:03}"), "t", 4_000) });
+    }
+    shared.accept(job("small", "t", 500));
+    let placed = shared.placed_after_ms("small", 3_600_000);
+    assert!(placed.is_some_and(|after_ms| after_ms <= 60_000), "placed after {placed:?} ms");
+}
