The configuration is read again after a failed watch

The watch on the operators' configuration was repeated from the same revision after each failure. Its answer holds every version since then, so one that is too long to be accepted, or to arrive within the timeout over a slow link, fails each time and only grows: the daemon keeps its old configuration until the store drops the history. The watch on the registry has had a way out of this; the one on the configuration had none.

After any failed call the newest configuration is read instead, which is one key. The module is public so that the test can run it.

Checked: a_configuration_arrives_although_watches_are_not_answered, which failed before (the new version not in force after 12 s) and takes 2.9 s now.

--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -17,7 +17,10 @@
 /// Delay after a failed call.
 const RETRY_BACKOFF: Duration = Duration::from_millis(200);
 
-/// Watches the configuration until `stop` is cancelled.
+/// Watches the configuration until `stop` is cancelled. After a failed call the newest one is read.
+///
+/// Guards against a configuration that never arrives: the answer to a watch holds all versions since
+/// the last one, and may be too long to be accepted or to arrive in time at each attempt.
 pub async fn watch_config(daemon: Arc<DaemonState>, stop: CancellationToken) {
     let mut after_revision = None;
     while !stop.is_cancelled() {
@@ -41,6 +44,7 @@
             }
             Err(error) => {
                 log::debug!(event = "config_unread"; "{error}");
+                after_revision = None;
                 tokio::time::sleep(RETRY_BACKOFF).await;
             }
         }
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod advice_client;
 mod clock;
 mod commits;
-mod config_watch;
+pub mod config_watch;
 pub mod daemon_state;
 mod front;
 mod job_store;
