Starts that were not sent do not count as crashes of their workers

A round of calls to a worker ends at its first failure, but all starts of the round were marked as sent before. The next answer of the worker did not list them, so they ended as attempts that may have crashed it; after five in a row the job failed with "one of its tasks lost 5 workers in a row". Tasks that do crash their workers thus failed healthy jobs whose starts followed theirs in the same rounds.

A round now reports the starts that it did not send. They are sent with the next round, and an attempt that is given up without a start does not count as a crash.

Checked: unsent_starts_do_not_fail_healthy_jobs, which failed before with the reason above, and the other tests of the cells.

--- a/crates/agatesilld/src/cells/connections.rs
+++ b/crates/agatesilld/src/cells/connections.rs
@@ -89,6 +89,24 @@
         self.due = true;
     }
 
+    /// Records that the starts of these attempts were not sent after all.
+    ///
+    /// Guards against healthy jobs that fail for starts that never reached a worker: an attempt that
+    /// may have been started and is not reported counts as one that crashed its worker.
+    pub(super) fn mark_unsent(&mut self, attempts: &[(TaskId, Attempt)]) {
+        for key in attempts {
+            if let Some(track) = self.tracked_attempts.get_mut(key) {
+                track.start_sent = false;
+            }
+        }
+    }
+
+    /// Whether an attempt may have been started.
+    pub(super) fn may_have_started(&self, task: &str, attempt: Attempt) -> bool {
+        let track = self.tracked_attempts.get(&(task.to_owned(), attempt));
+        track.is_none_or(|track| track.start_sent)
+    }
+
     /// Time from the first to the last answer that listed an attempt as running; `None` if no answer
     /// did.
     pub(super) fn seen_for_ms(&self, task: &str, attempt: Attempt) -> Option<u64> {
--- a/crates/agatesilld/src/cells/owned.rs
+++ b/crates/agatesilld/src/cells/owned.rs
@@ -130,7 +130,14 @@
             .connections
             .get(&worker)
             .and_then(|connection| connection.seen_for_ms(task, attempt));
-        let outcome = lost_attempt_outcome(seen_for_ms);
+        let may_have_started = self
+            .connections
+            .get(&worker)
+            .is_none_or(|connection| connection.may_have_started(task, attempt));
+        let outcome = match may_have_started {
+            true => lost_attempt_outcome(seen_for_ms),
+            false => AttemptOutcome::LeaseEnded,
+        };
         log::warn!(event = "attempt_lost", task = task, attempt = attempt, worker = worker,
             seen_for_ms = seen_for_ms.unwrap_or(0), outcome:? = outcome; "");
         self.push_end(task, attempt, outcome);
--- a/crates/agatesilld/src/cells/workers.rs
+++ b/crates/agatesilld/src/cells/workers.rs
@@ -48,6 +48,8 @@
     worker: WorkerId,
     settled: BTreeSet<(TaskId, Attempt)>,
     stopped: BTreeSet<(TaskId, Attempt)>,
+    /// Starts that were not sent because an earlier call failed.
+    unsent_starts: Vec<(TaskId, Attempt)>,
     outcome: Result<WorkerReply, Error>,
 }
 
@@ -177,13 +179,16 @@
         let Ok(_permit) = permits.acquire_owned().await else { return };
         let path = format!("/workers/{id}");
         let mut outcome = Err(Error::new(ErrorKind::Unreachable, path.clone()));
-        for call in &calls {
+        let mut unsent = calls.iter();
+        for call in unsent.by_ref() {
             outcome = client.call(Method::POST, addr, &path, call, WORKER_CALL_TIMEOUT).await;
             if outcome.is_err() {
                 break;
             }
         }
-        let result = WorkerCallResult { cell, epoch, worker: id, settled, stopped, outcome };
+        let unsent_starts = unsent.filter_map(start_of).collect();
+        let result =
+            WorkerCallResult { cell, epoch, worker: id, settled, stopped, unsent_starts, outcome };
         let _ = events.send(Event::Worker(result)).await;
     });
 }
@@ -195,6 +200,13 @@
     }
 }
 
+fn start_of(call: &WorkerCall) -> Option<(TaskId, Attempt)> {
+    match call {
+        WorkerCall::Start { task, attempt, .. } => Some((task.clone(), *attempt)),
+        _ => None,
+    }
+}
+
 fn stop_of(call: &WorkerCall) -> Option<(TaskId, Attempt)> {
     match call {
         WorkerCall::Stop { task, attempt, .. } => Some((task.clone(), *attempt)),
@@ -216,6 +228,7 @@
         Ok(reply) => reply,
         Err(error) => {
             connection.failures = connection.failures.saturating_add(1);
+            connection.mark_unsent(&result.unsent_starts);
             log::warn!(event = "worker_call_failed", cell = name, worker = id; "{error}");
             return Err(error);
         }
--- a/crates/agatesilld/tests/cells.rs
+++ b/crates/agatesilld/tests/cells.rs
@@ -391,3 +391,28 @@
         assert_eq!(cancelled.outcome, "cancelled");
     }
 }
+
+/// Tasks that crash their workers start in the same rounds of calls as healthy ones. Guards against
+/// starts that were never sent and count as crashes, which fails healthy jobs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unsent_starts_do_not_fail_healthy_jobs() {
+    let cluster = Cluster::start(1).await;
+    let settings = batch::settings();
+    for spec in settings.cells.values().flat_map(|cell| &cell.workers) {
+        let mut faults = cluster.harness.workers.faults(spec.id);
+        faults.crash_classes = vec!["harmful".to_owned()];
+        cluster.harness.workers.set_faults(spec.id, faults);
+    }
+    let harmful = |nth: usize| JobSpec {
+        class: "harmful".to_owned(),
+        ..job(&format!("a-harmful-{nth}"), 6, 10)
+    };
+    for nth in 0..12 {
+        cluster.submit(0, &harmful(nth)).await;
+        cluster.submit(0, &job(&format!("z-healthy-{nth}"), 6, 10)).await;
+    }
+    for nth in 0..12 {
+        let status = cluster.await_outcome(0, &format!("z-healthy-{nth}")).await;
+        assert_eq!(status.outcome, "done", "{}", status.reason);
+    }
+}
