A cell with an incorrect ledger does not stop the other cells

The ledger asserts its invariants in release builds too. The cell manager applies logs and plans all cells in one loop, so a violated assertion in one cell ended the thread: no cell of the daemon was served any more, while the daemon went on, reported its former cells as its own in its heartbeats, and answered every submission with a Retry-After. Another daemon took over the cells, replayed the same log and ended the same way, until no daemon of the fleet ran any job.

Operations on one cell are now contained: after a panic the cell is released and its state dropped, and it is claimed again after five seconds at the earliest, since reading its log at each renewal would use up the rate limit of the store. Other cells are not affected.

--- a/crates/agatesilld/src/cells/lease_keeper.rs
+++ b/crates/agatesilld/src/cells/lease_keeper.rs
@@ -24,6 +24,10 @@
 /// Weight of one daemon among the candidates; all daemons are equal.
 const DAEMON_CAPACITY: u32 = 1;
 
+/// Time after which a cell in which an assertion failed is claimed again. Reading its log at every
+/// renewal would use up the store's rate limit.
+const FAILED_CELL_BACKOFF: Duration = Duration::from_secs(5);
+
 /// A call from the loop.
 #[derive(Debug)]
 pub(super) enum LeaseKeeperCall {
@@ -33,6 +37,8 @@
         name: String,
         /// Store lease under which the loop owned the cell.
         lease_id: u64,
+        /// Whether an assertion failed in the cell.
+        has_failed: bool,
     },
     /// The loop has stopped; release the lease.
     Release,
@@ -91,6 +97,8 @@
     takeovers: JoinSet<TakeoverResult>,
     pending_takeovers: BTreeMap<Id, PendingTakeover>,
     unowned_since: BTreeMap<String, Instant>,
+    /// Cells in which an assertion failed, with the time from which they may be claimed again.
+    postponed: BTreeMap<String, Instant>,
 }
 
 impl LeaseKeeper {
@@ -105,6 +113,7 @@
             takeovers: JoinSet::new(),
             pending_takeovers: BTreeMap::new(),
             unowned_since: BTreeMap::new(),
+            postponed: BTreeMap::new(),
         }
     }
 
@@ -118,7 +127,11 @@
         loop {
             tokio::select! {
                 call = calls.recv() => match call {
-                    Some(LeaseKeeperCall::GiveUp { name, lease_id }) => {
+                    Some(LeaseKeeperCall::GiveUp { name, lease_id, has_failed }) => {
+                        if has_failed {
+                            let until = Instant::now() + FAILED_CELL_BACKOFF;
+                            self.postponed.insert(name.clone(), until);
+                        }
                         self.give_up(&name, lease_id).await;
                     }
                     Some(LeaseKeeperCall::Release) | None => break,
@@ -186,9 +199,11 @@
         }
         let preferred = self.preferred();
         let now = Instant::now();
+        self.postponed.retain(|_, until| *until > now);
         let mut claimable = Vec::new();
         for name in &self.settings.cells {
             if self.claimed.contains(name)
+                || self.postponed.contains_key(name)
                 || owned.contains(&format!("{OWNER_PREFIX}{}", range(name)))
             {
                 self.unowned_since.remove(name);
--- a/crates/agatesilld/src/cells/mod.rs
+++ b/crates/agatesilld/src/cells/mod.rs
@@ -18,6 +18,7 @@
 mod workers;
 
 use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -173,12 +174,35 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Lease { lease_id, until } => self.lease_renewed(lease_id, until),
-            Event::Takeover(takeover) => self.takeover_finished(*takeover),
-            Event::WriteResult(result) => self.write_finished(*result),
-            Event::Worker(result) => self.worker_calls_finished(result),
+            Event::Takeover(takeover) => {
+                let name = takeover.name.clone();
+                self.contain(&name, |manager| manager.takeover_finished(*takeover));
+            }
+            Event::WriteResult(result) => {
+                let name = result.cell.clone();
+                self.contain(&name, |manager| manager.write_finished(*result));
+            }
+            Event::Worker(result) => {
+                let name = result.cell.clone();
+                self.contain(&name, |manager| manager.worker_calls_finished(result));
+            }
         }
     }
 
+    /// Runs an operation on one cell. If it panics, as the assertions of an incorrect ledger do, the
+    /// cell is released and the other cells are not affected.
+    fn contain(&mut self, name: &str, operation: impl FnOnce(&mut Self)) {
+        if catch_unwind(AssertUnwindSafe(|| operation(self))).is_ok() {
+            return;
+        }
+        log::error!(event = "cell_failed", cell = name; "an assertion failed");
+        if let Some(owned) = self.owned.remove(name) {
+            owned.fail_waiters();
+        }
+        self.shared.cells().remove(name);
+        self.release_claim(name, true);
+    }
+
     /// A different lease id means that the claims made under the previous lease are lost.
     fn lease_renewed(&mut self, lease_id: u64, until: Instant) {
         if self.lease.lease_id != lease_id && self.lease.lease_id != 0 {
@@ -209,32 +233,35 @@
         let valid = self.lease.is_valid();
         let config = BatchConfig::new(&self.shared.config().doc, commit::MAX_PLACEMENTS_PER_COMMIT);
         for name in self.owned.keys().cloned().collect::<Vec<_>>() {
-            let Some(settings) = self.settings.get(&name) else { continue };
-            let Some(owned) = self.owned.get_mut(&name) else { continue };
-            let unconfirmed = owned.confirmed.elapsed();
-            if unconfirmed > Duration::from_millis(settings.outage_renew_ms) {
-                self.drop_cell(&name, "ownership not confirmed within outage_renew_ms");
-                continue;
-            }
-            owned.expire_waiters();
-            owned.end_expired_attempts(settings);
-            commit::start_write(&name, owned, valid, &config, &self.events);
-            let calls = workers::CallContext {
-                cell: &name,
-                settings,
-                client: &self.client,
-                permits: &self.worker_call_permits,
-                events: &self.events,
-                may_start: valid,
-            };
-            workers::call_due(owned, &calls);
-            if owned.status_due() {
-                self.shared.cells().insert(name.clone(), report::cell_status(&name, owned));
-            }
+            self.contain(&name, |manager| manager.tick_cell(&name, valid, &config));
         }
         self.shared.owners().own = self.owned.keys().cloned().collect();
     }
 
+    fn tick_cell(&mut self, name: &str, valid: bool, config: &BatchConfig) {
+        let Some(settings) = self.settings.get(name) else { return };
+        let Some(owned) = self.owned.get_mut(name) else { return };
+        let unconfirmed = owned.confirmed.elapsed();
+        if unconfirmed > Duration::from_millis(settings.outage_renew_ms) {
+            return self.drop_cell(name, "ownership not confirmed within outage_renew_ms");
+        }
+        owned.expire_waiters();
+        owned.end_expired_attempts(settings);
+        commit::start_write(name, owned, valid, config, &self.events);
+        let calls = workers::CallContext {
+            cell: name,
+            settings,
+            client: &self.client,
+            permits: &self.worker_call_permits,
+            events: &self.events,
+            may_start: valid,
+        };
+        workers::call_due(owned, &calls);
+        if owned.status_due() {
+            self.shared.cells().insert(name.to_owned(), report::cell_status(name, owned));
+        }
+    }
+
     fn write_finished(&mut self, result: WriteResult) {
         let name = result.cell.clone();
         let Some(owned) = self.owned.get_mut(&name) else { return };
@@ -269,9 +296,12 @@
         log::warn!(event = "cell_lost", cell = name, epoch = owned.epoch; "{why}");
         owned.fail_waiters();
         self.shared.cells().remove(name);
-        let given_up =
-            LeaseKeeperCall::GiveUp { name: name.to_owned(), lease_id: self.lease.lease_id };
-        let _ = self.keeper.try_send(given_up);
+        self.release_claim(name, false);
+    }
+
+    fn release_claim(&self, name: &str, has_failed: bool) {
+        let (name, lease_id) = (name.to_owned(), self.lease.lease_id);
+        let _ = self.keeper.try_send(LeaseKeeperCall::GiveUp { name, lease_id, has_failed });
     }
 }
 
--- a/crates/agatesilld/tests/cells.rs
+++ b/crates/agatesilld/tests/cells.rs
@@ -4,8 +4,10 @@
 #![allow(clippy::unwrap_used)]
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use agatesill_coord::prelude::*;
 use agatesill_policy::prelude::*;
 use agatesill_standin::faults::{Fault, FaultKind, Simulation, SimulationOptions, batch};
 use agatesill_standin::store::StoreFaults;
@@ -392,6 +394,63 @@
     }
 }
 
+/// A log of the first cell that releases the same reservation twice, which the ledger asserts against.
+async fn write_invalid_log(cluster: &Cluster) {
+    let standin = cluster.harness.store.clone();
+    let store = Store::with_transport(Arc::new(move |call, _| {
+        let standin = standin.clone();
+        Box::pin(async move { standin.call(call).await })
+    }));
+    let (mut log, replay) =
+        CommitLog::take_over::<Cell, CellDelta>(store, "cell/north", "test").await.unwrap();
+    let mut cell = replay.snapshot.unwrap_or_default();
+    replay.deltas.iter().for_each(|delta| drop(cell.apply(delta)));
+    let worker = cell.workers().next().unwrap().spec.id;
+    let spec = job("imported", 1, 10);
+    let running = TaskView {
+        state: TaskState::Placed { worker },
+        attempt: 1,
+        reserved: spec.need,
+        ..TaskView::unplaced()
+    };
+    let end =
+        CellDelta::End { task: "imported/0".to_owned(), attempt: 1, outcome: AttemptOutcome::Done };
+    let import = CellDelta::Import { job: spec, at_ms: 0, tasks: vec![running] };
+    log.append(&[import, end]).await.unwrap();
+}
+
+/// The replay of one cell's log fails an assertion. Guards against a cell that ends the cell manager
+/// of each daemon that takes it over, so that no job of any cell is accepted or run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cell_with_an_invalid_ledger_does_not_stop_the_others() {
+    let cluster = Cluster::start(2).await;
+    for nth in 0..2 {
+        cluster.submit(nth, &job(&format!("before-{nth}"), 1, 10)).await;
+        cluster.await_outcome(nth, &format!("before-{nth}")).await;
+    }
+    write_invalid_log(&cluster).await;
+    let mut done = 0;
+    let started = Instant::now();
+    // The former owner notices the other writer at its next write, and both daemons have to take the
+    // cell over once.
+    for round in 0.. {
+        for nth in 0..2 {
+            let id = format!("after-{round}-{nth}");
+            let submitted: Result<JobStatus, Error> =
+                cluster.ask(Method::POST, nth, "/v1/jobs", &job(&id, 1, 10)).await;
+            if submitted.is_ok_and(|status| status.cell == "south") {
+                cluster.await_outcome(nth, &id).await;
+                done += u32::from(started.elapsed() > Duration::from_secs(8));
+            }
+        }
+        assert!(started.elapsed() < WAIT_TIMEOUT, "{done} jobs of the other cell were run");
+        if done >= 4 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Tasks that crash their workers start in the same rounds of calls as healthy ones. Guards against
 /// starts that were never sent and count as crashes, which fails healthy jobs.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
