A watch of the store that always fails gives way to a read

The planner's watches of the inbox, the registry and the closed zones were repeated from the same revision after each failure but a reply that was too large. A reply that does not arrive within the timeout, as over a link that is full, fails each time in the same way and only grows. A job whose notification was lost, because the daemon that accepted it has crashed, is known to the planner only through the inbox: it never ran.

After two consecutive failures at a store that answers other calls the prefix is read page by page, as after a gap in the history.

Checked: a_stored_job_runs_although_watches_of_the_inbox_are_not_answered, which failed before (not started within 30 s), and the other 15 tests of the whole path.

--- a/crates/agatesilld/src/fleet/store_watchers.rs
+++ b/crates/agatesilld/src/fleet/store_watchers.rs
@@ -147,13 +147,17 @@
 /// its entry all the time.
 const MAX_PARTIAL_REPLIES: u32 = 4;
 
+/// Consecutive failures of a watch at a store that answers other calls, after which the whole prefix is
+/// read again.
+const MAX_FAILED_WATCHES: u32 = 2;
+
 /// Watches `prefix` for changes. After a gap in the history the whole prefix is read again.
 /// `decode` gets the reply, whether it is a full read, and the time up to which it contains all
 /// changes, if it does.
 ///
 /// Guards against a backlog of changes, as after a takeover, that exceeds the size limit of one
-/// reply: each retry would have to return more, and none would succeed before the store drops the
-/// history.
+/// reply, or that does not arrive within its timeout: each retry would have to return more, and none
+/// would succeed before the store drops the history.
 fn watch_prefix(
     daemon: &Arc<DaemonState>,
     prefix: &'static str,
@@ -166,6 +170,7 @@
     let work = async move {
         let mut after = Some(revision);
         let mut partial_replies = 0;
+        let mut failed_watches = 0;
         loop {
             let (sent_us, newest) = (daemon.clock.now_us(), daemon.store.newest_revision());
             let reply = match after {
@@ -179,10 +184,12 @@
             };
             match reply {
                 Ok(reply) if reply.is_compacted => {
+                    failed_watches = 0;
                     log::info!(event = "history_gone", prefix = prefix; "reading the prefix again");
                     after = None;
                 }
                 Ok(reply) => {
+                    failed_watches = 0;
                     let is_full_read = after.is_none();
                     let has_updates = !reply.entries.is_empty() || !reply.deleted.is_empty();
                     let is_complete = is_full_read || reply.revision >= newest;
@@ -206,6 +213,11 @@
                 Err(error) => {
                     log::info!(event = "watch_failed", prefix = prefix,
                         after_revision = after.unwrap_or_default(); "{error}");
+                    failed_watches += 1;
+                    if failed_watches >= MAX_FAILED_WATCHES && !daemon.store.is_unavailable() {
+                        failed_watches = 0;
+                        after = None;
+                    }
                     tokio::time::sleep(RETRY_BACKOFF).await;
                 }
             }
