Write records that fail apart from others, and free what their jobs hold

A record that the store never took failed with all records of its transaction, and the same ones were written together again: none of them was ever stored. Their tasks stayed chosen, held capacity that workers had free, and their jobs were reported as queued. Any lasting reason does this: the store calls a record malformed or too large, does not answer its transactions, or the transaction takes longer than its timeout over a slow link.

While the store answers other calls (another commit, a rejection, a renewal of the ownership lease), the records of a failed transaction are now written in halves until the one to blame is alone. It is retried with a back-off of 100 ms to 2 s, one such record at a time, so transactions remain for the others. After three rejections the choices of its job are withdrawn, and the job places no tasks until its record is stored: it stays accepted, holds no capacity and starts once the store takes the record. record_rejected names the job, commit_failed the reason and the first job; job_idle has the deferral awaits_record.

While the store answers nothing, no record is to blame: all transactions shrink and grow again by four with each that is stored, so that records are batched after an outage. A conflict, which reports the newer revision or the closed zone, splits nothing unless it repeats.

--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -6,6 +6,7 @@
 use super::images::{ImageId, NO_IMAGE};
 use super::slow::StepSpeed;
 use super::worker::WorkerIndex;
+use super::write_failures::WriteFailures;
 
 /// Identifier of a job, chosen by the caller.
 pub type JobId = String;
@@ -365,6 +366,8 @@
     pub revision: u64,
     /// Whether a record is being written to the store.
     pub is_committing: bool,
+    /// Failed attempts to store the newest record.
+    pub(super) write_failures: WriteFailures,
     /// Whether a run of any task is known to have begun. A choice or an order is not enough: while
     /// orders lag, callers would be told that no job waits.
     pub is_started: bool,
@@ -397,6 +400,7 @@
             committed_phase: JobPhase::Active,
             revision: 0,
             is_committing: false,
+            write_failures: WriteFailures::default(),
             is_started: false,
             unacked_workers: Vec::new(),
             ended_us: 0,
--- a/crates/agatesill_policy/src/fleet/longest_wait.rs
+++ b/crates/agatesill_policy/src/fleet/longest_wait.rs
@@ -25,6 +25,8 @@
     AwaitsGang,
     /// Too many starts of less urgent queues are in progress.
     StartsInProgress,
+    /// The store rejects the record of the job.
+    AwaitsRecord,
     /// An equal or smaller demand fitted no worker in the last planning round.
     KnownNotToFit,
 }
@@ -40,6 +42,7 @@
             Deferral::AwaitsAdvice => "awaits_advice",
             Deferral::AwaitsGang => "awaits_gang",
             Deferral::StartsInProgress => "starts_in_progress",
+            Deferral::AwaitsRecord => "awaits_record",
             Deferral::KnownNotToFit => "known_not_to_fit",
         }
     }
@@ -228,6 +231,8 @@
             Deferral::BackingOff
         } else if self.are_starts_limited(job) {
             Deferral::StartsInProgress
+        } else if job.awaits_record() {
+            Deferral::AwaitsRecord
         } else if step.is_gang && !job.tasks_of(group.occurrence, group.step).all(is_ready) {
             Deferral::AwaitsGang
         } else if step.is_lasting && self.is_held_back(group, now_us) {
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod usage;
 mod watchdog;
 mod worker;
+mod write_failures;
 mod writes;
 mod zones;
 
--- a/crates/agatesill_policy/src/fleet/orders.rs
+++ b/crates/agatesill_policy/src/fleet/orders.rs
@@ -96,4 +96,8 @@
     /// Availability zones in which starts follow the record. It may be stored only while all of
     /// them are open.
     pub zones: Vec<String>,
+    /// When the record was taken.
+    pub taken_us: u64,
+    /// Number of records in its transaction.
+    pub group: usize,
 }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -113,7 +113,7 @@
             self.waiting.remove(&group);
             return;
         }
-        if self.are_starts_limited(job) {
+        if self.are_starts_limited(job) || job.awaits_record() {
             return;
         }
         if step.is_gang && tasks.len() < step.count as usize {
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -12,6 +12,7 @@
 use super::plan::UnplacedDemand;
 use super::preempt::Preemption;
 use super::worker::{Worker, WorkerIndex, WorkerStanding};
+use super::write_failures::StoreHealth;
 use super::zones::ClosedZones;
 use super::{FleetBounds, US_PER_MS};
 
@@ -82,6 +83,7 @@
     pub(super) dirty: BTreeMap<u32, u64>,
     /// Dirty jobs whose record something waits for, such as a start.
     pub(super) urgent: BTreeSet<u32>,
+    pub(super) store_health: StoreHealth,
     pub(super) orders: Vec<Order>,
     /// Number of tasks with [`super::Task::is_starting`] set.
     pub(super) starting: u32,
@@ -126,6 +128,7 @@
             due: BTreeMap::new(),
             dirty: BTreeMap::new(),
             urgent: BTreeSet::new(),
+            store_health: StoreHealth::default(),
             orders: Vec::new(),
             starting: 0,
             lost_contacts_us: VecDeque::new(),
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -46,21 +46,33 @@
     }
 
     /// Returns the records to write together in a transaction of at most `max_entries` entries. A
-    /// single record may exceed the limit. Up to half of the transaction goes to overdue records.
+    /// single record may exceed the limit. Records that have failed are written apart, in smaller
+    /// transactions. Up to half of the transaction goes to overdue records.
     /// Urgent records follow by queue priority, then as many others as fit. Without urgent records,
     /// others are returned once one of them has waited for the batching delay. Each job has at most
     /// one record in flight, so that a later one never meets an earlier one of unknown outcome.
     pub fn take_writes(&mut self, max_entries: usize, now_us: u64) -> Vec<JobWrite> {
-        let is_due = !self.urgent.is_empty()
-            || self.dirty.values().any(|since_us| now_us - since_us > BATCHING_DELAY_US);
-        if !is_due {
+        let mut is_due_by_slot = self.dirty.iter().map(|(slot, since_us)| {
+            let is_due =
+                self.urgent.contains(slot) || now_us.saturating_sub(*since_us) > BATCHING_DELAY_US;
+            is_due && !self.is_write_delayed(*slot, now_us)
+        });
+        if !is_due_by_slot.any(|is_due| is_due) {
             return Vec::new();
         }
         let slots = self.slots_to_write(max_entries / ENTRIES_PER_RECORD / 2, now_us);
         let mut writes = Vec::new();
         let mut zones = BTreeSet::new();
         let mut entries = 0;
+        let (max_group, is_retry) =
+            slots.first().map_or((0, false), |slot| self.write_group(*slot));
         for slot in slots {
+            if writes.len() >= max_group {
+                break;
+            }
+            if self.write_group(slot) != (max_group, is_retry) {
+                continue;
+            }
             let job_zones = self.zones_awaiting_starts(slot);
             let is_final = self.job(slot).is_some_and(|job| job.phase != JobPhase::Active);
             let record_entries = ENTRIES_PER_RECORD + usize::from(is_final);
@@ -70,8 +82,10 @@
             }
             entries += record_entries + new_zones;
             zones.extend(job_zones.iter().cloned());
-            writes.extend(self.take_write(slot, job_zones));
+            writes.extend(self.take_write(slot, job_zones, now_us));
         }
+        let group = writes.len();
+        writes.iter_mut().for_each(|write| write.group = group);
         writes
     }
 
@@ -82,10 +96,15 @@
         let mut others = Vec::new();
         for (slot, since_us) in &self.dirty {
             let Some(job) = self.job(*slot).filter(|job| !job.is_committing) else { continue };
+            if self.is_write_delayed(*slot, now_us) {
+                continue;
+            }
             if now_us.saturating_sub(*since_us) >= OVERDUE_AFTER_US {
                 overdue.push((*since_us, *slot));
             }
-            others.push((!self.urgent.contains(slot), self.terms(job).priority, *slot));
+            let failed_us = self.write_failed_us(job);
+            let priority = self.terms(job).priority;
+            others.push((!self.urgent.contains(slot), failed_us, priority, *slot));
         }
         overdue.sort_unstable();
         overdue.truncate(max_overdue);
@@ -96,7 +115,8 @@
         overdue.into_iter().map(|(_, slot)| slot).chain(others).collect()
     }
 
-    fn take_write(&mut self, slot: u32, zones: BTreeSet<String>) -> Option<JobWrite> {
+    fn take_write(&mut self, slot: u32, zones: BTreeSet<String>, now_us: u64) -> Option<JobWrite> {
+        self.write_taken(slot);
         self.dirty.remove(&slot);
         self.urgent.remove(&slot);
         let offset_ms = self.wall_offset_ms;
@@ -109,11 +129,14 @@
             revision: job.revision,
             record: ProgressRecord::of(job, &self.workers, |us| wall_ms(us, offset_ms)),
             zones: zones.into_iter().collect(),
+            taken_us: now_us,
+            group: 1,
         })
     }
 
     /// Records that a write was stored at `revision`, and orders the starts that the record names.
     pub fn committed(&mut self, write: &JobWrite, revision: u64, now_us: u64) {
+        self.write_succeeded(write, now_us);
         let Some(job) = self.jobs[write.slot as usize].as_mut() else { return };
         job.is_committing = false;
         job.revision = revision;
@@ -138,16 +161,6 @@
         self.acknowledge_ends(write.slot);
     }
 
-    /// Records that a write could not be stored; it is retried later.
-    pub fn not_committed(&mut self, write: &JobWrite, now_us: u64) {
-        if let Some(job) = self.jobs[write.slot as usize].as_mut() {
-            job.is_committing = false;
-            job.revision = write.revision;
-            self.dirty.entry(write.slot).or_insert(now_us);
-            self.urgent.insert(write.slot);
-        }
-    }
-
     /// Orders the chosen worker to start the task, unless the worker has terminated, takes no more
     /// starts or is over capacity.
     fn order_start(&mut self, task_ref: TaskRef, worker: WorkerIndex, now_us: u64) {
--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -34,9 +34,15 @@
     /// The records are stored at this revision. The listed zones were found closed and accept no
     /// further starts.
     Stored(Vec<JobWrite>, u64, Vec<ClosedZone>),
-    /// The records are not stored and must be written again. Records of starts in the listed closed
-    /// zones must be written again after the starts have been placed elsewhere.
-    Failed(Vec<JobWrite>, Vec<ClosedZone>),
+    /// The store found other revisions, which the records now carry, or the listed zones closed. The
+    /// records must be written again, those of starts in the closed zones after the starts have been
+    /// placed elsewhere.
+    Conflict(Vec<JobWrite>, Vec<ClosedZone>),
+    /// The store answered that it does not accept the transaction. The records must be written
+    /// again.
+    Rejected(Vec<JobWrite>),
+    /// The store did not answer, or did not serve the call. The records must be written again.
+    Failed(Vec<JobWrite>),
     /// Another daemon owns the range.
     Superseded,
 }
@@ -54,7 +60,7 @@
         Ok(puts) => puts,
         Err(error) => {
             log::error!(event = "record_unencodable"; "{error}");
-            return Committed::Failed(writes, Vec::new());
+            return Committed::Rejected(writes);
         }
     };
     let owner = owner_key(PLANNER);
@@ -83,8 +89,13 @@
         Ok(reply) if reply.applied => Committed::Stored(writes, reply.revision, Vec::new()),
         Ok(reply) => resolve_conflict(&owner, epoch, writes, &records, &reply.entries),
         Err(error) => {
-            log::warn!(event = "commit_failed", jobs = writes.len(); "{error}");
-            Committed::Failed(writes, Vec::new())
+            let first_job = writes.first().map(|write| write.job.as_str()).unwrap_or_default();
+            log::warn!(event = "commit_failed", jobs = writes.len(), first_job = first_job,
+                kind = error.kind.row().name; "{error}");
+            match error.kind {
+                ErrorKind::BadRequest | ErrorKind::TooLarge => Committed::Rejected(writes),
+                _ => Committed::Failed(writes),
+            }
         }
     }
 }
@@ -114,7 +125,7 @@
     if is_stored {
         return Committed::Stored(writes, revision, closed);
     }
-    Committed::Failed(writes, closed)
+    Committed::Conflict(writes, closed)
 }
 
 /// Zones in which any of the records is followed by a start.
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -494,10 +494,20 @@
                 self.close_zones(&closed);
                 writes.iter().for_each(|write| self.fleet.committed(write, revision, now_us));
             }
-            Committed::Failed(writes, closed) => {
-                writes.iter().for_each(|write| self.fleet.not_committed(write, now_us));
+            Committed::Conflict(writes, closed) => {
+                writes.iter().for_each(|write| self.fleet.conflicted(write, now_us));
                 self.close_zones(&closed);
             }
+            Committed::Rejected(writes) => {
+                self.fleet.store_answered(now_us);
+                writes.iter().for_each(|write| self.fleet.not_committed(write, now_us));
+            }
+            Committed::Failed(writes) => {
+                // Renewals of the ownership lease show whether the store answers other calls.
+                let renewed_us = self.daemon.confirmed_us.load(Ordering::Acquire);
+                self.fleet.store_answered(renewed_us);
+                writes.iter().for_each(|write| self.fleet.not_committed(write, now_us));
+            }
             Committed::Superseded => {
                 log::warn!(event = "superseded", epoch = self.epoch;
                     "another daemon owns the planner's range");
