Give a large record on its own the time of its transfer over a slow link

A record that is written on its own cannot be split further. If its transfer took longer than the timeout of 600 ms, it was aborted and repeated each time, and its job never started. A single record now gets a millisecond more for every 90 bytes, which is the transfer over a link of about 1 Mbit/s; the client's limit of 1.5 s stays. A record of 10 kB gets 0.1 s more, transactions of several records nothing, because they are written in smaller ones.

--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -25,6 +25,10 @@
 /// whether it took effect.
 const TXN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Rate of the slowest link over which a large record is stored, in bytes of the record per
+/// millisecond.
+const MIN_LINK_BYTES_PER_MS: usize = 90;
+
 /// Jobs deleted in one transaction. Each job has three keys.
 const MAX_JOBS_PER_DELETE: usize = 10;
 
@@ -72,11 +76,12 @@
     let ended =
         writes.iter().filter(|write| write.record.phase != JobPhase::Active).map(ended_job_put);
     let puts = records.iter().cloned().chain(ended).collect();
+    let timeout = timeout_of(&records);
     let txn = StoreCall::Txn { expected, puts, deletes: Vec::new() };
     let started = Instant::now();
-    let answer = tokio::time::timeout(TXN_TIMEOUT, daemon.store.call(txn)).await;
+    let answer = tokio::time::timeout(timeout, daemon.store.call(txn)).await;
     let answer = answer.unwrap_or_else(|_| {
-        let detail = format!("no answer within {} ms", TXN_TIMEOUT.as_millis());
+        let detail = format!("no answer within {} ms", timeout.as_millis());
         Err(Error::new(ErrorKind::StoreUnavailable, detail))
     });
     let outcome = match &answer {
@@ -100,6 +105,18 @@
     }
 }
 
+/// Timeout of a transaction. A single record cannot be split, so it gets the time that its transfer
+/// takes over a slow link; several records are written in smaller transactions instead.
+fn timeout_of(records: &[Put]) -> Duration {
+    match records {
+        [record] => {
+            let transfer_ms = record.value.len() / MIN_LINK_BYTES_PER_MS;
+            TXN_TIMEOUT + Duration::from_millis(transfer_ms as u64)
+        }
+        _ => TXN_TIMEOUT,
+    }
+}
+
 /// Finds out why a transaction met an unexpected revision.
 fn resolve_conflict(
     owner: &str,
