Retry a record at once after a single failure while the store answers

A record that failed once in a transaction of its own while the store answered other calls waited 100 ms, and only one such record was written at a time. A lost answer looks the same, so a store that loses some of the answers would have delayed the starts that follow. The delay and the limit now begin with the second rejection. A record with a rejection no longer shrinks the transactions of the others either.

Failed before: records_that_failed_once_are_retried_at_once.

--- a/crates/agatesill_policy/src/fleet/write_failures.rs
+++ b/crates/agatesill_policy/src/fleet/write_failures.rs
@@ -10,7 +10,10 @@
 use super::orders::JobWrite;
 use super::state::Fleet;
 
-/// Delay of the first retry of a record that failed in a transaction of its own.
+/// Rejections of a record on its own from which its retries are delayed.
+const MIN_DELAYED_REJECTIONS: u32 = 2;
+
+/// Delay of the first delayed retry of a record that failed in a transaction of its own.
 const INITIAL_RETRY_DELAY_US: u64 = 100 * US_PER_MS;
 
 /// Maximum delay of a retry.
@@ -64,18 +67,20 @@
 }
 
 impl WriteFailures {
-    /// Whether the record fails on its own although the store answers.
+    /// Whether the record fails on its own again and again although the store answers.
     fn is_rejected(&self) -> bool {
-        self.rejections > 0
+        self.rejections >= MIN_DELAYED_REJECTIONS
     }
 
-    /// Whether the record failed on its own, and the store has answered no call since.
+    /// Whether the record failed on its own, and the store has answered no call since. A single
+    /// failure while the store answers may be a lost answer.
     fn is_suspect(&self, answered_us: u64) -> bool {
-        self.alone > 0 && answered_us <= self.failed_us
+        let is_lost_answer = self.alone == 1 && self.rejections == 1;
+        self.alone > 0 && !is_lost_answer && answered_us <= self.failed_us
     }
 
     fn retry_delay_us(&self) -> u64 {
-        let doublings = self.rejections.saturating_sub(1).min(8);
+        let doublings = self.rejections.saturating_sub(MIN_DELAYED_REJECTIONS).min(8);
         (INITIAL_RETRY_DELAY_US << doublings).min(MAX_RETRY_DELAY_US)
     }
 }
@@ -110,7 +115,7 @@
         failures.failed_us = now_us;
         failures.alone += u32::from(is_alone);
         if !is_answering {
-            if !failures.is_rejected() {
+            if failures.rejections == 0 {
                 health.max_group = health.max_group.min(half);
             }
             return;
--- a/crates/agatesill_policy/tests/fleet_rejected_records.rs
+++ b/crates/agatesill_policy/tests/fleet_rejected_records.rs
@@ -195,3 +195,23 @@
     assert_eq!(again.len(), 11);
     assert_eq!(again.iter().filter(|write| write.revision == 5).count(), 1);
 }
+
+/// Guards against starts that wait because of single answers of the store that were lost.
+#[test]
+fn records_that_failed_once_are_retried_at_once() {
+    let mut harness = two_workers(step(1));
+    write(&mut harness, |_| false);
+    let mut taken = Vec::new();
+    for id in ["lost-1", "lost-2", "stored"] {
+        harness.fleet.accept(small_job(id), harness.now_us);
+        harness.fleet.plan(harness.now_us, harness.now_us / MS);
+        taken.extend(harness.fleet.take_writes(MAX_ENTRIES, harness.now_us));
+    }
+    assert_eq!(taken.len(), 3);
+    harness.advance_ms(ANSWER_MS);
+    harness.fleet.committed(&taken[2], 7, harness.now_us);
+    harness.advance_ms(ANSWER_MS);
+    taken[..2].iter().for_each(|write| harness.fleet.not_committed(write, harness.now_us));
+    let again = write(&mut harness, |_| false).concat();
+    assert_eq!(again, ["lost-1", "lost-2"]);
+}
