--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -89,8 +89,6 @@
     waits: BTreeMap<String, PlacementError>,
     /// For each team with more jobs than the misses of a round, the last job that was tried.
     resume_after: BTreeMap<String, (bool, u64, String)>,
-    /// Teams that were skipped since all waiting teams had a turn.
-    skipped_teams: BTreeSet<String>,
     mitigation_states: MitigationStates,
     at_risk: BTreeSet<WorkerId>,
     throttled: BTreeSet<TaskId>,
--- a/crates/agatesill_policy/src/batch/policy/plan_place.rs
+++ b/crates/agatesill_policy/src/batch/policy/plan_place.rs
@@ -184,21 +184,13 @@
 
     /// Repeatedly serves the team with the lowest usage relative to its weight. The heap holds each
     /// waiting team once. Each start raises its team's usage, which moves it behind the others.
-    ///
-    /// Guards against teams that wait for ever behind others whose jobs fit nowhere: if the misses of
-    /// a round do not suffice for all teams, those that were skipped go last until all had a turn.
     fn place_shared(&mut self, cell: &Cell, round: &mut Round, plan: &mut Plan) {
-        if self.queue.waiting_teams().all(|(name, _)| self.skipped_teams.contains(name)) {
-            self.skipped_teams.clear();
-        }
         let teams = self.queue.waiting_teams();
-        let had_turn = |team: &str| self.skipped_teams.contains(team);
-        let mut heap: BinaryHeap<Reverse<(bool, i64, String)>> = teams
-            .map(|(name, team)| Reverse((had_turn(name), team.virtual_ms as i64, name.to_owned())))
-            .collect();
+        let mut heap: BinaryHeap<Reverse<(i64, String)>> =
+            teams.map(|(name, team)| Reverse((team.virtual_ms as i64, name.to_owned()))).collect();
         let mut cursors = std::collections::BTreeMap::new();
         while round.placements > 0 && round.misses > 0 {
-            let Some(Reverse((had_turn, virtual_time, team))) = heap.pop() else { break };
+            let Some(Reverse((virtual_time, team))) = heap.pop() else { break };
             let cursor: &mut Cursor = cursors.entry(team.clone()).or_default();
             let Some((id, index)) = self.next_task(&team, cursor) else {
                 self.resume_after.remove(&team);
@@ -207,29 +199,24 @@
             let Some(job) = cell.job(&id) else { continue };
             if round.proposed.contains(&job.task_id(index as usize)) {
                 cursor.after = Some(index);
-                heap.push(Reverse((had_turn, virtual_time, team)));
+                heap.push(Reverse((virtual_time, team)));
                 continue;
             }
             match self.place_task(cell, job, index as usize, PriorityTier::Shared, round, plan) {
                 Ok(cost) => {
                     cursor.after = Some(index);
                     cursor.cpu_milli += cost.cpu_milli;
-                    heap.push(Reverse((had_turn, virtual_time + cost.virtual_time, team)));
+                    heap.push(Reverse((virtual_time + cost.virtual_time, team)));
                 }
                 Err(refused) => {
                     self.record_miss(&id, refused, round);
                     self.hold_worker_for(cell, job, index as usize, refused, round);
                     if self.skip_job(&team, cursor) {
-                        heap.push(Reverse((had_turn, virtual_time, team)));
-                    } else {
-                        self.skipped_teams.insert(team);
+                        heap.push(Reverse((virtual_time, team)));
                     }
                 }
             }
         }
-        if round.misses > 0 {
-            self.skipped_teams.clear();
-        }
     }
 
     /// Skips a job that was not placed; false if the round has to skip its team.
