--- a/crates/agatesill_policy/tests/batch_head_of_line.rs
+++ b/crates/agatesill_policy/tests/batch_head_of_line.rs
@@ -115,3 +115,28 @@
     let placed = shared.placed_after_ms("small", 3_600_000);
     assert!(placed.is_some_and(|after_ms| after_ms <= 60_000), "placed after {placed:?} ms");
 }
+
+/// Guards against teams that wait for ever behind the jobs of others that need more than is free.
+#[test]
+fn jobs_that_fit_nowhere_do_not_hold_back_other_teams() {
+    let mut shared = SharedCell::new(4);
+    for team in 0..64 {
+        for nth in 0..3 {
+            shared.accept(job(&format!("large-{team:02}-{nth}"), &format!("a{team:02}"), 4_000));
+        }
+    }
+    shared.accept(job("small", "z", 500));
+    let placed = shared.placed_after_ms("small", 3_600_000);
+    assert!(placed.is_some_and(|after_ms| after_ms <= 60_000), "placed after {placed:?} ms");
+}
+
+/// Guards against batch work that waits for ten minutes behind a job with a close deadline that needs
+/// more than is free.
+#[test]
+fn a_due_job_that_fits_nowhere_does_not_hold_back_other_jobs() {
+    let mut shared = SharedCell::new(4);
+    shared.accept(JobSpec { deadline_ms: 590_000, ..job("large", "t", 4_000) });
+    shared.accept(job("small", "t", 500));
+    let placed = shared.placed_after_ms("small", 3_600_000);
+    assert!(placed.is_some_and(|after_ms| after_ms <= 60_000), "placed after {placed:?} ms");
+}
