Paused best-effort runs continue when the serving tasks have left

What callers would see: a job whose only run was paused beside a serving task counts as running and never ends, although the serving task was cancelled, moved or preempted and the worker is free.

Cause: paces were raised only after a poll that reports a tail. Without serving tasks none is reported, and the stall of a paused run is not looked for. Class: a refusal that nothing ends.

A worker without long-running tasks speeds its runs up.

Checked: paused_run_is_sped_up_when_the_serving_tasks_have_left failed before (no pace order) and passes with the other tests of fleet_best_effort_waits.

--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -100,6 +100,11 @@
         worker.mean_tail = sum / serving.len().max(1) as f64;
         if serving.is_empty() {
             worker.over_since_us = 0;
+            // Nothing is left to harm. If serving tasks are about to start, their tails decide.
+            if worker.lasting == 0 {
+                worker.sampled_us = now_us;
+                self.speed_up(index, &serving, &best_effort, worst);
+            }
             return;
         }
         if now_us.saturating_sub(worker.sampled_us) < SAMPLE_INTERVAL_US {
--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -240,3 +240,29 @@
     assert!(orders.iter().any(is_resumed), "the case needs a run that continues: {orders:?}");
     assert!(!orders.iter().any(|order| order.kind == OrderKind::Stop), "{orders:?}");
 }
+
+/// Guards against a run that stays paused after the serving tasks that it harmed have left its
+/// worker: no tail is reported there any more.
+#[test]
+fn paused_run_is_sped_up_when_the_serving_tasks_have_left() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 30);
+    harness.fleet.accept(best_effort("bill-run", 2_000, 1_000, 1_000), harness.now_us);
+    for tail in [[30; 6], [110; 6]].concat() {
+        poll_with_tail(&mut harness, tail);
+    }
+    let is_pause = |order: &Order| order.kind == OrderKind::Pace { percent: 0 };
+    assert!(harness.orders.iter().any(is_pause), "the case needs a paused run");
+    harness.fleet.cancel("watch", harness.now_us);
+    let mut paces = Vec::new();
+    for _ in 0..4 {
+        for order in poll_with_tail(&mut harness, 110) {
+            if let OrderKind::Pace { percent } = order.kind {
+                paces.push(percent);
+            }
+        }
+    }
+    assert!(harness.present("watch").is_empty());
+    assert_eq!(harness.present("bill-run").len(), 1);
+    assert_eq!(paces.last(), Some(&100), "{paces:?}");
+}
