A job that was moved for its harm is not placed beside what it harms at once

A job whose task was moved away for its harm now waits for five seconds before it may run slowed beside such tasks again.

Pausing such runs instead was tried: two tests of fleet_colocation, which expect the harmful task to be moved, failed.

--- a/crates/agatesill_policy/src/fleet/colocation/capacity.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/capacity.rs
@@ -65,13 +65,12 @@
 const MAX_IDLE_US: u64 = 1_500 * US_PER_MS;
 
 /// Minimum time between two searches for such a worker by one job.
-const THROTTLED_SEARCH_INTERVAL_US: u64 = 500 * US_PER_MS;
+pub(in crate::fleet) const THROTTLED_SEARCH_INTERVAL_US: u64 = 500 * US_PER_MS;
 
 impl Job {
     /// Whether the next task may be placed beside serving tasks that it harms.
     pub(in crate::fleet) fn accepts_throttling(&self, now_us: u64) -> bool {
-        let since_search_us = now_us.saturating_sub(self.throttled_search_us);
-        since_search_us >= THROTTLED_SEARCH_INTERVAL_US
+        now_us >= self.throttled_search_from_us
             && self.idle_us(now_us).is_some_and(|idle_us| idle_us >= MAX_IDLE_US)
     }
 }
--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -62,6 +62,11 @@
 /// task was the cause. A move costs a stop and a resumption, about a second.
 const MAX_SLOWED_US: u64 = 1_600 * US_PER_MS;
 
+/// Time for which a job whose task was moved away from serving tasks that it harmed is not placed
+/// beside such tasks again. Without it, tails that rise and fall would stop and start the task each
+/// time.
+const HARM_BACKOFF_US: u64 = 5_000 * US_PER_MS;
+
 /// A best-effort task on a worker.
 struct BestEffortTask {
     task_ref: TaskRef,
@@ -308,6 +313,9 @@
             self.set_pace(index, task.task_ref, 0);
             let now_us = self.workers[index as usize].sampled_us;
             self.stop(task.task_ref, now_us);
+            if let Some(job) = self.job_mut(task.task_ref.job) {
+                job.throttled_search_from_us = now_us + HARM_BACKOFF_US;
+            }
         } else {
             self.set_pace(index, task.task_ref, 0);
         }
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -397,8 +397,8 @@
     pub accepted_us: u64,
     /// When the newest step became runnable.
     pub runnable_us: u64,
-    /// When placement beside serving tasks that the job may harm was last tried.
-    pub throttled_search_us: u64,
+    /// Earliest time at which placement beside serving tasks that the job may harm is tried.
+    pub throttled_search_from_us: u64,
 }
 
 impl Job {
@@ -426,7 +426,7 @@
             ended_us: 0,
             accepted_us: now_us,
             runnable_us: now_us,
-            throttled_search_us: 0,
+            throttled_search_from_us: 0,
             spec,
         }
     }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -5,6 +5,7 @@
 use crate::batch::Resources;
 
 use super::US_PER_MS;
+use super::colocation::THROTTLED_SEARCH_INTERVAL_US;
 use super::images::ImageId;
 use super::job::{Job, JobPhase, Step, TaskRef, TaskState};
 use super::place::{PlacementRequest, WorkerSearch};
@@ -157,7 +158,7 @@
             .iter()
             .any(|task| self.awaits_separation(TaskRef { job: group.job, task: *task }, now_us));
         if let Some(job) = self.job_mut(group.job).filter(|_| accepts_throttling) {
-            job.throttled_search_us = now_us;
+            job.throttled_search_from_us = now_us + THROTTLED_SEARCH_INTERVAL_US;
         }
         let placed = self.place_tasks(group, &context, &tasks, now_us);
         if placed == waiting.len() {
--- a/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_best_effort_waits.rs
@@ -266,3 +266,25 @@
     assert_eq!(harness.present("bill-run").len(), 1);
     assert_eq!(paces.last(), Some(&100), "{paces:?}");
 }
+
+/// Most starts of a job in forty seconds in which it harms what it runs beside every four seconds.
+const MAX_STARTS: usize = 5;
+
+/// Guards against a run that is stopped and placed again on each change of the tails: each time it
+/// costs a start, a record and the work since its last checkpoint.
+#[test]
+fn job_that_was_moved_for_its_harm_is_not_placed_again_at_once() {
+    let mut harness = serving_workers();
+    poll_with_tail(&mut harness, 30);
+    let mut spec = best_effort("bill-run", 2_000, 1_000, 60_000);
+    spec.steps[0].saves_progress = true;
+    harness.fleet.accept(spec, harness.now_us);
+    for tail in [[45; 4], [110; 4]].concat().into_iter().cycle().take(80) {
+        poll_with_tail(&mut harness, tail);
+    }
+    let is_start = |order: &&Order| {
+        order.task.job == "bill-run" && matches!(order.kind, OrderKind::Start { .. })
+    };
+    let starts = harness.orders.iter().filter(is_start).count();
+    assert!((1..=MAX_STARTS).contains(&starts), "{starts} starts");
+}
