A planner ends with any of its watchers

Found by the reviewer: the watchers of the registry, the closed zones and the inbox were spawned by the planner and watched by nobody. After a panic of one of them the planner would go on with a state that does not change: jobs whose notification is lost would never run. The end of a watcher now ends the planner, and the range is claimed again.

Checked: the_end_of_a_watcher_cancels_the_token; clippy.

--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -19,7 +19,7 @@
 use super::clock::wall_ms;
 use super::commits::{self, Committed};
 use super::daemon_state::{DaemonState, PlannerStats};
-use super::supervision::spawn_supervised;
+use super::supervision::{cancel_at_end, spawn_supervised};
 use super::worker_connections::WorkerConnections;
 use super::{advice_client, predecessors, recovery, store_watchers};
 
@@ -199,7 +199,8 @@
     let (events, queued_events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let Some(start) = recovery::recover(&daemon, epoch, &lost).await else { return Ok(()) };
     let tasks = TaskTracker::new();
-    // All tasks that this planner spawns end with it.
+    // All tasks that this planner spawns end with it, and it ends with any of its watchers: without
+    // them it would plan on a state that does not change any more.
     let stop = lost.child_token();
     let connections =
         WorkerConnections::new(daemon.clone(), epoch, answers, stop.clone(), tasks.clone());
@@ -230,23 +231,27 @@
     planner.registry_read(start.workers);
     planner.connect_unlisted_workers();
     daemon.registry_as_of_us.store(start.registry_read_us, Ordering::Release);
-    tasks.spawn(store_watchers::registry(
-        daemon.clone(),
-        events.clone(),
-        start.registry_revision,
-        stop.clone(),
+    tasks.spawn(cancel_at_end(
+        store_watchers::registry(
+            daemon.clone(),
+            events.clone(),
+            start.registry_revision,
+            stop.clone(),
+        ),
+        &lost,
     ));
-    tasks.spawn(store_watchers::closed_zones(
-        daemon.clone(),
-        events.clone(),
-        start.zones_revision,
-        stop.clone(),
+    tasks.spawn(cancel_at_end(
+        store_watchers::closed_zones(
+            daemon.clone(),
+            events.clone(),
+            start.zones_revision,
+            stop.clone(),
+        ),
+        &lost,
     ));
-    tasks.spawn(store_watchers::inbox(
-        daemon.clone(),
-        events.clone(),
-        start.inbox_revision,
-        stop.clone(),
+    tasks.spawn(cancel_at_end(
+        store_watchers::inbox(daemon.clone(), events.clone(), start.inbox_revision, stop.clone()),
+        &lost,
     ));
     if start.predecessors.orphan_ms() > 0 {
         tasks.spawn(clear_predecessors(daemon.clone(), epoch, stop.clone()));
--- a/crates/agatesilld/src/fleet/supervision.rs
+++ b/crates/agatesilld/src/fleet/supervision.rs
@@ -12,9 +12,17 @@
     F: Future + Send + 'static,
     F::Output: Send + 'static,
 {
+    tokio::spawn(cancel_at_end(work, ended))
+}
+
+/// Runs `work` and cancels `ended` when it ends, also if it panics or is dropped.
+pub fn cancel_at_end<F: Future>(
+    work: F,
+    ended: &CancellationToken,
+) -> impl Future<Output = F::Output> + use<F> {
     let guard = ended.clone().drop_guard();
-    tokio::spawn(async move {
+    async move {
         let _guard = guard;
         work.await
-    })
+    }
 }
--- a/crates/agatesilld/tests/supervision.rs
+++ b/crates/agatesilld/tests/supervision.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agatesilld::fleet::supervision::spawn_supervised;
+use agatesilld::fleet::supervision::{cancel_at_end, spawn_supervised};
 use tokio_util::sync::CancellationToken;
 
 const WAIT: Duration = Duration::from_secs(5);
@@ -24,3 +24,11 @@
     assert_eq!(spawn_supervised(async { 7 }, &ended).await.ok(), Some(7));
     assert!(ended.is_cancelled());
 }
+
+/// Guards against a planner that goes on without one of its watchers.
+#[tokio::test]
+async fn the_end_of_a_watcher_cancels_the_token() {
+    let ended = CancellationToken::new();
+    cancel_at_end(async {}, &ended).await;
+    assert!(ended.is_cancelled());
+}
