--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -6,6 +6,7 @@
 use super::images::{ImageId, NO_IMAGE};
 use super::slow::StepSpeed;
 use super::worker::WorkerIndex;
+use super::write_failures::WriteFailures;
 
 /// Identifier of a job, chosen by the caller.
 pub type JobId = String;
@@ -300,6 +301,8 @@
     /// Number of these crashes that have no other known cause and in which the task was the only
     /// suspect.
     pub unexplained_crashes: u32,
+    /// When the newest of these crashes was counted.
+    pub crashed_us: u64,
     /// Whether the last lost run was a suspect in a crash without another known cause.
     pub is_crash_suspect: bool,
     /// Whether the newest run has lasted long enough not to be suspected of a crash of its worker.
@@ -347,6 +350,7 @@
             preempted: false,
             crashes: 0,
             unexplained_crashes: 0,
+            crashed_us: 0,
             is_crash_suspect: false,
             is_past_probation: false,
         }
@@ -380,6 +384,8 @@
     pub revision: u64,
     /// Whether a record is being written to the store.
     pub is_committing: bool,
+    /// Failed attempts to store the newest record.
+    pub(super) write_failures: WriteFailures,
     /// Whether a run of any task is known to have begun. A choice or an order is not enough: while
     /// orders lag, callers would be told that no job waits.
     pub is_started: bool,
@@ -391,8 +397,8 @@
     pub accepted_us: u64,
     /// When the newest step became runnable.
     pub runnable_us: u64,
-    /// When placement beside serving tasks that the job may harm was last tried.
-    pub throttled_search_us: u64,
+    /// Earliest time at which placement beside serving tasks that the job may harm is tried.
+    pub throttled_search_from_us: u64,
 }
 
 impl Job {
@@ -414,12 +420,13 @@
             committed_phase: JobPhase::Active,
             revision: 0,
             is_committing: false,
+            write_failures: WriteFailures::default(),
             is_started: false,
             unacked_workers: Vec::new(),
             ended_us: 0,
             accepted_us: now_us,
             runnable_us: now_us,
-            throttled_search_us: 0,
+            throttled_search_from_us: 0,
             spec,
         }
     }
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod usage;
 mod watchdog;
 mod worker;
+mod write_failures;
 mod writes;
 mod zones;
 
@@ -52,7 +53,8 @@
 pub use takeover::ORPHAN_MS;
 pub use usage::{FleetUsage, TaskKind, Waiting};
 pub use worker::{
-    EndCause, EndRow, Poll, RunRow, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    EndCause, EndRow, Poll, RunRow, Worker, WorkerAddresses, WorkerEntry, WorkerIndex,
+    WorkerStanding,
 };
 pub use zones::ClosedZone;
 
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -11,7 +11,8 @@
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
 use super::preempt::Preemption;
-use super::worker::{Worker, WorkerIndex, WorkerStanding};
+use super::worker::{Worker, WorkerAddresses, WorkerIndex, WorkerStanding};
+use super::write_failures::StoreHealth;
 use super::zones::ClosedZones;
 use super::{FleetBounds, US_PER_MS};
 
@@ -68,6 +69,8 @@
     pub(super) by_id: HashMap<JobId, u32>,
     pub(super) workers: Vec<Worker>,
     pub(super) worker_by_id: HashMap<String, WorkerIndex>,
+    /// Addresses that the previous planner knew.
+    pub(super) previous_addresses: WorkerAddresses,
     /// Newest worker incarnation at each address.
     pub(super) worker_by_address: HashMap<String, WorkerIndex>,
     pub(super) queues: HashMap<String, QueueTerms>,
@@ -82,6 +85,7 @@
     pub(super) dirty: BTreeMap<u32, u64>,
     /// Dirty jobs whose record something waits for, such as a start.
     pub(super) urgent: BTreeSet<u32>,
+    pub(super) store_health: StoreHealth,
     pub(super) orders: Vec<Order>,
     /// Number of tasks with [`super::Task::is_starting`] set.
     pub(super) starting: u32,
@@ -117,6 +121,7 @@
             by_id: HashMap::new(),
             workers: Vec::new(),
             worker_by_id: HashMap::new(),
+            previous_addresses: WorkerAddresses::new(),
             worker_by_address: HashMap::new(),
             queues: HashMap::new(),
             closed_zones: ClosedZones::new(),
@@ -126,6 +131,7 @@
             due: BTreeMap::new(),
             dirty: BTreeMap::new(),
             urgent: BTreeSet::new(),
+            store_health: StoreHealth::default(),
             orders: Vec::new(),
             starting: 0,
             lost_contacts_us: VecDeque::new(),
--- a/crates/agatesilld/src/fleet/commits.rs
+++ b/crates/agatesilld/src/fleet/commits.rs
@@ -7,7 +7,7 @@
 use agatesill_coord::lease::owner_key;
 use agatesill_platform::zones;
 use agatesill_policy::fleet::{
-    ClosedZone, JobId, JobPhase, JobWrite, LearnedInterference, ProgressRecord,
+    ClosedZone, JobId, JobPhase, JobWrite, LearnedInterference, ProgressRecord, WorkerAddresses,
 };
 use agatesill_wire::platform::{Entry, KeyVersion, Put, StoreCall};
 use agatesill_wire::prelude::*;
@@ -25,6 +25,10 @@
 /// whether it took effect.
 const TXN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Rate of the slowest link over which a large record is stored, in bytes of the record per
+/// millisecond.
+const MIN_LINK_BYTES_PER_MS: usize = 90;
+
 /// Jobs deleted in one transaction. Each job has three keys.
 const MAX_JOBS_PER_DELETE: usize = 10;
 
@@ -34,9 +38,15 @@
     /// The records are stored at this revision. The listed zones were found closed and accept no
     /// further starts.
     Stored(Vec<JobWrite>, u64, Vec<ClosedZone>),
-    /// The records are not stored and must be written again. Records of starts in the listed closed
-    /// zones must be written again after the starts have been placed elsewhere.
-    Failed(Vec<JobWrite>, Vec<ClosedZone>),
+    /// The store found other revisions, which the records now carry, or the listed zones closed. The
+    /// records must be written again, those of starts in the closed zones after the starts have been
+    /// placed elsewhere.
+    Conflict(Vec<JobWrite>, Vec<ClosedZone>),
+    /// The store answered that it does not accept the transaction. The records must be written
+    /// again.
+    Rejected(Vec<JobWrite>),
+    /// The store did not answer, or did not serve the call. The records must be written again.
+    Failed(Vec<JobWrite>),
     /// Another daemon owns the range.
     Superseded,
 }
@@ -54,7 +64,7 @@
         Ok(puts) => puts,
         Err(error) => {
             log::error!(event = "record_unencodable"; "{error}");
-            return Committed::Failed(writes, Vec::new());
+            return Committed::Rejected(writes);
         }
     };
     let owner = owner_key(PLANNER);
@@ -66,11 +76,12 @@
     let ended =
         writes.iter().filter(|write| write.record.phase != JobPhase::Active).map(ended_job_put);
     let puts = records.iter().cloned().chain(ended).collect();
+    let timeout = timeout_of(&records);
     let txn = StoreCall::Txn { expected, puts, deletes: Vec::new() };
     let started = Instant::now();
-    let answer = tokio::time::timeout(TXN_TIMEOUT, daemon.store.call(txn)).await;
+    let answer = tokio::time::timeout(timeout, daemon.store.call(txn)).await;
     let answer = answer.unwrap_or_else(|_| {
-        let detail = format!("no answer within {} ms", TXN_TIMEOUT.as_millis());
+        let detail = format!("no answer within {} ms", timeout.as_millis());
         Err(Error::new(ErrorKind::StoreUnavailable, detail))
     });
     let outcome = match &answer {
@@ -83,9 +94,26 @@
         Ok(reply) if reply.applied => Committed::Stored(writes, reply.revision, Vec::new()),
         Ok(reply) => resolve_conflict(&owner, epoch, writes, &records, &reply.entries),
         Err(error) => {
-            log::warn!(event = "commit_failed", jobs = writes.len(); "{error}");
-            Committed::Failed(writes, Vec::new())
+            let first_job = writes.first().map(|write| write.job.as_str()).unwrap_or_default();
+            log::warn!(event = "commit_failed", jobs = writes.len(), first_job = first_job,
+                kind = error.kind.row().name; "{error}");
+            match error.kind {
+                ErrorKind::BadRequest | ErrorKind::TooLarge => Committed::Rejected(writes),
+                _ => Committed::Failed(writes),
+            }
+        }
+    }
+}
+
+/// Timeout of a transaction. A single record cannot be split, so it gets the time that its transfer
+/// takes over a slow link; several records are written in smaller transactions instead.
+fn timeout_of(records: &[Put]) -> Duration {
+    match records {
+        [record] => {
+            let transfer_ms = record.value.len() / MIN_LINK_BYTES_PER_MS;
+            TXN_TIMEOUT + Duration::from_millis(transfer_ms as u64)
         }
+        _ => TXN_TIMEOUT,
     }
 }
 
@@ -114,7 +142,7 @@
     if is_stored {
         return Committed::Stored(writes, revision, closed);
     }
-    Committed::Failed(writes, closed)
+    Committed::Conflict(writes, closed)
 }
 
 /// Zones in which any of the records is followed by a start.
@@ -151,6 +179,32 @@
     }
 }
 
+/// Stores the addresses of the workers if this daemon still owns the range. Returns false if the
+/// write is to be repeated. A successor waits for the leases of terminated workers whose addresses
+/// it does not know.
+pub async fn save_worker_addresses(
+    daemon: &DaemonState,
+    epoch: u64,
+    addresses: &WorkerAddresses,
+) -> bool {
+    let value = match serde_json::to_string(addresses) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(event = "addresses_unencodable"; "{error}");
+            return true;
+        }
+    };
+    let expected = vec![KeyVersion { key: owner_key(PLANNER), version: epoch }];
+    let put = Put { key: keys::WORKERS.to_owned(), value, lease_id: 0 };
+    match daemon.store.txn(expected, vec![put], Vec::new()).await {
+        Ok(_) => true,
+        Err(error) => {
+            log::info!(event = "addresses_unsaved"; "{error}");
+            false
+        }
+    }
+}
+
 /// Stores the learned interference between images if this daemon still owns the range. If the write
 /// is lost, a successor spends some seconds learning it again; nothing else depends on it.
 pub async fn save_learned(daemon: Arc<DaemonState>, epoch: u64, learned: LearnedInterference) {
