Log and measure which configuration a daemon holds, and how current it is

No line of a daemon says which version it holds when it refuses, when it last heard of the key, from where, or how long the call waited, so a watch that skipped a version, silent connections, a store that turns a daemon away and timeouts that add up can't be told apart.

Now each activation says source, revision, the time spent in the call limiter and for the answer, and the age of the last answer about the key; a call that fails says the same (it was a debug line, and is bounded by the loop's own rate); a refusal for want of a queue says version and revision by which it was decided, ten lines a second at most. The same as metrics: revision, age, versions by source, unknown routes. The active version moves from the daemon's state to a module of its own. No decision is changed.

--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -21,6 +21,7 @@
 use hyper::Method;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use tokio::time::Instant;
 
 use self::call_limiter::{CallClass, CallLimiter};
 pub use self::watch::{WATCH_TIMEOUT_MS, watch_prefix};
@@ -59,6 +60,15 @@
     pub stale: AtomicU64,
 }
 
+/// How long one call took, all attempts together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallTiming {
+    /// Time in the call limiter, before the call was sent.
+    pub queued: Duration,
+    /// Time from sending the call to its outcome.
+    pub sent: Duration,
+}
+
 /// Client of the key-value service. Clones share the rate limit, the counters and the revision.
 #[derive(Clone)]
 pub struct Store {
@@ -140,7 +150,16 @@
 
     /// Makes one call. After an error, it is unknown whether the call took effect.
     pub async fn call(&self, call: StoreCall) -> Result<StoreReply, Error> {
-        self.call_reporting_outcome(call).await.map_err(|error| match error.kind {
+        self.call_with_timing(call, &mut CallTiming::default()).await
+    }
+
+    /// Like [`Store::call`]; also adds up how long the call took.
+    pub async fn call_with_timing(
+        &self,
+        call: StoreCall,
+        timing: &mut CallTiming,
+    ) -> Result<StoreReply, Error> {
+        self.attempt(call, timing).await.map_err(|error| match error.kind {
             ErrorKind::OutcomeUnknown => Error { kind: ErrorKind::StoreUnavailable, ..error },
             _ => error,
         })
@@ -149,11 +168,15 @@
     /// Makes one call. [`ErrorKind::OutcomeUnknown`] means that it may have taken effect or may
     /// still do so; every other kind means that it has not and never will.
     pub async fn call_reporting_outcome(&self, call: StoreCall) -> Result<StoreReply, Error> {
+        self.attempt(call, &mut CallTiming::default()).await
+    }
+
+    async fn attempt(&self, call: StoreCall, timing: &mut CallTiming) -> Result<StoreReply, Error> {
         for _ in 0..MAX_READ_ATTEMPTS {
             // A lagging replica may return a stale reply, which would restore a configuration or an
             // owner that this process knows to be outdated.
             let seen = self.min_revision(&call);
-            let reply = self.call_once(call.clone()).await?;
+            let reply = self.call_once(call.clone(), timing).await?;
             if reply.is_compacted {
                 return Ok(reply);
             }
@@ -185,18 +208,27 @@
         self.revision.load(Ordering::Acquire)
     }
 
-    async fn call_once(&self, call: StoreCall) -> Result<StoreReply, Error> {
+    async fn call_once(
+        &self,
+        call: StoreCall,
+        timing: &mut CallTiming,
+    ) -> Result<StoreReply, Error> {
         let timeout = match &call {
             StoreCall::Watch { wait_ms, .. } => CALL_TIMEOUT + Duration::from_millis(*wait_ms),
             StoreCall::Page { .. } => PAGE_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
-        let permit = self.limiter.acquire(class_of(&call)).await.inspect_err(|_| {
+        let queued = Instant::now();
+        let permit = self.limiter.acquire(class_of(&call)).await;
+        timing.queued += queued.elapsed();
+        let permit = permit.inspect_err(|_| {
             self.counts.unsent.fetch_add(1, Ordering::Relaxed);
         })?;
         let count = if is_read(&call) { &self.counts.reads } else { &self.counts.writes };
         count.fetch_add(1, Ordering::Relaxed);
+        let sent = Instant::now();
         let outcome = tokio::time::timeout(timeout, (self.transport)(call, timeout)).await;
+        timing.sent += sent.elapsed();
         let outcome = outcome.unwrap_or_else(|_| {
             let detail = format!("no answer within {} ms", timeout.as_millis());
             Err(Error::new(ErrorKind::Unreachable, detail))
--- /dev/null
+++ b/crates/agatesilld/src/fleet/active_config.rs
@@ -0,0 +1,111 @@
+//! The configuration that a daemon applies, and how and when it learned of it.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+
+use agatesill_platform::prelude::*;
+
+/// How a daemon learned of a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// An event of the watch.
+    Watch,
+    /// A read of the key.
+    Read,
+}
+
+impl ConfigSource {
+    /// All sources.
+    pub const ALL: [Self; 2] = [Self::Watch, Self::Read];
+
+    /// Name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Watch => "watch",
+            Self::Read => "read",
+        }
+    }
+}
+
+/// A version of the configuration with its origin.
+#[derive(Clone, Debug)]
+pub struct ActiveConfig {
+    /// The configuration.
+    pub site: Arc<SiteConfig>,
+    /// Revision of the store at which it was written.
+    pub revision: u64,
+    /// How this daemon learned of it.
+    pub source: ConfigSource,
+}
+
+/// The active configuration of one daemon.
+#[derive(Debug, Default)]
+pub struct ConfigState {
+    active: RwLock<Option<ActiveConfig>>,
+    /// When the store last answered a call about the key; 0 before the first answer.
+    heard_us: AtomicU64,
+    /// Versions activated, by source.
+    activated: [AtomicU64; ConfigSource::ALL.len()],
+    /// Calls about the key that failed.
+    failed_calls: AtomicU64,
+    /// Requests refused because no queue matches.
+    unknown_routes: AtomicU64,
+}
+
+impl ConfigState {
+    /// The active version; `None` before the first one was read.
+    pub fn active(&self) -> Option<ActiveConfig> {
+        self.active.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Activates a version if it is newer than the current one. Returns whether it does.
+    ///
+    /// Guards against a stale read: an active version is never replaced by an older one.
+    pub fn activate(&self, candidate: ActiveConfig) -> bool {
+        let mut active = self.active.write().unwrap_or_else(PoisonError::into_inner);
+        let is_newer =
+            active.as_ref().is_none_or(|current| current.site.version < candidate.site.version);
+        if is_newer {
+            self.activated[candidate.source as usize].fetch_add(1, Ordering::Relaxed);
+            *active = Some(candidate);
+        }
+        is_newer
+    }
+
+    /// Records that the store answered a call about the key.
+    pub fn heard(&self, now_us: u64) {
+        self.heard_us.store(now_us, Ordering::Relaxed);
+    }
+
+    /// Time since the store last answered a call about the key, in milliseconds; `None` before the
+    /// first answer.
+    pub fn heard_ms_ago(&self, now_us: u64) -> Option<u64> {
+        let heard_us = self.heard_us.load(Ordering::Relaxed);
+        (heard_us > 0).then(|| now_us.saturating_sub(heard_us) / 1_000)
+    }
+
+    /// Counts a call about the key that failed.
+    pub fn call_failed(&self) {
+        self.failed_calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of calls about the key that failed.
+    pub fn failed_calls(&self) -> u64 {
+        self.failed_calls.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request that no queue matches.
+    pub fn route_unknown(&self) {
+        self.unknown_routes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of requests that no queue matches.
+    pub fn unknown_routes(&self) -> u64 {
+        self.unknown_routes.load(Ordering::Relaxed)
+    }
+
+    /// Number of versions activated from one source.
+    pub fn activated(&self, source: ConfigSource) -> u64 {
+        self.activated[source as usize].load(Ordering::Relaxed)
+    }
+}
--- a/crates/agatesilld/src/fleet/clock.rs
+++ b/crates/agatesilld/src/fleet/clock.rs
@@ -4,6 +4,9 @@
 
 use tokio::time::Instant;
 
+/// Microseconds in a second.
+pub const US_PER_S: u64 = 1_000_000;
+
 /// Microseconds on the monotonic clock. The clock can represent times up to an hour before the
 /// process started.
 #[derive(Clone, Copy, Debug)]
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatesill_coord::store::CallTiming;
 use agatesill_platform::config;
 use agatesill_wire::platform::{Entry, StoreCall};
 use tokio_util::sync::CancellationToken;
 
+use super::active_config::{ActiveConfig, ConfigSource};
 use super::daemon_state::DaemonState;
 
 /// Wait time of one watch call. A watch that the store has silently dropped delays a configuration
@@ -32,18 +34,30 @@
                 wait_ms: WATCH_MS,
             },
         };
+        let source =
+            if after_revision.is_some() { ConfigSource::Watch } else { ConfigSource::Read };
+        let mut timing = CallTiming::default();
         let reply = tokio::select! {
             () = stop.cancelled() => return,
-            reply = daemon.store.call(call) => reply,
+            reply = daemon.store.call_with_timing(call, &mut timing) => reply,
         };
         match reply {
-            Ok(reply) if reply.is_compacted => after_revision = None,
+            Ok(reply) if reply.is_compacted => {
+                log::info!(event = "config_history_gone", after_revision = after_revision; "");
+                after_revision = None;
+            }
             Ok(reply) => {
-                reply.entries.iter().for_each(|entry| apply(&daemon, entry));
+                reply.entries.iter().for_each(|entry| apply(&daemon, entry, source, timing));
+                daemon.config_state.heard(daemon.clock.now_us());
                 after_revision = Some(reply.revision);
             }
             Err(error) => {
-                log::debug!(event = "config_unread"; "{error}");
+                daemon.config_state.call_failed();
+                log::info!(event = "config_unread", source = source.name(),
+                    after_revision = after_revision, queued_ms = timing.queued.as_millis() as u64,
+                    call_ms = timing.sent.as_millis() as u64,
+                    heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us());
+                    "{error}");
                 after_revision = None;
                 tokio::time::sleep(RETRY_BACKOFF).await;
             }
@@ -51,18 +65,24 @@
     }
 }
 
-fn apply(daemon: &DaemonState, entry: &Entry) {
+fn apply(daemon: &DaemonState, entry: &Entry, source: ConfigSource, timing: CallTiming) {
     if entry.key != config::KEY {
         return;
     }
     match config::decode(&entry.value) {
         Ok(decoded) => {
             let (version, queues, terms) = (decoded.version, decoded.queues.len(), decoded.terms());
-            if !daemon.update_config(decoded) {
+            let site = Arc::new(decoded);
+            let candidate = ActiveConfig { site, revision: entry.version, source };
+            if !daemon.config_state.activate(candidate) {
                 return;
             }
             log::info!(event = "config_in_force", version = version, queues = queues,
-                revision = entry.version; "");
+                revision = entry.version, source = source.name(),
+                store_revision = daemon.store.newest_revision(),
+                queued_ms = timing.queued.as_millis() as u64,
+                call_ms = timing.sent.as_millis() as u64,
+                heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us()); "");
             if let Some(planner) = daemon.planner() {
                 planner.set_queues(terms);
             }
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -10,7 +10,9 @@
 use agatesill_policy::fleet::{Counts, Effort, US_PER_MS};
 use tokio::sync::Notify;
 
+use super::active_config::ConfigState;
 use super::clock::Clock;
+use super::line_limit::LineLimit;
 use super::metrics::FleetMetrics;
 use super::peer_connection::PeerConnection;
 use super::planner::PlannerHandle;
@@ -30,6 +32,9 @@
 /// started.
 const MAX_REGISTRY_AGE_IN_DRAIN_BOUNDS: u64 = 5;
 
+/// Maximum number of lines a second about requests that no queue matches.
+const MAX_UNKNOWN_ROUTE_LINES_PER_S: u32 = 10;
+
 /// Counters of callers' requests, for the metrics.
 #[derive(Debug, Default)]
 pub struct RequestCounts {
@@ -73,12 +78,15 @@
     pub metrics: FleetMetrics,
     /// Counters of callers' requests.
     pub counts: RequestCounts,
+    /// The active configuration.
+    pub config_state: ConfigState,
+    /// Limits the lines about requests that no queue matches.
+    pub unknown_route_lines: LineLimit,
     /// When ownership of the planner's range was last confirmed; 0 while it is not owned.
     pub confirmed_us: AtomicU64,
     /// Time up to which the planner of this daemon has received all changes of the registry; 0
     /// before the first read.
     pub registry_as_of_us: AtomicU64,
-    config: RwLock<Option<Arc<SiteConfig>>>,
     planner: Mutex<Option<PlannerHandle>>,
     owner: RwLock<Option<Owner>>,
     planner_stats: Mutex<PlannerStats>,
@@ -99,9 +107,10 @@
             metrics,
             counts: RequestCounts::default(),
             planner_stats: Mutex::default(),
+            config_state: ConfigState::default(),
+            unknown_route_lines: LineLimit::new(MAX_UNKNOWN_ROUTE_LINES_PER_S),
             confirmed_us: AtomicU64::new(0),
             registry_as_of_us: AtomicU64::new(0),
-            config: RwLock::default(),
             planner: Mutex::default(),
             owner: RwLock::default(),
             is_stopping: AtomicBool::new(false),
@@ -112,19 +121,7 @@
 
     /// The active configuration; `None` before the first one was read.
     pub fn config(&self) -> Option<Arc<SiteConfig>> {
-        self.config.read().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Activates a configuration if it is newer than the current one.
-    ///
-    /// Guards against a stale read: an active version is never replaced by an older one.
-    pub fn update_config(&self, candidate: SiteConfig) -> bool {
-        let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        let is_newer = config.as_ref().is_none_or(|current| current.version < candidate.version);
-        if is_newer {
-            *config = Some(Arc::new(candidate));
-        }
-        is_newer
+        self.config_state.active().map(|active| active.site)
     }
 
     /// The planner, if this daemon runs it.
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
+use super::active_config::ActiveConfig;
 use super::clock::wall_ms;
 use super::daemon_state::DaemonState;
 use super::job_store;
@@ -39,7 +40,7 @@
 }
 
 async fn route(daemon: &Arc<DaemonState>, request: Request<Incoming>) -> (&'static str, Answer) {
-    let Some(config) = daemon.config() else {
+    let Some(active) = daemon.config_state.active() else {
         return ("none", refuse(daemon, "", &unavailable("no configuration yet", 1_000)));
     };
     let host = request
@@ -49,7 +50,9 @@
         .unwrap_or_default()
         .to_owned();
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
-    let Some(call) = front::call(&config, &method, &host, &path) else {
+    let config = &active.site;
+    let Some(call) = front::call(config, &method, &host, &path) else {
+        log_unknown_route(daemon, &active, &host, &path);
         return ("none", json_response(StatusCode::NOT_FOUND, Bytes::new()));
     };
     match call {
@@ -62,6 +65,17 @@
     }
 }
 
+/// Logs a request that no queue of the active version matches, with how current that version is.
+fn log_unknown_route(daemon: &DaemonState, active: &ActiveConfig, host: &str, path: &str) {
+    daemon.config_state.route_unknown();
+    let now_us = daemon.clock.now_us();
+    let Some(suppressed) = daemon.unknown_route_lines.admit(now_us) else { return };
+    log::info!(event = "route_unknown", request = path.rsplit('/').next().unwrap_or_default(),
+        host = host, path = path, version = active.site.version, revision = active.revision,
+        source = active.source.name(), store_revision = daemon.store.newest_revision(),
+        heard_ms_ago = daemon.config_state.heard_ms_ago(now_us), suppressed = suppressed; "");
+}
+
 async fn submit(
     daemon: &Arc<DaemonState>,
     queue: &Queue,
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -14,6 +14,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Histogram, Meter};
 
+use super::active_config::ConfigSource;
 use super::daemon_state::DaemonState;
 use crate::instruments::Instruments;
 
@@ -69,6 +70,7 @@
         observe_ledger(&meter, daemon);
         observe_effort(&meter, daemon);
         observe_daemon(&meter, daemon);
+        observe_config(&meter, daemon);
     }
 
     /// All instruments in the Prometheus text format.
@@ -157,12 +159,56 @@
             counter.observe(load(&counts.unsent), &kind("unsent"));
         })
         .build();
-    let config = daemon.clone();
+}
+
+fn observe_config(meter: &Meter, daemon: &Arc<DaemonState>) {
+    let observed = daemon.clone();
     meter
         .u64_observable_gauge("agatesill.config.version")
-        .with_description("Version of the configuration in force")
+        .with_description("Version of the active configuration")
+        .with_callback(move |gauge| {
+            gauge.observe(observed.config().map_or(0, |config| config.version), &[]);
+        })
+        .build();
+    let observed = daemon.clone();
+    meter
+        .u64_observable_gauge("agatesill.config.revision")
+        .with_description("Revision of the store at which the active configuration was written")
         .with_callback(move |gauge| {
-            gauge.observe(config.config().map_or(0, |config| config.version), &[]);
+            let active = observed.config_state.active();
+            gauge.observe(active.map_or(0, |active| active.revision), &[]);
+        })
+        .build();
+    let observed = daemon.clone();
+    meter
+        .u64_observable_gauge("agatesill.config.age")
+        .with_unit("ms")
+        .with_description("Time since the store last answered a call about the configuration")
+        .with_callback(move |gauge| {
+            let age_ms = observed.config_state.heard_ms_ago(observed.clock.now_us());
+            gauge.observe(age_ms.unwrap_or_default(), &[]);
+        })
+        .build();
+    let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.config.updates")
+        .with_unit("{version}")
+        .with_description("Versions activated, by source, and calls about the key that failed")
+        .with_callback(move |counter| {
+            let source = |name: &'static str| [KeyValue::new("source", name)];
+            for kind in ConfigSource::ALL {
+                counter.observe(observed.config_state.activated(kind), &source(kind.name()));
+            }
+            counter.observe(observed.config_state.failed_calls(), &source("failed"));
+        })
+        .build();
+    let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.routes.unknown")
+        .with_unit("{request}")
+        .with_description("Requests that no queue of the active configuration matches")
+        .with_callback(move |counter| {
+            counter.observe(observed.config_state.unknown_routes(), &[]);
         })
         .build();
 }
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! All components run as tasks on one thread, since the daemon gets only a fraction of a core. They
 //! are connected by bounded channels. `docs/DESIGN.md` follows a job through them.
 
+pub mod active_config;
 mod advice_client;
 mod clock;
 mod commits;
@@ -12,6 +13,7 @@
 mod front;
 mod job_store;
 mod keys;
+mod line_limit;
 pub mod metrics;
 mod ownership;
 mod peer_connection;
