Soak: ask every daemon for queues just added, just removed and never there

Failing tests of the users' incident: callers were refused 404 for queues that an acknowledged version has. The soak wrote versions with a queue that nobody asked for, so it could not see that. Now an operator adds and removes idle queues all the time, at short and long intervals, and every daemon is asked for them over open and new connections. An answer must agree with a version that may be active: within 2 s of the acknowledgement for a daemon in contact (no fault of its process, its path or the store in the 3 s before), 7 s while the store turns daemons away and serves the operator, and never older than one that the same process has shown 250 ms before.

--- a/crates/agatesilld/tests/config_watch.rs
+++ b/crates/agatesilld/tests/config_watch.rs
@@ -16,8 +16,8 @@
 use support::store::FakeStore;
 use tokio_util::sync::CancellationToken;
 
-/// Longest wait for a version, several times the timeout of a watch call.
-const VERSION_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time within which a version has to be active after it was written.
+const VERSION_TIMEOUT: Duration = Duration::from_secs(2);
 
 async fn await_version(daemon: &DaemonState, version: u64) {
     let started = Instant::now();
--- a/crates/agatesilld/tests/fleet_soak/daemon.rs
+++ b/crates/agatesilld/tests/fleet_soak/daemon.rs
@@ -5,7 +5,7 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,8 @@
     folder: PathBuf,
     metrics_port: u16,
     child: Mutex<Option<Child>>,
+    /// Number of processes started.
+    starts: AtomicU64,
     /// Whether the process was asked to stop.
     was_asked_to_stop: AtomicBool,
     /// Failures of the process itself.
@@ -60,6 +62,7 @@
             folder: folder.to_owned(),
             metrics_port,
             child: Mutex::new(None),
+            starts: AtomicU64::new(0),
             was_asked_to_stop: AtomicBool::new(false),
             problems: Mutex::default(),
         }
@@ -77,7 +80,7 @@
         }
         let log = File::options().create(true).append(true).open(self.log_path()).unwrap();
         let errors = log.try_clone().unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_agatesilld"))
+        let process = Command::new(program())
             .args(["--platform", "--metrics-port", &self.metrics_port.to_string()])
             .env("AGATESILL_NODE_FILE", self.folder.join(format!("{}.yaml", self.name)))
             .stdin(Stdio::null())
@@ -86,9 +89,15 @@
             .spawn()
             .unwrap();
         self.was_asked_to_stop.store(false, Relaxed);
+        self.starts.fetch_add(1, Relaxed);
         *child = Some(process);
     }
 
+    /// Identifies the present process: the number of processes started so far.
+    pub fn lifetime(&self) -> u64 {
+        self.starts.load(Relaxed)
+    }
+
     /// Kills the process with SIGKILL.
     pub fn kill(&self) {
         let taken = self.child().take();
@@ -185,6 +194,13 @@
     }
 }
 
+/// The daemon's program: `FLEET_SOAK_DAEMON`, such as that of an earlier version, or else the present
+/// one.
+fn program() -> PathBuf {
+    let present = env!("CARGO_BIN_EXE_agatesilld");
+    std::env::var_os("FLEET_SOAK_DAEMON").map_or_else(|| PathBuf::from(present), PathBuf::from)
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::run::Scope;
 use crate::support::proxy::LinkFault;
 use crate::support::simulated_workers::WorkerFault;
 use crate::support::store::StoreFault;
@@ -19,6 +20,13 @@
 /// once and workers with temporarily reduced capacity.
 const FIRST_SEED_WITH_CRASHES: u64 = 2_000;
 
+/// From this seed on each run also has faults of the watches on the store, a daemon that the store
+/// turns away for several seconds, large versions and versions in quick succession.
+const FIRST_SEED_WITH_WATCH_FAULTS: u64 = 3_000;
+
+/// Time without faults between two rounds of a long run.
+const ROUND_PAUSE: Duration = Duration::from_secs(8);
+
 /// Maximum number of faults drawn for one run.
 const MAX_FAULTS: u32 = 14;
 
@@ -43,6 +51,16 @@
     Hangup(usize),
     /// A new configuration.
     Configure,
+    /// New configurations in quick succession.
+    ConfigureRapidly,
+    /// A new configuration with thousands of queues.
+    ConfigureLarge,
+    /// The store resets the connections of a daemon and serves the others and the operator.
+    TurnAway(usize),
+    /// The open connections of all daemons to the store go silent for good; new ones work.
+    SilenceOpenConnections,
+    /// Watches of the configuration get no reply.
+    StallConfigWatches,
     /// Calls to the store fail in the given way.
     Store(StoreFault),
     /// The store drops its history.
@@ -84,14 +102,47 @@
                 | Self::RollingRestart
                 | Self::Hangup(_)
                 | Self::Configure
+                | Self::ConfigureRapidly
+                | Self::ConfigureLarge
                 | Self::CloseZone
         )
     }
+
+    /// What the fault separates from what.
+    pub fn scope(self) -> Scope {
+        match self {
+            Self::Kill(daemon)
+            | Self::Pause(daemon)
+            | Self::Terminate(daemon)
+            | Self::StoreConnection(daemon, _) => Scope::Daemon(daemon),
+            Self::TurnAway(daemon) => Scope::TurnedAway(daemon),
+            Self::KillAll
+            | Self::KillPlanner
+            | Self::PausePlanner
+            | Self::RollingRestart
+            | Self::Store(_)
+            | Self::StallConfigWatches
+            | Self::SilenceOpenConnections
+            | Self::CompactHistory
+            | Self::RevokePlanner => Scope::All,
+            Self::Hangup(_)
+            | Self::Configure
+            | Self::ConfigureRapidly
+            | Self::ConfigureLarge
+            | Self::CrashWorker(_)
+            | Self::WorkerConnection(..)
+            | Self::LeaveWorker(_)
+            | Self::CloseZone
+            | Self::CrashTwoWorkers(_)
+            | Self::ReduceCapacity(_)
+            | Self::Worker(..) => Scope::Elsewhere,
+        }
+    }
 }
 
 /// Whether the run of a seed has jobs with tasks that crash their workers.
 pub fn has_crashing_tasks(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_CRASHES
+    (FIRST_SEED_WITH_CRASHES..FIRST_SEED_WITH_WATCH_FAULTS).contains(&seed)
 }
 
 /// The fault schedule of a seed. Every fourth run has planned maintenance only, as only there
@@ -99,7 +150,14 @@
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let is_planned = seed % 4 == 0;
-    let count = random.random_range(5..=MAX_FAULTS);
+    let has_watch_faults = seed >= FIRST_SEED_WITH_WATCH_FAULTS;
+    // Every other run with faults of the watches has no other unplanned ones, during which the
+    // bounds on the configuration would not hold.
+    let has_only_watch_faults = has_watch_faults && seed % 4 == 2;
+    let count = match has_only_watch_faults {
+        true => 0,
+        false => random.random_range(5..=MAX_FAULTS),
+    };
     let mut scheduled_faults: Vec<ScheduledFault> = (0..count)
         .map(|_| ScheduledFault {
             at: Duration::from_millis(random.random_range(500..FAULT_PERIOD.as_millis() as u64)),
@@ -114,7 +172,7 @@
             fault: Fault::CloseZone,
         });
     }
-    if has_crashing_tasks(seed) {
+    if has_crashing_tasks(seed) && !has_only_watch_faults {
         scheduled_faults.extend((0..4).map(|nth| {
             let worker = random.random_range(0..workers);
             let fault = if nth < 2 {
@@ -131,10 +189,49 @@
             }
         }));
     }
+    if has_watch_faults {
+        let watch_faults = (0..4).map(|_| draw_watch_fault(&mut random, daemons));
+        scheduled_faults.extend(watch_faults.collect::<Vec<_>>());
+    }
     scheduled_faults.sort_by_key(|scheduled| scheduled.at);
     scheduled_faults
 }
 
+/// The schedules of consecutive seeds one after the other, with pauses, for runs over minutes.
+/// Returns them with their whole duration.
+pub fn long_schedule(
+    first_seed: u64,
+    rounds: u64,
+    daemons: usize,
+    workers: usize,
+) -> (Vec<ScheduledFault>, Duration) {
+    let round_period = FAULT_PERIOD + ROUND_PAUSE;
+    let scheduled_faults = (0..rounds).flat_map(|round| {
+        let start = round_period * round as u32;
+        schedule(first_seed + round, daemons, workers)
+            .into_iter()
+            .map(move |scheduled| ScheduledFault { at: scheduled.at + start, ..scheduled })
+    });
+    (scheduled_faults.collect(), round_period * rounds as u32)
+}
+
+fn draw_watch_fault(random: &mut Pcg64Mcg, daemons: usize) -> ScheduledFault {
+    let duration = Duration::from_millis(random.random_range(800..3_500));
+    let (fault, duration) = match random.random_range(0..8) {
+        0 | 1 => (Fault::Store(StoreFault::DeafWatches), duration),
+        2 => (Fault::StallConfigWatches, duration),
+        3 => (Fault::SilenceOpenConnections, Duration::ZERO),
+        4 => {
+            let duration = Duration::from_millis(random.random_range(8_000..13_000));
+            (Fault::TurnAway(random.random_range(0..daemons)), duration)
+        }
+        5 => (Fault::ConfigureLarge, Duration::ZERO),
+        _ => (Fault::ConfigureRapidly, duration),
+    };
+    let at = Duration::from_millis(random.random_range(500..FAULT_PERIOD.as_millis() as u64));
+    ScheduledFault { at, duration, fault }
+}
+
 fn draw_fault(random: &mut Pcg64Mcg, is_planned: bool, daemons: usize, workers: usize) -> Fault {
     let daemon = random.random_range(0..daemons);
     let worker = random.random_range(0..workers);
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -7,10 +7,13 @@
 #![allow(clippy::unwrap_used)] // Tests panic when an assumption does not hold.
 
 mod callers;
+mod config_probe;
 mod daemon;
 mod faults;
 mod gaps;
+mod operator;
 mod run;
+mod stale_config;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 
@@ -18,6 +21,7 @@
 
 use futures::stream::{StreamExt, iter};
 
+use self::faults::{FAULT_PERIOD, long_schedule};
 use self::gaps::{Loss, longest_start_gap};
 use self::run::{DAEMONS, SoakRun, WORKERS, run_schedule};
 use self::support::store::StoreFault;
@@ -38,7 +42,7 @@
 async fn soak(seeds: impl IntoIterator<Item = u64>, concurrent_runs: usize) -> Vec<String> {
     let runs = iter(seeds).map(|seed| async move {
         let scheduled_faults = faults::schedule(seed, DAEMONS, WORKERS);
-        let (violations, folder) = run_schedule(seed, &scheduled_faults).await;
+        let (violations, folder) = run_schedule(seed, &scheduled_faults, FAULT_PERIOD).await;
         if violations.is_empty() {
             drop(std::fs::remove_dir_all(&folder));
             println!("seed {seed}: passed");
@@ -112,6 +116,19 @@
     assert!(failed.is_empty(), "{} seeds failed", failed.len());
 }
 
+/// Runs `FLEET_SOAK_ROUNDS` rounds of faults one after the other on the same daemons, from the seed
+/// `FLEET_SOAK_SEEDS` on; does nothing if it is not set.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn rounds_by_hand() {
+    let Ok(rounds) = std::env::var("FLEET_SOAK_ROUNDS") else { return };
+    let first = std::env::var("FLEET_SOAK_SEEDS").map_or(3_000, |first| first.parse().unwrap());
+    let (scheduled_faults, period) =
+        long_schedule(first, rounds.parse().unwrap(), DAEMONS, WORKERS);
+    let (violations, folder) = run_schedule(first, &scheduled_faults, period).await;
+    let shown = violations.join("\n  ");
+    assert!(violations.is_empty(), "seed {first}, logs in {}:\n  {shown}", folder.display());
+}
+
 /// Runs as many losses of each kind as `FLEET_GAP_SEEDS` says, and prints the distribution of the
 /// time without a start; does nothing if it is not set. `FLEET_GAP_LOSS` selects one kind.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -7,13 +7,16 @@
 use std::time::{Duration, Instant};
 
 use hyper::Method;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use tokio_util::sync::CancellationToken;
 
 use crate::callers::{Callers, RequestOutcome, Submission};
+use crate::config_probe::{CALM_PERIOD, ConfigProbe};
 use crate::daemon::Daemon;
-use crate::faults::{self, FAULT_PERIOD, Fault, ScheduledFault};
+use crate::faults::{self, Fault, ScheduledFault};
+use crate::operator::Operator;
 use crate::support::proxy::{LinkFault, Proxy};
-use crate::support::settings;
 use crate::support::simulated_workers::{CPU_MILLI, SimulatedWorkers, WorkerFault};
 use crate::support::store::{FakeStore, StoreFault};
 use crate::support::worker::FakeWorker;
@@ -45,12 +48,47 @@
 /// Interval between checks for workers that were crashed by tasks.
 const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Milliseconds between two versions of the configuration. After a long interval a version that a
+/// daemon has missed is not made up for by the next one.
+const SHORT_VERSION_INTERVAL_MS: std::ops::Range<u64> = 300..2_500;
+const LONG_VERSION_INTERVAL_MS: std::ops::Range<u64> = 4_000..9_000;
+
+/// Interval between versions in quick succession.
+const RAPID_VERSION_INTERVAL: Duration = Duration::from_millis(330);
+
 /// Jobs submitted per second.
 const JOBS_PER_S: u32 = 8;
 
-/// Times of the unplanned faults of a run.
+/// What a fault separates from what, for the bounds that hold only for daemons in contact.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// A daemon, or its path to the store.
+    Daemon(usize),
+    /// The store turns a daemon away and serves the others and the operator.
+    TurnedAway(usize),
+    /// All daemons, or the store for all of them.
+    All,
+    /// Neither a daemon nor the store.
+    Elsewhere,
+}
+
+/// A fault of a run.
+struct PastFault {
+    scope: Scope,
+    is_planned: bool,
+    ended: Option<Instant>,
+}
+
+impl PastFault {
+    /// Whether the fault was active from shortly before `since` until now.
+    fn overlaps(&self, since: Instant) -> bool {
+        self.ended.is_none_or(|ended| ended + FAULT_EFFECT_DURATION > since)
+    }
+}
+
+/// The faults of a run.
 pub struct FaultHistory {
-    unplanned: Mutex<Vec<(Instant, Option<Instant>)>>,
+    faults: Mutex<Vec<PastFault>>,
     failing_workers: AtomicBool,
     finished: CancellationToken,
 }
@@ -58,10 +96,31 @@
 impl FaultHistory {
     /// Whether no unplanned fault was active from shortly before `since` until now.
     pub fn was_fault_free(&self, since: Instant) -> bool {
-        let overlaps = |ended: &Option<Instant>| {
-            ended.is_none_or(|ended| ended + FAULT_EFFECT_DURATION > since)
-        };
-        !self.unplanned.lock().unwrap().iter().any(|(_, ended)| overlaps(ended))
+        !self.any(since, |fault| !fault.is_planned)
+    }
+
+    /// Whether a daemon ran and reached a store without a fault from shortly before `since` until
+    /// now.
+    pub fn is_in_contact(&self, daemon: usize, since: Instant) -> bool {
+        !self.any(since, |fault| {
+            matches!(fault.scope, Scope::All | Scope::TurnedAway(_))
+                || fault.scope == Scope::Daemon(daemon)
+        })
+    }
+
+    /// Whether the only faults that concern a daemon from shortly before `since` until now are that
+    /// the store turned daemons away.
+    pub fn is_only_turned_away(&self, daemon: usize, since: Instant) -> bool {
+        let is_turned_away = self.any(since, |fault| matches!(fault.scope, Scope::TurnedAway(_)));
+        is_turned_away
+            && !self.any(since, |fault| {
+                fault.scope == Scope::All || fault.scope == Scope::Daemon(daemon)
+            })
+    }
+
+    fn any(&self, since: Instant, concerns: impl Fn(&PastFault) -> bool) -> bool {
+        let faults = self.faults.lock().unwrap();
+        faults.iter().any(|fault| concerns(fault) && fault.overlaps(since))
     }
 
     /// Whether there were workers that fail all tasks.
@@ -73,14 +132,14 @@
         self.finished.is_cancelled()
     }
 
-    fn begin(&self) -> usize {
-        let mut unplanned = self.unplanned.lock().unwrap();
-        unplanned.push((Instant::now(), None));
-        unplanned.len() - 1
+    fn begin(&self, scope: Scope, is_planned: bool) -> usize {
+        let mut faults = self.faults.lock().unwrap();
+        faults.push(PastFault { scope, is_planned, ended: None });
+        faults.len() - 1
     }
 
     fn end(&self, fault: usize) {
-        self.unplanned.lock().unwrap()[fault].1 = Some(Instant::now());
+        self.faults.lock().unwrap()[fault].ended = Some(Instant::now());
     }
 }
 
@@ -99,15 +158,24 @@
     pub simulated_workers: Arc<SimulatedWorkers>,
     pub callers: Arc<Callers>,
     pub history: Arc<FaultHistory>,
+    pub operator: Arc<Operator>,
+    config_probe: Arc<ConfigProbe>,
     slots: Vec<WorkerSlot>,
-    version: AtomicU64,
     stop: CancellationToken,
     problems: Mutex<Vec<String>>,
 }
 
 impl SoakRun {
-    /// Starts everything and waits until all daemons are ready.
+    /// Starts everything, waits until all daemons are ready, and lets an operator write versions of
+    /// the configuration.
     pub async fn start(seed: u64) -> Arc<Self> {
+        let run = Self::start_without_versions(seed).await;
+        tokio::spawn(run.clone().write_versions());
+        run
+    }
+
+    /// Starts everything and waits until all daemons are ready.
+    pub async fn start_without_versions(seed: u64) -> Arc<Self> {
         let stop = CancellationToken::new();
         let name = format!("agatesill-soak-{}-{seed}", std::process::id());
         let folder = std::env::temp_dir().join(name);
@@ -118,7 +186,7 @@
             simulated_workers.allow_overcommit();
         }
         let history = Arc::new(FaultHistory {
-            unplanned: Mutex::default(),
+            faults: Mutex::default(),
             failing_workers: AtomicBool::new(false),
             finished: CancellationToken::new(),
         });
@@ -134,6 +202,9 @@
                 WorkerSlot::start(&format!("w{index}"), &simulated_workers, &store, &stop).await,
             );
         }
+        let operator = Arc::new(Operator::start(seed, store.clone()));
+        let config_probe =
+            Arc::new(ConfigProbe::new(seed, &daemons, operator.clone(), history.clone()));
         let callers = Arc::new(Callers::new(&daemons, simulated_workers.clone(), history.clone()));
         let run = Arc::new(Self {
             seed,
@@ -143,14 +214,15 @@
             simulated_workers,
             callers,
             history,
+            operator,
+            config_probe,
             slots,
-            version: AtomicU64::new(1),
             stop,
             problems: Mutex::default(),
         });
-        run.configure();
         run.daemons.iter().for_each(|daemon| daemon.start());
         run.wait_until_ready().await;
+        run.config_probe.spawn();
         tokio::spawn(run.callers.clone().check_readiness());
         tokio::spawn(run.clone().restart_crashed_workers());
         run
@@ -205,13 +277,17 @@
         self.problems.lock().unwrap().push(what);
     }
 
-    /// Writes the next configuration to the store: the two queues and one that no job uses.
-    fn configure(&self) {
-        let version = self.version.fetch_add(3, Ordering::Relaxed);
-        let extra = format!("extra{version}");
-        let queues =
-            [settings::queue("desk", 0), settings::queue("month", 2), settings::queue(&extra, 1)];
-        self.store.put("op/config", &settings::config(version, &queues));
+    /// Writes versions of the configuration until the run is over.
+    async fn write_versions(self: Arc<Self>) {
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ 0x0001_0a7e);
+        while !self.history.is_finished() {
+            let interval_ms = match random.random_bool(0.5) {
+                true => random.random_range(SHORT_VERSION_INTERVAL_MS),
+                false => random.random_range(LONG_VERSION_INTERVAL_MS),
+            };
+            tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+            self.operator.write_next();
+        }
     }
 
     /// Submits jobs until `span` has passed.
@@ -235,32 +311,30 @@
     /// Injects one fault, from its start to its end.
     pub async fn inject(self: Arc<Self>, scheduled: ScheduledFault) {
         tokio::time::sleep(scheduled.at).await;
-        let entry = (!scheduled.fault.is_planned()).then(|| self.history.begin());
-        self.apply(scheduled).await;
-        if let Some(entry) = entry {
-            self.history.end(entry);
-        }
+        let fault = match scheduled.fault {
+            Fault::KillPlanner => self.planner_index().map_or(Fault::RevokePlanner, Fault::Kill),
+            Fault::PausePlanner => self.planner_index().map_or(Fault::RevokePlanner, Fault::Pause),
+            fault => fault,
+        };
+        let entry = self.history.begin(fault.scope(), fault.is_planned());
+        self.apply(ScheduledFault { fault, ..scheduled }).await;
+        self.history.end(entry);
+    }
+
+    fn planner_index(&self) -> Option<usize> {
+        let planner = self.planner()?;
+        self.daemons.iter().position(|daemon| daemon.name == planner.name)
     }
 
     async fn apply(&self, ScheduledFault { duration, fault, .. }: ScheduledFault) {
         match fault {
             Fault::Kill(daemon) => restart(&self.daemons[daemon], duration).await,
-            Fault::KillPlanner => {
-                if let Some(planner) = self.planner() {
-                    restart(&planner, duration).await;
-                }
-            }
             Fault::KillAll => {
                 self.daemons.iter().for_each(|daemon| daemon.kill());
                 tokio::time::sleep(duration).await;
                 self.daemons.iter().for_each(|daemon| daemon.start());
             }
             Fault::Pause(daemon) => pause(&self.daemons[daemon], duration).await,
-            Fault::PausePlanner => {
-                if let Some(planner) = self.planner() {
-                    pause(&planner, duration).await;
-                }
-            }
             Fault::Terminate(daemon) => self.terminate(&self.daemons[daemon]).await,
             Fault::RollingRestart => {
                 for daemon in &self.daemons {
@@ -268,7 +342,29 @@
                 }
             }
             Fault::Hangup(daemon) => self.daemons[daemon].signal("HUP"),
-            Fault::Configure => self.configure(),
+            Fault::Configure => self.operator.write_next(),
+            Fault::ConfigureRapidly => {
+                let until = Instant::now() + duration;
+                while Instant::now() < until {
+                    self.operator.write_next();
+                    tokio::time::sleep(RAPID_VERSION_INTERVAL).await;
+                }
+            }
+            Fault::ConfigureLarge => self.operator.write_large(),
+            Fault::TurnAway(daemon) => {
+                let proxy = &self.daemons[daemon].store;
+                proxy.set(LinkFault::Reset);
+                tokio::time::sleep(duration).await;
+                proxy.set(LinkFault::None);
+            }
+            Fault::SilenceOpenConnections => {
+                self.daemons.iter().for_each(|daemon| daemon.store.silence_open_connections());
+            }
+            Fault::StallConfigWatches => {
+                self.store.stall_watches("op/config");
+                tokio::time::sleep(duration).await;
+                self.store.stall_watches("");
+            }
             Fault::Store(fault) => {
                 self.store.set_fault(fault);
                 tokio::time::sleep(duration).await;
@@ -289,6 +385,9 @@
                 tokio::time::sleep(duration).await;
                 proxy.set(LinkFault::None);
             }
+            Fault::KillPlanner | Fault::PausePlanner => {
+                self.add_problem(format!("{fault:?} names no daemon"));
+            }
             _ => self.apply_to_worker(fault, duration).await,
         }
     }
@@ -366,8 +465,10 @@
             tokio::time::sleep(Duration::from_millis(200)).await;
             outstanding = self.outstanding().await;
         }
+        tokio::time::sleep(CALM_PERIOD).await;
         self.history.finished.cancel();
         let mut violations = outstanding;
+        violations.extend(self.config_probe.violations.lock().unwrap().clone());
         violations.extend(self.simulated_workers.violations());
         violations.extend(self.callers.violations.lock().unwrap().clone());
         violations.extend(self.problems.lock().unwrap().clone());
@@ -506,17 +607,18 @@
     daemon.signal("CONT");
 }
 
-/// Runs a schedule and returns all violations and the folder with the logs.
+/// Runs a schedule of faults over `period` and returns all violations and the folder with the logs.
 pub async fn run_schedule(
     seed: u64,
     scheduled_faults: &[ScheduledFault],
+    period: Duration,
 ) -> (Vec<String>, PathBuf) {
     let run = SoakRun::start(seed).await;
     let injections: Vec<_> = scheduled_faults
         .iter()
         .map(|scheduled| tokio::spawn(run.clone().inject(*scheduled)))
         .collect();
-    run.traffic(FAULT_PERIOD + Duration::from_secs(1)).await;
+    run.traffic(period + Duration::from_secs(1)).await;
     for injection in injections {
         if let Err(error) = injection.await {
             run.add_problem(format!("a fault was not injected: {error}"));
