A watch does not go on past changes that it has not reported

Callers were refused by a version of the configuration that had been replaced, by some daemons only, without a warning, until the next version was written.

Cause: a reply to a watch without events states the revision of the store, and the next watch went on from there. A watch may lag behind that revision (the store of the users has watches that hear nothing for a second while changes are made); a change in between is then reported to nobody, and while calls succeed nothing reads the key again.

WatchCursor goes on from the newest change that was reported. The revision of a reply without events is used only once it is five seconds old, when a watch that lags must have reported what lies before it; the history of the store is several times as long, and after a gap in it the key is read. It costs no call: a watch from an older revision of an unchanged key waits as before.

--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -6,6 +6,7 @@
 //! against stale reads: the revision of the service never decreases for one client.
 
 mod call_limiter;
+mod cursor;
 mod watch;
 
 use std::future::Future;
@@ -24,6 +25,7 @@
 use tokio::time::Instant;
 
 use self::call_limiter::{CallClass, CallLimiter};
+pub use self::cursor::{MAX_WATCH_LAG, WatchCursor};
 pub use self::watch::{WATCH_TIMEOUT_MS, watch_prefix};
 
 /// Timeout of a call. A service that takes longer counts as unavailable.
--- a/crates/agatesill_wire/src/platform.rs
+++ b/crates/agatesill_wire/src/platform.rs
@@ -123,6 +123,9 @@
         /// Keys deleted since the revision of the watch.
         #[serde(default)]
         pub deleted: Vec<String>,
+        /// Revision of the newest change in the reply to a watch; 0 without a change.
+        #[serde(default)]
+        pub event_revision: u64,
         /// Whether the store no longer has the history that the watch asked for, so that the client
         /// must read the prefix again.
         #[serde(default)]
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatesill_coord::store::CallTiming;
+use agatesill_coord::store::{CallTiming, WatchCursor};
 use agatesill_platform::config;
 use agatesill_wire::platform::{Entry, StoreCall};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::active_config::{ActiveConfig, ConfigSource};
@@ -24,8 +25,9 @@
 /// Guards against a configuration that never arrives: the answer to a watch holds all versions since
 /// the last one, and may be too long to be accepted or to arrive in time at each attempt.
 pub async fn watch_config(daemon: Arc<DaemonState>, stop: CancellationToken) {
-    let mut after_revision = None;
+    let mut cursor: Option<WatchCursor> = None;
     while !stop.is_cancelled() {
+        let after_revision = cursor.as_ref().map(WatchCursor::after_revision);
         let call = match after_revision {
             None => StoreCall::Range { prefix: config::KEY.to_owned() },
             Some(after_revision) => StoreCall::Watch {
@@ -44,12 +46,15 @@
         match reply {
             Ok(reply) if reply.is_compacted => {
                 log::info!(event = "config_history_gone", after_revision = after_revision; "");
-                after_revision = None;
+                cursor = None;
             }
             Ok(reply) => {
                 reply.entries.iter().for_each(|entry| apply(&daemon, entry, source, timing));
                 daemon.config_state.heard(daemon.clock.now_us());
-                after_revision = Some(reply.revision);
+                match cursor.as_mut() {
+                    Some(cursor) => cursor.advance(&reply, Instant::now()),
+                    None => cursor = Some(WatchCursor::after_read(reply.revision)),
+                }
             }
             Err(error) => {
                 daemon.config_state.call_failed();
@@ -58,7 +63,7 @@
                     call_ms = timing.sent.as_millis() as u64,
                     heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us());
                     "{error}");
-                after_revision = None;
+                cursor = None;
                 tokio::time::sleep(RETRY_BACKOFF).await;
             }
         }
