Watches of jobs, closed zones and the planner's range skip no change

All of them use WatchCursor now. The watches of the product's own interface read the prefix again after every watch, and are not concerned.

--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use agatesill_coord::lease::{Owner, Ownership, owner_key};
+use agatesill_coord::store::WatchCursor;
 use agatesill_wire::fleet::FleetQuestion;
 use agatesill_wire::platform::StoreCall;
 use agatesill_wire::prelude::*;
@@ -110,12 +111,14 @@
 }
 
 /// Watches a key until it changes, the history is lost or the store fails.
-async fn wait_until_changed(daemon: &DaemonState, key: String, mut after_revision: u64) {
+async fn wait_until_changed(daemon: &DaemonState, key: String, read_revision: u64) {
+    let mut cursor = WatchCursor::after_read(read_revision);
     loop {
+        let after_revision = cursor.after_revision();
         let watch = StoreCall::Watch { prefix: key.clone(), after_revision, wait_ms: WATCH_MS };
         match daemon.store.call(watch).await {
             Ok(reply) if reply.applied || reply.is_compacted => return,
-            Ok(reply) => after_revision = reply.revision,
+            Ok(reply) => cursor.advance(&reply, Instant::now()),
             Err(error) => {
                 log::debug!(event = "owner_unwatched"; "{error}");
                 return tokio::time::sleep(RETRY_BACKOFF).await;
--- a/crates/agatesilld/src/fleet/store_watchers.rs
+++ b/crates/agatesilld/src/fleet/store_watchers.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatesill_coord::store::WatchCursor;
 use agatesill_platform::{registry, zones};
 use agatesill_policy::fleet::{ClosedZone, JobSpec, WorkerEntry};
 use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
 use agatesill_wire::prelude::*;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::daemon_state::DaemonState;
@@ -177,13 +179,14 @@
     let (sender, receiver) = mpsc::channel(1);
     let daemon = daemon.clone();
     let work = async move {
-        let mut after = Some(revision);
+        let mut cursor = Some(WatchCursor::after_read(revision));
         let mut partial_replies = 0;
         let mut failed_watches = 0;
         loop {
             let (sent_us, newest) = (daemon.clock.now_us(), daemon.store.newest_revision());
-            let reply = match after {
-                Some(after_revision) => {
+            let reply = match &cursor {
+                Some(cursor) => {
+                    let after_revision = cursor.after_revision();
                     let prefix = prefix.to_owned();
                     let watch =
                         StoreCall::Watch { prefix, after_revision, wait_ms: timing.wait_ms };
@@ -195,17 +198,24 @@
                 Ok(reply) if reply.is_compacted => {
                     failed_watches = 0;
                     log::info!(event = "history_gone", prefix = prefix; "reading the prefix again");
-                    after = None;
+                    cursor = None;
                 }
                 Ok(reply) => {
                     failed_watches = 0;
-                    let is_full_read = after.is_none();
+                    let is_full_read = cursor.is_none();
                     let has_updates = !reply.entries.is_empty() || !reply.deleted.is_empty();
                     let is_complete = is_full_read || reply.revision >= newest;
                     let observed_us = if has_updates { sent_us } else { daemon.clock.now_us() };
                     let as_of_us = is_complete.then_some(observed_us);
                     partial_replies = if is_complete { 0 } else { partial_replies + 1 };
-                    after = (partial_replies < MAX_PARTIAL_REPLIES).then_some(reply.revision);
+                    cursor = match cursor.take() {
+                        _ if partial_replies >= MAX_PARTIAL_REPLIES => None,
+                        None => Some(WatchCursor::after_read(reply.revision)),
+                        Some(mut cursor) => {
+                            cursor.advance(&reply, Instant::now());
+                            Some(cursor)
+                        }
+                    };
                     if sender.send(decode(&reply, is_full_read, as_of_us)).await.is_err() {
                         return;
                     }
@@ -217,15 +227,16 @@
                 Err(error) if error.kind == ErrorKind::TooLarge => {
                     log::warn!(event = "news_too_large", prefix = prefix;
                         "reading the prefix again: {error}");
-                    after = None;
+                    cursor = None;
                 }
                 Err(error) => {
                     log::info!(event = "watch_failed", prefix = prefix,
-                        after_revision = after.unwrap_or_default(); "{error}");
+                        after_revision = cursor.as_ref().map_or(0, WatchCursor::after_revision);
+                        "{error}");
                     failed_watches += 1;
                     if failed_watches >= MAX_FAILED_WATCHES && !daemon.store.is_unavailable() {
                         failed_watches = 0;
-                        after = None;
+                        cursor = None;
                     }
                     tokio::time::sleep(RETRY_BACKOFF).await;
                 }
