The timeouts on the way of a configuration stay within its bound

Callers were refused by the version before for up to 2.9 s after a new one was acknowledged; the bound is 2 s.

Cause: the waits after one lost reply were chosen apart from each other: a watch of 1.2 s, 1.5 s until it counts as unanswered, a delay of 0.2 s, then a read, which waited in the call limiter behind urgent calls, behind a probe under way and for a rate limit that the planner may overdraw, up to 1.5 s, and for its answer as long. Only the first of them was compared with the bound.

Now a watch waits for 0.8 s and counts as unanswered 0.6 s later, the read follows at once, and its call waits behind no other one of the process: only the back-off after failures delays it. The compiler checks the sum. Timeouts of reads double with consecutive failures, so that a large value arrives over a slow link. Of several versions in one reply only the newest is decoded.

Cost: 1.25 watches a second and daemon in place of 0.83.

--- a/crates/agatesill_coord/src/store/call_limiter.rs
+++ b/crates/agatesill_coord/src/store/call_limiter.rs
@@ -54,6 +54,16 @@
     Normal,
     /// A watch: it counts against the rate limit, but not as a call in flight.
     Watch,
+    /// A call of a loop that limits its own rate and whose result has a deadline: only the back-off
+    /// after failures delays it.
+    Prompt,
+}
+
+impl CallClass {
+    /// Whether calls of this class are limited in number and wait for the outcome of a probe.
+    fn is_pooled(self) -> bool {
+        matches!(self, Self::Urgent | Self::Normal)
+    }
 }
 
 #[derive(Debug)]
@@ -143,7 +153,7 @@
 
     fn start_waiting(&self, class: CallClass) -> Result<Waiter<'_>, Error> {
         let mut state = self.lock();
-        if state.waiting >= MAX_WAITING_CALLS {
+        if state.waiting >= MAX_WAITING_CALLS && class != CallClass::Prompt {
             let detail = format!("not sent: {MAX_WAITING_CALLS} calls are already waiting");
             return Err(Error::new(ErrorKind::StoreUnavailable, detail).retry_after(1_000));
         }
@@ -165,20 +175,21 @@
         }
         let min_tokens = match class {
             CallClass::Urgent => 1.0 - URGENT_OVERDRAFT_S * self.calls_per_s,
+            CallClass::Prompt => f64::NEG_INFINITY,
             CallClass::Normal | CallClass::Watch => 1.0,
         };
         if state.tokens < min_tokens {
             let wait = Duration::from_secs_f64((min_tokens - state.tokens) / self.calls_per_s);
             return Err(wait.max(MIN_WAIT));
         }
-        let is_probe = self.service.consecutive_failures() > 0 && class != CallClass::Watch;
+        let is_probe = self.service.consecutive_failures() > 0 && class.is_pooled();
         let must_yield = class == CallClass::Normal && state.urgent_waiting > 0;
-        let at_capacity = class != CallClass::Watch && state.in_flight >= MAX_IN_FLIGHT_CALLS;
+        let at_capacity = class.is_pooled() && state.in_flight >= MAX_IN_FLIGHT_CALLS;
         if (is_probe && state.is_probing) || must_yield || at_capacity {
             return Err(WAIT_TIMEOUT);
         }
         state.tokens -= 1.0;
-        state.in_flight += u32::from(class != CallClass::Watch);
+        state.in_flight += u32::from(class.is_pooled());
         state.is_probing |= is_probe;
         Ok(Permit { limiter: self, class, is_probe, sent: now })
     }
@@ -229,7 +240,7 @@
 impl Drop for Permit<'_> {
     fn drop(&mut self) {
         let mut state = self.limiter.lock();
-        state.in_flight -= u32::from(self.class != CallClass::Watch);
+        state.in_flight -= u32::from(self.class.is_pooled());
         if self.is_probe {
             state.is_probing = false;
         }
--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -152,33 +152,42 @@
 
     /// Makes one call. After an error, it is unknown whether the call took effect.
     pub async fn call(&self, call: StoreCall) -> Result<StoreReply, Error> {
-        self.call_with_timing(call, &mut CallTiming::default()).await
+        self.call_reporting_outcome(call).await.map_err(outcome_irrelevant)
     }
 
-    /// Like [`Store::call`]; also adds up how long the call took.
-    pub async fn call_with_timing(
+    /// Makes one read or watch call that waits behind no other call of this process. `answer_timeout`
+    /// is the timeout of the answer, in addition to the wait of a watch. Adds up in `timing` how long
+    /// the call took.
+    ///
+    /// For loops that limit their own rate and whose results have a deadline.
+    pub async fn call_promptly(
         &self,
         call: StoreCall,
+        answer_timeout: Duration,
         timing: &mut CallTiming,
     ) -> Result<StoreReply, Error> {
-        self.attempt(call, timing).await.map_err(|error| match error.kind {
-            ErrorKind::OutcomeUnknown => Error { kind: ErrorKind::StoreUnavailable, ..error },
-            _ => error,
-        })
+        let limits = CallLimits { class: CallClass::Prompt, answer_timeout };
+        self.attempt(call, limits, timing).await.map_err(outcome_irrelevant)
     }
 
     /// Makes one call. [`ErrorKind::OutcomeUnknown`] means that it may have taken effect or may
     /// still do so; every other kind means that it has not and never will.
     pub async fn call_reporting_outcome(&self, call: StoreCall) -> Result<StoreReply, Error> {
-        self.attempt(call, &mut CallTiming::default()).await
+        let limits = CallLimits::of(&call);
+        self.attempt(call, limits, &mut CallTiming::default()).await
     }
 
-    async fn attempt(&self, call: StoreCall, timing: &mut CallTiming) -> Result<StoreReply, Error> {
+    async fn attempt(
+        &self,
+        call: StoreCall,
+        limits: CallLimits,
+        timing: &mut CallTiming,
+    ) -> Result<StoreReply, Error> {
         for _ in 0..MAX_READ_ATTEMPTS {
             // A lagging replica may return a stale reply, which would restore a configuration or an
             // owner that this process knows to be outdated.
             let seen = self.min_revision(&call);
-            let reply = self.call_once(call.clone(), timing).await?;
+            let reply = self.call_once(call.clone(), limits, timing).await?;
             if reply.is_compacted {
                 return Ok(reply);
             }
@@ -213,15 +222,17 @@
     async fn call_once(
         &self,
         call: StoreCall,
+        limits: CallLimits,
         timing: &mut CallTiming,
     ) -> Result<StoreReply, Error> {
         let timeout = match &call {
-            StoreCall::Watch { wait_ms, .. } => CALL_TIMEOUT + Duration::from_millis(*wait_ms),
-            StoreCall::Page { .. } => PAGE_TIMEOUT,
-            _ => CALL_TIMEOUT,
+            StoreCall::Watch { wait_ms, .. } => {
+                limits.answer_timeout + Duration::from_millis(*wait_ms)
+            }
+            _ => limits.answer_timeout,
         };
         let queued = Instant::now();
-        let permit = self.limiter.acquire(class_of(&call)).await;
+        let permit = self.limiter.acquire(limits.class).await;
         timing.queued += queued.elapsed();
         let permit = permit.inspect_err(|_| {
             self.counts.unsent.fetch_add(1, Ordering::Relaxed);
@@ -316,6 +327,31 @@
     }
 }
 
+/// Class and timeout of a call.
+#[derive(Clone, Copy, Debug)]
+struct CallLimits {
+    class: CallClass,
+    /// Timeout of the answer, in addition to the wait of a watch.
+    answer_timeout: Duration,
+}
+
+impl CallLimits {
+    fn of(call: &StoreCall) -> Self {
+        let answer_timeout = match call {
+            StoreCall::Page { .. } => PAGE_TIMEOUT,
+            _ => CALL_TIMEOUT,
+        };
+        Self { class: class_of(call), answer_timeout }
+    }
+}
+
+fn outcome_irrelevant(error: Error) -> Error {
+    match error.kind {
+        ErrorKind::OutcomeUnknown => Error { kind: ErrorKind::StoreUnavailable, ..error },
+        _ => error,
+    }
+}
+
 fn is_read(call: &StoreCall) -> bool {
     matches!(call, StoreCall::Range { .. } | StoreCall::Page { .. } | StoreCall::Watch { .. })
 }
--- a/crates/agatesill_coord/tests/store_client.rs
+++ b/crates/agatesill_coord/tests/store_client.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use agatesill_coord::store::Store;
+use agatesill_coord::store::{CallTiming, Store};
 use agatesill_wire::platform::{StoreCall, StoreReply};
 use agatesill_wire::prelude::*;
 use support::{Faults, MemStore};
@@ -135,3 +135,21 @@
     assert_eq!(store.call(watch(50)).await.unwrap().revision, 60);
     assert_eq!(store.newest_revision(), 1_000);
 }
+
+/// A burst of reads exhausts the rate limit. Guards against a read with a deadline that waits behind
+/// calls without one.
+#[tokio::test(start_paused = true)]
+async fn a_prompt_call_waits_behind_no_other_call() {
+    let client = MemStore::default().client(1);
+    let store = client.store.clone().with_rate_limit(10);
+    for _ in 0..100 {
+        let store = store.clone();
+        tokio::spawn(async move { store.get("config/head").await.map(|_| ()) });
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut timing = CallTiming::default();
+    let call = StoreCall::Range { prefix: String::from("config/head") };
+    let reply = store.call_promptly(call, Duration::from_millis(600), &mut timing).await;
+    assert!(reply.is_ok(), "{reply:?}");
+    assert!(timing.queued < Duration::from_millis(50), "{timing:?}");
+}
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -1,56 +1,60 @@
-//! Watches the operators' configuration in the store.
+//! Follows the operators' configuration in the store.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use agatesill_coord::store::{CallTiming, WatchCursor};
 use agatesill_platform::config;
-use agatesill_wire::platform::{Entry, StoreCall};
+use agatesill_wire::platform::{StoreCall, StoreReply};
+use agatesill_wire::prelude::*;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::active_config::{ActiveConfig, ConfigSource};
 use super::daemon_state::DaemonState;
 
-/// Wait time of one watch call. A watch that the store has silently dropped delays a configuration
-/// by this much, which must stay below the two seconds allowed for a configuration to become
-/// active.
-const WATCH_MS: u64 = 1_200;
+/// Time within which a configuration has to be active after it was written.
+const MAX_ACTIVATION_DELAY: Duration = Duration::from_secs(2);
 
-/// Delay after a failed call.
+/// Wait time of one watch call.
+const WATCH_MS: u64 = 800;
+
+/// Timeout of an answer, in addition to the wait of a watch. A slow store takes 400 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+
+// A watch whose reply is lost and the read that replaces it stay within the bound.
+const _: () = assert!(
+    WATCH_MS + 2 * ANSWER_TIMEOUT.as_millis() as u64 <= MAX_ACTIVATION_DELAY.as_millis() as u64
+);
+
+/// Number of consecutive failures up to which the timeout of a read doubles, so that a large
+/// configuration arrives over a slow link.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
+
+/// Delay after consecutive failed calls. The first failure is followed by a read at once.
 const RETRY_BACKOFF: Duration = Duration::from_millis(200);
 
-/// Watches the configuration until `stop` is cancelled. After a failed call the newest one is read.
-///
-/// Guards against a configuration that never arrives: the answer to a watch holds all versions since
-/// the last one, and may be too long to be accepted or to arrive in time at each attempt.
+/// Follows the configuration until `stop` is cancelled. It is read at the start, after a failed
+/// watch, and after a gap in the history.
 pub async fn watch_config(daemon: Arc<DaemonState>, stop: CancellationToken) {
     let mut cursor: Option<WatchCursor> = None;
-    while !stop.is_cancelled() {
-        let after_revision = cursor.as_ref().map(WatchCursor::after_revision);
-        let call = match after_revision {
-            None => StoreCall::Range { prefix: config::KEY.to_owned() },
-            Some(after_revision) => StoreCall::Watch {
-                prefix: config::KEY.to_owned(),
-                after_revision,
-                wait_ms: WATCH_MS,
-            },
-        };
-        let source =
-            if after_revision.is_some() { ConfigSource::Watch } else { ConfigSource::Read };
+    let mut failures = 0;
+    loop {
+        let source = if cursor.is_some() { ConfigSource::Watch } else { ConfigSource::Read };
         let mut timing = CallTiming::default();
+        let call = call_store(&daemon, cursor.as_ref(), failures, &mut timing);
         let reply = tokio::select! {
             () = stop.cancelled() => return,
-            reply = daemon.store.call_with_timing(call, &mut timing) => reply,
+            reply = call => reply,
         };
         match reply {
             Ok(reply) if reply.is_compacted => {
+                let after_revision = cursor.take().map(|cursor| cursor.after_revision());
                 log::info!(event = "config_history_gone", after_revision = after_revision; "");
-                cursor = None;
             }
             Ok(reply) => {
-                reply.entries.iter().for_each(|entry| apply(&daemon, entry, source, timing));
-                daemon.config_state.heard(daemon.clock.now_us());
+                failures = 0;
+                apply_reply(&daemon, &reply, source, timing);
                 match cursor.as_mut() {
                     Some(cursor) => cursor.advance(&reply, Instant::now()),
                     None => cursor = Some(WatchCursor::after_read(reply.revision)),
@@ -58,40 +62,76 @@
             }
             Err(error) => {
                 daemon.config_state.call_failed();
-                log::info!(event = "config_unread", source = source.name(),
-                    after_revision = after_revision, queued_ms = timing.queued.as_millis() as u64,
+                log::info!(event = "config_unread", source = source.name(), failures = failures,
+                    after_revision = cursor.map(|cursor| cursor.after_revision()),
+                    queued_ms = timing.queued.as_millis() as u64,
                     call_ms = timing.sent.as_millis() as u64,
                     heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us());
                     "{error}");
                 cursor = None;
-                tokio::time::sleep(RETRY_BACKOFF).await;
+                if failures > 0 {
+                    tokio::time::sleep(RETRY_BACKOFF).await;
+                }
+                failures += 1;
             }
         }
     }
 }
 
-fn apply(daemon: &DaemonState, entry: &Entry, source: ConfigSource, timing: CallTiming) {
-    if entry.key != config::KEY {
-        return;
+async fn call_store(
+    daemon: &DaemonState,
+    cursor: Option<&WatchCursor>,
+    failures: u32,
+    timing: &mut CallTiming,
+) -> Result<StoreReply, Error> {
+    let prefix = config::KEY.to_owned();
+    let (call, timeout) = match cursor {
+        Some(cursor) => {
+            let after_revision = cursor.after_revision();
+            (StoreCall::Watch { prefix, after_revision, wait_ms: WATCH_MS }, ANSWER_TIMEOUT)
+        }
+        None => {
+            let doublings = failures.saturating_sub(1).min(MAX_TIMEOUT_DOUBLINGS);
+            (StoreCall::Range { prefix }, ANSWER_TIMEOUT * 2u32.pow(doublings))
+        }
+    };
+    daemon.store.call_promptly(call, timeout, timing).await
+}
+
+fn apply_reply(daemon: &DaemonState, reply: &StoreReply, source: ConfigSource, timing: CallTiming) {
+    // Of several versions in one reply only the newest is decoded: it replaces the others.
+    let versions = reply.entries.iter().filter(|entry| entry.key == config::KEY);
+    if let Some(newest) = versions.max_by_key(|entry| entry.version) {
+        activate(daemon, &newest.value, newest.version, source, timing);
     }
-    match config::decode(&entry.value) {
-        Ok(decoded) => {
-            let (version, queues, terms) = (decoded.version, decoded.queues.len(), decoded.terms());
-            let site = Arc::new(decoded);
-            let candidate = ActiveConfig { site, revision: entry.version, source };
-            if !daemon.config_state.activate(candidate) {
-                return;
-            }
-            log::info!(event = "config_in_force", version = version, queues = queues,
-                revision = entry.version, source = source.name(),
-                store_revision = daemon.store.newest_revision(),
-                queued_ms = timing.queued.as_millis() as u64,
-                call_ms = timing.sent.as_millis() as u64,
-                heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us()); "");
-            if let Some(planner) = daemon.planner() {
-                planner.set_queues(terms);
-            }
+    daemon.config_state.heard(daemon.clock.now_us());
+}
+
+/// Decodes a stored configuration and activates it if it is newer than the active one.
+fn activate(
+    daemon: &DaemonState,
+    value: &str,
+    revision: u64,
+    source: ConfigSource,
+    timing: CallTiming,
+) {
+    let site = match config::decode(value) {
+        Ok(site) => Arc::new(site),
+        Err(error) => {
+            log::warn!(event = "config_malformed", revision = revision, source = source.name();
+                "{error}");
+            return;
         }
-        Err(error) => log::warn!(event = "config_malformed", revision = entry.version; "{error}"),
+    };
+    if !daemon.config_state.activate(ActiveConfig { site: site.clone(), revision, source }) {
+        return;
+    }
+    log::info!(event = "config_in_force", version = site.version, queues = site.queues.len(),
+        revision = revision, source = source.name(),
+        store_revision = daemon.store.newest_revision(),
+        queued_ms = timing.queued.as_millis() as u64, call_ms = timing.sent.as_millis() as u64,
+        heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us()); "");
+    if let Some(planner) = daemon.planner() {
+        planner.set_queues(site.terms());
     }
 }
