A call without an answer leaves no silent connections in the pool

Cause: open connections may go silent for good while new ones work. A call that got no answer closed its own connection; the others stayed in the pool, and each later call took the next of them and waited for its whole timeout. How long that takes differs by daemon, with the number of its connections, and calls on other connections that succeed in between keep the failures from being logged.

A call that ends without an answer, also one that its caller gives up, replaces the pool: calls under way go on, the next ones open new connections. All calls to the store, also leases, jobs and records, gain by it.

--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,23 +38,57 @@
 /// Time within which a caller must send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+type PooledClient = Client<HttpConnector, Full<Bytes>>;
+
 /// Client for a JSON interface, with pooled connections.
 #[derive(Clone, Debug)]
 pub struct JsonClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: Arc<Mutex<Pool>>,
     operator: String,
     token: String,
 }
 
+/// The pooled connections in use, and how often they have been replaced.
+#[derive(Debug)]
+struct Pool {
+    client: PooledClient,
+    replacements: u64,
+}
+
+/// Replaces the pool when a call ends without an answer.
+///
+/// Guards against connections that went silent without being closed: each later call that takes one
+/// of them from the pool would wait for its whole timeout.
+struct UnansweredCall {
+    pool: Arc<Mutex<Pool>>,
+    replacements: u64,
+    is_answered: bool,
+}
+
+impl Drop for UnansweredCall {
+    fn drop(&mut self) {
+        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        // Of several calls on the same pool, the first one replaces it.
+        if !self.is_answered && pool.replacements == self.replacements {
+            *pool = Pool { client: pooled_client(), replacements: self.replacements + 1 };
+        }
+    }
+}
+
+fn pooled_client() -> PooledClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(1)));
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
+        .build(connector)
+}
+
 impl Default for JsonClient {
     fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_secs(1)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
-            .build(connector);
-        Self { client, operator: String::new(), token: String::new() }
+        let pool = Pool { client: pooled_client(), replacements: 0 };
+        let pool = Arc::new(Mutex::new(pool));
+        Self { pool, operator: String::new(), token: String::new() }
     }
 }
 
@@ -111,9 +146,10 @@
             request = request.header(TOKEN_HEADER, &self.token);
         }
         let request = request.body(Full::new(body)).map_err(|error| malformed(&error))?;
+        let (client, mut unanswered) = self.begin_call();
         let exchange = async {
             let response =
-                self.client.request(request).await.map_err(|error| unreachable_error(&error))?;
+                client.request(request).await.map_err(|error| unreachable_error(&error))?;
             let status = response.status();
             let bytes = Limited::new(response.into_body(), MAX_BODY_BYTES)
                 .collect()
@@ -127,9 +163,19 @@
                 .to_bytes();
             Ok::<_, Error>((status, bytes))
         };
-        tokio::time::timeout(timeout, exchange).await.map_err(|_| {
+        let outcome = tokio::time::timeout(timeout, exchange).await.map_err(|_| {
             unreachable_error(&format!("no response within {} ms", timeout.as_millis()))
-        })?
+        });
+        // A call that failed before its timeout has closed its connection.
+        unanswered.is_answered = outcome.is_ok();
+        outcome?
+    }
+
+    fn begin_call(&self) -> (PooledClient, UnansweredCall) {
+        let pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        let (client, replacements) = (pool.client.clone(), pool.replacements);
+        drop(pool);
+        (client, UnansweredCall { pool: self.pool.clone(), replacements, is_answered: false })
     }
 }
 
