Daemons take newer configurations from each other

Callers were refused by the version before for as long as the store turned a daemon away while it served the other daemons and the operators.

Cause: a daemon's own calls to the store were its only source of the configuration.

Each daemon asks another one in turn, once a second and three times as often while the store does not answer it, whether it has a version written after the one it has seen itself; the answer has the version as stored, and the addresses of up to four more daemons. Calls name their sender, so the daemons of a fleet get to know each other through the planner's. A daemon that is asked by one with a newer version reads the key. The store remains the origin: versions are ordered by its revisions and by their number, and only a newer one is taken over. Daemons from before this change don't answer the question; nothing else changes for them.

Cost: one call of some 60 bytes a second and daemon, whatever the fleet's size.

--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -10,8 +10,11 @@
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// Payload of the request.
-    #[prost(oneof = "FleetQuestion", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "FleetQuestion", tags = "2, 3, 4, 5, 6, 7, 8, 9, 11")]
     pub question: Option<FleetQuestion>,
+    /// Address at which the sender accepts calls.
+    #[prost(string, tag = "10")]
+    pub sender: String,
 }
 
 /// Payload of a [`FleetCall`].
@@ -42,6 +45,10 @@
     /// Queries whether the receiver can reach the store; the value is 1 if the sender can, else 0.
     #[prost(uint32, tag = "9")]
     HowIsTheStore(u32),
+    /// Requests the active configuration if it was written after this revision of the store, that of
+    /// the sender's.
+    #[prost(uint64, tag = "11")]
+    ConfigAfter(u64),
 }
 
 /// A job to store on behalf of the sender.
@@ -87,6 +94,15 @@
     /// planning has ended.
     #[prost(bool, tag = "9")]
     pub has_no_planner: bool,
+    /// Revision of the store at which the receiver's active configuration was written; 0 without one.
+    #[prost(uint64, tag = "10")]
+    pub config_revision: u64,
+    /// The active configuration as stored, if it is newer than the sender's.
+    #[prost(string, tag = "11")]
+    pub config: String,
+    /// Addresses of some other daemons.
+    #[prost(string, repeated, tag = "12")]
+    pub peers: Vec<String>,
 }
 
 /// Phase of a job.
--- a/crates/agatesilld/src/fleet/active_config.rs
+++ b/crates/agatesilld/src/fleet/active_config.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
 use agatesill_platform::prelude::*;
+use tokio::sync::Notify;
 
 /// How a daemon learned of a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,17 +13,20 @@
     Watch,
     /// A read of the key.
     Read,
+    /// Another daemon.
+    Peer,
 }
 
 impl ConfigSource {
     /// All sources.
-    pub const ALL: [Self; 2] = [Self::Watch, Self::Read];
+    pub const ALL: [Self; 3] = [Self::Watch, Self::Read, Self::Peer];
 
     /// Name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Watch => "watch",
             Self::Read => "read",
+            Self::Peer => "peer",
         }
     }
 }
@@ -36,12 +40,20 @@
     pub revision: u64,
     /// How this daemon learned of it.
     pub source: ConfigSource,
+    /// The value as stored, for other daemons.
+    pub value: Arc<str>,
 }
 
 /// The active configuration of one daemon.
 #[derive(Debug, Default)]
 pub struct ConfigState {
     active: RwLock<Option<ActiveConfig>>,
+    /// Highest revision of a value that this daemon has seen, also of one that it can't apply.
+    seen_revision: AtomicU64,
+    /// Highest revision of a version that another daemon has seen; 0 if none is known.
+    known_revision: AtomicU64,
+    /// Notified when `known_revision` rises.
+    known: Notify,
     /// When the store last answered a call about the key; 0 before the first answer.
     heard_us: AtomicU64,
     /// Versions activated, by source.
@@ -72,6 +84,44 @@
         is_newer
     }
 
+    /// Highest revision of a value that this daemon has seen; 0 without one.
+    pub fn seen_revision(&self) -> u64 {
+        self.seen_revision.load(Ordering::Relaxed)
+    }
+
+    /// Records that a value written at `revision` was seen. Returns whether it is new.
+    pub fn see(&self, revision: u64) -> bool {
+        self.seen_revision.fetch_max(revision, Ordering::Relaxed) < revision
+    }
+
+    /// Records that another daemon has seen a version written at `revision`.
+    pub fn known_elsewhere(&self, revision: u64) {
+        if self.known_revision.fetch_max(revision, Ordering::Relaxed) < revision {
+            self.known.notify_waiters();
+        }
+    }
+
+    /// Highest revision of a version that another daemon is known to have seen.
+    pub fn known_revision(&self) -> u64 {
+        self.known_revision.load(Ordering::Relaxed)
+    }
+
+    /// Waits until another daemon is known to have seen a newer version than this one.
+    pub async fn outdated(&self) {
+        loop {
+            let known = self.known.notified();
+            if self.known_revision() > self.seen_revision() {
+                return;
+            }
+            known.await;
+        }
+    }
+
+    /// Records that the key was read, after which no earlier report of another daemon matters.
+    pub fn read(&self) {
+        self.known_revision.store(0, Ordering::Relaxed);
+    }
+
     /// Records that the store answered a call about the key.
     pub fn heard(&self, now_us: u64) {
         self.heard_us.store(now_us, Ordering::Relaxed);
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -1,4 +1,4 @@
-//! Follows the operators' configuration in the store.
+//! Follows the operators' configuration in the store. [`super::config_peers`] is the second source.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,7 +35,7 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Follows the configuration until `stop` is cancelled. It is read at the start, after a failed
-/// watch, and after a gap in the history.
+/// watch, after a gap in the history, and when another daemon has a newer one.
 pub async fn watch_config(daemon: Arc<DaemonState>, stop: CancellationToken) {
     let mut cursor: Option<WatchCursor> = None;
     let mut failures = 0;
@@ -45,6 +45,14 @@
         let call = call_store(&daemon, cursor.as_ref(), failures, &mut timing);
         let reply = tokio::select! {
             () = stop.cancelled() => return,
+            () = daemon.config_state.outdated(), if cursor.is_some() => {
+                log::info!(event = "config_outdated",
+                    known_revision = daemon.config_state.known_revision(),
+                    heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us());
+                    "another daemon has a newer version");
+                cursor = None;
+                continue;
+            }
             reply = call => reply,
         };
         match reply {
@@ -104,17 +112,23 @@
     if let Some(newest) = versions.max_by_key(|entry| entry.version) {
         activate(daemon, &newest.value, newest.version, source, timing);
     }
+    if source == ConfigSource::Read {
+        daemon.config_state.read();
+    }
     daemon.config_state.heard(daemon.clock.now_us());
 }
 
 /// Decodes a stored configuration and activates it if it is newer than the active one.
-fn activate(
+pub fn activate(
     daemon: &DaemonState,
     value: &str,
     revision: u64,
     source: ConfigSource,
     timing: CallTiming,
 ) {
+    if !daemon.config_state.see(revision) {
+        return;
+    }
     let site = match config::decode(value) {
         Ok(site) => Arc::new(site),
         Err(error) => {
@@ -123,7 +137,8 @@
             return;
         }
     };
-    if !daemon.config_state.activate(ActiveConfig { site: site.clone(), revision, source }) {
+    let value = Arc::from(value);
+    if !daemon.config_state.activate(ActiveConfig { site: site.clone(), revision, source, value }) {
         return;
     }
     log::info!(event = "config_in_force", version = site.version, queues = site.queues.len(),
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -12,9 +12,10 @@
 
 use super::active_config::ConfigState;
 use super::clock::Clock;
+use super::config_peers::PeerDirectory;
 use super::line_limit::LineLimit;
 use super::metrics::FleetMetrics;
-use super::peer_connection::PeerConnection;
+use super::peer_connection::{ANSWER_TIMEOUT, CONFIG_ANSWER_TIMEOUT, PeerConnection};
 use super::planner::PlannerHandle;
 
 /// Factor by which a daemon's processor share must exceed the planner's for planning to move there.
@@ -72,8 +73,12 @@
     pub store: Store,
     /// The monotonic clock.
     pub clock: Clock,
-    /// Client for calls to other daemons.
+    /// Client for calls to the planner's daemon.
     pub peer_connection: PeerConnection,
+    /// Client for questions about the configuration to any daemon.
+    pub config_connection: PeerConnection,
+    /// Other daemons of the fleet.
+    pub peers: PeerDirectory,
     /// Instruments of the metrics.
     pub metrics: FleetMetrics,
     /// Counters of callers' requests.
@@ -99,11 +104,14 @@
 impl DaemonState {
     /// Creates the state of a starting daemon.
     pub fn new(settings: NodeSettings, store: Store, metrics: FleetMetrics) -> Self {
+        let addr = settings.peer_addr;
         Self {
             settings,
             store,
             clock: Clock::start(),
-            peer_connection: PeerConnection::default(),
+            peer_connection: PeerConnection::new("planner", addr, ANSWER_TIMEOUT),
+            config_connection: PeerConnection::new("peer", addr, CONFIG_ANSWER_TIMEOUT),
+            peers: PeerDirectory::default(),
             metrics,
             counts: RequestCounts::default(),
             planner_stats: Mutex::default(),
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -8,12 +8,13 @@
 mod advice_client;
 mod clock;
 mod commits;
+pub mod config_peers;
 pub mod config_watch;
 pub mod daemon_state;
 mod front;
 mod job_store;
 mod keys;
-mod line_limit;
+pub mod line_limit;
 pub mod metrics;
 mod ownership;
 mod peer_connection;
@@ -104,6 +105,7 @@
     let abort = CancellationToken::new();
     let _guards = (stop_entry.clone().drop_guard(), abort.clone().drop_guard());
     tasks.spawn(config_watch::watch_config(daemon.clone(), stop_entry.clone()));
+    tasks.spawn(config_peers::follow_peers(daemon.clone(), stop_entry.clone()));
     tasks.spawn(ownership::run(daemon.clone(), stop.clone(), abort));
     tasks.spawn(peer_connection::serve(daemon.clone(), peers, stop_entry.clone()));
     tasks.spawn(serve(ready, stop_entry.clone(), {
--- a/crates/agatesilld/src/fleet/peer_connection.rs
+++ b/crates/agatesilld/src/fleet/peer_connection.rs
@@ -19,11 +19,15 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::config_peers;
 use super::daemon_state::DaemonState;
 use super::job_store;
 
 /// Timeout of an answer. A round trip takes 4 ms, a write on behalf of another daemon 20 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Timeout of an answer with a configuration, which has up to 1 MB and takes a second at 10 Mbit/s.
+pub const CONFIG_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Capacity of the frame queue of one connection.
 const FRAME_QUEUE_CAPACITY: usize = 256;
@@ -39,14 +43,10 @@
 pub struct PeerConnection {
     next_number: AtomicU64,
     current: Mutex<Option<OpenConnection>>,
-    planner: Dependency,
-}
-
-impl Default for PeerConnection {
-    fn default() -> Self {
-        let planner = Dependency::new("planner");
-        Self { next_number: AtomicU64::new(0), current: Mutex::default(), planner }
-    }
+    /// Address of this daemon, named in each call.
+    sender: String,
+    answer_timeout: Duration,
+    called: Dependency,
 }
 
 #[derive(Clone, Debug)]
@@ -71,6 +71,17 @@
 }
 
 impl PeerConnection {
+    /// A client of the daemon at `own_addr`; `name` is that of the called daemon in log lines.
+    pub fn new(name: &'static str, own_addr: SocketAddr, answer_timeout: Duration) -> Self {
+        Self {
+            next_number: AtomicU64::new(0),
+            current: Mutex::default(),
+            sender: own_addr.to_string(),
+            answer_timeout,
+            called: Dependency::new(name),
+        }
+    }
+
     /// Calls the daemon at `addr`; `None` if no answer arrives in time.
     pub async fn ask(&self, addr: SocketAddr, question: FleetQuestion) -> Option<FleetAnswer> {
         match self.ask_reporting_outcome(addr, question).await {
@@ -91,21 +102,24 @@
         let sent = Instant::now();
         let (answer, answered) = oneshot::channel();
         lock(&connection.waiting).insert(number, answer);
-        let call = FleetCall { number, question: Some(question) };
+        let sender = self.sender.clone();
+        let call = FleetCall { number, question: Some(question), sender };
         let is_sent = connection.calls.try_send(call).is_ok();
         let answer = match is_sent {
-            true => tokio::time::timeout(ANSWER_TIMEOUT, answered).await.ok().and_then(Result::ok),
+            true => {
+                tokio::time::timeout(self.answer_timeout, answered).await.ok().and_then(Result::ok)
+            }
             false => None,
         };
         lock(&connection.waiting).remove(&number);
         let Some(answer) = answer else {
             let is_refused = connection.is_refused.load(Ordering::Relaxed);
             let why = if is_refused { "nothing listens at" } else { "no answer from" };
-            self.planner.failed(&format!("{why} {addr}"));
+            self.called.failed(&format!("{why} {addr}"));
             self.close(&connection);
             return if is_refused { PeerReply::Refused } else { PeerReply::Silent };
         };
-        self.planner.answered(sent);
+        self.called.answered(sent);
         PeerReply::Answered(answer)
     }
 
@@ -238,6 +252,7 @@
 
 async fn answer_call(daemon: &DaemonState, call: FleetCall) -> FleetAnswer {
     let mut answer = FleetAnswer { number: call.number, ..FleetAnswer::default() };
+    daemon.peers.called_by(&call.sender);
     answer.planner = daemon.owner().map(|owner| owner.address).unwrap_or_default();
     match call.question {
         Some(FleetQuestion::StateOf(id)) => {
@@ -283,6 +298,9 @@
                 daemon.store.retry_soon();
             }
         }
+        Some(FleetQuestion::ConfigAfter(sender_revision)) => {
+            config_peers::answer_config(daemon, sender_revision, &mut answer);
+        }
         Some(FleetQuestion::PassOn(cpu_milli)) => {
             answer.is_known = daemon.grant_handover(cpu_milli)
         }
