A long configuration is not taken for a store that does not answer

And a call that ran out of that timeout counted as a failure of the store: two in a row on an otherwise idle daemon, and it would refuse jobs that could be stored.

The timeout is that until the answer begins now; its body has four seconds of its own. The other calls keep one timeout for the whole answer. A prompt call that runs out of its time says nothing about the availability of the store for others.

--- a/crates/agatesill_coord/src/store/mod.rs
+++ b/crates/agatesill_coord/src/store/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use agatesill_wire::http::JsonClient;
+use agatesill_wire::http::{BODY_TIMEOUT, JsonClient};
 use agatesill_wire::platform::{Entry, KeyVersion, Put, StoreCall, StoreReply};
 use agatesill_wire::prelude::*;
 use hyper::Method;
@@ -156,17 +156,20 @@
     }
 
     /// Makes one read or watch call that waits behind no other call of this process. `answer_timeout`
-    /// is the timeout of the answer, in addition to the wait of a watch. Adds up in `timing` how long
-    /// the call took.
+    /// is the timeout until the answer begins, in addition to the wait of a watch; a transport that
+    /// does not know when it begins applies it to the whole answer. Adds up in `timing` how long the
+    /// call took.
     ///
-    /// For loops that limit their own rate and whose results have a deadline.
+    /// For loops that limit their own rate and whose results have a deadline. That such a call runs
+    /// out of its short timeout does not make the service unavailable for others.
     pub async fn call_promptly(
         &self,
         call: StoreCall,
         answer_timeout: Duration,
         timing: &mut CallTiming,
     ) -> Result<StoreReply, Error> {
-        let limits = CallLimits { class: CallClass::Prompt, answer_timeout };
+        let (class, body_timeout) = (CallClass::Prompt, BODY_TIMEOUT);
+        let limits = CallLimits { class, answer_timeout, body_timeout };
         self.attempt(call, limits, timing).await.map_err(outcome_irrelevant)
     }
 
@@ -240,8 +243,10 @@
         let count = if is_read(&call) { &self.counts.reads } else { &self.counts.writes };
         count.fetch_add(1, Ordering::Relaxed);
         let sent = Instant::now();
-        let outcome = tokio::time::timeout(timeout, (self.transport)(call, timeout)).await;
+        let (transport, whole) = ((self.transport)(call, timeout), timeout + limits.body_timeout);
+        let outcome = tokio::time::timeout(whole, transport).await;
         timing.sent += sent.elapsed();
+        let is_inconclusive = limits.class == CallClass::Prompt && sent.elapsed() >= timeout;
         let outcome = outcome.unwrap_or_else(|_| {
             let detail = format!("no answer within {} ms", timeout.as_millis());
             Err(Error::new(ErrorKind::Unreachable, detail))
@@ -250,7 +255,10 @@
             // A rejection of an invalid call is an answer: the service is available.
             !matches!(error.kind, ErrorKind::TooLarge | ErrorKind::BadRequest)
         });
-        permit.done(failure.map(|error| error.detail.as_str()), self.jitter());
+        match failure {
+            Some(_) if is_inconclusive => drop(permit),
+            failure => permit.done(failure.map(|error| error.detail.as_str()), self.jitter()),
+        }
         let answered = failure.is_none();
         outcome.map_err(|error| {
             self.counts.failures.fetch_add(1, Ordering::Relaxed);
@@ -333,6 +341,8 @@
     class: CallClass,
     /// Timeout of the answer, in addition to the wait of a watch.
     answer_timeout: Duration,
+    /// Additional time for an answer that has begun.
+    body_timeout: Duration,
 }
 
 impl CallLimits {
@@ -341,7 +351,7 @@
             StoreCall::Page { .. } => PAGE_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
-        Self { class: class_of(call), answer_timeout }
+        Self { class: class_of(call), answer_timeout, body_timeout: Duration::ZERO }
     }
 }
 
--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -32,6 +32,9 @@
 /// Header with the operator's token, required if the settings list tokens.
 pub const TOKEN_HEADER: &str = "x-agatesill-token";
 
+/// Timeout of the body of a long response: 2 MB take two seconds at 10 Mbit/s.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Time after which an idle control connection is closed.
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -130,10 +133,31 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let exchange = self.exchange_in_parts(method, addr, path, body, timeout, timeout);
+        tokio::time::timeout(timeout, exchange).await.unwrap_or_else(|_| {
+            let detail = format!("{addr}{path}: no response within {} ms", timeout.as_millis());
+            Err(Error::new(ErrorKind::Unreachable, detail))
+        })
+    }
+
+    /// Like [`JsonClient::exchange`], with separate timeouts of the response's head and of its body, so
+    /// that a server which does not answer is told from a long answer.
+    pub async fn exchange_in_parts(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Bytes,
+        head_timeout: Duration,
+        body_timeout: Duration,
     ) -> Result<(StatusCode, Bytes), Error> {
         let unreachable_error = |cause: &dyn std::fmt::Display| {
             Error::new(ErrorKind::Unreachable, format!("{addr}{path}: {cause}"))
         };
+        let late_error = |part: &str, timeout: Duration| {
+            unreachable_error(&format!("no {part} within {} ms", timeout.as_millis()))
+        };
         let is_read = method == Method::GET;
         let mut request = Request::builder()
             .method(method)
@@ -147,28 +171,26 @@
         }
         let request = request.body(Full::new(body)).map_err(|error| malformed(&error))?;
         let (client, mut unanswered) = self.begin_call();
-        let exchange = async {
-            let response =
-                client.request(request).await.map_err(|error| unreachable_error(&error))?;
-            let status = response.status();
-            let bytes = Limited::new(response.into_body(), MAX_BODY_BYTES)
-                .collect()
-                .await
-                .map_err(|error| match error.downcast_ref::<LengthLimitError>() {
-                    // A read has no effect. After a change, an unread response leaves it unknown
-                    // whether the change took effect.
-                    Some(_) if is_read => too_large(addr, path),
-                    _ => unreachable_error(&error),
-                })?
-                .to_bytes();
-            Ok::<_, Error>((status, bytes))
-        };
-        let outcome = tokio::time::timeout(timeout, exchange).await.map_err(|_| {
-            unreachable_error(&format!("no response within {} ms", timeout.as_millis()))
-        });
-        // A call that failed before its timeout has closed its connection.
-        unanswered.is_answered = outcome.is_ok();
-        outcome?
+        let head = tokio::time::timeout(head_timeout, client.request(request))
+            .await
+            .map_err(|_| late_error("response", head_timeout))?;
+        // Both an answer and a connection that failed say that the connection is not silent.
+        unanswered.is_answered = true;
+        let response = head.map_err(|error| unreachable_error(&error))?;
+        let status = response.status();
+        unanswered.is_answered = false;
+        let bytes = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
+        let bytes = tokio::time::timeout(body_timeout, bytes)
+            .await
+            .map_err(|_| late_error("complete response", body_timeout))?;
+        unanswered.is_answered = true;
+        let bytes = bytes.map_err(|error| match error.downcast_ref::<LengthLimitError>() {
+            // A read has no effect. After a change, an unread response leaves it unknown whether the
+            // change took effect.
+            Some(_) if is_read => too_large(addr, path),
+            _ => unreachable_error(&error),
+        })?;
+        Ok((status, bytes.to_bytes()))
     }
 
     fn begin_call(&self) -> (PooledClient, UnansweredCall) {
--- a/crates/agatesill_wire/tests/http_client.rs
+++ b/crates/agatesill_wire/tests/http_client.rs
@@ -28,6 +28,8 @@
     opened: Arc<AtomicU64>,
     /// Connections with a lower number don't answer.
     first_audible: Arc<AtomicU64>,
+    /// Time between the head of an answer and its body.
+    body_delay: Duration,
 }
 
 impl Server {
@@ -52,12 +54,30 @@
                 return std::future::pending().await;
             }
             tokio::time::sleep(ANSWER_DELAY).await;
-            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
-            stream.write_all(answer).await.unwrap();
+            let head = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n";
+            stream.write_all(head).await.unwrap();
+            tokio::time::sleep(self.body_delay).await;
+            if stream.write_all(b"{}").await.is_err() {
+                return;
+            }
         }
     }
 }
 
+/// Guards against a long answer over a slow link that is taken for silence.
+#[tokio::test]
+async fn an_answer_that_has_begun_has_a_timeout_of_its_own() {
+    let server = Server { body_delay: TIMEOUT * 2, ..Server::default() };
+    let addr = server.start().await;
+    let client = JsonClient::default();
+    let call = |body_timeout| {
+        client.exchange_in_parts(Method::GET, addr, "/", Bytes::new(), TIMEOUT, body_timeout)
+    };
+    assert!(call(TIMEOUT * 4).await.is_ok());
+    assert!(call(TIMEOUT).await.is_err());
+    assert!(client.exchange(Method::GET, addr, "/", Bytes::new(), TIMEOUT).await.is_err());
+}
+
 /// Guards against calls that each take another silent connection from the pool and wait for their
 /// whole timeout.
 #[tokio::test]
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -19,7 +19,7 @@
 /// Wait time of one watch call.
 const WATCH_MS: u64 = 800;
 
-/// Timeout of an answer, in addition to the wait of a watch. A slow store takes 400 ms.
+/// Timeout until an answer begins, in addition to the wait of a watch. A slow store takes 400 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 // A watch whose reply is lost and the read that replaces it stay within the bound.
@@ -27,10 +27,6 @@
     WATCH_MS + 2 * ANSWER_TIMEOUT.as_millis() as u64 <= MAX_ACTIVATION_DELAY.as_millis() as u64
 );
 
-/// Number of consecutive failures up to which the timeout of a read doubles, so that a large
-/// configuration arrives over a slow link.
-const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
-
 /// Delay after consecutive failed calls. The first failure is followed by a read at once.
 const RETRY_BACKOFF: Duration = Duration::from_millis(200);
 
@@ -42,7 +38,7 @@
     loop {
         let source = if cursor.is_some() { ConfigSource::Watch } else { ConfigSource::Read };
         let mut timing = CallTiming::default();
-        let call = call_store(&daemon, cursor.as_ref(), failures, &mut timing);
+        let call = call_store(&daemon, cursor.as_ref(), &mut timing);
         let reply = tokio::select! {
             () = stop.cancelled() => return,
             () = daemon.config_state.outdated(), if cursor.is_some() => {
@@ -89,21 +85,16 @@
 async fn call_store(
     daemon: &DaemonState,
     cursor: Option<&WatchCursor>,
-    failures: u32,
     timing: &mut CallTiming,
 ) -> Result<StoreReply, Error> {
     let prefix = config::KEY.to_owned();
-    let (call, timeout) = match cursor {
+    let call = match cursor {
         Some(cursor) => {
-            let after_revision = cursor.after_revision();
-            (StoreCall::Watch { prefix, after_revision, wait_ms: WATCH_MS }, ANSWER_TIMEOUT)
-        }
-        None => {
-            let doublings = failures.saturating_sub(1).min(MAX_TIMEOUT_DOUBLINGS);
-            (StoreCall::Range { prefix }, ANSWER_TIMEOUT * 2u32.pow(doublings))
+            StoreCall::Watch { prefix, after_revision: cursor.after_revision(), wait_ms: WATCH_MS }
         }
+        None => StoreCall::Range { prefix },
     };
-    daemon.store.call_promptly(call, timeout, timing).await
+    daemon.store.call_promptly(call, ANSWER_TIMEOUT, timing).await
 }
 
 fn apply_reply(daemon: &DaemonState, reply: &StoreReply, source: ConfigSource, timing: CallTiming) {
