Soak: runs with as many daemons as the machine bears

FLEET_SOAK_DAEMONS sets the number of daemons of a run; their processor shares repeat. The probes of the configuration slow down in proportion, because the planner's daemon takes part in each answer. Three daemons stay the default, with the same schedules as before.

--- a/crates/agatesilld/tests/fleet_soak/config_probe.rs
+++ b/crates/agatesilld/tests/fleet_soak/config_probe.rs
@@ -25,6 +25,11 @@
 /// Timeout of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Pause between two requests on one connection, in milliseconds, with up to ten daemons. With more
+/// it grows in proportion, because the planner's daemon takes part in each answer.
+const PAUSE_MS: std::ops::Range<u64> = 50..120;
+const DAEMONS_AT_FULL_RATE: usize = 10;
+
 /// Versions whose changes are asked for most.
 const RECENT_VERSIONS: usize = 4;
 
@@ -101,7 +106,9 @@
             } else if outcome.is_err() {
                 connection = Connection::new(target.listen_addrs.entry);
             }
-            tokio::time::sleep(Duration::from_millis(random.random_range(50..120))).await;
+            let pause = Duration::from_millis(random.random_range(PAUSE_MS));
+            let slowdown = self.daemons.len().div_ceil(DAEMONS_AT_FULL_RATE) as u32;
+            tokio::time::sleep(pause * slowdown).await;
         }
     }
 
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -21,13 +21,17 @@
 use crate::support::store::{FakeStore, StoreFault};
 use crate::support::worker::FakeWorker;
 
-pub const DAEMONS: usize = 3;
-
-/// Processor shares of the daemons. One is smaller, so that planning also moves for that reason.
-const CPU_SHARES: [f64; DAEMONS] = [0.5, 0.1, 0.5];
+/// Processor shares of the daemons, in turn. One is smaller, so that planning also moves for that
+/// reason.
+const CPU_SHARES: [f64; 3] = [0.5, 0.1, 0.5];
 
 pub const WORKERS: usize = 6;
 
+/// Number of daemons of a run: `FLEET_SOAK_DAEMONS`, or one for each processor share.
+pub fn daemon_count() -> usize {
+    std::env::var("FLEET_SOAK_DAEMONS").map_or(CPU_SHARES.len(), |count| count.parse().unwrap())
+}
+
 /// How long after an unplanned fault its effects may be visible to callers.
 const FAULT_EFFECT_DURATION: Duration = Duration::from_secs(3);
 
@@ -191,7 +195,8 @@
             finished: CancellationToken::new(),
         });
         let mut daemons = Vec::new();
-        for (index, share) in CPU_SHARES.into_iter().enumerate() {
+        for index in 0..daemon_count() {
+            let share = CPU_SHARES[index % CPU_SHARES.len()];
             let name = format!("entry-{index}");
             let daemon = Daemon::prepare(&folder, &name, store_addr, share, &stop).await;
             daemons.push(Arc::new(daemon));
