Newcomer's reading: names of the configuration's state, the soak's fault history apart

Renames in the state of the configuration (what a value was seen or forgotten for), the module comment of the watch names what it guards against.

--- a/crates/agatesilld/src/fleet/active_config.rs
+++ b/crates/agatesilld/src/fleet/active_config.rs
@@ -90,7 +90,7 @@
     }
 
     /// Records that a value written at `revision` was seen. Returns whether it is new.
-    pub fn see(&self, revision: u64) -> bool {
+    pub fn mark_seen(&self, revision: u64) -> bool {
         self.seen_revision.fetch_max(revision, Ordering::Relaxed) < revision
     }
 
@@ -117,13 +117,13 @@
         }
     }
 
-    /// Records that the key was read, after which no earlier report of another daemon matters.
-    pub fn read(&self) {
+    /// Forgets what other daemons have reported: the key was read after their reports.
+    pub fn forget_known(&self) {
         self.known_revision.store(0, Ordering::Relaxed);
     }
 
     /// Records that the store answered a call about the key.
-    pub fn heard(&self, now_us: u64) {
+    pub fn store_answered(&self, now_us: u64) {
         self.heard_us.store(now_us, Ordering::Relaxed);
     }
 
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -1,4 +1,7 @@
-//! Follows the operators' configuration in the store. [`super::config_peers`] is the second source.
+//! Follows the operators' configuration in the store.
+//!
+//! Guards against a watch that is trusted as long as its calls succeed: its cursor passes no change that
+//! was not reported, its timeouts are bounded together, and [`super::config_peers`] is a second source.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -104,9 +107,9 @@
         activate(daemon, &newest.value, newest.version, source, timing);
     }
     if source == ConfigSource::Read {
-        daemon.config_state.read();
+        daemon.config_state.forget_known();
     }
-    daemon.config_state.heard(daemon.clock.now_us());
+    daemon.config_state.store_answered(daemon.clock.now_us());
 }
 
 /// Decodes a stored configuration and activates it if it is newer than the active one.
@@ -117,7 +120,7 @@
     source: ConfigSource,
     timing: CallTiming,
 ) {
-    if !daemon.config_state.see(revision) {
+    if !daemon.config_state.mark_seen(revision) {
         return;
     }
     let site = match config::decode(value) {
--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -12,7 +12,7 @@
 
 use crate::daemon::Daemon;
 use crate::faults;
-use crate::run::FaultHistory;
+use crate::history::FaultHistory;
 use crate::support::caller::{Connection, Outcome};
 use crate::support::settings::{self, Step, TaskFault};
 use crate::support::simulated_workers::SimulatedWorkers;
--- a/crates/agatesilld/tests/fleet_soak/config_probe.rs
+++ b/crates/agatesilld/tests/fleet_soak/config_probe.rs
@@ -9,8 +9,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::daemon::Daemon;
+use crate::history::FaultHistory;
 use crate::operator::{ABSENT_QUEUE, IDLE_QUEUES, Operator, WrittenVersion, idle_queue};
-use crate::run::FaultHistory;
 use crate::support::caller::{Connection, Outcome};
 
 /// Time from the acknowledgement of a version within which every daemon in contact applies it.
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::run::Scope;
+use crate::history::Scope;
 use crate::support::proxy::LinkFault;
 use crate::support::simulated_workers::WorkerFault;
 use crate::support::store::StoreFault;
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -11,6 +11,7 @@
 mod daemon;
 mod faults;
 mod gaps;
+mod history;
 mod operator;
 mod run;
 mod stale_config;
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,7 @@
 use crate::config_probe::{CALM_PERIOD, ConfigProbe};
 use crate::daemon::Daemon;
 use crate::faults::{self, Fault, ScheduledFault};
+use crate::history::FaultHistory;
 use crate::operator::Operator;
 use crate::support::proxy::{LinkFault, Proxy};
 use crate::support::simulated_workers::{CPU_MILLI, SimulatedWorkers, WorkerFault};
@@ -32,9 +33,6 @@
     std::env::var("FLEET_SOAK_DAEMONS").map_or(CPU_SHARES.len(), |count| count.parse().unwrap())
 }
 
-/// How long after an unplanned fault its effects may be visible to callers.
-const FAULT_EFFECT_DURATION: Duration = Duration::from_secs(3);
-
 /// Maximum time until everything is in order after the last fault. The planner waits for a worker
 /// that was cut off until its longest lease of ten seconds has expired.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -63,90 +61,6 @@
 /// Jobs submitted per second.
 const JOBS_PER_S: u32 = 8;
 
-/// What a fault separates from what, for the bounds that hold only for daemons in contact.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
-    /// A daemon, or its path to the store.
-    Daemon(usize),
-    /// The store turns a daemon away and serves the others and the operator.
-    TurnedAway(usize),
-    /// All daemons, or the store for all of them.
-    All,
-    /// Neither a daemon nor the store.
-    Elsewhere,
-}
-
-/// A fault of a run.
-struct PastFault {
-    scope: Scope,
-    is_planned: bool,
-    ended: Option<Instant>,
-}
-
-impl PastFault {
-    /// Whether the fault was active from shortly before `since` until now.
-    fn overlaps(&self, since: Instant) -> bool {
-        self.ended.is_none_or(|ended| ended + FAULT_EFFECT_DURATION > since)
-    }
-}
-
-/// The faults of a run.
-pub struct FaultHistory {
-    faults: Mutex<Vec<PastFault>>,
-    failing_workers: AtomicBool,
-    finished: CancellationToken,
-}
-
-impl FaultHistory {
-    /// Whether no unplanned fault was active from shortly before `since` until now.
-    pub fn was_fault_free(&self, since: Instant) -> bool {
-        !self.any(since, |fault| !fault.is_planned)
-    }
-
-    /// Whether a daemon ran and reached a store without a fault from shortly before `since` until
-    /// now.
-    pub fn is_in_contact(&self, daemon: usize, since: Instant) -> bool {
-        !self.any(since, |fault| {
-            matches!(fault.scope, Scope::All | Scope::TurnedAway(_))
-                || fault.scope == Scope::Daemon(daemon)
-        })
-    }
-
-    /// Whether the only faults that concern a daemon from shortly before `since` until now are that
-    /// the store turned daemons away.
-    pub fn is_only_turned_away(&self, daemon: usize, since: Instant) -> bool {
-        let is_turned_away = self.any(since, |fault| matches!(fault.scope, Scope::TurnedAway(_)));
-        is_turned_away
-            && !self.any(since, |fault| {
-                fault.scope == Scope::All || fault.scope == Scope::Daemon(daemon)
-            })
-    }
-
-    fn any(&self, since: Instant, concerns: impl Fn(&PastFault) -> bool) -> bool {
-        let faults = self.faults.lock().unwrap();
-        faults.iter().any(|fault| concerns(fault) && fault.overlaps(since))
-    }
-
-    /// Whether there were workers that fail all tasks.
-    pub fn has_failing_workers(&self) -> bool {
-        self.failing_workers.load(Ordering::Relaxed)
-    }
-
-    pub fn is_finished(&self) -> bool {
-        self.finished.is_cancelled()
-    }
-
-    fn begin(&self, scope: Scope, is_planned: bool) -> usize {
-        let mut faults = self.faults.lock().unwrap();
-        faults.push(PastFault { scope, is_planned, ended: None });
-        faults.len() - 1
-    }
-
-    fn end(&self, fault: usize) {
-        self.faults.lock().unwrap()[fault].ended = Some(Instant::now());
-    }
-}
-
 /// A slot for consecutive incarnations of a worker, each behind its own proxy.
 struct WorkerSlot {
     name: String,
@@ -189,11 +103,7 @@
         if faults::has_crashing_tasks(seed) {
             simulated_workers.allow_overcommit();
         }
-        let history = Arc::new(FaultHistory {
-            faults: Mutex::default(),
-            failing_workers: AtomicBool::new(false),
-            finished: CancellationToken::new(),
-        });
+        let history = Arc::new(FaultHistory::default());
         let mut daemons = Vec::new();
         for index in 0..daemon_count() {
             let share = CPU_SHARES[index % CPU_SHARES.len()];
@@ -433,7 +343,7 @@
             Fault::Worker(slot, fault) => {
                 let incarnation = self.slots[slot].worker().incarnation;
                 if fault == WorkerFault::FailsAll {
-                    self.history.failing_workers.store(true, Ordering::Relaxed);
+                    self.history.add_failing_worker();
                 }
                 self.simulated_workers.set_fault(incarnation, fault);
                 tokio::time::sleep(duration).await;
@@ -471,7 +381,7 @@
             outstanding = self.outstanding().await;
         }
         tokio::time::sleep(CALM_PERIOD).await;
-        self.history.finished.cancel();
+        self.history.finish();
         let mut violations = outstanding;
         violations.extend(self.config_probe.violations.lock().unwrap().clone());
         violations.extend(self.simulated_workers.violations());
