--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -16,8 +16,8 @@
 /// From this seed on each run also closes a zone. Runs of smaller seeds keep their schedules.
 const FIRST_SEED_WITH_CLOSED_ZONE: u64 = 1_000;
 
-/// From this seed on each run also has tasks that crash their workers, crashes of two workers at
-/// once and workers with temporarily reduced capacity.
+/// From this seed on, and below [`FIRST_SEED_WITH_WATCH_FAULTS`], each run also has tasks that crash
+/// their workers, crashes of two workers at once and workers with temporarily reduced capacity.
 const FIRST_SEED_WITH_CRASHES: u64 = 2_000;
 
 /// From this seed on each run also has faults of the watches on the store, a daemon that the store
