Lines and metrics that tell why a version of the configuration is late

config_in_force says how many questions the daemon has asked others since the store last answered it (questions) and when another daemon first reported a newer version (reported_ms_ago); the counter agatesill.config.questions has their outcomes. With queued_ms, call_ms and source, which were there, they tell the hypotheses of docs/incidents/late-configuration.md apart: H1 by questions that met daemons without the version, H2 by queued_ms, H3 by reported_ms_ago, H4 by call_ms. One counter with three values and two fields of a line that is written once a version. No logic changes.

--- a/crates/agatesilld/src/fleet/active_config.rs
+++ b/crates/agatesilld/src/fleet/active_config.rs
@@ -31,6 +31,31 @@
     }
 }
 
+/// Outcome of a question to another daemon about the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuestionOutcome {
+    /// The other daemon has a newer version.
+    Newer,
+    /// The other daemon has no newer version.
+    NotNewer,
+    /// No answer arrived in time.
+    Unanswered,
+}
+
+impl QuestionOutcome {
+    /// All outcomes.
+    pub const ALL: [Self; 3] = [Self::Newer, Self::NotNewer, Self::Unanswered];
+
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Newer => "newer",
+            Self::NotNewer => "not_newer",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// A version of the configuration with its origin.
 #[derive(Clone, Debug)]
 pub struct ActiveConfig {
@@ -60,6 +85,12 @@
     activated: [AtomicU64; ConfigSource::ALL.len()],
     /// Calls about the key that failed.
     failed_calls: AtomicU64,
+    /// Questions to other daemons, by outcome.
+    questions: [AtomicU64; QuestionOutcome::ALL.len()],
+    /// Questions to other daemons when the store last answered a call about the key.
+    questions_at_answer: AtomicU64,
+    /// When another daemon first reported a version newer than the active one; 0 if none did.
+    reported_us: AtomicU64,
     /// Requests refused because no queue matches.
     unknown_routes: AtomicU64,
 }
@@ -95,12 +126,24 @@
     }
 
     /// Records that another daemon has seen a version written at `revision`.
-    pub fn known_elsewhere(&self, revision: u64) {
+    pub fn known_elsewhere(&self, revision: u64, now_us: u64) {
+        if revision > self.seen_revision() {
+            // Only the first report counts.
+            let _ =
+                self.reported_us.compare_exchange(0, now_us, Ordering::Relaxed, Ordering::Relaxed);
+        }
         if self.known_revision.fetch_max(revision, Ordering::Relaxed) < revision {
             self.known.notify_waiters();
         }
     }
 
+    /// Time since another daemon first reported a version that was newer than the active one, in
+    /// milliseconds; `None` without such a report. Forgets the report.
+    pub fn take_reported_ms_ago(&self, now_us: u64) -> Option<u64> {
+        let reported_us = self.reported_us.swap(0, Ordering::Relaxed);
+        (reported_us > 0).then(|| now_us.saturating_sub(reported_us) / 1_000)
+    }
+
     /// Highest revision of a version that another daemon is known to have seen.
     pub fn known_revision(&self) -> u64 {
         self.known_revision.load(Ordering::Relaxed)
@@ -125,6 +168,26 @@
     /// Records that the store answered a call about the key.
     pub fn store_answered(&self, now_us: u64) {
         self.heard_us.store(now_us, Ordering::Relaxed);
+        self.questions_at_answer.store(self.all_questions(), Ordering::Relaxed);
+    }
+
+    /// Counts a question to another daemon.
+    pub fn asked(&self, outcome: QuestionOutcome) {
+        self.questions[outcome as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of questions to other daemons with one outcome.
+    pub fn questions(&self, outcome: QuestionOutcome) -> u64 {
+        self.questions[outcome as usize].load(Ordering::Relaxed)
+    }
+
+    /// Number of questions to other daemons since the store last answered a call about the key.
+    pub fn questions_without_store(&self) -> u64 {
+        self.all_questions() - self.questions_at_answer.load(Ordering::Relaxed)
+    }
+
+    fn all_questions(&self) -> u64 {
+        self.questions.iter().map(|count| count.load(Ordering::Relaxed)).sum()
     }
 
     /// Time since the store last answered a call about the key, in milliseconds; `None` before the
--- a/crates/agatesilld/src/fleet/config_peers.rs
+++ b/crates/agatesilld/src/fleet/config_peers.rs
@@ -16,7 +16,7 @@
 use rand::seq::IteratorRandom;
 use tokio_util::sync::CancellationToken;
 
-use super::active_config::ConfigSource;
+use super::active_config::{ConfigSource, QuestionOutcome};
 use super::config_watch;
 use super::daemon_state::DaemonState;
 
@@ -131,6 +131,11 @@
     let asked_us = daemon.clock.now_us();
     let answer = daemon.config_connection.ask(addr, question).await;
     daemon.peers.answered(addr, answer.is_some());
+    daemon.config_state.asked(match &answer {
+        None => QuestionOutcome::Unanswered,
+        Some(answer) if answer.config.is_empty() => QuestionOutcome::NotNewer,
+        Some(_) => QuestionOutcome::Newer,
+    });
     let Some(answer) = answer else { return };
     answer.peers.iter().for_each(|peer| daemon.peers.add(peer));
     if answer.config.is_empty() {
@@ -144,7 +149,7 @@
 
 /// Answers a question of a daemon whose configuration was written at `sender_revision`.
 pub fn answer_config(daemon: &DaemonState, sender_revision: u64, answer: &mut FleetAnswer) {
-    daemon.config_state.known_elsewhere(sender_revision);
+    daemon.config_state.known_elsewhere(sender_revision, daemon.clock.now_us());
     answer.is_known = true;
     answer.peers = daemon.peers.sample(daemon.settings.peer_addr);
     let Some(active) = daemon.config_state.active() else { return };
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -135,11 +135,14 @@
     if !daemon.config_state.activate(ActiveConfig { site: site.clone(), revision, source, value }) {
         return;
     }
+    let now_us = daemon.clock.now_us();
     log::info!(event = "config_in_force", version = site.version, queues = site.queues.len(),
         revision = revision, source = source.name(),
         store_revision = daemon.store.newest_revision(),
         queued_ms = timing.queued.as_millis() as u64, call_ms = timing.sent.as_millis() as u64,
-        heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us()); "");
+        heard_ms_ago = daemon.config_state.heard_ms_ago(now_us),
+        reported_ms_ago = daemon.config_state.take_reported_ms_ago(now_us),
+        questions = daemon.config_state.questions_without_store(); "");
     if let Some(planner) = daemon.planner() {
         planner.set_queues(site.terms());
     }
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -14,7 +14,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Histogram, Meter};
 
-use super::active_config::ConfigSource;
+use super::active_config::{ConfigSource, QuestionOutcome};
 use super::daemon_state::DaemonState;
 use crate::instruments::Instruments;
 
@@ -204,6 +204,18 @@
         })
         .build();
     let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.config.questions")
+        .with_unit("{question}")
+        .with_description("Questions to other daemons about the configuration, by outcome")
+        .with_callback(move |counter| {
+            for outcome in QuestionOutcome::ALL {
+                let labels = [KeyValue::new("outcome", outcome.name())];
+                counter.observe(observed.config_state.questions(outcome), &labels);
+            }
+        })
+        .build();
+    let observed = daemon.clone();
     meter
         .u64_observable_counter("agatesill.routes.unknown")
         .with_unit("{request}")
