Daemons announce new versions of the configuration to each other

Cause: only questions moved a version between daemons. One that had just activated it told nobody; one that was told that it is late (its own question shows its revision to the other side) did not ask the one who knew, but the store that turned it away. Questions went one at a time to a random daemon, each 0.3 s only when the last answer of the store was 1.5 s old although a failed call is known in milliseconds, and 1.2 s for each silent daemon. With most daemons turned away nearly every question met one that knew nothing either. The class: a time limit kept by polling whose period, retries and timeouts were chosen apart, and whose sum grows with the number of daemons concerned.

Change: a daemon that activates a version announces its revision to 8 others that are not known to have it; each one that did not have it, or did not answer, is followed by another, up to 32. One that learns of a newer version fetches it from a daemon that has it: at once if its calls to the store fail, else after 0.25 s in which the store may deliver it, and after 0.3 s from a second one. Comparisons of revisions remain in case announcements are lost; their interval follows failed calls at once. Each call has its own connection, so a silent daemon delays none. The compiler checks that comparisons alone stay within the bound past one silent daemon asked and one silent holder. An unanswered call proves nothing (refused, reset, one way); only an answer marks a daemon as up to date. Versions still carry the store's revision; only a newer one that can be decoded is taken. Cost: 8 to 32 small calls a daemon and version, one comparison a second, at 8 as at 2,000 daemons.

--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// Payload of the request.
-    #[prost(oneof = "FleetQuestion", tags = "2, 3, 4, 5, 6, 7, 8, 9, 11")]
+    #[prost(oneof = "FleetQuestion", tags = "2, 3, 4, 5, 6, 7, 8, 9, 11, 12")]
     pub question: Option<FleetQuestion>,
     /// Address at which the sender accepts calls.
     #[prost(string, tag = "10")]
@@ -49,6 +49,10 @@
     /// the sender's.
     #[prost(uint64, tag = "11")]
     ConfigAfter(u64),
+    /// Tells the revision of the store at which the sender's active configuration was written, 0
+    /// without one, and requests that of the receiver's.
+    #[prost(uint64, tag = "12")]
+    ConfigRevision(u64),
 }
 
 /// A job to store on behalf of the sender.
--- a/crates/agatesilld/src/fleet/active_config.rs
+++ b/crates/agatesilld/src/fleet/active_config.rs
@@ -1,11 +1,15 @@
 //! The configuration that a daemon applies, and how and when it learned of it.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
 use agatesill_platform::prelude::*;
 use tokio::sync::Notify;
 
+/// Time after the store's last answer from which a further one counts as overdue. A watch is
+/// answered within its wait.
+const MAX_ANSWER_AGE_MS: u64 = 1_500;
+
 /// How a daemon learned of a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfigSource {
@@ -75,6 +79,8 @@
     active: RwLock<Option<ActiveConfig>>,
     /// Highest revision of a value that this daemon has seen, also of one that it can't apply.
     seen_revision: AtomicU64,
+    /// Notified when a version becomes active.
+    activation: Notify,
     /// Highest revision of a version that another daemon has seen; 0 if none is known.
     known_revision: AtomicU64,
     /// Notified when `known_revision` rises.
@@ -83,6 +89,8 @@
     heard_us: AtomicU64,
     /// Versions activated, by source.
     activated: [AtomicU64; ConfigSource::ALL.len()],
+    /// Whether the last call about the key failed.
+    has_failed: AtomicBool,
     /// Calls about the key that failed.
     failed_calls: AtomicU64,
     /// Questions to other daemons, by outcome.
@@ -111,10 +119,29 @@
         if is_newer {
             self.activated[candidate.source as usize].fetch_add(1, Ordering::Relaxed);
             *active = Some(candidate);
+            drop(active);
+            self.activation.notify_waiters();
         }
         is_newer
     }
 
+    /// Revision of the store at which the active version was written; 0 without one.
+    pub fn active_revision(&self) -> u64 {
+        let active = self.active.read().unwrap_or_else(PoisonError::into_inner);
+        active.as_ref().map_or(0, |active| active.revision)
+    }
+
+    /// Waits until a version is active that was written after `revision`.
+    pub async fn activated_after(&self, revision: u64) {
+        loop {
+            let activation = self.activation.notified();
+            if self.active_revision() > revision {
+                return;
+            }
+            activation.await;
+        }
+    }
+
     /// Highest revision of a value that this daemon has seen; 0 without one.
     pub fn seen_revision(&self) -> u64 {
         self.seen_revision.load(Ordering::Relaxed)
@@ -149,11 +176,16 @@
         self.known_revision.load(Ordering::Relaxed)
     }
 
+    /// Whether another daemon is known to have seen a newer version than this one.
+    pub fn is_outdated(&self) -> bool {
+        self.known_revision() > self.seen_revision()
+    }
+
     /// Waits until another daemon is known to have seen a newer version than this one.
     pub async fn outdated(&self) {
         loop {
             let known = self.known.notified();
-            if self.known_revision() > self.seen_revision() {
+            if self.is_outdated() {
                 return;
             }
             known.await;
@@ -168,6 +200,7 @@
     /// Records that the store answered a call about the key.
     pub fn store_answered(&self, now_us: u64) {
         self.heard_us.store(now_us, Ordering::Relaxed);
+        self.has_failed.store(false, Ordering::Relaxed);
         self.questions_at_answer.store(self.all_questions(), Ordering::Relaxed);
     }
 
@@ -197,8 +230,16 @@
         (heard_us > 0).then(|| now_us.saturating_sub(heard_us) / 1_000)
     }
 
-    /// Counts a call about the key that failed.
+    /// Whether the store answers calls about the key: the last one did not fail, and its answer has
+    /// not been overdue for long.
+    pub fn is_store_answering(&self, now_us: u64) -> bool {
+        let is_recent = self.heard_ms_ago(now_us).is_some_and(|age_ms| age_ms < MAX_ANSWER_AGE_MS);
+        is_recent && !self.has_failed.load(Ordering::Relaxed)
+    }
+
+    /// Records that a call about the key failed.
     pub fn call_failed(&self) {
+        self.has_failed.store(true, Ordering::Relaxed);
         self.failed_calls.fetch_add(1, Ordering::Relaxed);
     }
 
--- a/crates/agatesilld/src/fleet/config_peers.rs
+++ b/crates/agatesilld/src/fleet/config_peers.rs
@@ -1,143 +1,217 @@
 //! Exchanges the configuration between daemons.
 //!
 //! Guards against a daemon that knows no newer version although others do: the store turns its calls
-//! away and serves the others and the operators, or its watch has skipped a version. Each daemon
-//! asks another one in turn. The store remains the only origin: a version carries the revision at
-//! which it was written, and only a newer one is taken over.
+//! away and serves the others and the operators, or its watch has skipped a version. A daemon that
+//! activates a version announces it, and each daemon compares revisions with another one in turn, in
+//! case an announcement is lost. The store remains the only origin: a version carries the revision
+//! at which it was written, and only a newer one is taken over.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::ops::Range;
+use std::sync::Arc;
 use std::time::Duration;
 
 use agatesill_coord::store::CallTiming;
 use agatesill_wire::fleet::{FleetAnswer, FleetQuestion};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use rand::Rng;
-use rand::seq::IteratorRandom;
 use tokio_util::sync::CancellationToken;
 
 use super::active_config::{ConfigSource, QuestionOutcome};
-use super::config_watch;
+use super::config_watch::{self, MAX_ACTIVATION_DELAY};
 use super::daemon_state::DaemonState;
 
-/// Interval between two questions while the store answers. Together with the answer it must stay
-/// below the time allowed for a configuration to become active.
+/// Interval between two comparisons while the store answers.
 const INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Interval while the store does not answer.
+/// Interval between two comparisons while the store does not answer.
 const INTERVAL_WITHOUT_STORE: Duration = Duration::from_millis(300);
 
-/// Time after the store's last answer from which the shorter interval applies. A watch is answered
-/// within its wait.
-const MAX_ANSWER_AGE_MS: u64 = 1_500;
+/// Timeout of a comparison, whose answer is small.
+const COMPARISON_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Number of other daemons that are remembered.
-const MAX_PEERS: usize = 64;
+/// Timeout of an answer with a configuration, which has up to 1 MB and takes a second at 10 Mbit/s.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Number of other daemons named in an answer.
-const MAX_NAMED_PEERS: usize = 4;
+/// Delay of an announcement, in which the watches of the other daemons deliver the version and
+/// announcements of others arrive.
+const ANNOUNCEMENT_DELAY_MS: Range<u64> = 20..120;
 
-/// Other daemons of the fleet, as known from calls and answers, with the number of consecutive
-/// questions that each did not answer.
-#[derive(Debug, Default)]
-pub struct PeerDirectory {
-    peers: Mutex<HashMap<SocketAddr, u32>>,
-}
+/// Number of daemons to which a version is announced at first. Each one that did not have it, or did
+/// not answer, is followed by another one.
+const FANOUT: usize = 8;
 
-impl PeerDirectory {
-    /// Records a daemon that has made a call.
-    pub fn called_by(&self, addr: &str) {
-        self.add(addr);
-        if let Ok(addr) = addr.parse() {
-            self.answered(addr, true);
-        }
-    }
+/// Maximum number of daemons to which one daemon announces one version.
+const MAX_ANNOUNCEMENTS: usize = 32;
 
-    /// Records a daemon that another one has named. In a full directory it takes the place of an
-    /// unresponsive one, or of any.
-    pub fn add(&self, addr: &str) {
-        let Ok(addr) = addr.parse() else { return };
-        let mut peers = self.lock();
-        if peers.contains_key(&addr) {
-            return;
-        }
-        if peers.len() >= MAX_PEERS {
-            let mut random = rand::rng();
-            let unresponsive = peers.iter().find(|(_, failures)| **failures > 0);
-            let replaced = unresponsive.or_else(|| peers.iter().choose(&mut random));
-            if let Some(replaced) = replaced.map(|(addr, _)| *addr) {
-                peers.remove(&replaced);
-            }
-        }
-        peers.insert(addr, 0);
-    }
+/// Time for which a store that answers may deliver a version by itself after another daemon has
+/// reported it.
+pub const STORE_GRACE: Duration = Duration::from_millis(250);
 
-    /// Some daemons other than `own`, for an answer.
-    pub fn sample(&self, own: SocketAddr) -> Vec<String> {
-        let peers = self.lock();
-        let responsive = peers.iter().filter(|(addr, failures)| **addr != own && **failures == 0);
-        let chosen = responsive.choose_multiple(&mut rand::rng(), MAX_NAMED_PEERS);
-        chosen.into_iter().map(|(addr, _)| addr.to_string()).collect()
-    }
+/// Delay until another daemon is asked for a version if the one asked before has not answered.
+const HEDGE_DELAY: Duration = Duration::from_millis(300);
 
-    /// A daemon to ask: one of those that failed least often.
-    fn choose(&self, own: SocketAddr) -> Option<SocketAddr> {
-        let peers = self.lock();
-        let others = || peers.iter().filter(|(addr, _)| **addr != own);
-        let fewest = others().map(|(_, failures)| *failures).min()?;
-        others()
-            .filter(|(_, failures)| **failures == fewest)
-            .choose(&mut rand::rng())
-            .map(|(addr, _)| *addr)
-    }
+/// Maximum number of daemons asked for a version at the same time.
+const MAX_FETCHES: usize = 3;
 
-    fn answered(&self, addr: SocketAddr, is_answered: bool) {
-        if let Some(failures) = self.lock().get_mut(&addr) {
-            *failures = if is_answered { 0 } else { *failures + 1 };
+/// Delay after all known daemons with a version were asked for it in vain.
+const FETCH_BACKOFF: Duration = Duration::from_millis(200);
+
+// Comparisons alone stay within the bound although the daemon asked first and the one from which the
+// version is fetched first are silent.
+const _: () = assert!(
+    INTERVAL.as_millis()
+        + COMPARISON_TIMEOUT.as_millis()
+        + STORE_GRACE.as_millis()
+        + HEDGE_DELAY.as_millis()
+        < MAX_ACTIVATION_DELAY.as_millis()
+);
+
+/// Announces each version that becomes active to other daemons, until `stop` is cancelled.
+pub async fn announce_versions(daemon: Arc<DaemonState>, stop: CancellationToken) {
+    let work = async {
+        let mut announced = 0;
+        loop {
+            daemon.config_state.activated_after(announced).await;
+            let delay_ms = rand::rng().random_range(ANNOUNCEMENT_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            announced = daemon.config_state.active_revision();
+            // Calls that are still unanswered must not hold back the next version.
+            tokio::select! {
+                () = announce(&daemon, announced) => {}
+                () = daemon.config_state.activated_after(announced) => {}
+            }
         }
-    }
+    };
+    stop.run_until_cancelled(work).await;
+}
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, u32>> {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+/// Announces the version written at `revision` until the daemons that answer have it.
+async fn announce(daemon: &DaemonState, revision: u64) {
+    let own = daemon.settings.peer_addr;
+    let mut told = HashSet::new();
+    let mut calls = FuturesUnordered::new();
+    let mut wanted = FANOUT;
+    loop {
+        let wanted_now = wanted.min(MAX_ANNOUNCEMENTS - told.len());
+        for addr in daemon.peers.choose_behind(own, revision, &told, wanted_now) {
+            told.insert(addr);
+            calls.push(compare(daemon, addr));
+        }
+        let Some(peer_revision) = calls.next().await else { return };
+        let is_up_to_date = peer_revision.is_some_and(|peer_revision| peer_revision >= revision);
+        wanted = usize::from(!is_up_to_date);
     }
 }
 
-/// Asks other daemons for newer versions until `stop` is cancelled.
-pub async fn follow_peers(daemon: Arc<DaemonState>, stop: CancellationToken) {
+/// Compares revisions with one other daemon after the other until `stop` is cancelled.
+pub async fn compare_repeatedly(daemon: Arc<DaemonState>, stop: CancellationToken) {
     let work = async {
         loop {
             let spread = rand::rng().random_range(0.8..1.0);
-            tokio::time::sleep(interval(&daemon).mul_f64(spread)).await;
-            ask_peer(&daemon).await;
+            let pause = tokio::time::sleep(interval(&daemon).mul_f64(spread));
+            tokio::join!(pause, compare_with_any(&daemon));
         }
     };
     stop.run_until_cancelled(work).await;
 }
 
 fn interval(daemon: &DaemonState) -> Duration {
-    let heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us());
-    match heard_ms_ago.is_some_and(|age_ms| age_ms < MAX_ANSWER_AGE_MS) {
+    match daemon.config_state.is_store_answering(daemon.clock.now_us()) {
         true => INTERVAL,
         false => INTERVAL_WITHOUT_STORE,
     }
 }
 
-async fn ask_peer(daemon: &DaemonState) {
+async fn compare_with_any(daemon: &DaemonState) {
     if let Some(planner) = daemon.planner_addr() {
         daemon.peers.add(&planner.to_string());
     }
-    let Some(addr) = daemon.peers.choose(daemon.settings.peer_addr) else { return };
-    let question = FleetQuestion::ConfigAfter(daemon.config_state.seen_revision());
-    let asked_us = daemon.clock.now_us();
-    let answer = daemon.config_connection.ask(addr, question).await;
+    if let Some(addr) = daemon.peers.choose(daemon.settings.peer_addr) {
+        compare(daemon, addr).await;
+    }
+}
+
+/// Tells a daemon the revision of the active configuration, and returns that of its own; `None`
+/// without an answer.
+async fn compare(daemon: &DaemonState, addr: SocketAddr) -> Option<u64> {
+    let question = FleetQuestion::ConfigRevision(daemon.config_state.active_revision());
+    let answer = daemon.peer_calls.ask(addr, question, COMPARISON_TIMEOUT).await;
+    let answer = record_answer(daemon, addr, answer)?;
+    if !answer.is_known {
+        // An earlier version of this program, which does not know the question.
+        fetch_from(daemon, addr).await;
+    }
+    daemon.config_state.known_elsewhere(answer.config_revision, daemon.clock.now_us());
+    Some(answer.config_revision)
+}
+
+fn record_answer(
+    daemon: &DaemonState,
+    addr: SocketAddr,
+    answer: Option<FleetAnswer>,
+) -> Option<FleetAnswer> {
     daemon.peers.answered(addr, answer.is_some());
     daemon.config_state.asked(match &answer {
         None => QuestionOutcome::Unanswered,
-        Some(answer) if answer.config.is_empty() => QuestionOutcome::NotNewer,
-        Some(_) => QuestionOutcome::Newer,
+        Some(answer) if answer.config_revision > daemon.config_state.seen_revision() => {
+            QuestionOutcome::Newer
+        }
+        Some(_) => QuestionOutcome::NotNewer,
     });
-    let Some(answer) = answer else { return };
+    let answer = answer?;
+    daemon.peers.applies(addr, answer.config_revision);
     answer.peers.iter().for_each(|peer| daemon.peers.add(peer));
+    Some(answer)
+}
+
+/// Fetches versions that other daemons have reported and the store does not deliver, until `stop` is
+/// cancelled.
+pub async fn fetch_versions(daemon: Arc<DaemonState>, stop: CancellationToken) {
+    let work = async {
+        loop {
+            daemon.config_state.outdated().await;
+            if daemon.config_state.is_store_answering(daemon.clock.now_us()) {
+                tokio::time::sleep(STORE_GRACE).await;
+            }
+            fetch(&daemon).await;
+            if daemon.config_state.is_outdated() {
+                tokio::time::sleep(FETCH_BACKOFF).await;
+            }
+        }
+    };
+    stop.run_until_cancelled(work).await;
+}
+
+/// Asks the daemons that have a newer version for it, the next one if the last one is slow to answer.
+async fn fetch(daemon: &DaemonState) {
+    let own = daemon.settings.peer_addr;
+    let mut asked = HashSet::new();
+    let mut fetches = FuturesUnordered::new();
+    while daemon.config_state.is_outdated() {
+        let seen_revision = daemon.config_state.seen_revision();
+        let next = daemon.peers.choose_ahead(own, seen_revision, &asked);
+        if let Some(addr) = next.filter(|_| fetches.len() < MAX_FETCHES) {
+            asked.insert(addr);
+            fetches.push(fetch_from(daemon, addr));
+        }
+        if fetches.is_empty() {
+            return;
+        }
+        tokio::select! {
+            _ = fetches.next() => {}
+            () = tokio::time::sleep(HEDGE_DELAY) => {}
+        }
+    }
+}
+
+async fn fetch_from(daemon: &DaemonState, addr: SocketAddr) {
+    let question = FleetQuestion::ConfigAfter(daemon.config_state.seen_revision());
+    let asked_us = daemon.clock.now_us();
+    let answer = daemon.peer_calls.ask(addr, question, CONFIG_TIMEOUT).await;
+    let Some(answer) = record_answer(daemon, addr, answer) else { return };
     if answer.config.is_empty() {
         return;
     }
@@ -147,14 +221,24 @@
     config_watch::activate(daemon, &answer.config, answer.config_revision, source, timing);
 }
 
-/// Answers a question of a daemon whose configuration was written at `sender_revision`.
-pub fn answer_config(daemon: &DaemonState, sender_revision: u64, answer: &mut FleetAnswer) {
+/// Answers a daemon at `sender` whose configuration was written at `sender_revision`, with the active
+/// configuration if `is_fetch` is set and it is newer.
+pub fn answer_config(
+    daemon: &DaemonState,
+    sender: &str,
+    sender_revision: u64,
+    is_fetch: bool,
+    answer: &mut FleetAnswer,
+) {
+    if let Ok(sender) = sender.parse() {
+        daemon.peers.applies(sender, sender_revision);
+    }
     daemon.config_state.known_elsewhere(sender_revision, daemon.clock.now_us());
     answer.is_known = true;
     answer.peers = daemon.peers.sample(daemon.settings.peer_addr);
     let Some(active) = daemon.config_state.active() else { return };
     answer.config_revision = active.revision;
-    if active.revision > sender_revision {
+    if is_fetch && active.revision > sender_revision {
         answer.config = active.value.to_string();
     }
 }
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -14,10 +14,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::active_config::{ActiveConfig, ConfigSource};
+use super::config_peers::STORE_GRACE;
 use super::daemon_state::DaemonState;
 
 /// Time within which a configuration has to be active after it was written.
-const MAX_ACTIVATION_DELAY: Duration = Duration::from_secs(2);
+pub const MAX_ACTIVATION_DELAY: Duration = Duration::from_secs(2);
 
 /// Wait time of one watch call.
 const WATCH_MS: u64 = 800;
@@ -44,7 +45,7 @@
         let call = call_store(&daemon, cursor.as_ref(), &mut timing);
         let reply = tokio::select! {
             () = stop.cancelled() => return,
-            () = daemon.config_state.outdated(), if cursor.is_some() => {
+            () = outdated_despite_watch(&daemon), if cursor.is_some() => {
                 log::info!(event = "config_outdated",
                     known_revision = daemon.config_state.known_revision(),
                     heard_ms_ago = daemon.config_state.heard_ms_ago(daemon.clock.now_us());
@@ -85,6 +86,17 @@
     }
 }
 
+/// Waits until a version that another daemon has reported is overdue.
+async fn outdated_despite_watch(daemon: &DaemonState) {
+    loop {
+        daemon.config_state.outdated().await;
+        tokio::time::sleep(STORE_GRACE).await;
+        if daemon.config_state.is_outdated() {
+            return;
+        }
+    }
+}
+
 async fn call_store(
     daemon: &DaemonState,
     cursor: Option<&WatchCursor>,
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -12,10 +12,10 @@
 
 use super::active_config::ConfigState;
 use super::clock::Clock;
-use super::config_peers::PeerDirectory;
 use super::line_limit::LineLimit;
 use super::metrics::FleetMetrics;
-use super::peer_connection::{ANSWER_TIMEOUT, CONFIG_ANSWER_TIMEOUT, PeerConnection};
+use super::peer_connection::{ANSWER_TIMEOUT, PeerCalls, PeerConnection};
+use super::peer_directory::PeerDirectory;
 use super::planner::PlannerHandle;
 
 /// Factor by which a daemon's processor share must exceed the planner's for planning to move there.
@@ -76,7 +76,7 @@
     /// Client for calls to the planner's daemon.
     pub peer_connection: PeerConnection,
     /// Client for questions about the configuration to any daemon.
-    pub config_connection: PeerConnection,
+    pub peer_calls: PeerCalls,
     /// Other daemons of the fleet.
     pub peers: PeerDirectory,
     /// Instruments of the metrics.
@@ -110,7 +110,7 @@
             store,
             clock: Clock::start(),
             peer_connection: PeerConnection::new("planner", addr, ANSWER_TIMEOUT),
-            config_connection: PeerConnection::new("peer", addr, CONFIG_ANSWER_TIMEOUT),
+            peer_calls: PeerCalls::new(addr),
             peers: PeerDirectory::default(),
             metrics,
             counts: RequestCounts::default(),
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 mod ownership;
 mod peer_connection;
+pub mod peer_directory;
 pub mod planner;
 mod predecessors;
 mod ready;
@@ -105,7 +106,9 @@
     let abort = CancellationToken::new();
     let _guards = (stop_entry.clone().drop_guard(), abort.clone().drop_guard());
     tasks.spawn(config_watch::watch_config(daemon.clone(), stop_entry.clone()));
-    tasks.spawn(config_peers::follow_peers(daemon.clone(), stop_entry.clone()));
+    tasks.spawn(config_peers::announce_versions(daemon.clone(), stop_entry.clone()));
+    tasks.spawn(config_peers::compare_repeatedly(daemon.clone(), stop_entry.clone()));
+    tasks.spawn(config_peers::fetch_versions(daemon.clone(), stop_entry.clone()));
     tasks.spawn(ownership::run(daemon.clone(), stop.clone(), abort));
     tasks.spawn(peer_connection::serve(daemon.clone(), peers, stop_entry.clone()));
     tasks.spawn(serve(ready, stop_entry.clone(), {
--- a/crates/agatesilld/src/fleet/peer_connection.rs
+++ b/crates/agatesilld/src/fleet/peer_connection.rs
@@ -26,9 +26,6 @@
 /// Timeout of an answer. A round trip takes 4 ms, a write on behalf of another daemon 20 ms.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Timeout of an answer with a configuration, which has up to 1 MB and takes a second at 10 Mbit/s.
-pub const CONFIG_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// Capacity of the frame queue of one connection.
 const FRAME_QUEUE_CAPACITY: usize = 256;
 
@@ -153,6 +150,59 @@
     }
 }
 
+/// Client for calls to daemons that change with each call. Each call has a connection of its own, so
+/// that an unresponsive daemon delays no other call.
+#[derive(Debug)]
+pub struct PeerCalls {
+    /// Address of this daemon, named in each call.
+    sender: String,
+    called: Dependency,
+}
+
+impl PeerCalls {
+    /// A client of the daemon at `own_addr`.
+    pub fn new(own_addr: SocketAddr) -> Self {
+        Self { sender: own_addr.to_string(), called: Dependency::new("peer") }
+    }
+
+    /// Calls the daemon at `addr`; `None` if no answer arrives within `timeout`.
+    pub async fn ask(
+        &self,
+        addr: SocketAddr,
+        question: FleetQuestion,
+        timeout: Duration,
+    ) -> Option<FleetAnswer> {
+        let sent = Instant::now();
+        let call = FleetCall { number: 1, question: Some(question), sender: self.sender.clone() };
+        let outcome = tokio::time::timeout(timeout, exchange_once(addr, call)).await;
+        let failure = match outcome {
+            Ok(Ok(Some(answer))) => {
+                self.called.answered(sent);
+                return Some(answer);
+            }
+            Ok(Ok(None)) => format!("{addr} closed the connection"),
+            Ok(Err(error)) => format!("{addr}: {error}"),
+            Err(_) => format!("no answer from {addr}"),
+        };
+        self.called.failed(&failure);
+        None
+    }
+}
+
+/// Sends a call on a new connection and returns the answer; `None` if the connection is closed before.
+async fn exchange_once(addr: SocketAddr, call: FleetCall) -> Result<Option<FleetAnswer>, Error> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let mut frames = Framed::new(stream, FrameCodec::default());
+    frames.send(Frame { body: Some(Body::FleetCall(call)) }).await?;
+    while let Some(frame) = frames.next().await {
+        if let Some(Body::FleetAnswer(answer)) = frame?.body {
+            return Ok(Some(answer));
+        }
+    }
+    Ok(None)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -298,8 +348,11 @@
                 daemon.store.retry_soon();
             }
         }
-        Some(FleetQuestion::ConfigAfter(sender_revision)) => {
-            config_peers::answer_config(daemon, sender_revision, &mut answer);
+        Some(FleetQuestion::ConfigAfter(revision)) => {
+            config_peers::answer_config(daemon, &call.sender, revision, true, &mut answer);
+        }
+        Some(FleetQuestion::ConfigRevision(revision)) => {
+            config_peers::answer_config(daemon, &call.sender, revision, false, &mut answer);
         }
         Some(FleetQuestion::PassOn(cpu_milli)) => {
             answer.is_known = daemon.grant_handover(cpu_milli)
--- a/crates/agatesilld/tests/config_peers.rs
+++ b/crates/agatesilld/tests/config_peers.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashSet;
 
-use agatesilld::fleet::config_peers::PeerDirectory;
+use agatesilld::fleet::peer_directory::PeerDirectory;
 
 /// Guards against answers that grow with the fleet, and against a daemon that asks itself.
 #[test]
