A read of the configuration does not wait for the back-off of other calls

Cause: a call with a deadline skipped the queues of the store client, but not the back-off after failures, which grows with the failures of all calls of the process.

Change: such a call is sent at once; its loop limits its own rate, now 0.45 to 0.75 s apart while calls fail (0.2 s and the client's back-off before), so that an unavailable store gets 1.3 times the calls of one that answers. The compiler checks that an unanswered read, the delay and the next read stay within the 2 s. Its failures do not extend the back-off of other calls: they would never get through.

Checked: a_prompt_call_does_not_wait_for_the_backoff fails on the code before (478 ms queued), failing_prompt_calls_do_not_hold_back_others without the last point (3 calls sent in 20 s); all tests of the store client pass.

--- a/crates/agatesill_coord/src/store/call_limiter.rs
+++ b/crates/agatesill_coord/src/store/call_limiter.rs
@@ -54,8 +54,8 @@
     Normal,
     /// A watch: it counts against the rate limit, but not as a call in flight.
     Watch,
-    /// A call of a loop that limits its own rate and whose result has a deadline: only the back-off
-    /// after failures delays it.
+    /// A call of a loop that limits its own rate, also while calls fail, and whose result has a
+    /// deadline: nothing delays it.
     Prompt,
 }
 
@@ -170,7 +170,7 @@
         state.tokens =
             (state.tokens + elapsed_s * self.calls_per_s).min(self.calls_per_s * MAX_BURST_S);
         state.refilled_at = now;
-        if now < state.backoff_until {
+        if now < state.backoff_until && class != CallClass::Prompt {
             return Err(state.backoff_until - now);
         }
         let min_tokens = match class {
@@ -232,6 +232,10 @@
         }
         let backoff = INITIAL_BACKOFF * (1 << self.limiter.service.consecutive_failures().min(8));
         self.limiter.service.failed(failure);
+        if self.class == CallClass::Prompt {
+            // Such calls are not held back, so they would extend the back-off of the others for ever.
+            return;
+        }
         state.failed = now;
         state.backoff_until = now + backoff.min(MAX_BACKOFF).mul_f64(0.5 + jitter);
     }
--- a/crates/agatesill_coord/tests/store_client.rs
+++ b/crates/agatesill_coord/tests/store_client.rs
@@ -153,3 +153,45 @@
     assert!(reply.is_ok(), "{reply:?}");
     assert!(timing.queued < Duration::from_millis(50), "{timing:?}");
 }
+
+/// Guards against a read with a deadline that waits for the back-off of other calls after the service
+/// has recovered.
+#[tokio::test(start_paused = true)]
+async fn a_prompt_call_does_not_wait_for_the_backoff() {
+    let client = MemStore::default().client(1);
+    let store = client.store.clone();
+    client.set_faults(Faults { outage: true, ..Faults::default() });
+    let outage_end = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < outage_end {
+        assert!(store.get("config/head").await.is_err());
+    }
+    client.set_faults(Faults::default());
+    let mut timing = CallTiming::default();
+    let call = StoreCall::Range { prefix: "config/head".to_owned() };
+    assert!(store.call_promptly(call, Duration::from_millis(600), &mut timing).await.is_ok());
+    assert_eq!(timing.queued, Duration::ZERO);
+}
+
+/// Guards against frequent prompt calls that fail and thus extend the back-off of all other calls.
+#[tokio::test(start_paused = true)]
+async fn failing_prompt_calls_do_not_hold_back_others() {
+    let client = MemStore::default().client(1);
+    let store = client.store.clone();
+    client.set_faults(Faults { outage: true, ..Faults::default() });
+    let frequent = store.clone();
+    tokio::spawn(async move {
+        loop {
+            let call = StoreCall::Range { prefix: "config/head".to_owned() };
+            let mut timing = CallTiming::default();
+            let _ = frequent.call_promptly(call, Duration::from_millis(600), &mut timing).await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+    });
+    let mut sent = 0;
+    let outage_end = Instant::now() + Duration::from_secs(20);
+    while Instant::now() < outage_end {
+        let failure = store.get("config/tail").await.unwrap_err();
+        sent += u32::from(!failure.detail.contains("not sent"));
+    }
+    assert!(sent >= 10, "{sent} calls were sent in 20 s");
+}
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -3,6 +3,7 @@
 //! Guards against a watch that is trusted as long as its calls succeed: its cursor passes no change that
 //! was not reported, its timeouts are bounded together, and [`super::config_peers`] is a second source.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use agatesill_platform::config;
 use agatesill_wire::platform::{StoreCall, StoreReply};
 use agatesill_wire::prelude::*;
+use rand::Rng;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -31,8 +33,18 @@
     WATCH_MS + 2 * ANSWER_TIMEOUT.as_millis() as u64 <= MAX_ACTIVATION_DELAY.as_millis() as u64
 );
 
-/// Delay after consecutive failed calls. The first failure is followed by a read at once.
-const RETRY_BACKOFF: Duration = Duration::from_millis(200);
+/// Delay after consecutive failed calls, before jitter. The first failure is followed by a read at
+/// once. A store that is unavailable gets little more calls than one that answers.
+const RETRY_BACKOFF: Duration = Duration::from_millis(600);
+
+/// Limits of the jitter of the delay.
+const JITTER: RangeInclusive<f64> = 0.75..=1.25;
+
+// So does the first read after the store answers again, which follows an unanswered one and a delay.
+const _: () = assert!(
+    2 * ANSWER_TIMEOUT.as_millis() as u64 + RETRY_BACKOFF.as_millis() as u64 * 5 / 4
+        <= MAX_ACTIVATION_DELAY.as_millis() as u64
+);
 
 /// Follows the configuration until `stop` is cancelled. It is read at the start, after a failed
 /// watch, after a gap in the history, and when another daemon has a newer one.
@@ -78,7 +90,8 @@
                     "{error}");
                 cursor = None;
                 if failures > 0 {
-                    tokio::time::sleep(RETRY_BACKOFF).await;
+                    let jitter = rand::rng().random_range(JITTER);
+                    tokio::time::sleep(RETRY_BACKOFF.mul_f64(jitter)).await;
                 }
                 failures += 1;
             }
