A report of a newer version is not lost to an earlier read

What callers saw: nothing that is shown; a daemon could forget that another one had reported a newer version, and learn of it with the next comparison or watch only.

Cause: each read of the key discarded all reports, also one that arrived while the answer of the read was on its way and that is newer than it.

Change: a read discards reports up to the revision of the store at which it was made.

Checked: a_read_does_not_discard_reports_of_later_versions fails if all reports are discarded, as before.

--- a/crates/agatesilld/src/fleet/active_config.rs
+++ b/crates/agatesilld/src/fleet/active_config.rs
@@ -192,9 +192,13 @@
         }
     }
 
-    /// Forgets what other daemons have reported: the key was read after their reports.
-    pub fn forget_known(&self) {
-        self.known_revision.store(0, Ordering::Relaxed);
+    /// Forgets reports of other daemons about versions up to `revision` of the store, at which the
+    /// key was read. A later one may have arrived while the answer was on its way.
+    pub fn read_at(&self, revision: u64) {
+        let forget = |known_revision| (known_revision <= revision).then_some(0);
+        let order = Ordering::Relaxed;
+        // A newer report stays.
+        let _ = self.known_revision.fetch_update(order, order, forget);
     }
 
     /// Records that the store answered a call about the key.
--- a/crates/agatesilld/src/fleet/config_watch.rs
+++ b/crates/agatesilld/src/fleet/config_watch.rs
@@ -132,7 +132,7 @@
         activate(daemon, &newest.value, newest.version, source, timing);
     }
     if source == ConfigSource::Read {
-        daemon.config_state.forget_known();
+        daemon.config_state.read_at(reply.revision);
     }
     daemon.config_state.store_answered(daemon.clock.now_us());
 }
