A daemon that the store turns away learns the next planner from other daemons

What callers saw: while the store turns a daemon away and another daemon takes over planning, the first one refuses counts and states (503) and reports forwarded jobs as unknown, until the store lets it in again.

Answers between daemons named the planner's address already, without an epoch, so that nobody could tell which of two is later.

Change: answers name the planner's epoch too. A daemon takes over the address if its epoch is later than all that it has heard of; what it reads in the store wins, and the end of an earlier epoch does not erase a later owner. Only the address for calls changes: claims, leases, commits and the deletion of an owner's key stay guarded by the epoch that the store states.

--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -107,6 +107,9 @@
     /// Addresses of some other daemons.
     #[prost(string, repeated, tag = "12")]
     pub peers: Vec<String>,
+    /// Epoch of the planner whose address is stated; 0 if the responding daemon does not know it.
+    #[prost(uint64, tag = "13")]
+    pub planner_epoch: u64,
 }
 
 /// Phase of a job.
--- a/crates/agatesilld/src/fleet/config_peers.rs
+++ b/crates/agatesilld/src/fleet/config_peers.rs
@@ -164,6 +164,7 @@
     let answer = answer?;
     daemon.peers.applies(addr, answer.config_revision);
     answer.peers.iter().for_each(|peer| daemon.peers.add(peer));
+    daemon.learn_planner(&answer.planner, answer.planner_epoch);
     Some(answer)
 }
 
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -64,6 +64,15 @@
     pub silent_workers: u64,
 }
 
+/// What is known of the owner of the planner's range.
+#[derive(Clone, Debug, Default)]
+struct RangeOwner {
+    /// Highest epoch of which this daemon has heard; 0 before the first one.
+    epoch: u64,
+    /// The owner in that epoch; `None` if it has given up the range.
+    owner: Option<Owner>,
+}
+
 /// State shared by the components of one daemon.
 #[derive(Debug)]
 pub struct DaemonState {
@@ -93,7 +102,7 @@
     /// before the first read.
     pub registry_as_of_us: AtomicU64,
     planner: Mutex<Option<PlannerHandle>>,
-    owner: RwLock<Option<Owner>>,
+    owner: RwLock<RangeOwner>,
     planner_stats: Mutex<PlannerStats>,
     is_stopping: AtomicBool,
     /// Notified when planning must be handed over.
@@ -171,12 +180,42 @@
 
     /// The last known owner of the planner's range.
     pub fn owner(&self) -> Option<Owner> {
-        self.owner.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.owner.read().unwrap_or_else(PoisonError::into_inner).owner.clone()
+    }
+
+    /// Highest epoch of the planner's range of which this daemon has heard; 0 before the first one.
+    pub fn planner_epoch(&self) -> u64 {
+        self.owner.read().unwrap_or_else(PoisonError::into_inner).epoch
+    }
+
+    /// Sets the owner of the planner's range in `epoch`, unless a later epoch is known. The epoch of a
+    /// range that is free is 0.
+    pub fn set_owner(&self, owner: Option<Owner>, epoch: u64) {
+        let mut known = self.owner.write().unwrap_or_else(PoisonError::into_inner);
+        if epoch == 0 || epoch >= known.epoch {
+            *known = RangeOwner { epoch: known.epoch.max(epoch), owner };
+        }
     }
 
-    /// Sets the last known owner of the planner's range.
-    pub fn set_owner(&self, owner: Option<Owner>) {
-        *self.owner.write().unwrap_or_else(PoisonError::into_inner) = owner;
+    /// Takes over the address of the planner from another daemon if its epoch is later than all that
+    /// this daemon has heard of.
+    ///
+    /// Guards against a daemon that the store turns away during a takeover: it would send its
+    /// callers' requests to the daemon that planned before.
+    pub fn learn_planner(&self, address: &str, epoch: u64) {
+        let own_address = self.settings.peer_addr.to_string();
+        if address.is_empty() || address == own_address {
+            return;
+        }
+        let mut known = self.owner.write().unwrap_or_else(PoisonError::into_inner);
+        if epoch <= known.epoch {
+            return;
+        }
+        log::info!(event = "planner_learned", planner = address, epoch = epoch,
+            after_epoch = known.epoch; "another daemon knows a later planner");
+        let (instance, address) = (String::new(), address.to_owned());
+        let owner = Owner { instance, lease_id: 0, address, cpu_milli: 0 };
+        *known = RangeOwner { epoch, owner: Some(owner) };
     }
 
     /// Processor share of this daemon, in thousandths.
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -92,7 +92,7 @@
     let entry = reply.entries.iter().find(|entry| entry.key == key);
     let owner: Option<Owner> = entry.and_then(|entry| serde_json::from_str(&entry.value).ok());
     let epoch = entry.map_or(0, |entry| entry.version);
-    daemon.set_owner(owner.clone());
+    daemon.set_owner(owner.clone(), epoch);
     match owner {
         None => true,
         // An earlier incarnation of this instance: its key may be taken over at once.
@@ -214,7 +214,7 @@
     let Some(epoch) = ownership.epoch(PLANNER) else { return };
     log::info!(event = "planner_owned", epoch = epoch; "");
     daemon.confirmed_us.store(daemon.clock.now_us(), Ordering::Release);
-    daemon.set_owner(Some(ownership.owner()));
+    daemon.set_owner(Some(ownership.owner()), epoch);
     let lost = abort.child_token();
     let running = spawn_supervised(planner::run(daemon.clone(), epoch, lost.clone()), &lost);
     let passes_on = renew_while_held(daemon, ownership, &lost, stop).await;
@@ -222,7 +222,7 @@
     let failure = running.await.and_then(|outcome| outcome).err();
     daemon.confirmed_us.store(0, Ordering::Release);
     log::info!(event = "planner_left", epoch = epoch, passes_on = passes_on; "");
-    daemon.set_owner(None);
+    daemon.set_owner(None, epoch);
     if passes_on || failure.is_some() {
         if let Err(error) = ownership.give_up(PLANNER).await {
             log::warn!(event = "range_not_given_up"; "{error}");
--- a/crates/agatesilld/src/fleet/peer_connection.rs
+++ b/crates/agatesilld/src/fleet/peer_connection.rs
@@ -303,7 +303,9 @@
 async fn answer_call(daemon: &DaemonState, call: FleetCall) -> FleetAnswer {
     let mut answer = FleetAnswer { number: call.number, ..FleetAnswer::default() };
     daemon.peers.called_by(&call.sender);
-    answer.planner = daemon.owner().map(|owner| owner.address).unwrap_or_default();
+    if let Some(owner) = daemon.owner() {
+        (answer.planner, answer.planner_epoch) = (owner.address, daemon.planner_epoch());
+    }
     match call.question {
         Some(FleetQuestion::StateOf(id)) => {
             if let Some((phase, is_started)) = job_store::planner_state(daemon, &id).await {
