Newcomer's reading: comments of the calls between daemons; a bound on their size

The answer to a comparison must not carry the configuration: a test with a value of more than 50 kB bounds its frame to 400 bytes, so that the bytes that announcements cost do not grow with the configuration.

--- a/crates/agatesilld/src/fleet/config_peers.rs
+++ b/crates/agatesilld/src/fleet/config_peers.rs
@@ -88,15 +88,16 @@
     stop.run_until_cancelled(work).await;
 }
 
-/// Announces the version written at `revision` until the daemons that answer have it.
+/// Announces the version written at `revision` to daemons that are not known to have it, until those
+/// that answer have it already.
 async fn announce(daemon: &DaemonState, revision: u64) {
     let own = daemon.settings.peer_addr;
     let mut told = HashSet::new();
     let mut calls = FuturesUnordered::new();
     let mut wanted = FANOUT;
     loop {
-        let wanted_now = wanted.min(MAX_ANNOUNCEMENTS - told.len());
-        for addr in daemon.peers.choose_behind(own, revision, &told, wanted_now) {
+        let count = wanted.min(MAX_ANNOUNCEMENTS - told.len());
+        for addr in daemon.peers.choose_behind(own, revision, &told, count) {
             told.insert(addr);
             calls.push(compare(daemon, addr));
         }
@@ -106,7 +107,7 @@
     }
 }
 
-/// Compares revisions with one other daemon after the other until `stop` is cancelled.
+/// Compares revisions with other daemons, one at a time, until `stop` is cancelled.
 pub async fn compare_repeatedly(daemon: Arc<DaemonState>, stop: CancellationToken) {
     let work = async {
         loop {
@@ -134,8 +135,8 @@
     }
 }
 
-/// Tells a daemon the revision of the active configuration, and returns that of its own; `None`
-/// without an answer.
+/// Tells a daemon the revision of the active configuration, and returns the one of that daemon's;
+/// `None` without an answer. A call that is not answered may have been received.
 async fn compare(daemon: &DaemonState, addr: SocketAddr) -> Option<u64> {
     let question = FleetQuestion::ConfigRevision(daemon.config_state.active_revision());
     let answer = daemon.peer_calls.ask(addr, question, COMPARISON_TIMEOUT).await;
@@ -148,6 +149,7 @@
     Some(answer.config_revision)
 }
 
+/// Records the outcome of a call to the daemon at `addr` and what the answer says of it and others.
 fn record_answer(
     daemon: &DaemonState,
     addr: SocketAddr,
@@ -208,6 +210,7 @@
     }
 }
 
+/// Asks the daemon at `addr` for a newer version than the newest that was seen here, and activates it.
 async fn fetch_from(daemon: &DaemonState, addr: SocketAddr) {
     let question = FleetQuestion::ConfigAfter(daemon.config_state.seen_revision());
     let asked_us = daemon.clock.now_us();
--- a/crates/agatesilld/tests/config_spread.rs
+++ b/crates/agatesilld/tests/config_spread.rs
@@ -14,6 +14,7 @@
 use agatesill_platform::settings;
 use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
+use bytes::BytesMut;
 use futures::future::join_all;
 use futures::{SinkExt, StreamExt};
 use hyper::Method;
@@ -22,7 +23,7 @@
 use support::settings::ListenAddrs;
 use support::store::FakeStore;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Encoder, Framed};
 use tokio_util::sync::CancellationToken;
 
 /// Time within which a version has to be active after it was written.
@@ -69,14 +70,16 @@
         Self { addr, calls }
     }
 
-    /// Makes itself known to the daemon at `daemon` by a call.
-    async fn call(&self, daemon: SocketAddr) {
+    /// Calls the daemon at `daemon`, which thus knows it.
+    async fn call(&self, daemon: SocketAddr, question: FleetQuestion) -> FleetAnswer {
         let mut frames =
             Framed::new(TcpStream::connect(daemon).await.unwrap(), FrameCodec::default());
-        let question = Some(FleetQuestion::ConfigAfter(0));
-        let call = FleetCall { number: 1, question, sender: self.addr.to_string() };
+        let call = FleetCall { number: 1, question: Some(question), sender: self.addr.to_string() };
         frames.send(Frame { body: Some(Body::FleetCall(call)) }).await.unwrap();
-        frames.next().await.unwrap().unwrap();
+        match frames.next().await.unwrap().unwrap().body {
+            Some(Body::FleetAnswer(answer)) => answer,
+            other => panic!("{other:?} is no answer"),
+        }
     }
 }
 
@@ -184,8 +187,8 @@
     let proxy = Proxy::start(fleet.store_addr, &fleet.stop).await;
     let turned_away = fleet.daemon("turned-away", proxy.addr).await;
     for peer in fleet.peers(behavior, 12).await {
-        peer.call(informed.peer).await;
-        peer.call(turned_away.peer).await;
+        peer.call(informed.peer, FleetQuestion::ConfigRevision(0)).await;
+        peer.call(turned_away.peer, FleetQuestion::ConfigRevision(0)).await;
     }
     tokio::time::sleep(ACQUAINTANCE_TIME).await;
     proxy.set(rejection);
@@ -217,7 +220,7 @@
         let daemon = fleet.daemon("daemon", fleet.store_addr).await;
         let peers = fleet.peers(behavior, 60).await;
         for peer in &peers {
-            peer.call(daemon.peer).await;
+            peer.call(daemon.peer, FleetQuestion::ConfigRevision(0)).await;
         }
         tokio::time::sleep(ACQUAINTANCE_TIME).await;
         let calls = || peers.iter().map(|peer| peer.calls.load(Ordering::Relaxed)).sum::<u64>();
@@ -230,3 +233,26 @@
         assert!(announcements <= max_calls, "{behavior:?}: {announcements} calls");
     }
 }
+
+/// Guards against announcements and comparisons that carry the configuration.
+#[tokio::test]
+async fn a_comparison_does_not_transfer_the_configuration() {
+    let fleet = Fleet::new().await;
+    let queues: Vec<_> =
+        (0..500).map(|index| support::settings::queue(&format!("queue{index}"), 0)).collect();
+    let daemon = fleet.daemon("daemon", fleet.store_addr).await;
+    let peers = fleet.peers(PeerBehavior::IsBehind, 8).await;
+    for peer in &peers {
+        peer.call(daemon.peer, FleetQuestion::ConfigRevision(0)).await;
+    }
+    fleet.store.put("op/config", &support::settings::config(2, &queues));
+    await_queue(daemon.entry, "queue7", VERSION_TIMEOUT).await.unwrap();
+    let compared = peers[0].call(daemon.peer, FleetQuestion::ConfigRevision(0)).await;
+    assert!(compared.config_revision > 0 && compared.config.is_empty());
+    let mut frame = BytesMut::new();
+    let body = Some(Body::FleetAnswer(compared));
+    FrameCodec::default().encode(Frame { body }, &mut frame).unwrap();
+    assert!(frame.len() < 400, "{} bytes", frame.len());
+    let fetched = peers[0].call(daemon.peer, FleetQuestion::ConfigAfter(0)).await;
+    assert!(fetched.config.len() > 50_000, "{} bytes", fetched.config.len());
+}
