Announce a version to three daemons at first, to more only as needed

Where the watches deliver a version, all daemons have it when the announcements arrive, so three at first are enough to notice a daemon that does not; each such daemon, or one that does not answer, is followed by two more, up to 32 as before, so the version still spreads exponentially where it is needed.

--- a/crates/agatesilld/src/fleet/config_peers.rs
+++ b/crates/agatesilld/src/fleet/config_peers.rs
@@ -39,9 +39,12 @@
 /// announcements of others arrive.
 const ANNOUNCEMENT_DELAY_MS: Range<u64> = 20..120;
 
-/// Number of daemons to which a version is announced at first. Each one that did not have it, or did
-/// not answer, is followed by another one.
-const FANOUT: usize = 8;
+/// Number of daemons to which a version is announced at first. Where the watches have delivered it,
+/// all of them have it, and nothing else follows.
+const FANOUT: usize = 3;
+
+/// Number of further daemons for each one that did not have the version or did not answer.
+const FOLLOWING_FANOUT: usize = 2;
 
 /// Maximum number of daemons to which one daemon announces one version.
 const MAX_ANNOUNCEMENTS: usize = 32;
@@ -103,7 +106,7 @@
         }
         let Some(peer_revision) = calls.next().await else { return };
         let is_up_to_date = peer_revision.is_some_and(|peer_revision| peer_revision >= revision);
-        wanted = usize::from(!is_up_to_date);
+        wanted = if is_up_to_date { 0 } else { FOLLOWING_FANOUT };
     }
 }
 
