--- a/crates/agatesilld/tests/config_spread.rs
+++ b/crates/agatesilld/tests/config_spread.rs
@@ -213,8 +213,8 @@
 #[tokio::test]
 async fn a_daemon_announces_a_version_to_a_bounded_number_of_others() {
     // Comparisons may coincide with the announcements.
-    for (behavior, max_calls) in
-        [(PeerBehavior::IsUpToDate, 3 + 2), (PeerBehavior::IsBehind, 32 + 2)]
+    for (behavior, min_calls, max_calls) in
+        [(PeerBehavior::IsUpToDate, 3, 3 + 2), (PeerBehavior::IsBehind, 32, 32 + 2)]
     {
         let fleet = Fleet::new().await;
         let daemon = fleet.daemon("daemon", fleet.store_addr).await;
@@ -229,7 +229,7 @@
         await_queue(daemon.entry, "second", VERSION_TIMEOUT).await.unwrap();
         tokio::time::sleep(Duration::from_millis(1_000)).await;
         let announcements = calls() - calls_before;
-        assert!(announcements >= 3, "{behavior:?}: {announcements} calls");
+        assert!(announcements >= min_calls, "{behavior:?}: {announcements} calls");
         assert!(announcements <= max_calls, "{behavior:?}: {announcements} calls");
     }
 }
