A refused connection does not end a worker or a planner

From outside both look the same, so a refusal proves nothing; the worker behind the cut runs its tasks until its lease ends.

Change: a refused poll counts as unanswered. The end of an incarnation is proved by another incarnation that answers at its address, by a newer entry of the registry, or by the lease. The same for predecessors: a daemon whose address refuses may renew leases behind a cut, so a successor waits for them unless the predecessor answers that it calls no worker. A planner whose address refuses still loses its range; that needs no proof, since its records are guarded by the deleted key and its orders by the epoch (comment). Orders that were never sent are placed elsewhere at once as before.

--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -23,9 +23,6 @@
 /// Time after which a start that was neither answered nor carried out is given up.
 const START_TIMEOUT_US: u64 = 2_500 * US_PER_MS;
 
-/// Polls in a row whose connection is refused after which an incarnation counts as terminated.
-const MIN_REFUSED_POLLS: u32 = 2;
-
 /// First quarantine of a faulty worker. Each further one is twice as long.
 const INITIAL_QUARANTINE_US: u64 = 4_000 * US_PER_MS;
 
@@ -93,7 +90,7 @@
             worker.standing = WorkerStanding::Silent;
             log::warn!(event = "worker_silent", worker = worker.entry.id.as_str(),
                 last_answer_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
-                tasks = worker.tasks.len(); "");
+                is_refused = worker.refused_polls > 0, tasks = worker.tasks.len(); "");
             self.record_unresponsive_worker(index, now_us);
             self.worker_changed(index);
         }
@@ -101,17 +98,11 @@
 
     /// Records that the worker's address refused the connection for a poll.
     ///
-    /// A worker listens at its address for as long as it runs, and a host that is partitioned or
-    /// without power refuses nothing. So an incarnation that has listened and whose address refuses
-    /// connections has terminated, and its tasks need not wait for its lease or its successor.
+    /// That does not prove that the incarnation has terminated: a partition may reject connections
+    /// while the worker behind it runs on.
     pub fn connection_refused(&mut self, index: WorkerIndex, now_us: u64) {
+        self.workers[index as usize].refused_polls += 1;
         self.worker_silent(index, now_us);
-        let worker = &mut self.workers[index as usize];
-        worker.refused_polls += 1;
-        let has_listened = worker.answered_us > 0 || !worker.tasks.is_empty();
-        if has_listened && worker.refused_polls >= MIN_REFUSED_POLLS {
-            self.worker_gone(index, "its address refuses connections", now_us);
-        }
     }
 
     /// Marks a worker as terminated and releases its tasks, which start elsewhere.
@@ -169,7 +160,7 @@
         for index in lapsed {
             let worker = &self.workers[index as usize];
             log::warn!(event = "worker_lapsed", worker = worker.entry.id.as_str(),
-                tasks = worker.tasks.len(); "");
+                refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
             self.release_lost_runs(index, false, now_us);
         }
     }
--- a/crates/agatesill_policy/tests/fleet_support/faults/lives.rs
+++ b/crates/agatesill_policy/tests/fleet_support/faults/lives.rs
@@ -56,6 +56,8 @@
     pub epoch: u64,
     /// Until when no call reaches the worker.
     pub cut_until_us: u64,
+    /// Whether the cut refuses connections instead of dropping packets.
+    pub is_cut_refusing: bool,
     /// When the worker crashes.
     pub crashes_us: u64,
     number: u64,
@@ -72,6 +74,7 @@
             lease_until_us: 0,
             epoch: 0,
             cut_until_us: 0,
+            is_cut_refusing: false,
             crashes_us: u64::MAX,
             number: 0,
             barred: HashMap::new(),
--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -211,7 +211,7 @@
 /// How far the request of a failed call got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
-    /// The connection was refused: no process listens at the address.
+    /// The connection was refused: no process listens at the address, or a partition rejects connections.
     ConnectionRefused,
     /// No part of the request was sent, for another reason.
     NotSent,
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -127,11 +127,14 @@
     }
 }
 
-/// Waits until the planner is certain to be unable to plan: its process does not run, or the store
+/// Waits until the planner most likely can't plan: its address refuses connections, or the store
 /// refuses its calls while it serves this daemon. Returns the reason.
 ///
 /// Guards against waiting for the lease to expire, two seconds in which no task starts. An
-/// unresponsive planner keeps the range, because this daemon may be the one that is cut off.
+/// unresponsive planner keeps the range, because this daemon may be the one that is cut off. A planner
+/// that plans behind a partition which refuses connections loses the range as well. That is safe: its
+/// records are guarded by the key that is deleted, its orders by their epoch, and its successor waits
+/// for the leases that it may still renew.
 async fn wait_until_planner_fails(daemon: &DaemonState) -> &'static str {
     let Some(addr) = daemon.planner_addr() else { return std::future::pending().await };
     let mut failed_checks = 0;
@@ -140,7 +143,7 @@
         let sees_store = u32::from(!daemon.store.is_unavailable());
         let question = FleetQuestion::HowIsTheStore(sees_store);
         let why = match daemon.peer_connection.ask_reporting_outcome(addr, question).await {
-            PeerReply::Refused => "the process of the planner does not run",
+            PeerReply::Refused => "the address of the planner refuses connections",
             PeerReply::Answered(answer) if answer.is_store_lost => {
                 "the store refuses the calls of the planner"
             }
--- a/crates/agatesilld/src/fleet/predecessors.rs
+++ b/crates/agatesilld/src/fleet/predecessors.rs
@@ -61,8 +61,8 @@
     match daemon.peer_connection.ask_reporting_outcome(addr, FleetQuestion::HowIsTheStore(0)).await
     {
         PeerReply::Answered(answer) => answer.has_no_planner,
-        PeerReply::Refused => true,
-        PeerReply::Silent => false,
+        // A partition may refuse connections while the daemon behind it renews leases.
+        PeerReply::Refused | PeerReply::Silent => false,
     }
 }
 
