Interfaces of load control: view of the load, verdict of admission, activation

Agreed before the parts are built: LoadView (planner to daemons, on answers that are sent anyway), Verdict and Refusal (admission to the daemon's front), Door (what one daemon knows), and calls_for_load_control, which turns load control on for a service only where a worker stops a task within the shortest target of the service's most urgent queue. JOB_FORMAT in calls between daemons tells the planner whether all daemons read records of refused jobs.

No decision changes yet: Door accepts every job.

--- /dev/null
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -0,0 +1,19 @@
+//! Admission of jobs: whether a daemon accepts a job now, or refuses it and says when to return.
+//!
+//! Load pattern: for half a minute, callers submit more than twice the work that the workers can
+//! carry. If every job is accepted, thousands of tasks wait until their results are worthless, and
+//! long-running jobs reserve the CPUs that short urgent jobs need.
+//!
+//! The planner sums up the load of each service in a [`LoadView`], which every daemon receives with
+//! the answers to its calls. A daemon decides alone, by the newest view that it has. Without one it
+//! accepts.
+
+mod activation;
+mod door;
+mod load_view;
+mod verdict;
+
+pub use activation::{LoadControl, calls_for_load_control};
+pub use door::Door;
+pub use load_view::{HeldView, KindLoad, LoadView, ServiceLoad};
+pub use verdict::{Refusal, RefusalCause, Return, Verdict};
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod idle_jobs;
 mod images;
 mod job;
+mod load;
 mod longest_wait;
 mod missing_tasks;
 mod order_outcomes;
@@ -69,6 +70,9 @@
         pub harm_ms: u64,
         /// How long a worker may still receive starts after it announced that it is leaving.
         pub drain_ms: u64,
+        /// How long a worker may take to stop a task; 0 if the platform states no limit.
+        #[serde(default)]
+        pub stop_grace_ms: u64,
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
+use crate::admission::LoadControl;
+
 use super::advice::{Advice, AdviceQuestion};
 use super::capacity_index::CapacityIndex;
 use super::colocation::{InterferenceModel, PairCounts};
@@ -64,6 +66,9 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub(super) bounds: FleetBounds,
+    pub(super) load_control: LoadControl,
+    /// Services for which load control is active.
+    pub(super) controlled_services: HashSet<String>,
     /// Jobs by slot. A slot becomes empty when its job is retired.
     pub(super) jobs: Vec<Option<Box<Job>>>,
     pub(super) by_id: HashMap<JobId, u32>,
@@ -117,6 +122,8 @@
     pub fn new(bounds: FleetBounds) -> Self {
         Self {
             bounds,
+            load_control: LoadControl::default(),
+            controlled_services: HashSet::new(),
             jobs: Vec::new(),
             by_id: HashMap::new(),
             workers: Vec::new(),
@@ -171,6 +178,7 @@
     /// Sets the terms of each queue in the active configuration.
     pub fn set_queues(&mut self, queues: HashMap<String, QueueTerms>) {
         self.queues = queues;
+        self.update_load_control();
     }
 
     /// Returns the terms that apply to a job: the active ones of its queue, or else those at
--- a/crates/agatesill_policy/src/lib.rs
+++ b/crates/agatesill_policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! clock) and returns actions for the caller to perform. The same code thus runs in the daemon and
 //! under the virtual clock of the benchmarks.
 
+pub mod admission;
 pub mod batch;
 pub mod fleet;
 pub mod profile;
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -20,7 +20,7 @@
 
 /// Bounds of the smaller of the two deployments.
 pub fn bounds() -> FleetBounds {
-    FleetBounds { lease_max_ms: 6_000, harm_ms: 4_000, drain_ms: 2_000 }
+    FleetBounds { lease_max_ms: 6_000, harm_ms: 4_000, drain_ms: 2_000, stop_grace_ms: 400 }
 }
 
 /// A worker with 16 cores and 64 GB of memory.
--- a/crates/agatesill_policy/tests/fleet_support/simulation.rs
+++ b/crates/agatesill_policy/tests/fleet_support/simulation.rs
@@ -207,7 +207,7 @@
 }
 
 fn bounds() -> FleetBounds {
-    FleetBounds { lease_max_ms: 10_000, harm_ms: 5_000, drain_ms: 4_000 }
+    FleetBounds { lease_max_ms: 10_000, harm_ms: 5_000, drain_ms: 4_000, stop_grace_ms: 400 }
 }
 
 impl Simulation {
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -15,8 +15,14 @@
     /// Address at which the sender accepts calls.
     #[prost(string, tag = "10")]
     pub sender: String,
+    /// Newest format of stored jobs that the sender reads; see [`JOB_FORMAT`].
+    #[prost(uint32, tag = "13")]
+    pub job_format: u32,
 }
 
+/// Format of stored jobs that this version reads: 1 has records of refused jobs, 0 has not.
+pub const JOB_FORMAT: u32 = 1;
+
 /// Payload of a [`FleetCall`].
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum FleetQuestion {
@@ -110,6 +116,75 @@
     /// Epoch of the planner whose address is stated; 0 if the responding daemon does not know it.
     #[prost(uint64, tag = "13")]
     pub planner_epoch: u64,
+    /// Load of the services, if the receiver plans.
+    #[prost(message, optional, tag = "14")]
+    pub load: Option<LoadReport>,
+}
+
+/// Load of all services. Its size depends on the number of services alone.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadReport {
+    /// Epoch of the planner that computed the report.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Increases with each report of one planner.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Whether jobs may be refused for lack of capacity.
+    #[prost(bool, tag = "3")]
+    pub may_refuse: bool,
+    /// Daemons that called the planner recently.
+    #[prost(uint32, tag = "4")]
+    pub daemons: u32,
+    /// Age of the report when the answer was sent.
+    #[prost(uint32, tag = "5")]
+    pub age_ms: u32,
+    /// Load by service.
+    #[prost(message, repeated, tag = "6")]
+    pub services: Vec<ServiceLoadReport>,
+}
+
+/// Load of the workers of one service.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServiceLoadReport {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// CPU of the workers that take new tasks.
+    #[prost(uint64, tag = "2")]
+    pub capacity_milli: u64,
+    /// CPU of the largest such worker.
+    #[prost(uint64, tag = "3")]
+    pub largest_worker_milli: u64,
+    /// CPU to keep free of long-running tasks.
+    #[prost(uint64, tag = "4")]
+    pub headroom_milli: u64,
+    /// Tasks that run to completion on reserved CPU.
+    #[prost(message, optional, tag = "5")]
+    pub plain: Option<KindLoadReport>,
+    /// Long-running tasks.
+    #[prost(message, optional, tag = "6")]
+    pub long_running: Option<KindLoadReport>,
+    /// Best-effort tasks.
+    #[prost(message, optional, tag = "7")]
+    pub best_effort: Option<KindLoadReport>,
+}
+
+/// Load of one kind of task.
+#[derive(Clone, PartialEq, Message)]
+pub struct KindLoadReport {
+    /// CPU of the tasks that hold a worker.
+    #[prost(uint64, tag = "1")]
+    pub placed_milli: u64,
+    /// CPU requested by the tasks that wait.
+    #[prost(uint64, tag = "2")]
+    pub waiting_milli: u64,
+    /// Work ahead of a newcomer, in core-milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub ahead_core_ms: u64,
+    /// Rate at which work ends.
+    #[prost(uint64, tag = "4")]
+    pub drain_milli: u64,
 }
 
 /// Phase of a job.
--- a/crates/agatesilld/src/fleet/peer_connection.rs
+++ b/crates/agatesilld/src/fleet/peer_connection.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use agatesill_coord::prelude::*;
-use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion};
+use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion, JOB_FORMAT};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
 use agatesill_wire::prelude::*;
 use futures::{SinkExt, StreamExt};
@@ -51,7 +51,7 @@
     addr: SocketAddr,
     calls: mpsc::Sender<FleetCall>,
     waiting: Waiting,
-    /// Set if the connection was refused because nothing listens at the address.
+    /// Set if the connection was refused.
     is_refused: Arc<AtomicBool>,
     stop: CancellationToken,
 }
@@ -63,7 +63,7 @@
     Answered(FleetAnswer),
     /// No answer arrived in time.
     Silent,
-    /// The connection was refused: the process does not run.
+    /// The connection was refused: the process does not run, or a partition rejects connections.
     Refused,
 }
 
@@ -100,7 +100,7 @@
         let (answer, answered) = oneshot::channel();
         lock(&connection.waiting).insert(number, answer);
         let sender = self.sender.clone();
-        let call = FleetCall { number, question: Some(question), sender };
+        let call = FleetCall { number, question: Some(question), sender, job_format: JOB_FORMAT };
         let is_sent = connection.calls.try_send(call).is_ok();
         let answer = match is_sent {
             true => {
@@ -111,7 +111,7 @@
         lock(&connection.waiting).remove(&number);
         let Some(answer) = answer else {
             let is_refused = connection.is_refused.load(Ordering::Relaxed);
-            let why = if is_refused { "nothing listens at" } else { "no answer from" };
+            let why = if is_refused { "connection refused by" } else { "no answer from" };
             self.called.failed(&format!("{why} {addr}"));
             self.close(&connection);
             return if is_refused { PeerReply::Refused } else { PeerReply::Silent };
@@ -173,7 +173,9 @@
         timeout: Duration,
     ) -> Option<FleetAnswer> {
         let sent = Instant::now();
-        let call = FleetCall { number: 1, question: Some(question), sender: self.sender.clone() };
+        let sender = self.sender.clone();
+        let call =
+            FleetCall { number: 1, question: Some(question), sender, job_format: JOB_FORMAT };
         let outcome = tokio::time::timeout(timeout, exchange_once(addr, call)).await;
         let failure = match outcome {
             Ok(Ok(Some(answer))) => {
--- a/crates/agatesilld/tests/config_spread.rs
+++ b/crates/agatesilld/tests/config_spread.rs
@@ -74,7 +74,12 @@
     async fn call(&self, daemon: SocketAddr, question: FleetQuestion) -> FleetAnswer {
         let mut frames =
             Framed::new(TcpStream::connect(daemon).await.unwrap(), FrameCodec::default());
-        let call = FleetCall { number: 1, question: Some(question), sender: self.addr.to_string() };
+        let call = FleetCall {
+            number: 1,
+            question: Some(question),
+            sender: self.addr.to_string(),
+            job_format: 0,
+        };
         frames.send(Frame { body: Some(Body::FleetCall(call)) }).await.unwrap();
         match frames.next().await.unwrap().unwrap().body {
             Some(Body::FleetAnswer(answer)) => answer,
--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -60,7 +60,8 @@
     // Only an owner whose ownership was confirmed renews leases.
     daemon.confirmed_us.store(daemon.clock.now_us(), Ordering::Release);
     daemon.registry_as_of_us.store(daemon.clock.now_us(), Ordering::Release);
-    let bounds = FleetBounds { lease_max_ms: 10_000, harm_ms: 5_000, drain_ms: 4_000 };
+    let bounds =
+        FleetBounds { lease_max_ms: 10_000, harm_ms: 5_000, drain_ms: 4_000, stop_grace_ms: 400 };
     let mut fleet = Fleet::new(bounds);
     let index = fleet.worker_listed(entry(&worker.id, addr), daemon.clock.now_us());
     let (sender, answers) = mpsc::channel(1_024);
