A successor stops waiting for a predecessor that has been restarted

With a refused connection no longer taken for the end of a planner's process, a successor waited 13 s instead of 5 for tasks on workers that it can't reach, after every crash of a planner. It asked its predecessors once. Now it asks those that may still renew leases every 250 ms: a process that was restarted at the address answers that it calls no worker. Then every lease requested before ends within one lease from that moment.

--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -157,4 +157,13 @@
             worker.lease_until_us = worker.lease_until_us.max(until_us);
         }
     }
+
+    /// Records that no previous owner requests leases any more: none ends later than one lease from
+    /// now.
+    pub fn predecessors_stopped(&mut self, now_us: u64) {
+        let until_us = now_us + self.lease_us();
+        for worker in &mut self.workers {
+            worker.lease_until_us = worker.lease_until_us.min(until_us);
+        }
+    }
 }
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -19,9 +19,10 @@
 use super::clock::wall_ms;
 use super::commits::{self, Committed};
 use super::daemon_state::{DaemonState, PlannerStats};
+use super::predecessors::{self, Predecessors};
 use super::supervision::{cancel_at_end, spawn_supervised};
 use super::worker_connections::WorkerConnections;
-use super::{advice_client, predecessors, recovery, store_watchers};
+use super::{advice_client, recovery, store_watchers};
 
 /// Capacity of the queue of answers from workers. A full queue blocks the worker connections, which
 /// then poll less often.
@@ -123,6 +124,8 @@
     Advised(Box<AdviceQuestion>, Option<AdviceReply>),
     /// Outcome of a commit.
     Committed(Committed),
+    /// No earlier planner requests leases any more.
+    PredecessorsStopped,
     /// The addresses of the workers could not be stored.
     AddressesUnsaved,
     /// The configuration has changed.
@@ -256,7 +259,11 @@
         &lost,
     ));
     if start.predecessors.orphan_ms() > 0 {
-        tasks.spawn(clear_predecessors(daemon.clone(), epoch, stop.clone()));
+        let work = clear_predecessors(daemon.clone(), epoch, start.predecessors, events.clone());
+        let stop = stop.clone();
+        tasks.spawn(async move {
+            stop.run_until_cancelled(work).await;
+        });
     }
     daemon.set_planner(Some(PlannerHandle { events }));
     let (lost_tasks, lost_workers) = planner.fleet.tasks_on_unlisted_workers();
@@ -273,11 +280,20 @@
     outcome
 }
 
-/// Clears the stored list of earlier planners after [`ORPHAN_MS`], when none of them can still
-/// renew leases.
-async fn clear_predecessors(daemon: Arc<DaemonState>, epoch: u64, stop: CancellationToken) {
-    let wait = tokio::time::sleep(Duration::from_millis(ORPHAN_MS));
-    if stop.run_until_cancelled(wait).await.is_none() {
+/// Clears the stored list of earlier planners when none of them can still renew leases, and tells the
+/// planner. Planners that are not registered can't be queried.
+async fn clear_predecessors(
+    daemon: Arc<DaemonState>,
+    epoch: u64,
+    predecessors: Predecessors,
+    events: mpsc::Sender<Event>,
+) {
+    if predecessors.is_incomplete {
+        tokio::time::sleep(Duration::from_millis(ORPHAN_MS)).await;
+    } else {
+        predecessors::wait_until_stopped(&daemon, predecessors.renewing).await;
+    }
+    if events.send(Event::PredecessorsStopped).await.is_err() {
         return;
     }
     if let Err(error) = predecessors::announce(&daemon, epoch, &[]).await {
@@ -448,6 +464,10 @@
                 }
                 self.fleet.connection_refused(worker, now_us);
             }
+            Event::PredecessorsStopped => {
+                log::info!(event = "predecessors_stopped", epoch = self.epoch; "");
+                self.fleet.predecessors_stopped(now_us);
+            }
             Event::OtherIncarnation(worker) => {
                 self.fleet.worker_gone(worker, "another incarnation answers", now_us);
             }
--- a/crates/agatesilld/src/fleet/predecessors.rs
+++ b/crates/agatesilld/src/fleet/predecessors.rs
@@ -4,11 +4,14 @@
 //! owns the range. A successor must wait for that time before it treats a task on an unreachable
 //! worker as ended, unless it knows that none of these daemons plans any more.
 
+use std::time::Duration;
+
 use agatesill_coord::lease::{Owner, owner_key};
 use agatesill_policy::fleet::ORPHAN_MS;
 use agatesill_wire::fleet::FleetQuestion;
 use agatesill_wire::platform::{KeyVersion, Put};
 use agatesill_wire::prelude::*;
+use tokio::time::Instant;
 
 use super::daemon_state::DaemonState;
 use super::keys::{self, PLANNER};
@@ -18,6 +21,9 @@
 /// stopped, planners change so often that waiting makes no difference.
 const MAX_QUERIED: usize = 4;
 
+/// Interval between queries whether they still renew leases.
+const QUERY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// State of the earlier planners.
 #[derive(Clone, Debug, Default)]
 pub struct Predecessors {
@@ -51,6 +57,24 @@
     Ok(Predecessors { renewing, is_incomplete: false })
 }
 
+/// Waits until none of these daemons calls workers any more, or for at most [`ORPHAN_MS`].
+///
+/// Guards against a successor that waits for all leases that a predecessor may still renew although its
+/// process has been restarted since.
+pub async fn wait_until_stopped(daemon: &DaemonState, mut renewing: Vec<Owner>) {
+    let give_up = Instant::now() + Duration::from_millis(ORPHAN_MS);
+    while !renewing.is_empty() && Instant::now() < give_up {
+        tokio::time::sleep(QUERY_INTERVAL).await;
+        let mut remaining = Vec::new();
+        for (place, planner) in renewing.into_iter().enumerate() {
+            if place >= MAX_QUERIED || !has_stopped(daemon, &planner).await {
+                remaining.push(planner);
+            }
+        }
+        renewing = remaining;
+    }
+}
+
 /// Whether a daemon is certain to make no more calls to workers.
 async fn has_stopped(daemon: &DaemonState, planner: &Owner) -> bool {
     if planner.address == daemon.settings.peer_addr.to_string() {
