A worker that restarts under its identifier is another incarnation; overwritten entries name no worker

The planner knew a worker by its id alone: the first ends of the restarted one, up to the highest number already applied, were skipped, its tasks that had ended counted as absent and were started again (a task that runs twice), and polls that carried the former acknowledgement made the worker forget ends that nobody had read.

Change: registry entries and answers to polls carry the time of the worker's start. A later one ends the incarnation that is known and becomes a worker of its own, with its own ends, acknowledgements and lease; an earlier one (a stale entry, a delayed answer) changes nothing; without a time nothing changes. An entry that another writer has overwritten (fields missing or of another type, unknown state, not text) takes its worker off the list at once; before, a watch skipped it and the worker got starts until the next full read.

--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -1,5 +1,6 @@
 //! Answers of workers to polls: present runs, ended runs and terminated incarnations.
 
+use std::cmp::Ordering;
 use std::collections::HashSet;
 
 use super::US_PER_MS;
@@ -37,6 +38,15 @@
         if worker.standing == WorkerStanding::Gone {
             return;
         }
+        match worker.order_of(poll.started_ms) {
+            Ordering::Less => return,
+            Ordering::Greater => {
+                return self.worker_gone(index, "it restarted under its identifier", now_us);
+            }
+            Ordering::Equal => {
+                worker.entry.started_ms = poll.started_ms.max(worker.entry.started_ms)
+            }
+        }
         if worker.standing == WorkerStanding::New {
             // The worker ignores previous owners from here on. Any lease that they requested ends
             // no later than one lease from now.
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -10,7 +10,10 @@
 impl Fleet {
     /// Applies one entry of the registry.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now_us: u64) -> WorkerIndex {
-        if let Some(index) = self.worker_by_id.get(&entry.id).copied() {
+        if let Some(index) = self.incarnation_of(&entry, now_us) {
+            if self.workers[index as usize].order_of(entry.started_ms).is_lt() {
+                return index;
+            }
             self.reinstate(index, &entry);
             let worker = &mut self.workers[index as usize];
             if worker.entry.service != entry.service || worker.entry.labels != entry.labels {
@@ -48,6 +51,19 @@
         index
     }
 
+    /// Returns the known worker that an entry describes, or that is a later incarnation than the entry's.
+    ///
+    /// A worker that restarts under its identifier holds nothing of before and numbers its ends from
+    /// one again. If it counted as the same, its first ends would be skipped as already applied.
+    fn incarnation_of(&mut self, entry: &WorkerEntry, now_us: u64) -> Option<WorkerIndex> {
+        let index = self.worker_by_id.get(&entry.id).copied()?;
+        if self.workers[index as usize].order_of(entry.started_ms).is_gt() {
+            self.worker_gone(index, "it restarted under its identifier", now_us);
+            return None;
+        }
+        Some(index)
+    }
+
     /// Assigns a worker's address to it unless a newer incarnation holds that address, and marks
     /// the older of the two as terminated. The older incarnation last wrote its entry before the
     /// newer one started, so the lower revision identifies it, even while the registry still lists
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -106,6 +106,7 @@
             leaves_in_ms: 0,
             cold_ms: 0,
             revision: 0,
+            started_ms: 0,
         });
         worker.is_listed = false;
         self.workers.push(worker);
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -1,5 +1,6 @@
 //! Workers as described by the registry and by their answers to polls.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::batch::Resources;
@@ -43,6 +44,10 @@
         /// Store revision at which the entry was last written; 0 if unknown.
         #[serde(default)]
         pub revision: u64,
+        /// When the incarnation started, by the wall clock; 0 if unknown. A worker may start again
+        /// under the same identifier.
+        #[serde(default)]
+        pub started_ms: u64,
     }
 }
 
@@ -106,6 +111,8 @@
     pub lease_ms: u64,
     /// Clock of the worker.
     pub clock_ms: u64,
+    /// When the incarnation that answered started, by the wall clock; 0 if unknown.
+    pub started_ms: u64,
     /// Runs present at the worker.
     pub running: Vec<RunRow>,
     /// Ends that are not acknowledged yet.
@@ -229,6 +236,15 @@
         }
     }
 
+    /// Whether a start time is that of an earlier, this, or a later incarnation under the same
+    /// identifier. An unknown one counts as that of this incarnation.
+    pub fn order_of(&self, started_ms: u64) -> Ordering {
+        match (started_ms, self.entry.started_ms) {
+            (0, _) | (_, 0) => Ordering::Equal,
+            (other, own) => other.cmp(&own),
+        }
+    }
+
     /// Whether new tasks may be sent to the worker.
     pub fn is_open(&self, now_us: u64) -> bool {
         self.is_available() && now_us >= self.closed_until_us
--- a/crates/agatesill_policy/tests/fleet_capacity.rs
+++ b/crates/agatesill_policy/tests/fleet_capacity.rs
@@ -112,6 +112,7 @@
         sent_us: harness.now_us,
         lease_ms: 5_000,
         clock_ms: harness.now_us / MS,
+        started_ms: 0,
         running,
         ended: Vec::new(),
     };
--- a/crates/agatesill_policy/tests/fleet_late_answers.rs
+++ b/crates/agatesill_policy/tests/fleet_late_answers.rs
@@ -56,6 +56,7 @@
         sent_us: begin_us + ran_ms * MS - 1,
         lease_ms: 5_000,
         clock_ms: begin_us / MS + ran_ms,
+        started_ms: 0,
         running: vec![RunRow {
             task: order.task.clone(),
             run: order.run,
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -371,6 +371,7 @@
         sent_us: harness.now_us,
         lease_ms: 5_000,
         clock_ms: harness.now_us / MS,
+        started_ms: 0,
         running,
         ended: Vec::new(),
     };
--- a/crates/agatesill_policy/tests/fleet_random.rs
+++ b/crates/agatesill_policy/tests/fleet_random.rs
@@ -280,6 +280,7 @@
                 sent_us,
                 lease_ms: 5_000,
                 clock_ms: sent_us / MS,
+                started_ms: 0,
                 running: worker.runs.values().cloned().collect(),
                 ended: worker.ended.clone(),
             };
--- /dev/null
+++ b/crates/agatesill_policy/tests/fleet_restarted_workers.rs
@@ -0,0 +1,108 @@
+//! Workers that start again under the identifier that they had.
+
+mod fleet_support;
+
+use agatesill_policy::fleet::{
+    EndCause, EndRow, Poll, RunRow, TaskKey, WorkerEntry, WorkerIndex, WorkerStanding,
+};
+use fleet_support::{Harness, MS, entry, job, step};
+
+/// Start of the first incarnation, by the wall clock.
+const FIRST_START_MS: u64 = 1_000;
+
+/// Start of the second one.
+const SECOND_START_MS: u64 = 9_000;
+
+fn started(revision: u64, started_ms: u64) -> WorkerEntry {
+    WorkerEntry { revision, started_ms, ..entry("w1", "r1-1") }
+}
+
+fn poll(harness: &Harness, started_ms: u64, running: Vec<RunRow>, ended: Vec<EndRow>) -> Poll {
+    Poll {
+        sent_us: harness.now_us,
+        lease_ms: 5_000,
+        clock_ms: harness.now_us / MS,
+        started_ms,
+        running,
+        ended,
+    }
+}
+
+fn answer(harness: &mut Harness, worker: WorkerIndex, poll: &Poll) {
+    harness.advance_ms(1);
+    harness.fleet.polled(worker, poll, harness.now_us);
+}
+
+fn done(number: u64, task: &TaskKey, run: u32) -> EndRow {
+    EndRow { number, task: task.clone(), run, cause: EndCause::Done, saved: String::new() }
+}
+
+/// One worker that has ended ten tasks, all acknowledged, and runs another.
+fn busy_worker() -> (Harness, WorkerIndex) {
+    let mut harness = Harness::new(vec![started(10, FIRST_START_MS)]);
+    harness.fleet.accept(job("before", vec![step(10)]), harness.now_us);
+    harness.settle();
+    let ended: Vec<EndRow> = harness
+        .present("before")
+        .iter()
+        .enumerate()
+        .map(|(place, (_, task, run))| done(place as u64 + 1, task, *run))
+        .collect();
+    let report = poll(&harness, FIRST_START_MS, Vec::new(), ended);
+    answer(&mut harness, 0, &report);
+    harness.workers.clear();
+    harness.commit();
+    harness.fleet.accept(job("j", vec![step(1)]), harness.now_us);
+    harness.settle();
+    assert_eq!(harness.fleet.acked_end(0), 10);
+    (harness, 0)
+}
+
+/// Guards against a task that runs twice: the first ends of a restarted worker have numbers that were
+/// already applied, and a task that has ended there would count as lost.
+#[test]
+fn ends_of_a_restarted_worker_are_applied() {
+    let (mut harness, old) = busy_worker();
+    let new = harness.list(started(20, SECOND_START_MS));
+    assert_ne!(new, old);
+    assert_eq!(harness.fleet.worker(old).standing, WorkerStanding::Gone);
+    let report = poll(&harness, SECOND_START_MS, Vec::new(), Vec::new());
+    answer(&mut harness, new, &report);
+    let orders = harness.plan();
+    assert_eq!((orders.len(), orders[0].worker, orders[0].run), (1, new, 2));
+    harness.execute(&orders[0]);
+    let ended = vec![done(1, &orders[0].task, 2)];
+    let report = poll(&harness, SECOND_START_MS, Vec::new(), ended);
+    answer(&mut harness, new, &report);
+    harness.commit();
+    assert!(harness.plan().is_empty(), "the task has ended and must not run again");
+    assert_eq!(harness.fleet.acked_end(new), 1);
+}
+
+/// Guards against ends that a restarted worker forgets unseen, since the acknowledgement of the former
+/// incarnation covers their numbers.
+#[test]
+fn restarted_worker_is_detected_by_its_own_answer() {
+    let (mut harness, old) = busy_worker();
+    let report = poll(&harness, SECOND_START_MS, Vec::new(), Vec::new());
+    answer(&mut harness, old, &report);
+    assert_eq!(harness.fleet.worker(old).standing, WorkerStanding::Gone);
+    assert_eq!(harness.fleet.take_terminated(), vec![old]);
+    let new = harness.list(started(20, SECOND_START_MS));
+    assert_ne!(new, old);
+    assert_eq!(harness.fleet.acked_end(new), 0);
+}
+
+/// Guards against a stale entry or a delayed answer that makes a live worker count as terminated.
+#[test]
+fn earlier_incarnation_under_the_identifier_changes_nothing() {
+    let (mut harness, _) = busy_worker();
+    let new = harness.list(started(20, SECOND_START_MS));
+    let report = poll(&harness, SECOND_START_MS, Vec::new(), Vec::new());
+    answer(&mut harness, new, &report);
+    assert_eq!(harness.list(started(15, FIRST_START_MS)), new);
+    let report = poll(&harness, FIRST_START_MS, Vec::new(), Vec::new());
+    answer(&mut harness, new, &report);
+    assert_eq!(harness.fleet.worker(new).standing, WorkerStanding::Good);
+    assert_eq!(harness.fleet.worker(new).entry.started_ms, SECOND_START_MS);
+}
--- a/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
@@ -939,6 +939,7 @@
                         sent_us: poll.sent_us,
                         lease_ms: if poll.has_lease { 5_000 } else { 0 },
                         clock_ms: now_us / MS,
+                        started_ms: 0,
                         running: life.rows(now_us),
                         ended: life.ended.clone(),
                     }),
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -37,6 +37,7 @@
         leaves_in_ms: 0,
         cold_ms: 0,
         revision: 0,
+        started_ms: 0,
     }
 }
 
@@ -227,6 +228,7 @@
             sent_us,
             lease_ms: 5_000,
             clock_ms: self.now_us / MS,
+            started_ms: 0,
             running: fake_worker.running.values().cloned().collect(),
             ended: fake_worker.ended.clone(),
         };
--- a/crates/agatesill_policy/tests/fleet_support/simulation.rs
+++ b/crates/agatesill_policy/tests/fleet_support/simulation.rs
@@ -631,6 +631,7 @@
                 sent_us: now_us,
                 lease_ms: 5_000,
                 clock_ms: now_us / MS,
+                started_ms: 0,
                 running,
                 ended: worker.ended.clone(),
             };
--- a/crates/agatesilld/src/fleet/store_watchers.rs
+++ b/crates/agatesilld/src/fleet/store_watchers.rs
@@ -55,7 +55,13 @@
             if is_full_read {
                 return [Event::RegistryRead(listed)].into_iter().chain(as_of).collect();
             }
-            let unlisted = reply.deleted.iter().filter_map(|key| registry::worker_id(key));
+            // An entry that another writer has overwritten names no worker to use.
+            let unusable = reply.entries.iter().filter(|entry| worker(entry).is_none());
+            let deleted = reply.deleted.iter().map(String::as_str);
+            let unlisted = unusable
+                .map(|entry| entry.key.as_str())
+                .chain(deleted)
+                .filter_map(registry::worker_id);
             listed
                 .into_iter()
                 .map(|entry| Event::WorkerListed(Box::new(entry)))
