--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -19,7 +19,7 @@
 use super::peer_connection::{ANSWER_TIMEOUT, PeerCalls, PeerConnection, PeerReply};
 use super::peer_directory::PeerDirectory;
 use super::planner::PlannerHandle;
-use super::submission::RecordLease;
+use super::record_lease::RecordLease;
 
 /// Factor by which a daemon's processor share must exceed the planner's for planning to move there.
 const LARGER_FACTOR: u32 = 2;
--- a/crates/agatesilld/src/fleet/submission.rs
+++ b/crates/agatesilld/src/fleet/submission.rs
@@ -5,16 +5,13 @@
 //! once a guarded write has occupied its key with a [`RefusalRecord`]: a create finds the key, and a
 //! replacement finds another revision.
 
-use std::sync::Mutex;
-use std::time::Duration;
-
 use agatesill_policy::admission::{Refusal, Return, Verdict};
 use agatesill_policy::fleet::JobSpec;
-use agatesill_wire::platform::{Entry, StoreCall};
+use agatesill_wire::platform::Entry;
 
-use super::clock::{US_PER_S, wall_ms};
+use super::clock::wall_ms;
 use super::daemon_state::DaemonState;
-use super::job_store::{Guarded, WRITE_TIMEOUT, read_in_time, write_guarded};
+use super::job_store::{Guarded, read_in_time, write_guarded};
 use super::keys;
 use super::load_state::RefusedBecause;
 use super::refusal_record::RefusalRecord;
@@ -23,13 +20,6 @@
 /// a lease ended.
 const MAX_ATTEMPTS: usize = 4;
 
-/// Lease of the records of refused jobs. They then vanish from the store by themselves.
-const RECORD_LEASE: Duration = Duration::from_secs(30);
-
-/// Time after which a new lease is used for further records. A record lives at least for the rest of
-/// the lease, which must be longer than a write can be late.
-const MAX_LEASE_AGE_US: u64 = 15 * US_PER_S;
-
 /// A refused job, as its caller is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RefusedJob {
@@ -61,19 +51,6 @@
     NotStored,
 }
 
-/// The lease of the records that this daemon writes.
-#[derive(Debug, Default)]
-pub struct RecordLease {
-    current: Mutex<Option<GrantedLease>>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct GrantedLease {
-    lease_id: u64,
-    /// When the lease was requested.
-    requested_us: u64,
-}
-
 /// A record of a refused job as found in the store.
 #[derive(Clone, Copy, Debug)]
 struct FoundRecord {
@@ -195,7 +172,9 @@
             return Guarded::NotWritten;
         }
     };
-    let Some(lease_id) = daemon.record_lease.id(daemon).await else { return Guarded::NotWritten };
+    let Some(lease_id) = daemon.record_lease.id(&daemon.store, daemon.clock.now_us()).await else {
+        return Guarded::NotWritten;
+    };
     let write = write_guarded(daemon, key, expect_version, &value, lease_id).await;
     if matches!(write, Guarded::Conflict(None)) {
         // The key was deleted in the meantime, or the lease has ended.
@@ -203,41 +182,3 @@
     }
     write
 }
-
-impl RecordLease {
-    /// A lease for a record that is written now; `None` if the store grants none.
-    async fn id(&self, daemon: &DaemonState) -> Option<u64> {
-        let requested_us = daemon.clock.now_us();
-        let current = *self.lock();
-        if let Some(current) = current {
-            if requested_us.saturating_sub(current.requested_us) < MAX_LEASE_AGE_US {
-                return Some(current.lease_id);
-            }
-        }
-        let grant = StoreCall::Grant { ttl_ms: RECORD_LEASE.as_millis() as u64 };
-        let reply = match tokio::time::timeout(WRITE_TIMEOUT, daemon.store.call(grant)).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(error)) => {
-                log::info!(event = "refusal_lease_not_granted"; "{error}");
-                return None;
-            }
-            Err(_) => {
-                log::info!(event = "refusal_lease_not_granted"; "no answer in time");
-                return None;
-            }
-        };
-        *self.lock() = Some(GrantedLease { lease_id: reply.lease_id, requested_us });
-        Some(reply.lease_id)
-    }
-
-    fn forget(&self, lease_id: u64) {
-        let mut current = self.lock();
-        if current.is_some_and(|current| current.lease_id == lease_id) {
-            *current = None;
-        }
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Option<GrantedLease>> {
-        self.current.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-}
--- /dev/null
+++ b/crates/agatesilld/tests/submissions.rs
@@ -0,0 +1,453 @@
+//! Jobs that are refused for lack of capacity, at daemons that share a store which loses answers and
+//! executes calls late.
+
+#![allow(clippy::unwrap_used)] // A failed assumption of a test fails the test.
+
+#[path = "../../../platform/tests/support/mod.rs"]
+mod support;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex};
+
+use agatesill_coord::store::Store;
+use agatesill_platform::settings;
+use agatesill_policy::admission::{Refusal, RefusalCause, Return, Verdict};
+use agatesill_policy::fleet::{JobSpec, QueueTerms};
+use agatesill_wire::fleet::FleetWrite;
+use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
+use agatesill_wire::prelude::*;
+use agatesilld::fleet::daemon_state::DaemonState;
+use agatesilld::fleet::job_store;
+use agatesilld::fleet::load_state::RefusedBecause;
+use agatesilld::fleet::metrics::FleetMetrics;
+use agatesilld::fleet::record_lease::RecordLease;
+use agatesilld::fleet::refusal_record::RefusalRecord;
+use agatesilld::fleet::submission::{self, Submission};
+use support::settings::ListenAddrs;
+
+const ID: &str = "00000000000000aa";
+
+const KEY: &str = "in/job/00000000000000aa";
+
+/// Retry-After of the refusals.
+const RETRY_AFTER_MS: u32 = 4_000;
+
+/// When the first request arrives, far enough in the past for its caller to have returned since.
+fn long_ago_ms() -> u64 {
+    wall_ms() - 60_000
+}
+
+fn wall_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.unwrap().as_millis() as u64
+}
+
+/// What the store does with a write of the job's key.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum WriteFault {
+    /// The write is executed, and its answer is lost.
+    LosesAnswer,
+    /// The write is executed by [`FakeStore::execute_late`], and has no answer.
+    IsLate,
+    /// The write is rejected.
+    Rejects,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (String, u64, u64)>,
+    /// Faults of the next writes of the job's key; without one a write is executed and answered.
+    faults: VecDeque<Option<WriteFault>>,
+    late: Vec<StoreCall>,
+    leases: u64,
+    /// Value that another daemon writes to the job's key before the next write arrives.
+    raced: Option<String>,
+}
+
+/// A store in memory, shared by the daemons of a test.
+#[derive(Clone, Default)]
+struct MemoryStore {
+    state: Arc<Mutex<State>>,
+}
+
+impl MemoryStore {
+    fn client(&self) -> Store {
+        let store = self.clone();
+        Store::with_transport(Arc::new(move |call, _| {
+            let reply = store.call(call);
+            Box::pin(async move {
+                match reply {
+                    Some(reply) => reply,
+                    None => std::future::pending().await,
+                }
+            })
+        }))
+    }
+
+    /// Executes a call; `None` if it has no answer.
+    fn call(&self, call: StoreCall) -> Option<Result<StoreReply, Error>> {
+        let mut state = self.state.lock().unwrap();
+        let is_write = matches!(&call, StoreCall::Cas { key, .. } if key == KEY);
+        if let Some(value) = state.raced.take_if(|_| is_write) {
+            state.put(KEY, &value, 0);
+        }
+        let fault = if is_write { state.faults.pop_front().flatten() } else { None };
+        match fault {
+            None => Some(Ok(state.execute(&call))),
+            Some(WriteFault::Rejects) => {
+                Some(Err(Error::new(ErrorKind::StoreUnavailable, "status 503")))
+            }
+            Some(WriteFault::LosesAnswer) => {
+                state.execute(&call);
+                None
+            }
+            Some(WriteFault::IsLate) => {
+                state.late.push(call);
+                None
+            }
+        }
+    }
+
+    /// Executes the writes that are late.
+    fn execute_late(&self) {
+        let mut state = self.state.lock().unwrap();
+        for call in std::mem::take(&mut state.late) {
+            state.execute(&call);
+        }
+    }
+
+    fn fail_writes(&self, faults: &[Option<WriteFault>]) {
+        self.state.lock().unwrap().faults = faults.iter().copied().collect();
+    }
+
+    /// Ends all leases, and with them their keys.
+    fn end_leases(&self) {
+        self.state.lock().unwrap().items.retain(|_, (_, _, lease)| *lease == 0);
+    }
+
+    fn value(&self, key: &str) -> Option<String> {
+        Some(self.state.lock().unwrap().items.get(key)?.0.clone())
+    }
+
+    fn holds_job(&self) -> bool {
+        self.value(KEY).is_some_and(|value| serde_json::from_str::<JobSpec>(&value).is_ok())
+    }
+
+    fn record(&self) -> Option<RefusalRecord> {
+        RefusalRecord::decode(&self.value(KEY)?)
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: &str, lease: u64) {
+        self.revision += 1;
+        self.items.insert(key.to_owned(), (value.to_owned(), self.revision, lease));
+    }
+
+    fn entry(&self, key: &str) -> Option<Entry> {
+        let (value, version, _) = self.items.get(key)?;
+        Some(Entry { key: key.to_owned(), value: value.clone(), version: *version })
+    }
+
+    fn execute(&mut self, call: &StoreCall) -> StoreReply {
+        let mut reply = StoreReply::default();
+        match call {
+            StoreCall::Cas { key, expect_version, value: Some(value), lease_id } => {
+                let found = self.entry(key);
+                let version = found.as_ref().map_or(0, |entry| entry.version);
+                reply.applied = version == *expect_version;
+                if reply.applied {
+                    self.put(key, value, *lease_id);
+                }
+                reply.entries = self.entry(key).into_iter().collect();
+            }
+            StoreCall::Range { prefix } => reply.entries = self.entry(prefix).into_iter().collect(),
+            StoreCall::Grant { .. } => {
+                self.leases += 1;
+                (reply.applied, reply.lease_id) = (true, self.leases);
+            }
+            other => panic!("{other:?}"),
+        }
+        reply.revision = self.revision;
+        reply
+    }
+}
+
+/// A daemon before the store; its planner is unknown.
+async fn daemon(store: &MemoryStore) -> DaemonState {
+    let addrs = ListenAddrs::allocate().await;
+    let text = support::settings::daemon("d1", &addrs, addrs.peer, 0.5);
+    let settings = settings::decode(&text).unwrap();
+    DaemonState::new(settings, store.client(), FleetMetrics::new().unwrap())
+}
+
+fn job(arrived_ms: u64) -> JobSpec {
+    JobSpec {
+        id: ID.to_owned(),
+        queue: "desk.example/q/".to_owned(),
+        terms: QueueTerms {
+            service: "pricing".to_owned(),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 1.5,
+            target_ms: 250,
+            needs_advice: false,
+        },
+        payload: String::new(),
+        steps: Vec::new(),
+        first_due_ms: 0,
+        interval_ms: 0,
+        occurrences: 0,
+        accepted_at_ms: arrived_ms,
+    }
+}
+
+fn refuse() -> Verdict {
+    Verdict::Refuse(Refusal {
+        cause: RefusalCause::NoRoom,
+        retry_after_ms: RETRY_AFTER_MS,
+        forecast_ms: 9_000,
+        limit_ms: 2_000,
+        ahead_core_ms: 80_000,
+    })
+}
+
+/// Submits the job as it arrived at `arrived_ms`, with a fixed verdict.
+async fn submit(daemon: &DaemonState, arrived_ms: u64, verdict: Verdict) -> Submission {
+    let spec = job(arrived_ms);
+    let json = serde_json::to_string(&spec).unwrap();
+    submission::submit(daemon, &spec, &json, &mut |_| verdict).await
+}
+
+fn is_refused(submission: &Submission) -> bool {
+    matches!(submission, Submission::Refused(_))
+}
+
+/// Refuses the job as it arrived at `arrived_ms`; its record then has the times of that moment.
+async fn refuse_at(store: &MemoryStore, daemon: &DaemonState, arrived_ms: u64) {
+    assert!(is_refused(&submit(daemon, arrived_ms, refuse()).await));
+    let mut record = store.record().unwrap();
+    record.refused.first_ms = arrived_ms;
+    record.refused.last_ms = arrived_ms;
+    record.refused.return_ms = arrived_ms + u64::from(RETRY_AFTER_MS);
+    let mut state = store.state.lock().unwrap();
+    let lease = state.leases;
+    state.put(KEY, &serde_json::to_string(&record).unwrap(), lease);
+}
+
+/// Guards against a job that is stored after its caller was told that it is refused, by an earlier
+/// write of another daemon that takes effect late.
+#[tokio::test]
+async fn a_late_write_of_a_refused_job_has_no_effect() {
+    let store = MemoryStore::default();
+    let (one, two) = (daemon(&store).await, daemon(&store).await);
+    store.fail_writes(&[Some(WriteFault::IsLate)]);
+    assert_eq!(submit(&one, wall_ms(), Verdict::Accept).await, Submission::Unknown);
+    assert!(is_refused(&submit(&two, wall_ms(), refuse()).await));
+    store.execute_late();
+    assert!(!store.holds_job(), "a refused job must not be stored");
+}
+
+/// Guards against a refusal of a job that an earlier write has stored meanwhile.
+#[tokio::test]
+async fn a_late_write_before_the_refusal_makes_it_an_acceptance() {
+    let store = MemoryStore::default();
+    let (one, two) = (daemon(&store).await, daemon(&store).await);
+    store.fail_writes(&[Some(WriteFault::IsLate)]);
+    assert_eq!(submit(&one, wall_ms(), Verdict::Accept).await, Submission::Unknown);
+    store.execute_late();
+    assert_eq!(submit(&two, wall_ms(), refuse()).await, Submission::Existed);
+}
+
+/// Guards against a repeat of a stored job that is refused under load, at any daemon, also after the
+/// job has ended.
+#[tokio::test]
+async fn repeats_of_stored_and_ended_jobs_are_accepted_under_load() {
+    let store = MemoryStore::default();
+    let (one, two) = (daemon(&store).await, daemon(&store).await);
+    let stored = submit(&one, wall_ms(), Verdict::Accept).await;
+    assert_eq!(stored, Submission::Stored { is_return: false });
+    assert_eq!(submit(&two, wall_ms(), refuse()).await, Submission::Existed);
+    assert_eq!(submit(&two, wall_ms(), Verdict::Accept).await, Submission::Existed);
+    store.state.lock().unwrap().put(KEY, "{}", 0);
+    assert_eq!(submit(&two, wall_ms(), refuse()).await, Submission::Existed);
+    assert_eq!(submit(&two, wall_ms(), Verdict::Accept).await, Submission::Existed);
+}
+
+/// Guards against a job that is reported as refused because the record of another daemon's refusal
+/// is read back in place of the job, and the reverse.
+#[tokio::test]
+async fn lost_answers_never_become_refusals_of_stored_jobs() {
+    let store = MemoryStore::default();
+    let one = daemon(&store).await;
+    store.fail_writes(&[Some(WriteFault::LosesAnswer)]);
+    let stored = submit(&one, wall_ms(), Verdict::Accept).await;
+    assert_eq!(stored, Submission::Stored { is_return: false });
+
+    let store = MemoryStore::default();
+    let one = daemon(&store).await;
+    store.fail_writes(&[Some(WriteFault::LosesAnswer)]);
+    let refused = submit(&one, wall_ms(), refuse()).await;
+    assert!(is_refused(&refused), "its second write was answered: {refused:?}");
+    assert!(store.record().is_some());
+}
+
+/// Guards against a refusal that is told although its record may not have been written.
+#[tokio::test]
+async fn a_record_of_unknown_outcome_is_no_refusal() {
+    let store = MemoryStore::default();
+    let (one, two) = (daemon(&store).await, daemon(&store).await);
+    store.fail_writes(&[Some(WriteFault::IsLate)]);
+    assert_eq!(submit(&one, wall_ms(), refuse()).await, Submission::Unknown);
+    let stored = submit(&two, wall_ms(), Verdict::Accept).await;
+    assert_eq!(stored, Submission::Stored { is_return: false });
+    store.execute_late();
+    assert!(store.holds_job(), "the late record must not replace the job");
+}
+
+/// Guards against a caller that returns in vain: the record of its refusal must give way to the job, at
+/// any daemon, and the job must keep its key when the lease of the record ends.
+#[tokio::test]
+async fn a_returning_job_replaces_the_record_of_its_refusal() {
+    let store = MemoryStore::default();
+    let (one, two) = (daemon(&store).await, daemon(&store).await);
+    let refused_ms = long_ago_ms();
+    refuse_at(&store, &one, refused_ms).await;
+    let arrived_ms = refused_ms + u64::from(RETRY_AFTER_MS) + 30;
+    let stored = submit(&two, arrived_ms, Verdict::Accept).await;
+    assert_eq!(stored, Submission::Stored { is_return: true });
+    store.end_leases();
+    assert!(store.holds_job());
+}
+
+/// Guards against a decision on a returning job that takes it for a new one.
+#[tokio::test]
+async fn a_returning_job_is_decided_with_the_times_of_its_refusal() {
+    let store = MemoryStore::default();
+    let one = daemon(&store).await;
+    let refused_ms = long_ago_ms();
+    refuse_at(&store, &one, refused_ms).await;
+    let spec = job(refused_ms + 4_250);
+    let json = serde_json::to_string(&spec).unwrap();
+    let mut asked = Vec::new();
+    let outcome = submission::submit(&one, &spec, &json, &mut |returning| {
+        asked.push(returning);
+        refuse()
+    })
+    .await;
+    let returning = Return { since_first_refusal_ms: 4_250, overdue_ms: 250, is_due: true };
+    assert_eq!(asked, [None, Some(returning)]);
+    let Submission::Refused(refused) = outcome else { panic!("{outcome:?}") };
+    assert!(refused.is_return);
+    assert_eq!(refused.retry_after_ms, RETRY_AFTER_MS);
+    let record = store.record().unwrap().refused;
+    assert_eq!(record.first_ms, refused_ms, "the first refusal must be remembered");
+    assert!(record.return_ms > refused_ms + 4_250);
+}
+
+/// Guards against a request that another daemon holds while its caller is told elsewhere that the job
+/// is refused, and that stores the job afterwards.
+#[tokio::test]
+async fn a_copy_of_a_refused_request_does_not_store_the_job() {
+    let store = MemoryStore::default();
+    let (one, two) = (daemon(&store).await, daemon(&store).await);
+    let arrived_ms = wall_ms();
+    assert!(is_refused(&submit(&one, arrived_ms, refuse()).await));
+    let Submission::Refused(refused) = submit(&two, arrived_ms, Verdict::Accept).await else {
+        panic!("the copy arrived before the refusal")
+    };
+    assert_eq!(refused.because, RefusedBecause::Early);
+    assert!(refused.retry_after_ms <= RETRY_AFTER_MS, "{refused:?}");
+    assert!(!store.holds_job());
+}
+
+/// Guards against a copy of a refused request that races with the record: the daemon decides to
+/// accept, and finds the record only when it writes.
+#[tokio::test]
+async fn a_record_written_during_an_acceptance_wins() {
+    let store = MemoryStore::default();
+    let one = daemon(&store).await;
+    let record = RefusalRecord::new(None, wall_ms(), RETRY_AFTER_MS);
+    store.state.lock().unwrap().raced = Some(serde_json::to_string(&record).unwrap());
+    assert!(is_refused(&submit(&one, wall_ms(), Verdict::Accept).await));
+    assert!(!store.holds_job());
+}
+
+/// Guards against a replacement of a record that takes effect after the job was refused again.
+#[tokio::test]
+async fn a_late_replacement_of_a_record_has_no_effect_after_the_next_refusal() {
+    let store = MemoryStore::default();
+    let (one, two) = (daemon(&store).await, daemon(&store).await);
+    let refused_ms = long_ago_ms();
+    refuse_at(&store, &one, refused_ms).await;
+    let arrived_ms = refused_ms + 5_000;
+    // The create finds the record, and both replacements are late.
+    store.fail_writes(&[None, Some(WriteFault::IsLate), Some(WriteFault::IsLate)]);
+    assert_eq!(submit(&one, arrived_ms, Verdict::Accept).await, Submission::Unknown);
+    assert!(is_refused(&submit(&two, arrived_ms + 1_000, refuse()).await));
+    store.execute_late();
+    assert!(!store.holds_job(), "a refused job must not be stored");
+}
+
+/// Guards against a refusal by a daemon that the store turns away, which can't occupy the job's key.
+#[tokio::test]
+async fn a_daemon_that_the_store_turns_away_refuses_nothing() {
+    let store = MemoryStore::default();
+    let one = daemon(&store).await;
+    store.fail_writes(&[Some(WriteFault::Rejects)]);
+    assert_eq!(submit(&one, wall_ms(), refuse()).await, Submission::NotStored);
+    store.fail_writes(&[Some(WriteFault::LosesAnswer), Some(WriteFault::Rejects)]);
+    assert_eq!(submit(&one, wall_ms(), refuse()).await, Submission::Unknown);
+}
+
+/// Guards against a job whose caller is told that it exists or is cancelled although it was refused.
+#[tokio::test]
+async fn a_refused_job_has_no_state_and_can_not_be_cancelled() {
+    let store = MemoryStore::default();
+    let one = daemon(&store).await;
+    assert!(is_refused(&submit(&one, wall_ms(), refuse()).await));
+    assert_eq!(job_store::state(&one, ID).await.unwrap(), None);
+    assert_eq!(job_store::store_cancel(&one, ID).await, FleetWrite::NoSuchJob);
+    assert_eq!(store.value("in/cancel/00000000000000aa"), None);
+}
+
+/// Guards against a record that vanishes, and with it the protection from late writes, while such a write
+/// may still take effect: a lease must serve only for half of its time.
+#[tokio::test]
+async fn records_live_for_longer_than_writes_are_late() {
+    const S: u64 = 1_000_000;
+    let (store, lease) = (MemoryStore::default().client(), RecordLease::default());
+    let start_us = 3_600 * S;
+    assert_eq!(lease.id(&store, start_us).await, Some(1));
+    assert_eq!(lease.id(&store, start_us + 14 * S).await, Some(1));
+    assert_eq!(lease.id(&store, start_us + 16 * S).await, Some(2));
+    lease.forget(1);
+    assert_eq!(lease.id(&store, start_us + 17 * S).await, Some(2));
+    lease.forget(2);
+    assert_eq!(lease.id(&store, start_us + 18 * S).await, Some(3), "it may have ended");
+}
+
+/// Guards against a job that is taken for a refusal, and the reverse.
+#[test]
+fn jobs_and_records_of_refusals_are_distinct() {
+    let json = serde_json::to_string(&job(7)).unwrap();
+    assert_eq!(RefusalRecord::decode(&json), None);
+    assert_eq!(RefusalRecord::decode("{}"), None);
+    let record = RefusalRecord::new(None, 1_000, 1_200);
+    let value = serde_json::to_string(&record).unwrap();
+    assert!(serde_json::from_str::<JobSpec>(&value).is_err());
+    assert_eq!(RefusalRecord::decode(&value), Some(record));
+    assert_eq!(record.refused.return_ms, 3_000, "Retry-After is in whole seconds, rounded up");
+    assert_eq!(record.remaining_ms(1_000), 2_000);
+}
+
+/// Guards against clocks of machines that differ: a caller that returns is not taken for a copy of its
+/// refused request, and a copy not for a caller that returns.
+#[test]
+fn clocks_may_differ_by_half_of_the_retry_after() {
+    let record = RefusalRecord::new(None, 10_000, 2_000);
+    assert!(record.may_precede(10_900) && !record.may_precede(11_100));
+    assert!(!record.returning(11_100).is_due && record.returning(12_000).is_due);
+    assert!(record.remaining_ms(0) <= 2_000, "a clock that was set back must not extend it");
+}
