--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -115,6 +115,7 @@
         leaves_in_ms: 0,
         cold_ms: 0,
         revision: 1,
+        started_ms: 0,
     }
 }
 
