--- /dev/null
+++ b/crates/agatesill_policy/src/admission/demand.rs
@@ -0,0 +1,82 @@
+//! What a job asks for, and until when a start still helps its caller.
+
+use crate::fleet::{
+    JobSpec, LATE_OBJECTIVE_FACTOR, Step, TaskKind, critical_path_ms, work_core_ms,
+};
+
+/// Share of the longest wait that counts as reachable. The rest covers the error of the forecast,
+/// which rests on the estimates of callers.
+const FORECAST_SHARE: f64 = 0.75;
+
+/// Part of the wait that still lets a job be in time at which the queue is kept under shortage. The
+/// queue stays long enough that no worker idles between two views.
+const QUEUE_SHARE: f64 = 0.5;
+
+/// The demand of one job.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand {
+    /// Kind of task that decides where the job waits.
+    pub kind: TaskKind,
+    /// CPU that its long-running tasks reserve.
+    pub reserved_milli: u64,
+    /// CPU of its largest task.
+    pub task_milli: u64,
+    /// Work of its other tasks by the caller's estimates.
+    pub core_ms: f64,
+    /// Expected wait from which fewer jobs are accepted.
+    pub aim_ms: f64,
+    /// Longest expected wait with which the job is accepted.
+    pub limit_ms: f64,
+}
+
+impl Demand {
+    /// Determines the demand of a job. Urgent jobs aim at a first start within their target, the
+    /// others at an end in time; a late result of these still counts for something.
+    pub fn of(job: &JobSpec) -> Self {
+        let terms = &job.terms;
+        let critical_path_ms = critical_path_ms(&job.steps, |_| true);
+        let objective_ms = terms.stretch * critical_path_ms + terms.target_ms as f64;
+        let slack_ms = (objective_ms - critical_path_ms).max(0.0);
+        let kind = kind_of(&job.steps);
+        let is_urgent = kind == TaskKind::Plain && terms.priority == 0;
+        let late_slack_ms = objective_ms * LATE_OBJECTIVE_FACTOR - critical_path_ms;
+        let (aim_ms, limit_ms) = if is_urgent {
+            (slack_ms.min(terms.target_ms.max(1) as f64), slack_ms * FORECAST_SHARE)
+        } else {
+            (slack_ms, late_slack_ms * FORECAST_SHARE)
+        };
+        let is_long_running = |step: &&Step| step.is_lasting;
+        Self {
+            kind,
+            reserved_milli: job.steps.iter().filter(is_long_running).map(cpu_milli).sum(),
+            task_milli: job.steps.iter().map(|step| step.need.cpu_milli).max().unwrap_or(0),
+            core_ms: job
+                .steps
+                .iter()
+                .filter(|step| !step.is_lasting)
+                .map(|step| f64::from(step.count) * work_core_ms(step))
+                .sum(),
+            aim_ms: aim_ms.max(1.0),
+            limit_ms: limit_ms.max(aim_ms),
+        }
+    }
+
+    /// Wait at which the queue of such jobs is kept under shortage.
+    pub fn queue_ms(&self) -> f64 {
+        self.aim_ms * QUEUE_SHARE
+    }
+}
+
+fn cpu_milli(step: &Step) -> u64 {
+    u64::from(step.count) * step.need.cpu_milli
+}
+
+fn kind_of(steps: &[Step]) -> TaskKind {
+    if steps.iter().any(|step| step.is_lasting) {
+        TaskKind::LongRunning
+    } else if steps.iter().all(|step| step.fills) {
+        TaskKind::BestEffort
+    } else {
+        TaskKind::Plain
+    }
+}
--- a/crates/agatesill_policy/src/admission/door.rs
+++ b/crates/agatesill_policy/src/admission/door.rs
@@ -1,22 +1,73 @@
 //! Admission decisions of one daemon by the newest view that it has.
 
-use crate::fleet::JobSpec;
+use std::collections::{HashMap, VecDeque};
 
-use super::{HeldView, LoadView, Return, Verdict};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::fleet::{JobSpec, TaskKind};
+
+use super::accept_share::AcceptShare;
+use super::demand::Demand;
+use super::promises::{MAX_RETRY_AFTER_MS, Promises};
+use super::room::Room;
+use super::sender_shares::SenderShares;
+use super::{HeldView, KindLoad, LoadView, Refusal, RefusalCause, Return, ServiceLoad, Verdict};
+
+/// Age from which a view is too old to refuse a job by. The load may have changed by then.
+const MAX_VIEW_AGE_MS: u64 = 2_000;
+
+/// Time before a view was sent for within which accepted jobs may be missing in it: the planner sums
+/// up the load a few times per second, of the jobs that the store has passed on to it.
+const VIEW_LAG_US: u64 = 500_000;
+
+/// Time over which the long-running jobs that are offered are counted.
+const OFFER_WINDOW_MS: f64 = 8_000.0;
+
+/// Number of accepted jobs remembered until a view includes them.
+const MAX_ACCEPTED: usize = 4_096;
+
+/// A job that was accepted lately.
+#[derive(Clone, Copy, Debug)]
+struct Accepted {
+    at_us: u64,
+    reserved_milli: u64,
+    core_ms: f64,
+}
+
+/// What a daemon knows of one kind of task at one service, apart from the view.
+#[derive(Clone, Debug, Default)]
+struct KindState {
+    share: AcceptShare,
+    promises: Promises,
+    senders: SenderShares,
+    accepted: VecDeque<Accepted>,
+    /// CPU that offered long-running jobs asked for, decaying.
+    offered_milli: f64,
+    offered_us: u64,
+}
 
 /// What one daemon knows of the load, and what it has accepted since.
 #[derive(Debug, Default)]
 pub struct Door {
     held: Option<HeldView>,
+    states: HashMap<(String, TaskKind), KindState>,
 }
 
 impl Door {
     /// Takes a view that answered a call sent at `as_of_us`. An older view changes nothing.
     pub fn view_received(&mut self, view: LoadView, as_of_us: u64) {
         let is_newer = self.held.as_ref().is_none_or(|held| view.is_newer_than(&held.view));
-        if is_newer {
-            self.held = Some(HeldView { view, as_of_us });
+        if !is_newer {
+            return;
+        }
+        self.states.retain(|(service, _), _| view.service(service).is_some());
+        for ((service, kind), state) in &mut self.states {
+            if let Some(load) = view.service(service) {
+                state.share.view_received(load.kind(*kind), view.epoch, as_of_us);
+                state.forget_accepted(as_of_us);
+            }
         }
+        self.held = Some(HeldView { view, as_of_us });
     }
 
     /// The newest view.
@@ -25,11 +76,171 @@
     }
 
     /// Decides on a job; `returning` describes a job that was refused before. Without a view, or with
-    /// an old one, every job is accepted.
-    pub fn decide(&mut self, _job: &JobSpec, _returning: Option<Return>, _now_us: u64) -> Verdict {
-        Verdict::Accept
+    /// an old one, every job is accepted. So are jobs with a schedule: the load at their time is not
+    /// known.
+    pub fn decide(&mut self, job: &JobSpec, returning: Option<Return>, now_us: u64) -> Verdict {
+        let Some(held) = &self.held else { return Verdict::Accept };
+        let view_age_ms = held.age_ms(now_us);
+        let is_usable = held.view.may_refuse && view_age_ms <= MAX_VIEW_AGE_MS;
+        let load = held.view.service(&job.terms.service);
+        let Some(load) = load.filter(|_| is_usable && job.occurrences == 0) else {
+            return Verdict::Accept;
+        };
+        let demand = Demand::of(job);
+        let state = self.states.entry((load.service.clone(), demand.kind)).or_default();
+        let arrival = Arrival {
+            job,
+            demand,
+            load,
+            daemons: f64::from(held.view.daemons.max(1)),
+            view_age_ms,
+            draw: draw(&job.id, held.view.sequence),
+            returning: returning.filter(|returning| returning.is_due),
+            now_us,
+        };
+        if demand.kind == TaskKind::LongRunning {
+            state.decide_by_room(&arrival)
+        } else {
+            state.decide_by_wait(&arrival)
+        }
     }
 
     /// Records that a job was stored, so that it counts before the next view includes it.
-    pub fn accepted(&mut self, _job: &JobSpec, _now_us: u64) {}
+    pub fn accepted(&mut self, job: &JobSpec, now_us: u64) {
+        let demand = Demand::of(job);
+        let key = (job.terms.service.clone(), demand.kind);
+        if let Some(state) = self.states.get_mut(&key).filter(|_| job.occurrences == 0) {
+            state.senders.accepted(&job.queue, demand.core_ms);
+            if state.accepted.len() == MAX_ACCEPTED {
+                state.accepted.pop_front();
+            }
+            let (reserved_milli, core_ms) = (demand.reserved_milli, demand.core_ms);
+            state.accepted.push_back(Accepted { at_us: now_us, reserved_milli, core_ms });
+        }
+    }
+}
+
+/// A job at the door, with what the view says of its service.
+struct Arrival<'a> {
+    job: &'a JobSpec,
+    demand: Demand,
+    load: &'a ServiceLoad,
+    daemons: f64,
+    view_age_ms: u64,
+    /// Value from 0 to 1 that the same job has at every daemon with the same view.
+    draw: f64,
+    /// Set if the job returns as it was asked to.
+    returning: Option<Return>,
+    now_us: u64,
+}
+
+impl KindState {
+    fn forget_accepted(&mut self, as_of_us: u64) {
+        self.accepted.retain(|accepted| accepted.at_us + VIEW_LAG_US > as_of_us);
+    }
+
+    /// Decides on a job that waits for others to end.
+    fn decide_by_wait(&mut self, arrival: &Arrival<'_>) -> Verdict {
+        let Arrival { job, demand, load, now_us, .. } = *arrival;
+        let kind_load = load.kind(demand.kind);
+        self.share.offered(demand.aim_ms, demand.queue_ms());
+        if kind_load.drain_milli == 0 {
+            return Verdict::Accept;
+        }
+        let drain_cores = kind_load.drain_milli as f64 / 1_000.0;
+        let own_drain_cores = drain_cores / arrival.daemons;
+        self.senders.offered(
+            &job.queue,
+            job.terms.priority,
+            demand.core_ms,
+            own_drain_cores * 1_000.0,
+            now_us / 1_000,
+        );
+        let forecast_ms = self.forecast_ms(kind_load, arrival.view_age_ms, arrival.daemons);
+        let share = match arrival.returning {
+            Some(returning) => self.share.of_returning(returning.since_first_refusal_ms),
+            None => self.share.of_newcomers(),
+        };
+        let is_within_share = self.senders.is_within(&job.queue, demand.core_ms);
+        let is_reachable = forecast_ms <= demand.limit_ms;
+        if is_reachable && (arrival.draw < share || is_within_share) {
+            return Verdict::Accept;
+        }
+        let is_over_share = is_reachable && self.senders.is_contended();
+        let cause = if is_over_share { RefusalCause::OverShare } else { RefusalCause::TooLate };
+        let retry_after_ms = self.promises.ask_to_return(
+            demand.core_ms,
+            forecast_ms - demand.queue_ms(),
+            own_drain_cores,
+            arrival.draw,
+            now_us,
+        );
+        Verdict::Refuse(Refusal {
+            cause,
+            retry_after_ms,
+            forecast_ms: forecast_ms as u64,
+            limit_ms: demand.limit_ms as u64,
+            ahead_core_ms: kind_load.ahead_core_ms,
+        })
+    }
+
+    /// Expected wait for the first start: the work ahead, and what this daemon accepted beyond its
+    /// part of the drain since.
+    fn forecast_ms(&self, load: &KindLoad, view_age_ms: u64, daemons: f64) -> f64 {
+        let drain_cores = load.drain_milli as f64 / 1_000.0;
+        let accepted_core_ms: f64 = self.accepted.iter().map(|accepted| accepted.core_ms).sum();
+        let since_ms = view_age_ms as f64 + VIEW_LAG_US as f64 / 1_000.0;
+        let drained_core_ms = drain_cores * since_ms / daemons;
+        let excess_core_ms = (accepted_core_ms - drained_core_ms).max(0.0);
+        (load.ahead_core_ms as f64 + excess_core_ms) / drain_cores
+    }
+
+    /// Decides on a job with long-running tasks.
+    fn decide_by_room(&mut self, arrival: &Arrival<'_>) -> Verdict {
+        let Arrival { demand, load, now_us, .. } = *arrival;
+        let needed_milli = demand.reserved_milli as f64;
+        self.offer(needed_milli, now_us);
+        let mut since_milli: f64 =
+            self.accepted.iter().map(|accepted| accepted.reserved_milli as f64).sum();
+        if arrival.returning.is_none() {
+            let horizon_us = now_us + MAX_VIEW_AGE_MS * 1_000;
+            since_milli += self.promises.due_until(now_us, horizon_us);
+        }
+        let room = Room::for_job(load, &demand, since_milli);
+        let unseen_ms = arrival.view_age_ms as f64 + VIEW_LAG_US as f64 / 1_000.0;
+        let expected_milli = self.offered_milli * arrival.daemons * unseen_ms / OFFER_WINDOW_MS;
+        if arrival.draw < room.accept_share(&demand, expected_milli) {
+            return Verdict::Accept;
+        }
+        let freed_per_ms = load.long_running.drain_milli as f64 / 1_000.0;
+        let missing_milli = (needed_milli - room.left_milli).max(0.0);
+        let excess_ms =
+            if freed_per_ms > 0.0 { missing_milli / freed_per_ms } else { MAX_RETRY_AFTER_MS };
+        let own_freed_per_ms = freed_per_ms / arrival.daemons;
+        let retry_after_ms = self.promises.ask_to_return(
+            needed_milli,
+            excess_ms,
+            own_freed_per_ms,
+            arrival.draw,
+            now_us,
+        );
+        Verdict::Refuse(Refusal {
+            cause: RefusalCause::NoRoom,
+            retry_after_ms,
+            forecast_ms: excess_ms as u64,
+            limit_ms: 0,
+            ahead_core_ms: load.long_running.ahead_core_ms,
+        })
+    }
+
+    fn offer(&mut self, needed_milli: f64, now_us: u64) {
+        let elapsed_ms = now_us.saturating_sub(self.offered_us) as f64 / 1_000.0;
+        self.offered_milli *= (-elapsed_ms / OFFER_WINDOW_MS).exp();
+        self.offered_milli += needed_milli;
+        self.offered_us = now_us;
+    }
+}
+
+fn draw(id: &str, sequence: u64) -> f64 {
+    xxh3_64_with_seed(id.as_bytes(), sequence) as f64 / u64::MAX as f64
 }
--- a/crates/agatesill_policy/src/admission/load_view.rs
+++ b/crates/agatesill_policy/src/admission/load_view.rs
@@ -1,5 +1,6 @@
 //! Load of the services as the planner sums it up for all daemons.
 
+use crate::fleet::TaskKind;
 use crate::value_type;
 
 value_type! {
@@ -40,6 +41,17 @@
     }
 }
 
+impl ServiceLoad {
+    /// Load of a kind of task.
+    pub fn kind(&self, kind: TaskKind) -> &KindLoad {
+        match kind {
+            TaskKind::Plain => &self.plain,
+            TaskKind::LongRunning => &self.long_running,
+            TaskKind::BestEffort => &self.best_effort,
+        }
+    }
+}
+
 value_type! {
     /// Load of all services. Its size depends on the number of services alone.
     #[derive(Default)]
--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -7,10 +7,20 @@
 //! The planner sums up the load of each service in a [`LoadView`], which every daemon receives with
 //! the answers to its calls. A daemon decides alone, by the newest view that it has. Without one it
 //! accepts.
+//!
+//! Daemons with the same view must not all refuse and then all accept. Nothing is therefore decided
+//! by a limit alone: [`accept_share`] thins out the jobs that wait for others to end, by how the
+//! queue grows from view to view, and [`room`] accepts long-running jobs with a probability that
+//! falls as the room that is left does. Each daemon deducts what it has accepted since its view.
 
+mod accept_share;
 mod activation;
+mod demand;
 mod door;
 mod load_view;
+mod promises;
+mod room;
+mod sender_shares;
 mod verdict;
 
 pub use activation::{LoadControl, calls_for_load_control};
--- a/crates/agatesill_policy/src/fleet/colocation/capacity.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/capacity.rs
@@ -12,7 +12,7 @@
 use super::pacing::{TARGET_TAIL_RATIO, THROTTLED_PACE_PERCENT};
 
 /// Share of their reserved CPU that long-running tasks use; they reserve about twice their load.
-const LONG_RUNNING_USED_SHARE: f64 = 0.55;
+pub(in crate::fleet) const LONG_RUNNING_USED_SHARE: f64 = 0.55;
 
 /// Penalty of a worker with long-running tasks, per unit of their mean tail ratio (tail latency
 /// over target).
--- a/crates/agatesill_policy/src/fleet/colocation/mod.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/mod.rs
@@ -13,6 +13,8 @@
 
 pub use self::interference::{LearnedImage, LearnedInterference};
 
-pub(super) use self::capacity::{THROTTLED_SEARCH_INTERVAL_US, crowding_milli};
+pub(super) use self::capacity::{
+    LONG_RUNNING_USED_SHARE, THROTTLED_SEARCH_INTERVAL_US, crowding_milli,
+};
 pub(super) use self::interference::InterferenceModel;
 pub(super) use self::pairs::PairCounts;
--- a/crates/agatesill_policy/src/fleet/ranking.rs
+++ b/crates/agatesill_policy/src/fleet/ranking.rs
@@ -13,7 +13,7 @@
 //! while it misses more tasks than it may.
 
 use super::US_PER_MS;
-use super::job::{Job, JobPhase, TaskState};
+use super::job::{Job, JobPhase, QueueTerms, Step, TaskState};
 use super::state::{Fleet, TaskGroup};
 
 /// Density from which a step counts as in time. A job in time that has not begun has a density of
@@ -29,7 +29,10 @@
 const OVERDUE_VALUE_SHARE: f64 = 0.02;
 
 /// Multiple of its objective up to which a job counts as late.
-const LATE_OBJECTIVE_FACTOR: f64 = 3.0;
+pub(crate) const LATE_OBJECTIVE_FACTOR: f64 = 3.0;
+
+/// Priority of overdue jobs under load control, after that of all queues.
+const OVERDUE_PRIORITY: u32 = u32::MAX;
 
 /// Part of a job's value that does not depend on its size.
 const FIXED_VALUE_SHARE: f64 = 0.3;
@@ -88,9 +91,48 @@
             let elapsed_ms = elapsed_ms(job, group.occurrence, now_us, now_ms);
             density(job, group.occurrence, terms.stretch, terms.target_ms, mean, elapsed_ms)
         };
+        if self.holds_back_nothing(job, terms, group, now_us, now_ms) {
+            return Some(Ranked { priority: OVERDUE_PRIORITY, density: 0.0, group });
+        }
         Some(Ranked { priority: terms.priority, density, group })
     }
 
+    /// Whether a waiting group ranks before a new job of its queue: it can still be in time, or some
+    /// of its occurrence's work is done.
+    pub(super) fn counts_in_time(
+        &self,
+        job: &Job,
+        terms: &QueueTerms,
+        group: TaskGroup,
+        now_us: u64,
+        now_ms: u64,
+    ) -> bool {
+        let occurrence = group.occurrence;
+        let elapsed_ms = elapsed_ms(job, occurrence, now_us, now_ms);
+        match timeliness(job, occurrence, terms.stretch, terms.target_ms, elapsed_ms) {
+            Timeliness::InTime => true,
+            Timeliness::Late => has_begun(job, occurrence),
+            Timeliness::Overdue => false,
+        }
+    }
+
+    /// Whether a waiting group goes after all others, because its result no longer counts. Without
+    /// load control, overdue jobs keep the priority of their queue.
+    fn holds_back_nothing(
+        &self,
+        job: &Job,
+        terms: &QueueTerms,
+        group: TaskGroup,
+        now_us: u64,
+        now_ms: u64,
+    ) -> bool {
+        let elapsed_ms = elapsed_ms(job, group.occurrence, now_us, now_ms);
+        self.controls_load(&terms.service)
+            && !job.spec.steps[group.step as usize].is_lasting
+            && timeliness(job, group.occurrence, terms.stretch, terms.target_ms, elapsed_ms)
+                == Timeliness::Overdue
+    }
+
     /// Includes a new job in the mean work of its queue.
     pub(super) fn update_mean_work(&mut self, slot: u32) {
         let Some(job) = self.job(slot) else { return };
@@ -120,12 +162,20 @@
     elapsed_ms as f64
 }
 
+/// Whether a task of an occurrence is done.
+fn has_begun(job: &Job, occurrence: u32) -> bool {
+    job.spec.steps.iter().enumerate().any(|(index, step)| {
+        job.remaining[job.step_position(occurrence, index as u32)] < step.count
+    })
+}
+
 /// Work of one occurrence in core-milliseconds.
 fn total_work(job: &Job) -> f64 {
-    job.spec.steps.iter().map(|step| f64::from(step.count) * work_of(step)).sum()
+    job.spec.steps.iter().map(|step| f64::from(step.count) * work_core_ms(step)).sum()
 }
 
-fn work_of(step: &super::job::Step) -> f64 {
+/// Work of one task by its caller's estimate.
+pub(crate) fn work_core_ms(step: &Step) -> f64 {
     (step.estimate_ms.max(1) * step.need.cpu_milli.max(1)) as f64 / 1_000.0
 }
 
@@ -144,27 +194,54 @@
         .iter()
         .enumerate()
         .map(|(index, step)| {
-            f64::from(job.remaining[job.step_position(occurrence, index as u32)]) * work_of(step)
+            f64::from(job.remaining[job.step_position(occurrence, index as u32)])
+                * work_core_ms(step)
         })
         .sum();
     let value = FIXED_VALUE_SHARE * mean_work + (1.0 - FIXED_VALUE_SHARE) * total;
-    let objective_ms = stretch * critical_path_ms(job, |_| true) + target_ms as f64;
+    let share = match timeliness(job, occurrence, stretch, target_ms, elapsed_ms) {
+        Timeliness::InTime => 1.0,
+        Timeliness::Late => LATE_VALUE_SHARE,
+        Timeliness::Overdue => OVERDUE_VALUE_SHARE,
+    };
+    share * value / remaining.max(1.0)
+}
+
+/// When an occurrence can end, by the estimates, relative to its objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Timeliness {
+    /// Within the objective.
+    InTime,
+    /// Within [`LATE_OBJECTIVE_FACTOR`] objectives.
+    Late,
+    /// Later.
+    Overdue,
+}
+
+fn timeliness(
+    job: &Job,
+    occurrence: u32,
+    stretch: f64,
+    target_ms: u64,
+    elapsed_ms: f64,
+) -> Timeliness {
+    let steps = &job.spec.steps;
+    let objective_ms = stretch * critical_path_ms(steps, |_| true) + target_ms as f64;
     let has_remaining = |step: usize| job.remaining[job.step_position(occurrence, step as u32)] > 0;
-    let end_ms = elapsed_ms + critical_path_ms(job, has_remaining);
-    let share = if end_ms <= objective_ms {
-        1.0
+    let end_ms = elapsed_ms + critical_path_ms(steps, has_remaining);
+    if end_ms <= objective_ms {
+        Timeliness::InTime
     } else if end_ms <= objective_ms * LATE_OBJECTIVE_FACTOR {
-        LATE_VALUE_SHARE
+        Timeliness::Late
     } else {
-        OVERDUE_VALUE_SHARE
-    };
-    share * value / remaining.max(1.0)
+        Timeliness::Overdue
+    }
 }
 
 /// Critical path by estimated run times over the steps that `is_included` selects.
-fn critical_path_ms(job: &Job, is_included: impl Fn(usize) -> bool) -> f64 {
-    let mut ends_ms: Vec<f64> = Vec::with_capacity(job.spec.steps.len());
-    for (index, step) in job.spec.steps.iter().enumerate() {
+pub(crate) fn critical_path_ms(steps: &[Step], is_included: impl Fn(usize) -> bool) -> f64 {
+    let mut ends_ms: Vec<f64> = Vec::with_capacity(steps.len());
+    for (index, step) in steps.iter().enumerate() {
         let start_ms = step.after.iter().map(|after| ends_ms[*after as usize]).fold(0.0, f64::max);
         let own_ms = if is_included(index) { step.estimate_ms as f64 } else { 0.0 };
         ends_ms.push(start_ms + own_ms);
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -10,6 +10,7 @@
 use super::effort::{Effort, EffortCounter};
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
+use super::load::ServiceMeters;
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
 use super::preempt::Preemption;
@@ -69,6 +70,8 @@
     pub(super) load_control: LoadControl,
     /// Services for which load control is active.
     pub(super) controlled_services: HashSet<String>,
+    /// What is learned of the load of these services.
+    pub(super) load_meters: HashMap<String, ServiceMeters>,
     /// Jobs by slot. A slot becomes empty when its job is retired.
     pub(super) jobs: Vec<Option<Box<Job>>>,
     pub(super) by_id: HashMap<JobId, u32>,
@@ -124,6 +127,7 @@
             bounds,
             load_control: LoadControl::default(),
             controlled_services: HashSet::new(),
+            load_meters: HashMap::new(),
             jobs: Vec::new(),
             by_id: HashMap::new(),
             workers: Vec::new(),
@@ -368,6 +372,11 @@
         let (occurrence, step_index, _) = job.locate(task_ref.task);
         let step = &job.spec.steps[step_index as usize];
         self.preemption.freeing.remove(&task_ref);
+        let is_active = job.phase == JobPhase::Active;
+        let terms = self.queues.get(&job.spec.queue).unwrap_or(&job.spec.terms);
+        if let Some(meters) = self.load_meters.get_mut(&terms.service) {
+            meters.released(step, state == TaskState::Done, is_active);
+        }
         if let Some(index) = previous_state.worker() {
             let worker = &mut self.workers[index as usize];
             worker.used = worker.used.minus(&step.allocation());
@@ -391,7 +400,6 @@
             worker.isolated_tasks = worker.isolated_tasks.saturating_sub(u32::from(was_isolated));
             self.capacity_index.update(index, worker);
         }
-        let is_active = job.phase == JobPhase::Active;
         let state =
             if state == TaskState::Waiting && !is_active { TaskState::Blocked } else { state };
         let task = &mut job.tasks[task_ref.task as usize];
--- a/crates/agatesill_policy/src/fleet/usage.rs
+++ b/crates/agatesill_policy/src/fleet/usage.rs
@@ -6,7 +6,7 @@
 
 /// Kind of a task by its demand on a worker, which decides where it may wait and what it competes
 /// for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum TaskKind {
     /// Runs until its job is cancelled, on reserved CPU.
     LongRunning,
