--- a/crates/agatesill_policy/src/admission/accept_rate.rs
+++ b/crates/agatesill_policy/src/admission/accept_rate.rs
@@ -11,7 +11,9 @@
 
 use crate::batch::TokenBucket;
 
-use super::KindLoad;
+use crate::fleet::TaskKind;
+
+use super::ServiceLoad;
 
 /// Time in which an error of the queue's length is worked off. A view is delivered up to half a
 /// second after what it shows, so a shorter time would not settle.
@@ -24,6 +26,12 @@
 /// callers offer less than is expected, or that more work ends.
 const GROWTH_PER_S: f64 = 0.2;
 
+/// Change of the rate's logarithm per second while all CPU is free.
+const FREE_GROWTH_PER_S: f64 = 0.4;
+
+/// Share of free CPU from which a shortage ends also if refused callers are still to return.
+const AMPLE_SHARE: f64 = 0.5;
+
 /// Largest rate over the daemon's part of the drain. The shortage is over when it is reached and no
 /// refused caller is still to return.
 const MAX_RATE: f64 = 1.5;
@@ -76,7 +84,15 @@
     }
 
     /// Adapts the rate to a new view.
-    pub fn view_received(&mut self, load: &KindLoad, is_any_promised: bool, as_of_us: u64) {
+    pub fn view_received(
+        &mut self,
+        service: &ServiceLoad,
+        kind: TaskKind,
+        is_any_promised: bool,
+        as_of_us: u64,
+    ) {
+        let load = service.kind(kind);
+        let free_share = service.free_share(kind);
         let elapsed_s = as_of_us.saturating_sub(self.viewed_us) as f64 / 1e6;
         self.viewed_us = as_of_us;
         if load.drain_milli == 0 {
@@ -92,12 +108,14 @@
         self.limit_from(forecast_ms);
         let Some(limit) = &mut self.limit else { return };
         let shortfall = (1.0 - forecast_ms / self.queue_ms).max(-1.0);
-        limit.log_rate += GROWTH_PER_S * shortfall * elapsed_s.min(1.0);
+        let growth_per_s = GROWTH_PER_S * shortfall + FREE_GROWTH_PER_S * free_share;
+        limit.log_rate += growth_per_s * elapsed_s.min(1.0);
         let max_log_rate = if is_too_long { 0.0 } else { MAX_RATE.ln() };
         limit.log_rate = limit.log_rate.clamp(MIN_RATE.ln(), max_log_rate);
         let (min, max) = CORRECTION_RANGE;
         limit.correction = ((self.queue_ms - forecast_ms) / CORRECTION_MS).clamp(min, max);
-        if limit.log_rate >= MAX_RATE.ln() && !is_any_promised {
+        let is_over = !is_any_promised || free_share >= AMPLE_SHARE;
+        if limit.log_rate >= MAX_RATE.ln() && is_over {
             self.limit = None;
         }
     }
--- a/crates/agatesill_policy/src/admission/demand.rs
+++ b/crates/agatesill_policy/src/admission/demand.rs
@@ -8,21 +8,28 @@
 /// which rests on the estimates of callers.
 const FORECAST_SHARE: f64 = 0.75;
 
-/// Part of the wait that still lets a job be in time at which the queue is kept under shortage. The
-/// queue stays long enough that no worker idles between two views.
-const QUEUE_SHARE: f64 = 0.25;
+/// Part of its aim at which the queue of urgent jobs is kept under shortage. The aim is about as long
+/// as a view is old, so the rest covers what changes meanwhile.
+const URGENT_QUEUE_SHARE: f64 = 0.25;
+
+/// Part of its aim at which the queue of other jobs is kept under shortage.
+const QUEUE_SHARE: f64 = 0.6;
 
 /// The demand of one job.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
     /// Kind of task that decides where the job waits.
     pub kind: TaskKind,
+    /// Whether each first start is to be within the target.
+    is_urgent: bool,
     /// CPU that its long-running tasks reserve.
     pub reserved_milli: u64,
     /// CPU of its largest task.
     pub task_milli: u64,
     /// Work of its other tasks by the caller's estimates.
     pub core_ms: f64,
+    /// Mean run time of these tasks, weighted by their CPU.
+    pub task_ms: f64,
     /// Expected wait from which fewer jobs are accepted.
     pub aim_ms: f64,
     /// Longest expected wait with which the job is accepted.
@@ -46,16 +53,17 @@
             (slack_ms, late_slack_ms * FORECAST_SHARE)
         };
         let is_long_running = |step: &&Step| step.is_lasting;
+        let short_steps = || job.steps.iter().filter(|step| !step.is_lasting);
+        let core_ms: f64 =
+            short_steps().map(|step| f64::from(step.count) * work_core_ms(step)).sum();
+        let cores = short_steps().map(cpu_milli).sum::<u64>() as f64 / 1_000.0;
         Self {
             kind,
+            is_urgent,
             reserved_milli: job.steps.iter().filter(is_long_running).map(cpu_milli).sum(),
             task_milli: job.steps.iter().map(|step| step.need.cpu_milli).max().unwrap_or(0),
-            core_ms: job
-                .steps
-                .iter()
-                .filter(|step| !step.is_lasting)
-                .map(|step| f64::from(step.count) * work_core_ms(step))
-                .sum(),
+            core_ms,
+            task_ms: core_ms / cores.max(0.001),
             aim_ms: aim_ms.max(1.0),
             limit_ms: limit_ms.max(aim_ms),
         }
@@ -63,7 +71,7 @@
 
     /// Wait at which the queue of such jobs is kept under shortage.
     pub fn queue_ms(&self) -> f64 {
-        self.aim_ms * QUEUE_SHARE
+        self.aim_ms * if self.is_urgent { URGENT_QUEUE_SHARE } else { QUEUE_SHARE }
     }
 }
 
--- a/crates/agatesill_policy/src/admission/door.rs
+++ b/crates/agatesill_policy/src/admission/door.rs
@@ -73,7 +73,7 @@
         for ((service, kind), state) in &mut self.states {
             if let Some(load) = view.service(service) {
                 let is_any_promised = state.promises.is_any_due_after(as_of_us);
-                state.rate.view_received(load.kind(*kind), is_any_promised, as_of_us);
+                state.rate.view_received(load, *kind, is_any_promised, as_of_us);
                 state.forget_accepted(as_of_us);
             }
         }
@@ -150,6 +150,12 @@
     fn unseen_ms(&self) -> f64 {
         self.view_age_ms as f64 + VIEW_LAG_US as f64 / 1_000.0
     }
+
+    /// Work of tasks like those of the job that can begin at once.
+    fn startable_core_ms(&self) -> f64 {
+        let free_cores = self.load.free_milli(self.demand.kind) as f64 / 1_000.0;
+        free_cores * self.demand.task_ms
+    }
 }
 
 impl KindState {
@@ -216,10 +222,12 @@
         let accepted_core_ms: f64 = self.accepted.iter().map(|accepted| accepted.core_ms).sum();
         let own_drained_core_ms = drain_cores * arrival.unseen_ms() / arrival.daemons;
         let excess_core_ms = (accepted_core_ms - own_drained_core_ms).max(0.0);
+        let startable_core_ms = arrival.startable_core_ms();
         let own_jobs = own_drained_core_ms / arrival.demand.core_ms.max(1.0);
         let reliability = own_jobs / (own_jobs + RELIABLE_JOBS);
         let daemons = (arrival.daemons * reliability).max(1.0);
-        (load.ahead_core_ms as f64 + excess_core_ms * daemons) / drain_cores
+        let waiting_core_ms = (excess_core_ms * daemons - startable_core_ms).max(0.0);
+        (load.ahead_core_ms as f64 + waiting_core_ms) / drain_cores
     }
 
     /// Decides on a job with long-running tasks.
--- a/crates/agatesill_policy/src/admission/load_view.rs
+++ b/crates/agatesill_policy/src/admission/load_view.rs
@@ -50,6 +50,22 @@
             TaskKind::BestEffort => &self.best_effort,
         }
     }
+
+    /// CPU that tasks of a kind could reserve now; 0 while some wait, because they can't use it, and
+    /// for tasks that reserve none.
+    pub fn free_milli(&self, kind: TaskKind) -> u64 {
+        let reserved_milli = self.long_running.placed_milli + self.plain.placed_milli;
+        if kind == TaskKind::BestEffort || self.kind(kind).waiting_milli > 0 {
+            return 0;
+        }
+        self.capacity_milli.saturating_sub(reserved_milli)
+    }
+
+    /// Share that is free of the CPU which long-running tasks leave to others.
+    pub fn free_share(&self, kind: TaskKind) -> f64 {
+        let left_milli = self.capacity_milli.saturating_sub(self.long_running.placed_milli);
+        self.free_milli(kind) as f64 / left_milli.max(1) as f64
+    }
 }
 
 value_type! {
--- a/crates/agatesill_policy/tests/admission_support/mod.rs
+++ b/crates/agatesill_policy/tests/admission_support/mod.rs
@@ -111,6 +111,8 @@
     waiting: VecDeque<(String, u64, f64, bool)>,
     pending_view: Option<(LoadView, u64)>,
     returning: BTreeMap<(u64, String), Caller>,
+    /// Work served since the last view.
+    served_core_ms: f64,
     sequence: u64,
     random: u64,
 }
@@ -131,6 +133,7 @@
             waiting: VecDeque::new(),
             pending_view: None,
             returning: BTreeMap::new(),
+            served_core_ms: 0.0,
             sequence: 0,
             random: 7,
         };
@@ -238,6 +241,7 @@
             }
             let served = work.min(budget);
             budget -= served;
+            self.served_core_ms += served;
             *work -= served;
             if *work <= 0.0 {
                 self.waiting.pop_front();
@@ -251,8 +255,9 @@
         let waiting_core_ms: f64 = self.waiting.iter().map(|entry| entry.2).sum();
         let reserved_milli = self.reserved.iter().map(|(_, milli)| milli).sum();
         let kind = KindLoad {
-            placed_milli: 0,
-            waiting_milli: 0,
+            placed_milli: (std::mem::take(&mut self.served_core_ms) * 1_000.0
+                / VIEW_INTERVAL_MS as f64) as u64,
+            waiting_milli: waiting_core_ms as u64,
             ahead_core_ms: waiting_core_ms as u64,
             drain_milli: (self.drain_cores() * 1_000.0) as u64,
         };
