--- a/crates/agatesill_policy/src/admission/demand.rs
+++ b/crates/agatesill_policy/src/admission/demand.rs
@@ -37,8 +37,9 @@
 }
 
 impl Demand {
-    /// Determines the demand of a job. Urgent jobs aim at a first start within their target, the
-    /// others at an end in time; a late result of these still counts for something.
+    /// Determines the demand of a job. Urgent jobs aim at a first start within their target. A late
+    /// result of other jobs still counts for something, and the planner chooses among them better than
+    /// a daemon, so they are accepted until it no longer counts.
     pub fn of(job: &JobSpec) -> Self {
         let terms = &job.terms;
         let critical_path_ms = critical_path_ms(&job.steps, |_| true);
@@ -50,7 +51,7 @@
         let (aim_ms, limit_ms) = if is_urgent {
             (slack_ms.min(terms.target_ms.max(1) as f64), slack_ms * FORECAST_SHARE)
         } else {
-            (slack_ms, late_slack_ms * FORECAST_SHARE)
+            (late_slack_ms * FORECAST_SHARE, late_slack_ms * FORECAST_SHARE)
         };
         let is_long_running = |step: &&Step| step.is_lasting;
         let short_steps = || job.steps.iter().filter(|step| !step.is_lasting);
