Admission refuses long-running jobs without room, and others only when nothing can come of them

As merged, daemons kept the queue of urgent jobs within its aim by a token bucket whose rate followed the drain, with shares of the senders. The decisions at the door know less than the planner's ranking, which already serves what is worth most, and refusing urgent jobs took away the waits that cause preemption.

--- a/crates/agatesill_policy/src/admission/demand.rs
+++ b/crates/agatesill_policy/src/admission/demand.rs
@@ -8,20 +8,11 @@
 /// which rests on the estimates of callers.
 const FORECAST_SHARE: f64 = 0.75;
 
-/// Part of its aim at which the queue of urgent jobs is kept under shortage. The aim is about as long
-/// as a view is old, so the rest covers what changes meanwhile.
-const URGENT_QUEUE_SHARE: f64 = 0.25;
-
-/// Part of its aim at which the queue of other jobs is kept under shortage.
-const QUEUE_SHARE: f64 = 0.6;
-
 /// The demand of one job.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
     /// Kind of task that decides where the job waits.
     pub kind: TaskKind,
-    /// Whether each first start is to be within the target.
-    is_urgent: bool,
     /// CPU that its long-running tasks reserve.
     pub reserved_milli: u64,
     /// CPU of its largest task.
@@ -30,29 +21,19 @@
     pub core_ms: f64,
     /// Mean run time of these tasks, weighted by their CPU.
     pub task_ms: f64,
-    /// Expected wait from which fewer jobs are accepted.
-    pub aim_ms: f64,
     /// Longest expected wait with which the job is accepted.
     pub limit_ms: f64,
 }
 
 impl Demand {
-    /// Determines the demand of a job. Urgent jobs aim at a first start within their target. A late
-    /// result of other jobs still counts for something, and the planner chooses among them better than
-    /// a daemon, so they are accepted until it no longer counts.
+    /// Determines the demand of a job. It may wait for as long as a late result still counts for its
+    /// caller: the planner, which knows all jobs, decides better than a daemon which of them are late.
     pub fn of(job: &JobSpec) -> Self {
         let terms = &job.terms;
         let critical_path_ms = critical_path_ms(&job.steps, |_| true);
         let objective_ms = terms.stretch * critical_path_ms + terms.target_ms as f64;
-        let slack_ms = (objective_ms - critical_path_ms).max(0.0);
-        let kind = kind_of(&job.steps);
-        let is_urgent = kind == TaskKind::Plain && terms.priority == 0;
         let late_slack_ms = objective_ms * LATE_OBJECTIVE_FACTOR - critical_path_ms;
-        let (aim_ms, limit_ms) = if is_urgent {
-            (slack_ms.min(terms.target_ms.max(1) as f64), slack_ms * FORECAST_SHARE)
-        } else {
-            (late_slack_ms * FORECAST_SHARE, late_slack_ms * FORECAST_SHARE)
-        };
+        let kind = kind_of(&job.steps);
         let is_long_running = |step: &&Step| step.is_lasting;
         let short_steps = || job.steps.iter().filter(|step| !step.is_lasting);
         let core_ms: f64 =
@@ -60,20 +41,13 @@
         let cores = short_steps().map(cpu_milli).sum::<u64>() as f64 / 1_000.0;
         Self {
             kind,
-            is_urgent,
             reserved_milli: job.steps.iter().filter(is_long_running).map(cpu_milli).sum(),
             task_milli: job.steps.iter().map(|step| step.need.cpu_milli).max().unwrap_or(0),
             core_ms,
             task_ms: core_ms / cores.max(0.001),
-            aim_ms: aim_ms.max(1.0),
-            limit_ms: limit_ms.max(aim_ms),
+            limit_ms: late_slack_ms.max(0.0) * FORECAST_SHARE,
         }
     }
-
-    /// Wait at which the queue of such jobs is kept under shortage.
-    pub fn queue_ms(&self) -> f64 {
-        self.aim_ms * if self.is_urgent { URGENT_QUEUE_SHARE } else { QUEUE_SHARE }
-    }
 }
 
 fn cpu_milli(step: &Step) -> u64 {
--- a/crates/agatesill_policy/src/admission/door.rs
+++ b/crates/agatesill_policy/src/admission/door.rs
@@ -6,11 +6,9 @@
 
 use crate::fleet::{JobSpec, TaskKind};
 
-use super::accept_rate::AcceptRate;
 use super::demand::Demand;
 use super::promises::{MAX_RETRY_AFTER_MS, Promises};
 use super::room::Room;
-use super::sender_shares::SenderShares;
 use super::{HeldView, KindLoad, LoadView, Refusal, RefusalCause, Return, ServiceLoad, Verdict};
 
 /// Age from which a view is too old to refuse a job by. The load may have changed by then.
@@ -41,9 +39,7 @@
 /// What a daemon knows of one kind of task at one service, apart from the view.
 #[derive(Clone, Debug, Default)]
 struct KindState {
-    rate: AcceptRate,
     promises: Promises,
-    senders: SenderShares,
     accepted: VecDeque<Accepted>,
     /// CPU that offered long-running jobs asked for, decaying.
     offered_milli: f64,
@@ -70,13 +66,7 @@
                 self.states.entry((load.service.clone(), kind)).or_default();
             }
         }
-        for ((service, kind), state) in &mut self.states {
-            if let Some(load) = view.service(service) {
-                let is_any_promised = state.promises.is_any_due_after(as_of_us);
-                state.rate.view_received(load, *kind, is_any_promised, as_of_us);
-                state.forget_accepted(as_of_us);
-            }
-        }
+        self.states.values_mut().for_each(|state| state.forget_accepted(as_of_us));
         self.held = Some(HeldView { view, as_of_us });
     }
 
@@ -99,7 +89,6 @@
         let demand = Demand::of(job);
         let state = self.states.entry((load.service.clone(), demand.kind)).or_default();
         let arrival = Arrival {
-            job,
             demand,
             load,
             daemons: f64::from(held.view.daemons.max(1)),
@@ -120,8 +109,6 @@
         let demand = Demand::of(job);
         let key = (job.terms.service.clone(), demand.kind);
         if let Some(state) = self.states.get_mut(&key).filter(|_| job.occurrences == 0) {
-            state.rate.accepted(demand.core_ms);
-            state.senders.accepted(&job.queue, demand.core_ms);
             if state.accepted.len() == MAX_ACCEPTED {
                 state.accepted.pop_front();
             }
@@ -133,7 +120,6 @@
 
 /// A job at the door, with what the view says of its service.
 struct Arrival<'a> {
-    job: &'a JobSpec,
     demand: Demand,
     load: &'a ServiceLoad,
     daemons: f64,
@@ -163,48 +149,28 @@
         self.accepted.retain(|accepted| accepted.at_us + VIEW_LAG_US > as_of_us);
     }
 
-    /// Decides on a job that waits for others to end.
+    /// Decides on a job that waits for others to end: it is refused once not even a late result can be
+    /// reached.
     fn decide_by_wait(&mut self, arrival: &Arrival<'_>) -> Verdict {
-        let Arrival { job, demand, load, now_us, .. } = *arrival;
+        let Arrival { demand, load, now_us, .. } = *arrival;
         let kind_load = load.kind(demand.kind);
-        self.rate.offered(demand.aim_ms, demand.queue_ms());
         if kind_load.drain_milli == 0 {
             return Verdict::Accept;
         }
-        let drain_cores = kind_load.drain_milli as f64 / 1_000.0;
-        let own_drain_cores = drain_cores / arrival.daemons;
-        self.senders.offered(
-            &job.queue,
-            job.terms.priority,
-            demand.core_ms,
-            own_drain_cores * 1_000.0,
-            now_us / 1_000,
-        );
         let forecast_ms = self.forecast_ms(kind_load, arrival);
-        self.rate.limit_from(forecast_ms);
-        let is_reachable = forecast_ms <= demand.limit_ms;
-        let is_within_share = self.senders.is_within(&job.queue, demand.core_ms);
-        let is_admitted = self.rate.admits(
-            demand.core_ms,
-            own_drain_cores * 1_000.0,
-            arrival.returning.is_some(),
-            arrival.draw,
-            now_us,
-        );
-        if is_reachable && (is_admitted || is_within_share) {
+        if forecast_ms <= demand.limit_ms {
             return Verdict::Accept;
         }
-        let is_over_share = is_reachable && self.senders.is_contended();
-        let cause = if is_over_share { RefusalCause::OverShare } else { RefusalCause::TooLate };
+        let own_drain_cores = kind_load.drain_milli as f64 / 1_000.0 / arrival.daemons;
         let retry_after_ms = self.promises.ask_to_return(
             demand.core_ms,
-            forecast_ms - demand.queue_ms(),
+            forecast_ms - demand.limit_ms,
             own_drain_cores,
             arrival.draw,
             now_us,
         );
         Verdict::Refuse(Refusal {
-            cause,
+            cause: RefusalCause::TooLate,
             retry_after_ms,
             forecast_ms: forecast_ms as u64,
             limit_ms: demand.limit_ms as u64,
--- a/crates/agatesill_policy/src/admission/load_view.rs
+++ b/crates/agatesill_policy/src/admission/load_view.rs
@@ -60,12 +60,6 @@
         }
         self.capacity_milli.saturating_sub(reserved_milli)
     }
-
-    /// Share that is free of the CPU which long-running tasks leave to others.
-    pub fn free_share(&self, kind: TaskKind) -> f64 {
-        let left_milli = self.capacity_milli.saturating_sub(self.long_running.placed_milli);
-        self.free_milli(kind) as f64 / left_milli.max(1) as f64
-    }
 }
 
 value_type! {
--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -8,19 +8,20 @@
 //! the answers to its calls. A daemon decides alone, by the newest view that it has. Without one it
 //! accepts.
 //!
-//! Daemons with the same view must not all refuse and then all accept. Nothing is therefore decided
-//! by a limit alone: [`accept_rate`] lets in the work of each daemon at its part of the rate at
-//! which work ends, and [`room`] accepts long-running jobs with a probability that
-//! falls as the room that is left does. Each daemon deducts what it has accepted since its view.
+//! Long-running jobs are refused while the CPU that they would reserve is needed for urgent work; all
+//! others only once not even a late result can be reached, since the planner ranks those that are
+//! accepted by what they are still worth.
+//!
+//! Daemons with the same view must not all refuse and then all accept: [`room`] accepts long-running
+//! jobs with a probability that falls as the room that is left does, and each daemon deducts what it
+//! has accepted since its view.
 
-mod accept_rate;
 mod activation;
 mod demand;
 mod door;
 mod load_view;
 mod promises;
 mod room;
-mod sender_shares;
 mod verdict;
 
 pub use activation::{LoadControl, calls_for_load_control};
--- a/crates/agatesill_policy/src/admission/promises.rs
+++ b/crates/agatesill_policy/src/admission/promises.rs
@@ -62,11 +62,6 @@
         retry_after_ms as u32
     }
 
-    /// Whether a caller is still to return after a time.
-    pub fn is_any_due_after(&self, time_us: u64) -> bool {
-        self.promises.iter().any(|promise| promise.due_us > time_us)
-    }
-
     /// Amount that callers will return with until a time.
     pub fn due_until(&self, now_us: u64, until_us: u64) -> f64 {
         let is_due = |promise: &&Promise| promise.due_us > now_us && promise.due_us <= until_us;
--- a/crates/agatesill_policy/src/admission/verdict.rs
+++ b/crates/agatesill_policy/src/admission/verdict.rs
@@ -9,8 +9,6 @@
         TooLate,
         /// The CPU that its long-running tasks request is not free and is not about to be.
         NoRoom,
-        /// Its sender has used more than its share of what is left.
-        OverShare,
     }
 }
 
@@ -20,7 +18,6 @@
         match self {
             RefusalCause::TooLate => "too_late",
             RefusalCause::NoRoom => "no_room",
-            RefusalCause::OverShare => "over_share",
         }
     }
 }
--- a/crates/agatesill_policy/src/batch/mod.rs
+++ b/crates/agatesill_policy/src/batch/mod.rs
@@ -14,7 +14,6 @@
 pub use delta::{
     AttemptOutcome, CellDelta, CellEffect, EvictReason, FailureKind, JobOutcome, WorkerState,
 };
-pub(crate) use policy::TokenBucket;
 pub use policy::{
     BatchConfig, BatchPolicy, Explanation, Plan, ServiceUsage, TaskUsage, Throttle, UsageReport,
     lost_attempt_outcome,
--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -24,7 +24,6 @@
 pub use explain::Explanation;
 pub use failures::lost_attempt_outcome;
 pub use input::{BatchConfig, Plan, ServiceUsage, TaskUsage, Throttle, UsageReport};
-pub(crate) use token_bucket::TokenBucket;
 
 use super::{
     Attempt, AttemptOutcome, Cell, CellDelta, CellEffect, EvictReason, FailureKind, Job, TaskId,
@@ -38,6 +37,7 @@
 use plan::ChangeSubject;
 use protection::MitigationStates;
 use queue::{PriorityTier, Queue};
+use token_bucket::TokenBucket;
 use workers::WorkerDirectory;
 
 /// A live attempt, with the data that the ledger does not hold.
--- a/crates/agatesill_policy/src/batch/policy/token_bucket.rs
+++ b/crates/agatesill_policy/src/batch/policy/token_bucket.rs
@@ -25,16 +25,6 @@
         self.tokens as usize
     }
 
-    /// Removes tokens, of which fewer may be left. Later refills make up for the difference first.
-    pub fn overdraw(&mut self, count: f64) {
-        self.tokens -= count;
-    }
-
-    /// Tokens that are left; negative if the bucket is overdrawn.
-    pub fn balance(&self) -> f64 {
-        self.tokens
-    }
-
     /// Removes `count` tokens.
     pub fn spend(&mut self, count: usize) {
         self.tokens = (self.tokens - count as f64).max(0.0);
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -157,8 +157,6 @@
     TooLate = 1,
     /// The CPU that its long-running tasks request is not free.
     NoRoom = 2,
-    /// Its sender has used more than its share.
-    OverShare = 3,
 }
 
 /// Load of all services. Its size depends on the number of services alone.
--- a/crates/agatesilld/src/fleet/load_state.rs
+++ b/crates/agatesilld/src/fleet/load_state.rs
@@ -60,22 +60,19 @@
     TooLate,
     /// [`RefusalCause::NoRoom`].
     NoRoom,
-    /// [`RefusalCause::OverShare`].
-    OverShare,
     /// Its caller was told to return later, or the request is a copy of the refused one.
     Early,
 }
 
 impl RefusedBecause {
     /// All reasons.
-    pub const ALL: [Self; 4] = [Self::TooLate, Self::NoRoom, Self::OverShare, Self::Early];
+    pub const ALL: [Self; 3] = [Self::TooLate, Self::NoRoom, Self::Early];
 
     /// Name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::TooLate => RefusalCause::TooLate.name(),
             Self::NoRoom => RefusalCause::NoRoom.name(),
-            Self::OverShare => RefusalCause::OverShare.name(),
             Self::Early => "early",
         }
     }
@@ -86,7 +83,6 @@
         match cause {
             RefusalCause::TooLate => Self::TooLate,
             RefusalCause::NoRoom => Self::NoRoom,
-            RefusalCause::OverShare => Self::OverShare,
         }
     }
 }
--- a/crates/agatesilld/src/fleet/submission_report.rs
+++ b/crates/agatesilld/src/fleet/submission_report.rs
@@ -43,7 +43,6 @@
     let cause = match refused.because {
         RefusedBecause::TooLate => FleetRefusalCause::TooLate,
         RefusedBecause::NoRoom => FleetRefusalCause::NoRoom,
-        RefusedBecause::OverShare => FleetRefusalCause::OverShare,
         RefusedBecause::Early => FleetRefusalCause::Early,
     };
     let refusal = refused.refusal.as_ref();
@@ -60,7 +59,6 @@
     let cause = match report.cause() {
         FleetRefusalCause::TooLate => Some(RefusalCause::TooLate),
         FleetRefusalCause::NoRoom => Some(RefusalCause::NoRoom),
-        FleetRefusalCause::OverShare => Some(RefusalCause::OverShare),
         FleetRefusalCause::Early => None,
     };
     let refusal = cause.map(|cause| Refusal {
