Slow workers: speed as a quantity, trials, and evacuation of long-running tasks

Three workers in ten that are six times slower for 12 s kept their serving tasks, and opened again every 1.5 s. Under load control a worker's speed is now estimated from all that runs there (progress against the step, tails and starts of long-running tasks against their image), with confidence, fading with a half-life of 0.5 s. A slow worker stays closed until what runs there, or one best-effort task at a time, shows that it has recovered. Long-running tasks leave it, the most harmed first, within the allowance of their steps, where a healthy worker has capacity, ten each 0.1 s and 64 in transit; none if most of a service's workers are slow. Tails on slow workers no longer teach the interference model.

For all services: run progress is measured at the time at which the worker wrote its answer, not when it is handled.

--- a/crates/agatesill_policy/src/fleet/capacity_index.rs
+++ b/crates/agatesill_policy/src/fleet/capacity_index.rs
@@ -158,6 +158,21 @@
         scanned.filter(fits).take(MAX_EXAMINED).collect()
     }
 
+    /// Returns the worker with the least free CPU that `may_take` accepts and that has capacity for
+    /// `allocation`.
+    pub fn tightest(
+        &self,
+        service: &str,
+        allocation: &Resources,
+        may_take: impl Fn(WorkerIndex) -> bool,
+    ) -> Option<WorkerIndex> {
+        let by_free = &self.service(service)?.by_free;
+        let scanned = by_free.range((allocation.cpu_milli, 0)..).take(MAX_SCANNED);
+        scanned
+            .map(|(_, index)| *index)
+            .find(|index| self.has_capacity_for(*index, allocation) && may_take(*index))
+    }
+
     fn has_capacity_for(&self, index: WorkerIndex, allocation: &Resources) -> bool {
         self.places[index as usize].is_some_and(|place| place.free.holds(allocation))
     }
--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -116,7 +116,9 @@
             return;
         }
         worker.sampled_us = now_us;
-        self.learn(&serving, &best_effort);
+        if !worker.speed.is_slow {
+            self.learn(&serving, &best_effort);
+        }
         if worst > SLOWING_TAIL_RATIO {
             if !self.slow_harmful_tasks(index, &serving, &best_effort) {
                 self.slow_to_capacity(index, &best_effort);
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -280,6 +280,9 @@
     pub measured_us: u64,
     /// Progress last reported by the worker.
     pub percent: u32,
+    /// Newest tail that a serving task had while ready, as a ratio to its target; only kept under
+    /// load control.
+    pub tail_ratio: f64,
     /// When the reported progress last changed.
     pub progress_us: u64,
     /// Share of CPU time that the task may use.
@@ -346,6 +349,7 @@
             slowed_us: 0,
             start_percent: 0,
             measured_us: now_us,
+            tail_ratio: 0.0,
             percent: 0,
             progress_us: now_us,
             pace_percent: 100,
--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -94,7 +94,7 @@
                     task.state = TaskState::Running(order.worker);
                     task.since_us = now_us;
                     task.progress_us = now_us;
-                    task.measured_us = now_us;
+                    task.measured_us = answered_us;
                     self.throttle(order.worker, task_ref, now_us);
                 }
             }
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -141,7 +141,8 @@
         let worker = &self.workers[index as usize];
         let is_open = worker.is_open(now_us);
         refuse_if(!worker.is_available(), Refusal::Unavailable)?;
-        refuse_if(!is_open && !request.accepts_closed, Refusal::Closed)?;
+        let may_use = is_open || request.accepts_closed || self.may_try(request, worker, now_us);
+        refuse_if(!may_use, Refusal::Closed)?;
         refuse_if(worker.has_stray_runs, Refusal::StrayRuns)?;
         refuse_if(!worker.has_capacity_for(&request.step.allocation()), Refusal::Capacity)?;
         refuse_if(request.awaits_separation && worker.isolated_tasks > 0, Refusal::Separation)?;
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -56,7 +56,7 @@
         worker.unanswered_calls = 0;
         worker.refused_polls = 0;
         worker.answered_us = now_us;
-        worker.clock_offset_ms = poll.clock_ms as i64 - (now_us / US_PER_MS) as i64;
+        worker.reported_us = worker.clock.reported_us(poll, now_us);
         self.worker_changed(index);
         self.lease_requested(index, poll.sent_us);
         for end in &poll.ended {
@@ -67,7 +67,9 @@
         if poll.ended.len() < MAX_ENDS {
             self.release_absent(index, &present, poll.sent_us, now_us);
         }
+        self.sample_long_running(index, &poll.running, now_us);
         self.detect_slow_worker(index, now_us);
+        self.evacuate_slow_workers(now_us);
         self.stop_stalled(index, now_us);
         if self.workers[index as usize].entry.is_leaving {
             self.evacuate(index, now_us);
@@ -175,7 +177,7 @@
         }
     }
 
-    fn find(&self, task: &TaskKey) -> Option<TaskRef> {
+    pub(super) fn find(&self, task: &TaskKey) -> Option<TaskRef> {
         let slot = self.by_id.get(&task.job).copied()?;
         let place = self.job(slot)?.find(task.occurrence, task.step, task.index)?;
         Some(TaskRef { job: slot, task: place })
@@ -276,13 +278,12 @@
         // An end proves that the run was present, also if no poll has shown it.
         self.starting -= u32::from(task.mark_running(now_us));
         let ran_us = now_us.saturating_sub(task.since_us);
-        let measured_us = now_us.saturating_sub(task.measured_us);
         log::info!(event = "run_ended", job = end.task.job.as_str(),
             step = end.task.step, index = end.task.index, run = end.run,
             worker = self.workers[index as usize].entry.id.as_str(), cause:? = end.cause,
             ran_ms = ran_us / US_PER_MS; "");
         if end.cause == EndCause::Done {
-            self.sample_completed_run(index, task_ref, measured_us);
+            self.sample_completed_run(index, task_ref);
         }
         if matches!(end.cause, EndCause::Done | EndCause::Failed) {
             self.clear_crashes(task_ref);
@@ -398,6 +399,7 @@
     }
 
     fn apply_run(&mut self, index: WorkerIndex, task_ref: TaskRef, row: &RunRow, now_us: u64) {
+        let reported_us = self.workers[index as usize].reported_us;
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
         job.is_started = true;
         let task = &mut job.tasks[task_ref.task as usize];
@@ -421,14 +423,14 @@
             task.since_us = now_us;
             task.progress_us = now_us;
             task.start_percent = row.percent;
-            task.measured_us = now_us;
+            task.measured_us = reported_us;
             self.throttle(index, task_ref, now_us);
         } else if is_first && !row.saved.is_empty() {
             task.start_percent = row.percent;
-            task.measured_us = now_us;
+            task.measured_us = reported_us;
         }
         self.update_probation(task_ref, now_us);
-        self.sample_speed(index, task_ref, row, now_us);
+        self.sample_speed(index, task_ref, row);
     }
 
     /// Repeats the stop of a run that is still present. The first stop may have been lost because
--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -141,6 +141,11 @@
         allowance > 0 && missing_tasks(job, group) <= allowance
     }
 
+    /// Whether one more task of a long-running step may be stopped within its allowance.
+    pub(super) fn may_miss_another(&self, job: &Job, group: TaskGroup) -> bool {
+        missing_tasks(job, group) < allowance(&job.spec.steps[group.step as usize])
+    }
+
     /// CPU requested by tasks of a plain step that have waited for at least
     /// [`PREEMPTION_DELAY_US`]. Gangs and steps that require a label do not cause preemptions.
     fn unmet_milli(&self, group: TaskGroup, now_us: u64) -> u64 {
--- a/crates/agatesill_policy/src/fleet/slow.rs
+++ b/crates/agatesill_policy/src/fleet/slow.rs
@@ -8,6 +8,7 @@
 
 use super::US_PER_MS;
 use super::job::{Step, TaskRef, TaskState};
+use super::speed::SpeedEstimate;
 use super::state::Fleet;
 use super::worker::{RunRow, WorkerIndex};
 
@@ -81,20 +82,43 @@
     slow_polls: u32,
     /// Consecutive closures for being slow.
     closures: u32,
+    /// Speed by all that runs on the worker; only kept under load control.
+    pub(super) estimate: SpeedEstimate,
+    /// Whether the newest sample showed the worker to be slow.
+    pub(super) is_newest_sample_slow: bool,
+    /// When tails were last sampled.
+    pub(super) tails_sampled_us: u64,
+    /// Whether the worker is avoided for being slow; only set under load control.
+    pub(super) is_slow: bool,
+    /// Since when no sample has shown anything of the speed while the worker is avoided.
+    pub(super) last_evidence_us: u64,
+    /// When a task may next be placed to try the worker.
+    pub(super) next_trial_us: u64,
+    /// End of the closure for being slow.
+    pub(super) closed_until_us: u64,
+}
+
+impl WorkerSpeed {
+    /// Adds a sample of the worker's speed as a fraction of the usual one.
+    pub(super) fn add_sample(&mut self, speed: f64, weight: f64, now_us: u64) {
+        self.estimate.add(speed, weight, now_us);
+        self.is_newest_sample_slow = speed < SLOW_SPEED_RATIO;
+    }
+
+    /// Returns the numbers of slow and of other samples since the last evaluation.
+    pub(super) fn take_samples(&mut self) -> (u32, u32) {
+        (std::mem::take(&mut self.slow), std::mem::take(&mut self.usual))
+    }
 }
 
 impl Fleet {
-    /// Samples the speed of a running task from its reported progress.
-    pub(super) fn sample_speed(
-        &mut self,
-        index: WorkerIndex,
-        task_ref: TaskRef,
-        row: &RunRow,
-        now_us: u64,
-    ) {
+    /// Samples the speed of a running task from the progress that its worker's newest answer
+    /// reports.
+    pub(super) fn sample_speed(&mut self, index: WorkerIndex, task_ref: TaskRef, row: &RunRow) {
         let Some(job) = self.job(task_ref.job) else { return };
         let (step, task) = (job.step(task_ref.task), &job.tasks[task_ref.task as usize]);
-        let ran_us = now_us.saturating_sub(task.measured_us);
+        let reported_us = self.workers[index as usize].reported_us;
+        let ran_us = reported_us.saturating_sub(task.measured_us);
         if ran_us < MIN_RUN_US || !self.is_comparable(index, task_ref) {
             return;
         }
@@ -107,14 +131,11 @@
         self.compare_with_step(index, task_ref, done / ran_us as f64 / cpu_fraction.min(1.0));
     }
 
-    /// Samples the speed of a completed run, which took `ran_us`.
-    pub(super) fn sample_completed_run(
-        &mut self,
-        index: WorkerIndex,
-        task_ref: TaskRef,
-        ran_us: u64,
-    ) {
+    /// Samples the speed of a completed run that its worker's newest answer reports.
+    pub(super) fn sample_completed_run(&mut self, index: WorkerIndex, task_ref: TaskRef) {
         let Some(job) = self.job(task_ref.job) else { return };
+        let reported_us = self.workers[index as usize].reported_us;
+        let ran_us = reported_us.saturating_sub(job.tasks[task_ref.task as usize].measured_us);
         let done =
             f64::from(100 - job.tasks[task_ref.task as usize].start_percent.min(100)) / 100.0;
         if !job.step(task_ref.task).fills && ran_us > 0 && self.is_comparable(index, task_ref) {
@@ -151,14 +172,20 @@
         } else {
             worker.usual += 1;
         }
+        let reported_us = self.workers[index as usize].reported_us;
+        self.workers[index as usize].speed.add_sample(speed / mean, 1.0, reported_us);
     }
 
     /// Evaluates the samples of a worker's newest poll. A worker that became slow gets no new tasks
     /// for some time, and tasks that would end sooner elsewhere are moved.
     pub(super) fn detect_slow_worker(&mut self, index: WorkerIndex, now_us: u64) {
+        if self.controls_load(&self.workers[index as usize].entry.service) {
+            self.avoid_slow_worker(index, now_us);
+            return;
+        }
         let worker = &mut self.workers[index as usize];
         let seen = &mut worker.speed;
-        let (slow, usual) = (std::mem::take(&mut seen.slow), std::mem::take(&mut seen.usual));
+        let (slow, usual) = seen.take_samples();
         if slow + usual == 0 {
             return;
         }
@@ -185,12 +212,12 @@
     }
 
     /// Stops the tasks that end sooner if they are started again elsewhere.
-    fn move_tasks_off_slow_worker(&mut self, index: WorkerIndex, now_us: u64) {
+    pub(super) fn move_tasks_off_slow_worker(&mut self, index: WorkerIndex, now_us: u64) {
         let tasks = &self.workers[index as usize].tasks;
         let tasks_to_move: Vec<TaskRef> = tasks
             .iter()
             .copied()
-            .filter(|task_ref| self.ends_sooner_elsewhere(index, *task_ref, now_us))
+            .filter(|task_ref| self.ends_sooner_elsewhere(index, *task_ref))
             .collect();
         for task_ref in tasks_to_move {
             log::info!(event = "task_moved", job = self.job_id(task_ref.job), task = task_ref.task,
@@ -200,7 +227,7 @@
         }
     }
 
-    fn ends_sooner_elsewhere(&self, index: WorkerIndex, task_ref: TaskRef, now_us: u64) -> bool {
+    fn ends_sooner_elsewhere(&self, index: WorkerIndex, task_ref: TaskRef) -> bool {
         let Some(job) = self.job(task_ref.job).filter(|_| self.is_comparable(index, task_ref))
         else {
             return false;
@@ -208,7 +235,8 @@
         let (occurrence, step, _) = job.locate(task_ref.task);
         let (step, place) = (&job.spec.steps[step as usize], job.step_position(occurrence, step));
         let task = &job.tasks[task_ref.task as usize];
-        let ran_us = now_us.saturating_sub(task.measured_us);
+        let reported_us = self.workers[index as usize].reported_us;
+        let ran_us = reported_us.saturating_sub(task.measured_us);
         let Some(mean) = job.speeds[place].mean().filter(|_| ran_us >= MIN_RUN_US) else {
             return false;
         };
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -13,6 +13,8 @@
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
 use super::preempt::Preemption;
+use super::serving_tails::ImageLevels;
+use super::slow_evacuation::SlowEvacuation;
 use super::worker::{Worker, WorkerAddresses, WorkerIndex, WorkerStanding};
 use super::write_failures::StoreHealth;
 use super::zones::ClosedZones;
@@ -50,6 +52,8 @@
     pub stopped: u64,
     /// Long-running tasks preempted for urgent steps.
     pub preempted: u64,
+    /// Long-running tasks stopped so that they leave a slow worker.
+    pub evacuated: u64,
     /// Changes of a task's share of CPU time.
     pub paced: u64,
     /// Starts rejected by a worker for lack of capacity.
@@ -110,6 +114,8 @@
     pub(super) pairs: PairCounts,
     pub(super) capacity_index: CapacityIndex,
     pub(super) preemption: Preemption,
+    pub(super) slow_evacuation: SlowEvacuation,
+    pub(super) image_levels: ImageLevels,
     pub(super) advice: HashMap<TaskGroup, Advice>,
     pub(super) questions: Vec<AdviceQuestion>,
     pub(super) mean_work: HashMap<String, f64>,
@@ -152,6 +158,8 @@
             pairs: PairCounts::default(),
             capacity_index: CapacityIndex::default(),
             preemption: Preemption::default(),
+            slow_evacuation: SlowEvacuation::default(),
+            image_levels: ImageLevels::default(),
             advice: HashMap::new(),
             questions: Vec::new(),
             mean_work: HashMap::new(),
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -8,6 +8,7 @@
 
 use super::images::ImageCounts;
 use super::job::{TaskKey, TaskRef};
+use super::report_clock::ReportClock;
 use super::slow::WorkerSpeed;
 
 /// Index of a worker in the ledger; never reused within one ledger.
@@ -168,8 +169,10 @@
     /// Ends between these two: sequence number, job slot and the version of the job that holds the
     /// effect.
     pub unacked: VecDeque<(u64, u32, u64)>,
-    /// Worker clock minus local clock at the last answer.
-    pub clock_offset_ms: i64,
+    /// Relation of the worker's clock to the local one.
+    pub(super) clock: ReportClock,
+    /// When the worker wrote its newest answer. The answer may be handled much later.
+    pub reported_us: u64,
     /// Latest local time to which any requested lease may extend.
     pub lease_until_us: u64,
     /// When the worker last answered a poll.
@@ -219,7 +222,8 @@
             applied_end: 0,
             acked_end: 0,
             unacked: VecDeque::new(),
-            clock_offset_ms: 0,
+            clock: ReportClock::default(),
+            reported_us: 0,
             lease_until_us: 0,
             answered_us: 0,
             unanswered_calls: 0,
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -97,6 +97,7 @@
             counter.observe(counts.no_room, &what("no_room"));
             counter.observe(counts.paced, &what("paced"));
             counter.observe(counts.preempted, &what("preempted"));
+            counter.observe(counts.evacuated, &what("evacuated"));
         })
         .build();
     let held = daemon.clone();
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -9,7 +9,7 @@
 use agatesill_policy::fleet::{
     AdviceQuestion, ClosedZone, Fleet, FleetUsage, IdleJob, JobPhase, JobSpec, JobWrite,
     LongestTransition, LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms,
-    Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    SlowWorker, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinError;
@@ -84,6 +84,9 @@
 /// Maximum number of jobs without a run that are logged once a second.
 const MAX_IDLE_JOBS_LOGGED: usize = 8;
 
+/// Maximum number of slow workers logged in one second.
+const MAX_SLOW_WORKERS_LOGGED: usize = 4;
+
 /// Timeout of the last commits at a planned stop.
 const LAST_COMMITS_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -648,6 +651,8 @@
         described.iter().for_each(|task| log_missing(task, missing, self.epoch));
         let (idle, described) = self.fleet.idle_jobs(MAX_IDLE_JOBS_LOGGED, now_us);
         described.iter().for_each(|job| log_idle(job, idle, self.epoch));
+        let (slow, described) = self.fleet.slowest_workers(MAX_SLOW_WORKERS_LOGGED, now_us);
+        described.iter().for_each(|worker| log_slow_worker(worker, slow, self.epoch));
         self.rounds.log_and_reset(self.epoch);
         let (records, oldest_record_ms) = self.fleet.records_waiting(now_us);
         log::info!(event = "planner_duties", epoch = self.epoch,
@@ -854,6 +859,12 @@
         is_committing = task.is_committing, workers = refusals.as_str(); "{detail}");
 }
 
+fn log_slow_worker(worker: &SlowWorker, slow: usize, epoch: u64) {
+    log::info!(event = "worker_speed", epoch = epoch, slow = slow, worker = worker.id.as_str(),
+        speed_percent = worker.speed_percent, confidence_percent = worker.confidence_percent,
+        lasting = worker.long_running; "");
+}
+
 /// Describes the worker of a task without a run or, if it has none, what it waits for.
 fn wait_detail(task: &MissingTask) -> String {
     match (&task.worker, &task.wait) {
