Admission judges long-running jobs only

The forecast isn't knowledge. So only long-running jobs are refused, by room that is counted, not forecast.

--- a/crates/agatesill_policy/src/admission/door.rs
+++ b/crates/agatesill_policy/src/admission/door.rs
@@ -4,12 +4,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::fleet::{JobSpec, TaskKind};
+use crate::fleet::JobSpec;
 
 use super::demand::Demand;
 use super::promises::{MAX_RETRY_AFTER_MS, Promises};
 use super::room::Room;
-use super::{HeldView, KindLoad, LoadView, Refusal, RefusalCause, Return, ServiceLoad, Verdict};
+use super::{HeldView, LoadView, Refusal, RefusalCause, Return, ServiceLoad, Verdict};
 
 /// Age from which a view is too old to refuse a job by. The load may have changed by then.
 const MAX_VIEW_AGE_MS: u64 = 2_000;
@@ -18,27 +18,22 @@
 /// up the load a few times per second, of the jobs that the store has passed on to it.
 const VIEW_LAG_US: u64 = 300_000;
 
-/// Number of jobs that a daemon accepts between two views from which its own excess says as much as
-/// the assumption that the others accept what the workers can do.
-const RELIABLE_JOBS: f64 = 16.0;
-
 /// Time over which the long-running jobs that are offered are counted.
 const OFFER_WINDOW_MS: f64 = 8_000.0;
 
 /// Number of accepted jobs remembered until a view includes them.
 const MAX_ACCEPTED: usize = 4_096;
 
-/// A job that was accepted lately.
+/// A long-running job that was accepted lately.
 #[derive(Clone, Copy, Debug)]
 struct Accepted {
     at_us: u64,
     reserved_milli: u64,
-    core_ms: f64,
 }
 
-/// What a daemon knows of one kind of task at one service, apart from the view.
+/// What a daemon knows of the long-running jobs of one service, apart from the view.
 #[derive(Clone, Debug, Default)]
-struct KindState {
+struct ServiceState {
     promises: Promises,
     accepted: VecDeque<Accepted>,
     /// CPU that offered long-running jobs asked for, decaying.
@@ -50,7 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Door {
     held: Option<HeldView>,
-    states: HashMap<(String, TaskKind), KindState>,
+    states: HashMap<String, ServiceState>,
 }
 
 impl Door {
@@ -60,11 +55,9 @@
         if !is_newer {
             return;
         }
-        self.states.retain(|(service, _), _| view.service(service).is_some());
+        self.states.retain(|service, _| view.service(service).is_some());
         for load in &view.services {
-            for kind in [TaskKind::Plain, TaskKind::BestEffort, TaskKind::LongRunning] {
-                self.states.entry((load.service.clone(), kind)).or_default();
-            }
+            self.states.entry(load.service.clone()).or_default();
         }
         self.states.values_mut().for_each(|state| state.forget_accepted(as_of_us));
         self.held = Some(HeldView { view, as_of_us });
@@ -75,19 +68,20 @@
         self.held.as_ref()
     }
 
-    /// Decides on a job; `returning` describes a job that was refused before. Without a view, or with
-    /// an old one, every job is accepted. So are jobs with a schedule: the load at their time is not
-    /// known.
+    /// Decides on a job; `returning` describes a job that was refused before.
+    ///
+    /// Without a view, or with an old one, every job is accepted. So are jobs with a schedule, since the
+    /// load at their time is not known, and jobs without long-running tasks: the planner, which knows
+    /// all jobs, decides better than a daemon which of them are worth the CPU that is there.
     pub fn decide(&mut self, job: &JobSpec, returning: Option<Return>, now_us: u64) -> Verdict {
         let Some(held) = &self.held else { return Verdict::Accept };
         let view_age_ms = held.age_ms(now_us);
         let is_usable = held.view.may_refuse && view_age_ms <= MAX_VIEW_AGE_MS;
         let load = held.view.service(&job.terms.service);
-        let Some(load) = load.filter(|_| is_usable && job.occurrences == 0) else {
-            return Verdict::Accept;
-        };
         let demand = Demand::of(job);
-        let state = self.states.entry((load.service.clone(), demand.kind)).or_default();
+        let is_judged = is_usable && job.occurrences == 0 && demand.reserved_milli > 0;
+        let Some(load) = load.filter(|_| is_judged) else { return Verdict::Accept };
+        let state = self.states.entry(load.service.clone()).or_default();
         let arrival = Arrival {
             demand,
             load,
@@ -97,23 +91,20 @@
             returning: returning.filter(|returning| returning.is_due),
             now_us,
         };
-        if demand.kind == TaskKind::LongRunning {
-            state.decide_by_room(&arrival)
-        } else {
-            state.decide_by_wait(&arrival)
-        }
+        state.decide_by_room(&arrival)
     }
 
     /// Records that a job was stored, so that it counts before the next view includes it.
     pub fn accepted(&mut self, job: &JobSpec, now_us: u64) {
-        let demand = Demand::of(job);
-        let key = (job.terms.service.clone(), demand.kind);
-        if let Some(state) = self.states.get_mut(&key).filter(|_| job.occurrences == 0) {
+        let reserved_milli = Demand::of(job).reserved_milli;
+        if reserved_milli == 0 || job.occurrences > 0 {
+            return;
+        }
+        if let Some(state) = self.states.get_mut(&job.terms.service) {
             if state.accepted.len() == MAX_ACCEPTED {
                 state.accepted.pop_front();
             }
-            let (reserved_milli, core_ms) = (demand.reserved_milli, demand.core_ms);
-            state.accepted.push_back(Accepted { at_us: now_us, reserved_milli, core_ms });
+            state.accepted.push_back(Accepted { at_us: now_us, reserved_milli });
         }
     }
 }
@@ -136,66 +127,13 @@
     fn unseen_ms(&self) -> f64 {
         self.view_age_ms as f64 + VIEW_LAG_US as f64 / 1_000.0
     }
-
-    /// Work of tasks like those of the job that can begin at once.
-    fn startable_core_ms(&self) -> f64 {
-        let free_cores = self.load.free_milli(self.demand.kind) as f64 / 1_000.0;
-        free_cores * self.demand.task_ms
-    }
 }
 
-impl KindState {
+impl ServiceState {
     fn forget_accepted(&mut self, as_of_us: u64) {
         self.accepted.retain(|accepted| accepted.at_us + VIEW_LAG_US > as_of_us);
     }
 
-    /// Decides on a job that waits for others to end: it is refused once not even a late result can be
-    /// reached.
-    fn decide_by_wait(&mut self, arrival: &Arrival<'_>) -> Verdict {
-        let Arrival { demand, load, now_us, .. } = *arrival;
-        let kind_load = load.kind(demand.kind);
-        if kind_load.drain_milli == 0 {
-            return Verdict::Accept;
-        }
-        let forecast_ms = self.forecast_ms(kind_load, arrival);
-        if forecast_ms <= demand.limit_ms {
-            return Verdict::Accept;
-        }
-        let own_drain_cores = kind_load.drain_milli as f64 / 1_000.0 / arrival.daemons;
-        let retry_after_ms = self.promises.ask_to_return(
-            demand.core_ms,
-            forecast_ms - demand.limit_ms,
-            own_drain_cores,
-            arrival.draw,
-            now_us,
-        );
-        Verdict::Refuse(Refusal {
-            cause: RefusalCause::TooLate,
-            retry_after_ms,
-            forecast_ms: forecast_ms as u64,
-            limit_ms: demand.limit_ms as u64,
-            ahead_core_ms: kind_load.ahead_core_ms,
-        })
-    }
-
-    /// Expected wait for the first start: the work ahead, and what was accepted beyond the drain
-    /// since.
-    ///
-    /// A daemon knows its own part of what was accepted. The fewer jobs that are, the less they say
-    /// about the other daemons.
-    fn forecast_ms(&self, load: &KindLoad, arrival: &Arrival<'_>) -> f64 {
-        let drain_cores = load.drain_milli as f64 / 1_000.0;
-        let accepted_core_ms: f64 = self.accepted.iter().map(|accepted| accepted.core_ms).sum();
-        let own_drained_core_ms = drain_cores * arrival.unseen_ms() / arrival.daemons;
-        let excess_core_ms = (accepted_core_ms - own_drained_core_ms).max(0.0);
-        let startable_core_ms = arrival.startable_core_ms();
-        let own_jobs = own_drained_core_ms / arrival.demand.core_ms.max(1.0);
-        let reliability = own_jobs / (own_jobs + RELIABLE_JOBS);
-        let daemons = (arrival.daemons * reliability).max(1.0);
-        let waiting_core_ms = (excess_core_ms * daemons - startable_core_ms).max(0.0);
-        (load.ahead_core_ms as f64 + waiting_core_ms) / drain_cores
-    }
-
     /// Decides on a job with long-running tasks.
     fn decide_by_room(&mut self, arrival: &Arrival<'_>) -> Verdict {
         let Arrival { demand, load, now_us, .. } = *arrival;
@@ -228,9 +166,9 @@
         Verdict::Refuse(Refusal {
             cause: RefusalCause::NoRoom,
             retry_after_ms,
+            needed_milli: demand.reserved_milli,
+            left_milli: room.left_milli.max(0.0) as u64,
             forecast_ms: excess_ms as u64,
-            limit_ms: 0,
-            ahead_core_ms: load.long_running.ahead_core_ms,
         })
     }
 
--- a/crates/agatesill_policy/src/admission/load_view.rs
+++ b/crates/agatesill_policy/src/admission/load_view.rs
@@ -1,6 +1,5 @@
 //! Load of the services as the planner sums it up for all daemons.
 
-use crate::fleet::TaskKind;
 use crate::value_type;
 
 value_type! {
@@ -41,27 +40,6 @@
     }
 }
 
-impl ServiceLoad {
-    /// Load of a kind of task.
-    pub fn kind(&self, kind: TaskKind) -> &KindLoad {
-        match kind {
-            TaskKind::Plain => &self.plain,
-            TaskKind::LongRunning => &self.long_running,
-            TaskKind::BestEffort => &self.best_effort,
-        }
-    }
-
-    /// CPU that tasks of a kind could reserve now; 0 while some wait, because they can't use it, and
-    /// for tasks that reserve none.
-    pub fn free_milli(&self, kind: TaskKind) -> u64 {
-        let reserved_milli = self.long_running.placed_milli + self.plain.placed_milli;
-        if kind == TaskKind::BestEffort || self.kind(kind).waiting_milli > 0 {
-            return 0;
-        }
-        self.capacity_milli.saturating_sub(reserved_milli)
-    }
-}
-
 value_type! {
     /// Load of all services. Its size depends on the number of services alone.
     #[derive(Default)]
--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -8,9 +8,8 @@
 //! the answers to its calls. A daemon decides alone, by the newest view that it has. Without one it
 //! accepts.
 //!
-//! Long-running jobs are refused while the CPU that they would reserve is needed for urgent work; all
-//! others only once not even a late result can be reached, since the planner ranks those that are
-//! accepted by what they are still worth.
+//! Long-running jobs are refused while the CPU that they would reserve is needed for urgent work. All
+//! others are accepted: the planner ranks them by what they are still worth.
 //!
 //! Daemons with the same view must not all refuse and then all accept: [`room`] accepts long-running
 //! jobs with a probability that falls as the room that is left does, and each daemon deducts what it
--- a/crates/agatesill_policy/src/admission/verdict.rs
+++ b/crates/agatesill_policy/src/admission/verdict.rs
@@ -5,8 +5,6 @@
 value_type! {
     /// Why a job is refused.
     pub enum RefusalCause {
-        /// Its first step can't begin, or its last can't end, while that still counts for its caller.
-        TooLate,
         /// The CPU that its long-running tasks request is not free and is not about to be.
         NoRoom,
     }
@@ -16,7 +14,6 @@
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            RefusalCause::TooLate => "too_late",
             RefusalCause::NoRoom => "no_room",
         }
     }
@@ -40,12 +37,12 @@
     pub cause: RefusalCause,
     /// When its caller should submit it again.
     pub retry_after_ms: u32,
-    /// Expected wait for the first start, if the job were accepted.
+    /// CPU that its long-running tasks reserve.
+    pub needed_milli: u64,
+    /// CPU that long-running jobs may still reserve.
+    pub left_milli: u64,
+    /// Time in which the missing CPU becomes free, if others return as they were asked to.
     pub forecast_ms: u64,
-    /// Longest wait with which the job is accepted, including the margin.
-    pub limit_ms: u64,
-    /// Work ahead of the job.
-    pub ahead_core_ms: u64,
 }
 
 /// Outcome of an admission decision.
--- a/crates/agatesill_policy/src/fleet/drain.rs
+++ b/crates/agatesill_policy/src/fleet/drain.rs
@@ -52,13 +52,11 @@
     }
 
     /// Returns the rate in CPU thousandths, or 0 while it is unknown. `placed_milli` is the CPU that
-    /// the tasks hold, `available_milli` what they could hold if each free CPU could be used, and
-    /// `assured_milli` what they get in any case while some wait.
+    /// the tasks hold and `available_milli` what they could hold if each free CPU could be used.
     pub fn sample(
         &mut self,
         placed_milli: u64,
         available_milli: u64,
-        assured_milli: u64,
         is_any_waiting: bool,
         now_us: u64,
     ) -> u64 {
@@ -78,7 +76,7 @@
         }
         self.ended_since_core_ms = 0.0;
         self.sampled_us = now_us.max(1);
-        self.reach_milli = self.reach_milli.min(available).max(placed).max(assured_milli as f64);
+        self.reach_milli = self.reach_milli.min(available).max(placed);
         if self.ended_runs < MIN_ENDED_RUNS || self.observed_us < MIN_OBSERVED_US {
             return 0;
         }
--- a/crates/agatesill_policy/src/fleet/load.rs
+++ b/crates/agatesill_policy/src/fleet/load.rs
@@ -23,12 +23,6 @@
 /// that are a few seconds apart.
 const DEMAND_DECAY: Duration = Duration::from_secs(10);
 
-/// Share of the CPU that long-running tasks reserve which they yield to waiting urgent tasks.
-///
-/// Preemption takes a task of each step at most, and only for urgent tasks that wait. If none were
-/// accepted while long-running tasks reserve everything, none would wait, and nothing would be freed.
-const YIELDED_SHARE: f64 = 0.06;
-
 /// Largest share of the capacity that is kept free of long-running tasks.
 const MAX_HEADROOM_SHARE: f64 = 0.35;
 
@@ -68,7 +62,6 @@
         plain.drain_milli = self.plain.sample(
             plain.placed_milli,
             free_of_long_running,
-            (long_running_milli as f64 * YIELDED_SHARE) as u64,
             plain.waiting_milli > 0,
             now_us,
         );
@@ -76,7 +69,6 @@
         best_effort.drain_milli = self.best_effort.sample(
             best_effort.placed_milli,
             unused_milli,
-            0,
             best_effort.waiting_milli > 0,
             now_us,
         );
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -53,7 +53,6 @@
 pub use longest_wait::{Deferral, FittingWorkers, LongestTransition, LongestWait};
 pub use missing_tasks::{MissingTask, MissingTaskWorker, PlacementWait};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
-pub(crate) use ranking::{LATE_OBJECTIVE_FACTOR, critical_path_ms, work_core_ms};
 pub use record::{ProgressRecord, TaskRecord};
 pub use refusals::{Refusal, Refusals};
 pub use retry_after::retry_after_ms;
--- a/crates/agatesill_policy/src/fleet/ranking.rs
+++ b/crates/agatesill_policy/src/fleet/ranking.rs
@@ -29,7 +29,7 @@
 const OVERDUE_VALUE_SHARE: f64 = 0.02;
 
 /// Multiple of its objective up to which a job counts as late.
-pub(crate) const LATE_OBJECTIVE_FACTOR: f64 = 3.0;
+const LATE_OBJECTIVE_FACTOR: f64 = 3.0;
 
 /// Priority of overdue jobs under load control, after that of all queues.
 const OVERDUE_PRIORITY: u32 = u32::MAX;
@@ -175,7 +175,7 @@
 }
 
 /// Work of one task by its caller's estimate.
-pub(crate) fn work_core_ms(step: &Step) -> f64 {
+pub(super) fn work_core_ms(step: &Step) -> f64 {
     (step.estimate_ms.max(1) * step.need.cpu_milli.max(1)) as f64 / 1_000.0
 }
 
@@ -239,7 +239,7 @@
 }
 
 /// Critical path by estimated run times over the steps that `is_included` selects.
-pub(crate) fn critical_path_ms(steps: &[Step], is_included: impl Fn(usize) -> bool) -> f64 {
+fn critical_path_ms(steps: &[Step], is_included: impl Fn(usize) -> bool) -> f64 {
     let mut ends_ms: Vec<f64> = Vec::with_capacity(steps.len());
     for (index, step) in steps.iter().enumerate() {
         let start_ms = step.after.iter().map(|after| ends_ms[*after as usize]).fold(0.0, f64::max);
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -136,15 +136,15 @@
     /// Time after which its caller should return, in whole seconds.
     #[prost(uint32, tag = "2")]
     pub retry_after_ms: u32,
-    /// Expected wait for the first start; 0 without a decision.
+    /// Time in which the missing CPU becomes free; 0 without a decision.
     #[prost(uint64, tag = "3")]
     pub forecast_ms: u64,
-    /// Longest wait with which the job is accepted; 0 without a decision.
+    /// CPU that its long-running tasks reserve; 0 without a decision.
     #[prost(uint64, tag = "4")]
-    pub limit_ms: u64,
-    /// Work ahead of the job, in core-milliseconds; 0 without a decision.
+    pub needed_milli: u64,
+    /// CPU that long-running jobs may still reserve; 0 without a decision.
     #[prost(uint64, tag = "5")]
-    pub ahead_core_ms: u64,
+    pub left_milli: u64,
 }
 
 /// Why a job is refused for lack of capacity.
@@ -153,10 +153,8 @@
 pub enum FleetRefusalCause {
     /// Its caller returned long before the time that it was told.
     Early = 0,
-    /// It can't begin or end while that still counts for its caller.
-    TooLate = 1,
     /// The CPU that its long-running tasks request is not free.
-    NoRoom = 2,
+    NoRoom = 1,
 }
 
 /// Load of all services. Its size depends on the number of services alone.
--- a/crates/agatesilld/src/cli.rs
+++ b/crates/agatesilld/src/cli.rs
@@ -56,7 +56,7 @@
                 .value_parser(["auto", "on", "off"])
                 .default_value("auto")
                 .help(
-                    "Refuse jobs that can't be served in time: on, off, or auto, that is for services \
+                    "Control of the load of services: on, off, or auto, that is for services \
                      whose workers stop a task within the shortest target of the most urgent queue",
                 ),
         )
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -151,8 +151,8 @@
     log::info!(event = "job_refused", job = spec.id.as_str(), queue = spec.queue.as_str(),
         cause = refused.because.name(), retry_after_ms = refused.retry_after_ms,
         forecast_ms:? = refusal.map(|refusal| refusal.forecast_ms),
-        limit_ms:? = refusal.map(|refusal| refusal.limit_ms),
-        ahead_core_ms:? = refusal.map(|refusal| refusal.ahead_core_ms), epoch = view.epoch,
+        needed_milli:? = refusal.map(|refusal| refusal.needed_milli),
+        left_milli:? = refusal.map(|refusal| refusal.left_milli), epoch = view.epoch,
         sequence = view.sequence, view_age_ms = view.age_ms, is_return = refused.is_return; "");
     error_response(&Error::new(ErrorKind::Overloaded, "").retry_after(refused.retry_after_ms))
 }
--- a/crates/agatesilld/src/fleet/load_state.rs
+++ b/crates/agatesilld/src/fleet/load_state.rs
@@ -56,8 +56,6 @@
 /// Why a job was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusedBecause {
-    /// [`RefusalCause::TooLate`].
-    TooLate,
     /// [`RefusalCause::NoRoom`].
     NoRoom,
     /// Its caller was told to return later, or the request is a copy of the refused one.
@@ -66,12 +64,11 @@
 
 impl RefusedBecause {
     /// All reasons.
-    pub const ALL: [Self; 3] = [Self::TooLate, Self::NoRoom, Self::Early];
+    pub const ALL: [Self; 2] = [Self::NoRoom, Self::Early];
 
     /// Name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Self::TooLate => RefusalCause::TooLate.name(),
             Self::NoRoom => RefusalCause::NoRoom.name(),
             Self::Early => "early",
         }
@@ -81,7 +78,6 @@
 impl From<RefusalCause> for RefusedBecause {
     fn from(cause: RefusalCause) -> Self {
         match cause {
-            RefusalCause::TooLate => Self::TooLate,
             RefusalCause::NoRoom => Self::NoRoom,
         }
     }
--- a/crates/agatesilld/src/fleet/submission_report.rs
+++ b/crates/agatesilld/src/fleet/submission_report.rs
@@ -41,7 +41,6 @@
 
 fn encode_refused(refused: &RefusedJob) -> RefusalReport {
     let cause = match refused.because {
-        RefusedBecause::TooLate => FleetRefusalCause::TooLate,
         RefusedBecause::NoRoom => FleetRefusalCause::NoRoom,
         RefusedBecause::Early => FleetRefusalCause::Early,
     };
@@ -50,14 +49,13 @@
         cause: cause as i32,
         retry_after_ms: refused.retry_after_ms,
         forecast_ms: refusal.map_or(0, |refusal| refusal.forecast_ms),
-        limit_ms: refusal.map_or(0, |refusal| refusal.limit_ms),
-        ahead_core_ms: refusal.map_or(0, |refusal| refusal.ahead_core_ms),
+        needed_milli: refusal.map_or(0, |refusal| refusal.needed_milli),
+        left_milli: refusal.map_or(0, |refusal| refusal.left_milli),
     }
 }
 
 fn decode_refused(report: &RefusalReport, is_return: bool) -> RefusedJob {
     let cause = match report.cause() {
-        FleetRefusalCause::TooLate => Some(RefusalCause::TooLate),
         FleetRefusalCause::NoRoom => Some(RefusalCause::NoRoom),
         FleetRefusalCause::Early => None,
     };
@@ -65,8 +63,8 @@
         cause,
         retry_after_ms: report.retry_after_ms,
         forecast_ms: report.forecast_ms,
-        limit_ms: report.limit_ms,
-        ahead_core_ms: report.ahead_core_ms,
+        needed_milli: report.needed_milli,
+        left_milli: report.left_milli,
     });
     RefusedJob {
         because: cause.map_or(RefusedBecause::Early, RefusedBecause::from),
