--- a/crates/agatesill_policy/src/admission/room.rs
+++ b/crates/agatesill_policy/src/admission/room.rs
@@ -21,16 +21,15 @@
     /// Room for a job, by a view of the load and by what this daemon accepted since.
     ///
     /// On average, each worker is left with half a task's CPU that no further task of the size fits.
-    /// Urgent tasks are smaller, so what is lost to the job can be a part of their headroom.
     pub fn for_job(load: &ServiceLoad, demand: &Demand, accepted_since_milli: f64) -> Self {
         let largest_milli = load.largest_worker_milli.max(1) as f64;
         let fragmented_share =
             (demand.task_milli as f64 / (2.0 * largest_milli)).min(MAX_FRAGMENTED_SHARE);
-        let capacity_milli = load.capacity_milli as f64;
-        let kept_milli = (capacity_milli * fragmented_share).max(load.headroom_milli as f64);
+        let usable_milli = load.capacity_milli as f64 * (1.0 - fragmented_share);
         let long_running = &load.long_running;
         let taken_milli = (long_running.placed_milli + long_running.waiting_milli) as f64;
-        Self { left_milli: capacity_milli - kept_milli - taken_milli - accepted_since_milli }
+        let headroom_milli = load.headroom_milli as f64;
+        Self { left_milli: usable_milli - headroom_milli - taken_milli - accepted_since_milli }
     }
 
     /// Probability with which a job that fits is accepted, if all daemons together are expected to
