--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -11,7 +11,7 @@
 //! Long-running jobs are refused while the CPU that they would reserve is needed for urgent work. All
 //! others are accepted: the planner ranks them by what they are still worth.
 //!
-//! Daemons with the same view must not all refuse and then all accept: [`room`] accepts long-running
+//! Daemons with the same view must not all refuse and then all accept: `room` accepts long-running
 //! jobs with a probability that falls as the room that is left does, and each daemon deducts what it
 //! has accepted since its view.
 
