Test: daemons know that refusals are allowed before the planner ends

The test stopped the planner as soon as the test itself had seen a view that allows refusals; the other daemons get theirs with their next call, up to 300 ms later. A successor that never received it rightly waits two seconds for calls. The test now waits until both others hold a view that was computed after refusals were allowed; what it demands of the successor is unchanged.

--- a/crates/agatesilld/tests/load_views.rs
+++ b/crates/agatesilld/tests/load_views.rs
@@ -217,6 +217,14 @@
         first.load(JOB_FORMAT).await.is_some_and(|load| load.may_refuse)
     })
     .await;
+    let allowed = Instant::now();
+    for daemon in &others {
+        wait_until("another daemon's view allows refusals", || async {
+            let allowed_ms = allowed.elapsed().as_millis() as u64;
+            daemon.view_age_ms().await.is_some_and(|age_ms| age_ms < allowed_ms)
+        })
+        .await;
+    }
     let before = first.load(JOB_FORMAT).await.unwrap();
     assert_eq!(before.daemons, 4, "three daemons and the test");
     first.stop.cancel();
