Trace: begin the timeline with the refusals of a job

What: `agatesill trace ID` begins with how often a job was refused for lack of capacity, by which daemon and view (sequence, epoch, age), what was needed and left, when its caller was asked to return, whether it was accepted afterwards, and whether its tasks run. The decoding of log lines moves out of the timeline into a module of its own.

Why: a caller who was told 429 asks an operator what became of the job; the lines of several daemons had to be compared by hand.

The number of running tasks is counted from the starts and ends of runs in the given logs. Optional numbers are logged as text ("Some(9000)") and read as such.

The lines of the tests are written as the daemon writes them, not recorded from one.

--- a/crates/agatesill/src/lib.rs
+++ b/crates/agatesill/src/lib.rs
@@ -3,5 +3,7 @@
 pub mod cli;
 pub mod client;
 pub mod commands;
+pub mod log_line;
 pub mod output;
+pub mod refusals;
 pub mod timeline;
--- a/crates/agatesill/src/timeline.rs
+++ b/crates/agatesill/src/timeline.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashSet;
 
-use serde_json::{Map, Value};
+use crate::log_line::LogLine;
+use crate::refusals;
 
 /// Minimum gap between two lines that is marked: half of a desk job's latency objective.
 const MIN_GAP_MS: u64 = 500;
@@ -27,42 +28,29 @@
 /// Fields that every line has or that the timeline shows in another column.
 const OMITTED_FIELDS: [&str; 6] = ["at_ms", "level", "module", "event", "job", "message"];
 
-/// A decoded log line.
-#[derive(Clone, Debug)]
-struct LogLine {
-    source: String,
-    at_ms: u64,
-    event: String,
-    fields: Map<String, Value>,
-}
-
 /// Returns the timeline of the job or request `id` from `lines`, each paired with the daemon that
 /// wrote it.
 ///
 /// The timeline holds the lines of the job itself and, between the first and the last of these, the
 /// lines of the workers it was placed on and the `DAEMON_EVENTS`, ordered by time. Lines that are
-/// not JSON are skipped. The clocks of machines may differ, and with them the order of lines from
+/// not JSON are skipped. A summary comes first if the job was refused for lack of capacity. The clocks of machines may differ, and with them the order of lines from
 /// different daemons.
 pub fn timeline<'a>(lines: impl Iterator<Item = (&'a str, &'a str)>, id: &str) -> Vec<String> {
-    let mut all: Vec<LogLine> = lines.filter_map(|(source, text)| decode(source, text)).collect();
+    let mut all: Vec<LogLine> =
+        lines.filter_map(|(source, text)| LogLine::decode(source, text)).collect();
     all.sort_by_key(|line| line.at_ms);
-    let is_own = |line: &LogLine| has_field(line, "job", id) || has_field(line, "request", id);
+    let is_own = |line: &LogLine| line.text("job") == Some(id) || line.text("request") == Some(id);
     let own: Vec<&LogLine> = all.iter().filter(|line| is_own(line)).collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else { return Vec::new() };
-    let workers: HashSet<&str> =
-        own.iter().filter_map(|line| line.fields.get("worker")?.as_str()).collect();
+    let workers: HashSet<&str> = own.iter().filter_map(|line| line.text("worker")).collect();
     let is_context = |line: &&LogLine| {
         let is_within = (first.at_ms..=last.at_ms).contains(&line.at_ms);
         let is_worker_event = line.event.starts_with("worker_")
-            && line
-                .fields
-                .get("worker")
-                .and_then(Value::as_str)
-                .is_some_and(|worker| workers.contains(worker));
+            && line.text("worker").is_some_and(|worker| workers.contains(worker));
         is_within && (is_worker_event || DAEMON_EVENTS.contains(&line.event.as_str()))
     };
     let selected = all.iter().filter(|line| is_own(line) || is_context(line));
-    let mut timeline = Vec::new();
+    let mut timeline = refusals::summary(&own);
     let mut previous_ms = first.at_ms;
     for line in selected {
         let gap_ms = line.at_ms.saturating_sub(previous_ms);
@@ -75,20 +63,6 @@
     timeline
 }
 
-fn decode(source: &str, text: &str) -> Option<LogLine> {
-    let Value::Object(fields) = serde_json::from_str(text.trim()).ok()? else { return None };
-    Some(LogLine {
-        source: source.to_owned(),
-        at_ms: fields.get("at_ms")?.as_u64()?,
-        event: fields.get("event")?.as_str()?.to_owned(),
-        fields,
-    })
-}
-
-fn has_field(line: &LogLine, name: &str, value: &str) -> bool {
-    line.fields.get(name).and_then(Value::as_str) == Some(value)
-}
-
 fn format_line(line: &LogLine, first_ms: u64) -> String {
     let fields: Vec<String> = line
         .fields
@@ -99,7 +73,7 @@
             None => format!("{name}={value}"),
         })
         .collect();
-    let message = line.fields.get("message").and_then(Value::as_str).unwrap_or_default();
+    let message = line.text("message").unwrap_or_default();
     let message = if message.is_empty() { String::new() } else { format!(" ({message})") };
     let at_ms = line.at_ms - first_ms;
     format!("{at_ms:>6} ms {:<10} {} {}{message}", line.source, line.event, fields.join(" "))
