Status: the load as the daemons on the platform know it

What: daemons on the platform serve the newest view of the load that they hold on their metrics address, path /v1/load (read only): epoch, sequence, age, whether they may refuse by it, the load of each service by kind of task, and refusals by cause and returns since the start.

Why: each daemon refuses by a view of its own; which one it had and whether it was current could only be found in logs.

The age from which a view is too old becomes public, so that the daemon tells it by the same bound as it decides.

The test of an old view first made only the store fail: the planner kept its range and its views stayed current, which is right; the test now ends the planner too.

--- a/crates/agatesill/src/cli.rs
+++ b/crates/agatesill/src/cli.rs
@@ -8,6 +8,9 @@
 /// Default admin address, as configured in `examples/billfold/daemon.yaml`.
 pub const DEFAULT_ADDR: &str = "127.0.0.1:7101";
 
+/// Default metrics address of a daemon on the platform, asked for its load.
+pub const DEFAULT_METRICS_ADDR: &str = "127.0.0.1:9464";
+
 /// Returns the definition of the command line.
 pub fn command() -> Command {
     Command::new("agatesill")
@@ -84,6 +87,7 @@
             .value_name("IP:PORT")
             .default_value(DEFAULT_ADDR)
             .value_parser(value_parser!(SocketAddr))
+            .action(ArgAction::Append)
             .help("Admin address of any daemon"),
         Arg::new("output")
             .long("output")
@@ -305,13 +309,20 @@
 fn status() -> Command {
     Command::new("status")
         .about("Shows the status of daemons, services and cells, and what is degraded and why")
-        .after_help("Example:\n  agatesill status --watch")
+        .after_help(
+            "Examples:\n  agatesill status --watch\n  \
+             agatesill status --load --addr 127.0.0.1:9464 --addr 127.0.0.2:9464",
+        )
         .arg(
             Arg::new("watch")
                 .long("watch")
                 .action(ArgAction::SetTrue)
                 .help("Prints the status again every second"),
         )
+        .arg(Arg::new("load").long("load").action(ArgAction::SetTrue).help(
+            "Shows the load as daemons on the platform know it, and their refusals; --addr is \
+             then a metrics address and may be repeated",
+        ))
 }
 
 fn explain() -> Command {
--- a/crates/agatesill/src/client.rs
+++ b/crates/agatesill/src/client.rs
@@ -45,6 +45,11 @@
         Ok(Self { client: JsonClient::for_operator(&operator, token.trim()), addr, operator })
     }
 
+    /// Returns a client for another daemon.
+    pub fn at(&self, addr: SocketAddr) -> Self {
+        Self { addr, ..self.clone() }
+    }
+
     /// Sends a GET request to `path`.
     pub async fn get<R: DeserializeOwned>(&self, path: &str) -> Result<R, Error> {
         self.client.call(Method::GET, self.addr, path, &(), CALL_TIMEOUT).await
--- a/crates/agatesill/src/commands/mod.rs
+++ b/crates/agatesill/src/commands/mod.rs
@@ -3,10 +3,12 @@
 mod config;
 mod explain;
 mod job;
+mod load;
 mod status;
 mod trace;
 mod zone;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -30,6 +32,7 @@
 
 /// Runs the subcommand that `matches` names.
 pub async fn run(matches: &ArgMatches, admin: &Admin, output: Output) -> Result<(), Error> {
+    check_addrs(matches)?;
     match matches.subcommand() {
         Some(("profile", args)) => config::profile(args, admin, output).await,
         Some(("service", args)) => config::service(args, admin, output).await,
@@ -47,6 +50,17 @@
     }
 }
 
+/// Rejects more than one address for a command that calls one daemon.
+fn check_addrs(matches: &ArgMatches) -> Result<(), Error> {
+    let takes_several =
+        matches.subcommand().is_some_and(|(name, args)| name == "status" && args.get_flag("load"));
+    let count = matches.get_many::<SocketAddr>("addr").map_or(0, |addrs| addrs.len());
+    if takes_several || count <= 1 {
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::BadRequest, "only status --load takes more than one --addr"))
+}
+
 async fn drain(admin: &Admin) -> Result<(), Error> {
     let response: String = admin.post("/v1/drain", &()).await?;
     println!("{response}");
--- a/crates/agatesill/src/commands/status.rs
+++ b/crates/agatesill/src/commands/status.rs
@@ -5,6 +5,7 @@
 use agatesill_wire::prelude::*;
 use clap::ArgMatches;
 
+use super::load;
 use crate::client::Admin;
 use crate::output::{Output, status_cell, table};
 
@@ -17,10 +18,10 @@
 /// Runs `status`.
 pub async fn run(args: &ArgMatches, admin: &Admin, output: Output) -> Result<(), Error> {
     loop {
-        let report: StatusReport = admin.get("/v1/status").await?;
-        match output {
-            Output::Json => output.print(&report, |_| table(&[])),
-            Output::Table => print_tables(&report),
+        if args.get_flag("load") {
+            load::show(args, admin, output).await?;
+        } else {
+            show(admin, output).await?;
         }
         if !args.get_flag("watch") {
             return Ok(());
@@ -29,6 +30,15 @@
     }
 }
 
+async fn show(admin: &Admin, output: Output) -> Result<(), Error> {
+    let report: StatusReport = admin.get("/v1/status").await?;
+    match output {
+        Output::Json => output.print(&report, |_| table(&[])),
+        Output::Table => print_tables(&report),
+    }
+    Ok(())
+}
+
 fn print_tables(report: &StatusReport) {
     println!(
         "{} in {}, configuration version {}, peers: {}",
--- a/crates/agatesill/src/lib.rs
+++ b/crates/agatesill/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod client;
 pub mod commands;
+pub mod load_table;
 pub mod log_line;
 pub mod output;
 pub mod refusals;
--- a/crates/agatesill/tests/command_line.rs
+++ b/crates/agatesill/tests/command_line.rs
@@ -82,3 +82,17 @@
     }
     insta::assert_snapshot!(pages);
 }
+
+/// Guards against a command that calls one of several given daemons and leaves out the others.
+#[test]
+fn commands_for_one_daemon_reject_several_addresses() {
+    let several = ["--addr", "127.0.0.1:1", "--addr", "127.0.0.1:2"];
+    for command in [&["status"][..], &["config", "history"]] {
+        let output = run(&[&several, command].concat());
+        assert_eq!(output.status.code(), Some(2), "{command:?}");
+        assert!(stderr(&output).contains("--addr"), "{}", stderr(&output));
+    }
+    let output = run(&[&several[..], &["status", "--load"]].concat());
+    assert_eq!(output.status.code(), Some(1));
+    assert!(stderr(&output).contains("127.0.0.1:2"), "{}", stderr(&output));
+}
--- a/crates/agatesill_policy/src/admission/door.rs
+++ b/crates/agatesill_policy/src/admission/door.rs
@@ -12,7 +12,7 @@
 use super::{HeldView, LoadView, Refusal, RefusalCause, Return, ServiceLoad, Verdict};
 
 /// Age from which a view is too old to refuse a job by. The load may have changed by then.
-const MAX_VIEW_AGE_MS: u64 = 2_000;
+pub const MAX_VIEW_AGE_MS: u64 = 2_000;
 
 /// Time before a view was sent for within which accepted jobs may be missing in it: the planner sums
 /// up the load a few times per second, of the jobs that the store has passed on to it.
--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -24,6 +24,6 @@
 mod verdict;
 
 pub use activation::{LoadControl, calls_for_load_control};
-pub use door::Door;
+pub use door::{Door, MAX_VIEW_AGE_MS};
 pub use load_view::{HeldView, KindLoad, LoadView, ServiceLoad};
 pub use verdict::{Refusal, RefusalCause, Return, Verdict};
--- a/crates/agatesill_wire/src/api.rs
+++ b/crates/agatesill_wire/src/api.rs
@@ -1,5 +1,7 @@
 //! JSON bodies of the admin API and the job API.
 
+mod load;
+
 use std::collections::BTreeMap;
 
 use agatesill_policy::prelude::*;
@@ -7,6 +9,8 @@
 
 use crate::error::{Error, ErrorKind, WasRun};
 
+pub use self::load::{HeldLoad, LOAD_PATH, LoadStatus};
+
 value_type! {
     /// Body of every error response.
     pub struct ErrorBody {
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -1,4 +1,5 @@
-//! Counters and histograms of a daemon on the platform, in the Prometheus text format.
+//! Counters and histograms of a daemon on the platform, in the Prometheus text format; on the same
+//! address the load as the daemon knows it.
 //!
 //! `docs/METRICS.md` lists each metric with its unit and what to do when it moves.
 
@@ -6,6 +7,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use agatesill_wire::api::LOAD_PATH;
+use agatesill_wire::http::respond;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,6 +20,7 @@
 use super::active_config::{ConfigSource, QuestionOutcome};
 use super::daemon_state::DaemonState;
 use super::load_state::RefusedBecause;
+use super::load_status::load_status;
 use crate::instruments::Instruments;
 
 /// Upper bounds of the histogram buckets in seconds. The store answers in 0.01, and the latency
@@ -268,11 +272,11 @@
         .build();
 }
 
-/// Answers one request for the metrics.
-pub async fn answer(
-    daemon: Arc<DaemonState>,
-    _request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+/// Answers one request for the load or, on any other path, for the metrics.
+pub async fn answer(daemon: Arc<DaemonState>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() == LOAD_PATH {
+        return respond(Ok(load_status(&daemon)));
+    }
     let mut answer = Response::new(Full::new(Bytes::from(daemon.metrics.text())));
     answer
         .headers_mut()
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod line_limit;
 mod load_report;
 pub mod load_state;
+mod load_status;
 pub mod metrics;
 mod ownership;
 mod peer_connection;
--- a/crates/agatesilld/tests/load_views.rs
+++ b/crates/agatesilld/tests/load_views.rs
@@ -6,10 +6,12 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use agatesill_platform::settings;
 use agatesill_policy::admission::{LoadControl, ServiceLoad};
+use agatesill_wire::api::{LOAD_PATH, LoadStatus};
 use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion, JOB_FORMAT, LoadReport};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
 use agatesilld::fleet::load_state::LoadState;
@@ -17,7 +19,7 @@
 use hyper::Method;
 use support::caller::call;
 use support::settings::ListenAddrs;
-use support::store::FakeStore;
+use support::store::{FakeStore, StoreFault};
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
@@ -117,6 +119,7 @@
 }
 
 struct Fleet {
+    store: Arc<FakeStore>,
     store_addr: SocketAddr,
     stop: CancellationToken,
 }
@@ -133,7 +136,7 @@
         let (store, store_addr) = FakeStore::start(&stop).await;
         let queue = support::settings::queue("desk", 0);
         store.put("op/config", &support::settings::config(1, &[queue]));
-        Self { store_addr, stop }
+        Self { store, store_addr, stop }
     }
 
     async fn daemon(&self, name: &str, load_control: LoadControl) -> Daemon {
@@ -175,6 +178,13 @@
         self.ask(job_format).await?.load
     }
 
+    /// The load as operators see it.
+    async fn load_status(&self) -> Option<LoadStatus> {
+        let (status, _, text) = call(self.metrics, Method::GET, LOAD_PATH, "").await?;
+        assert_eq!(status, 200);
+        Some(serde_json::from_str(&text).unwrap())
+    }
+
     /// Age of the view by which the daemon decides.
     async fn view_age_ms(&self) -> Option<u64> {
         let (_, _, text) = call(self.metrics, Method::GET, "/metrics", "").await?;
@@ -236,6 +246,46 @@
     }
 }
 
+/// Guards against an operator who is shown the load of a daemon that decides by another view, or a
+/// view of a planner that ended as if it were current.
+#[tokio::test]
+async fn operators_see_the_view_by_which_a_daemon_decides() {
+    let fleet = Fleet::new().await;
+    let planner = fleet.daemon("first", LoadControl::On).await;
+    let current = async || {
+        let held = planner.load_status().await?.held?;
+        Some(held).filter(|held| held.may_refuse())
+    };
+    wait_until("refusals are allowed", || async { current().await.is_some() }).await;
+    let (held, report) = (current().await.unwrap(), planner.load(JOB_FORMAT).await.unwrap());
+    assert_eq!(held.view.epoch, report.epoch);
+    assert!(held.view.sequence <= report.sequence && held.age_ms < MAX_VIEW_AGE_MS, "{held:?}");
+    let status = planner.load_status().await.unwrap();
+    assert_eq!(status.instance, "first");
+    assert_eq!(status.refused, [("early".to_owned(), 0), ("no_room".to_owned(), 0)].into());
+    assert_eq!((status.returns_accepted, status.returns_refused), (0, 0));
+    let metrics = call(planner.metrics, Method::GET, "/metrics", "").await.unwrap();
+    assert!(metrics.2.contains("agatesill_admission_refused"), "the other path has the metrics");
+}
+
+/// Guards against a view that a daemon no longer refuses by and that is shown as current.
+#[tokio::test]
+async fn operators_see_that_a_view_is_old() {
+    let fleet = Fleet::new().await;
+    let planner = fleet.daemon("first", LoadControl::On).await;
+    wait_until("the first daemon plans", || async { planner.load(JOB_FORMAT).await.is_some() })
+        .await;
+    let daemon = fleet.daemon("second", LoadControl::On).await;
+    let held = async || daemon.load_status().await?.held;
+    let is_current = async || held().await.is_some_and(|held| !held.is_old);
+    wait_until("the daemon has a current view", is_current).await;
+    // No daemon can take over from the planner that ends.
+    fleet.store.set_fault(StoreFault::Refuses);
+    planner.stop.cancel();
+    wait_until("the view is old", || async { held().await.is_some_and(|held| held.is_old) }).await;
+    assert!(!held().await.unwrap().may_refuse());
+}
+
 /// Guards against refusals while a daemon of an earlier version runs.
 #[tokio::test]
 async fn a_call_of_an_earlier_version_ends_refusals() {
@@ -261,4 +311,5 @@
     tokio::time::sleep(Duration::from_millis(600)).await;
     assert_eq!(daemon.load(JOB_FORMAT).await, None);
     assert_eq!(daemon.view_age_ms().await, None);
+    assert!(daemon.load_status().await.unwrap().held.is_none());
 }
