--- a/crates/agatesill_policy/src/admission/door.rs
+++ b/crates/agatesill_policy/src/admission/door.rs
@@ -7,8 +7,10 @@
 use crate::fleet::JobSpec;
 
 use super::demand::Demand;
+use super::extrapolation::fleet_total;
+use super::offers::OfferedTotals;
 use super::promises::{MAX_RETRY_AFTER_MS, Promises};
-use super::room::Room;
+use super::room::{Room, time_until_free_ms};
 use super::{HeldView, LoadView, Refusal, RefusalCause, Return, ServiceLoad, Verdict};
 
 /// Age from which a view is too old to refuse a job by. The load may have changed by then.
@@ -18,9 +20,6 @@
 /// up the load a few times per second, of the jobs that the store has passed on to it.
 const VIEW_LAG_US: u64 = 300_000;
 
-/// Time over which the long-running jobs that are offered are counted.
-const OFFER_WINDOW_MS: f64 = 8_000.0;
-
 /// Number of accepted jobs remembered until a view includes them.
 const MAX_ACCEPTED: usize = 4_096;
 
@@ -36,9 +35,6 @@
 struct ServiceState {
     promises: Promises,
     accepted: VecDeque<Accepted>,
-    /// CPU that offered long-running jobs asked for, decaying.
-    offered_milli: f64,
-    offered_us: u64,
 }
 
 /// What one daemon knows of the load, and what it has accepted since.
@@ -46,6 +42,7 @@
 pub struct Door {
     held: Option<HeldView>,
     states: HashMap<String, ServiceState>,
+    offered: OfferedTotals,
 }
 
 impl Door {
@@ -74,11 +71,14 @@
     /// load at their time is not known, and jobs without long-running tasks: the planner, which knows
     /// all jobs, decides better than a daemon which of them are worth the CPU that is there.
     pub fn decide(&mut self, job: &JobSpec, returning: Option<Return>, now_us: u64) -> Verdict {
+        let demand = Demand::of(job);
+        if demand.reserved_milli > 0 && job.occurrences == 0 {
+            *self.offered.entry(job.terms.service.clone()).or_default() += demand.reserved_milli;
+        }
         let Some(held) = &self.held else { return Verdict::Accept };
         let view_age_ms = held.age_ms(now_us);
         let is_usable = held.view.may_refuse && view_age_ms <= MAX_VIEW_AGE_MS;
         let load = held.view.service(&job.terms.service);
-        let demand = Demand::of(job);
         let is_judged = is_usable && job.occurrences == 0 && demand.reserved_milli > 0;
         let Some(load) = load.filter(|_| is_judged) else { return Verdict::Accept };
         let state = self.states.entry(load.service.clone()).or_default();
@@ -94,6 +94,11 @@
         state.decide_by_room(&arrival)
     }
 
+    /// CPU that callers of long-running jobs have asked this daemon for.
+    pub fn offered(&self) -> &OfferedTotals {
+        &self.offered
+    }
+
     /// Records that a job was stored, so that it counts before the next view includes it.
     pub fn accepted(&mut self, job: &JobSpec, now_us: u64) {
         let reserved_milli = Demand::of(job).reserved_milli;
@@ -138,7 +143,6 @@
     fn decide_by_room(&mut self, arrival: &Arrival<'_>) -> Verdict {
         let Arrival { demand, load, now_us, .. } = *arrival;
         let needed_milli = demand.reserved_milli as f64;
-        self.offer(needed_milli, now_us);
         let mut since_milli: f64 =
             self.accepted.iter().map(|accepted| accepted.reserved_milli as f64).sum();
         if arrival.returning.is_none() {
@@ -146,20 +150,18 @@
             since_milli += self.promises.due_until(now_us, horizon_us);
         }
         let room = Room::for_job(load, &demand, since_milli);
-        let expected_milli =
-            self.offered_milli * arrival.daemons * arrival.unseen_ms() / OFFER_WINDOW_MS;
+        let others_milli = load.offered_milli_per_s as f64 * arrival.unseen_ms() / 1_000.0;
+        let expected_milli = needed_milli + others_milli;
         if arrival.draw < room.accept_share(&demand, expected_milli) {
             return Verdict::Accept;
         }
-        let freed_per_ms = load.long_running.drain_milli as f64 / 1_000.0;
-        let missing_milli = (needed_milli - room.left_milli).max(0.0);
-        let excess_ms =
-            if freed_per_ms > 0.0 { missing_milli / freed_per_ms } else { MAX_RETRY_AFTER_MS };
-        let own_freed_per_ms = freed_per_ms / arrival.daemons;
+        let missing_milli = needed_milli - room.left_milli;
         let retry_after_ms = self.promises.ask_to_return(
             needed_milli,
-            excess_ms,
-            own_freed_per_ms,
+            |before_milli, before_jobs| {
+                let ahead_milli = fleet_total(before_milli, before_jobs, arrival.daemons);
+                time_until_free_ms(load, missing_milli + ahead_milli)
+            },
             arrival.draw,
             now_us,
         );
@@ -168,16 +170,9 @@
             retry_after_ms,
             needed_milli: demand.reserved_milli,
             left_milli: room.left_milli.max(0.0) as u64,
-            forecast_ms: excess_ms as u64,
+            forecast_ms: time_until_free_ms(load, missing_milli).min(MAX_RETRY_AFTER_MS) as u64,
         })
     }
-
-    fn offer(&mut self, needed_milli: f64, now_us: u64) {
-        let elapsed_ms = now_us.saturating_sub(self.offered_us) as f64 / 1_000.0;
-        self.offered_milli *= (-elapsed_ms / OFFER_WINDOW_MS).exp();
-        self.offered_milli += needed_milli;
-        self.offered_us = now_us;
-    }
 }
 
 fn draw(id: &str, sequence: u64) -> f64 {
--- a/crates/agatesill_policy/src/admission/load_view.rs
+++ b/crates/agatesill_policy/src/admission/load_view.rs
@@ -31,6 +31,8 @@
         pub largest_worker_milli: u64,
         /// CPU to keep free of long-running tasks for urgent work that is about to arrive.
         pub headroom_milli: u64,
+        /// CPU that callers of long-running jobs ask for at all daemons, per second; 0 if unknown.
+        pub offered_milli_per_s: u64,
         /// Tasks that run to completion on reserved CPU.
         pub plain: KindLoad,
         /// Long-running tasks.
--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -18,7 +18,9 @@
 mod activation;
 mod demand;
 mod door;
+mod extrapolation;
 mod load_view;
+mod offers;
 mod promises;
 mod room;
 mod verdict;
@@ -26,4 +28,6 @@
 pub use activation::{LoadControl, calls_for_load_control};
 pub use door::Door;
 pub use load_view::{HeldView, KindLoad, LoadView, ServiceLoad};
+pub use offers::{OfferRates, OfferedTotals};
+pub(crate) use room::HEADROOM_DECAY;
 pub use verdict::{Refusal, RefusalCause, Return, Verdict};
--- a/crates/agatesill_policy/src/admission/promises.rs
+++ b/crates/agatesill_policy/src/admission/promises.rs
@@ -5,8 +5,7 @@
 //! the last to come is as likely to be served as the first. Each refused caller is asked to return
 //! when the work that was refused before it, and that is not larger, can have been done.
 //!
-//! A daemon knows only its own refusals. Callers choose daemons at random, so its part of the
-//! refused work over its part of the drain is what the fleet would find.
+//! A daemon knows only its own refusals and extrapolates from them what the fleet refused.
 
 use std::collections::VecDeque;
 
@@ -36,23 +35,23 @@
 }
 
 impl Promises {
-    /// Returns when a refused caller should return, in milliseconds, and remembers it. `excess_ms`
-    /// is the time until its job fits if nobody else returned, `drain` the daemon's part of the
-    /// rate at which `amount` is served per millisecond, and `position` places the caller within the
-    /// spread, from 0 to 1.
+    /// Returns when a refused caller should return, in milliseconds, and remembers it.
+    /// `time_until_served_ms` tells when its job fits if an amount, in a number of jobs, returns before
+    /// it, and `position` places the caller within the spread, from 0 to 1.
     pub fn ask_to_return(
         &mut self,
         amount: f64,
-        excess_ms: f64,
-        drain: f64,
+        time_until_served_ms: impl Fn(f64, f64) -> f64,
         position: f64,
         now_us: u64,
     ) -> u32 {
         self.promises.retain(|promise| promise.due_us > now_us);
-        let before: f64 = self.amounts().filter(|other| *other <= amount).sum();
+        let (before, before_jobs) = self
+            .amounts()
+            .filter(|other| *other <= amount)
+            .fold((0.0, 0.0), |(sum, jobs), other| (sum + other, jobs + 1.0));
         let max_ms = MAX_RETRY_AFTER_MS / (1.0 + SPREAD);
-        let served_ms = if drain > 0.0 { before / drain } else { max_ms };
-        let base_ms = (excess_ms.max(0.0) + served_ms).clamp(MIN_RETRY_AFTER_MS, max_ms);
+        let base_ms = time_until_served_ms(before, before_jobs).clamp(MIN_RETRY_AFTER_MS, max_ms);
         let retry_after_ms = base_ms * (1.0 + SPREAD * position);
         if self.promises.len() == MAX_PROMISES {
             self.promises.pop_front();
--- a/crates/agatesill_policy/src/admission/room.rs
+++ b/crates/agatesill_policy/src/admission/room.rs
@@ -4,9 +4,15 @@
 //! and each urgent job waits. What they reserve can't be taken back from them, so room for urgent
 //! work is kept at the door.
 
+use std::time::Duration;
+
 use super::ServiceLoad;
 use super::demand::Demand;
 
+/// Time over which the highest demand of urgent tasks is remembered. Urgent work comes in bursts
+/// that are a few seconds apart.
+pub(crate) const HEADROOM_DECAY: Duration = Duration::from_secs(10);
+
 /// Largest share of the capacity that counts as lost to fragmentation.
 const MAX_FRAGMENTED_SHARE: f64 = 0.15;
 
@@ -42,3 +48,22 @@
         (self.left_milli / expected_milli.max(needed_milli)).min(1.0)
     }
 }
+
+/// Time until this much more CPU is free for long-running tasks: because others end, or because the
+/// headroom shrinks to what urgent tasks need now.
+pub(super) fn time_until_free_ms(load: &ServiceLoad, missing_milli: f64) -> f64 {
+    if missing_milli <= 0.0 {
+        return 0.0;
+    }
+    let freed_per_ms = load.long_running.drain_milli as f64 / 1_000.0;
+    let drained_ms = if freed_per_ms > 0.0 { missing_milli / freed_per_ms } else { f64::INFINITY };
+    let headroom_milli = load.headroom_milli as f64;
+    let urgent_milli = (load.plain.placed_milli + load.plain.waiting_milli) as f64;
+    let decayed_ms = if headroom_milli - urgent_milli > missing_milli {
+        let kept_share = 1.0 - missing_milli / headroom_milli;
+        -kept_share.ln() * HEADROOM_DECAY.as_millis() as f64
+    } else {
+        f64::INFINITY
+    };
+    drained_ms.min(decayed_ms)
+}
--- a/crates/agatesill_policy/src/fleet/load.rs
+++ b/crates/agatesill_policy/src/fleet/load.rs
@@ -6,9 +6,10 @@
 //! it again within seconds.
 
 use std::collections::{HashMap, HashSet};
-use std::time::Duration;
 
-use crate::admission::{KindLoad, LoadControl, ServiceLoad, calls_for_load_control};
+use crate::admission::{
+    HEADROOM_DECAY, KindLoad, LoadControl, ServiceLoad, calls_for_load_control,
+};
 
 use super::US_PER_MS;
 use super::colocation::LONG_RUNNING_USED_SHARE;
@@ -19,10 +20,6 @@
 use super::usage::TaskKind;
 use super::worker::Worker;
 
-/// Time over which the highest demand of urgent tasks is remembered. Urgent work comes in bursts
-/// that are a few seconds apart.
-const DEMAND_DECAY: Duration = Duration::from_secs(10);
-
 /// Largest share of the capacity that is kept free of long-running tasks.
 const MAX_HEADROOM_SHARE: f64 = 0.35;
 
@@ -81,7 +78,8 @@
     fn headroom_milli(&mut self, load: &ServiceLoad, now_us: u64) -> u64 {
         let elapsed_us = now_us.saturating_sub(self.sampled_us);
         let demand_milli = (load.plain.placed_milli + load.plain.waiting_milli) as f64;
-        let remembered_milli = self.plain_demand_milli * remaining_share(elapsed_us, DEMAND_DECAY);
+        let remembered_milli =
+            self.plain_demand_milli * remaining_share(elapsed_us, HEADROOM_DECAY);
         self.plain_demand_milli = remembered_milli.max(demand_milli);
         self.plain_demand_milli.min(load.capacity_milli as f64 * MAX_HEADROOM_SHARE) as u64
     }
--- a/crates/agatesill_policy/tests/admission_overload.rs
+++ b/crates/agatesill_policy/tests/admission_overload.rs
@@ -76,3 +76,22 @@
         assert!(reserved >= 7_500_000, "{reserved} reserved with {daemons} daemons");
     }
 }
+
+/// Guards against refusals of jobs for which there is room, by daemons that extrapolate the few jobs
+/// that they have seen.
+#[test]
+fn no_job_that_fits_is_refused_while_few_arrive() {
+    let mut replay = Replay::new(33, 26_100_000);
+    replay.headroom_milli = 1_500_000;
+    replay.reserved = vec![(400_000, 21_350_000)];
+    replay.stay_ms = 500;
+    let mut id = 0;
+    replay.run(300_000, |replay| {
+        let count = replay.arrivals(2.0);
+        id += count;
+        (0..count).map(|at| monitor(id - at)).collect()
+    });
+    let monitors = &replay.outcomes["monitors"];
+    assert!(monitors.refusals.is_empty(), "{:?}", monitors.refusals[0]);
+    assert!(monitors.accepted > 500, "{}", monitors.accepted);
+}
--- a/crates/agatesill_policy/tests/admission_returns.rs
+++ b/crates/agatesill_policy/tests/admission_returns.rs
@@ -47,3 +47,24 @@
     assert!(monitors.refusals.iter().all(|refusal| all_allowed.contains(&refusal.retry_after_ms)));
     assert!(monitors.given_up * 4 <= monitors.offered, "{} gave up", monitors.given_up);
 }
+
+/// A fleet whose headroom grew with a short burst of urgent work that has ended.
+fn fleet_after_a_burst() -> Replay {
+    let mut replay = Replay::new(33, 11_200_000);
+    replay.headroom_milli = 3_000_000;
+    replay.reserved = vec![(100_000, 7_400_000)];
+    replay.stay_ms = 1_000_000;
+    replay
+}
+
+/// Guards against a caller that is asked to return long after the headroom has room for its job again.
+#[test]
+fn a_caller_refused_after_a_burst_returns_when_the_headroom_has_shrunk() {
+    let mut replay = fleet_after_a_burst();
+    offer_monitors(&mut replay, 1_000, 4.0);
+    let refusals = &replay.outcomes["monitors"].refusals;
+    assert!(!refusals.is_empty());
+    for refusal in refusals {
+        assert!(refusal.retry_after_ms <= 2_500, "{refusal:?}");
+    }
+}
--- a/crates/agatesill_policy/tests/admission_support/mod.rs
+++ b/crates/agatesill_policy/tests/admission_support/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use agatesill_policy::admission::{
-    Door, KindLoad, LoadView, Refusal, Return, ServiceLoad, Verdict,
+    Door, KindLoad, LoadView, OfferRates, Refusal, Return, ServiceLoad, Verdict,
 };
 use agatesill_policy::batch::Resources;
 use agatesill_policy::fleet::{JobSpec, QueueTerms, Step};
@@ -104,6 +104,7 @@
     returning: BTreeMap<(u64, String), Caller>,
     /// Work served since the last view.
     served_core_ms: f64,
+    offer_rates: OfferRates,
     sequence: u64,
     random: u64,
 }
@@ -125,6 +126,7 @@
             pending_view: None,
             returning: BTreeMap::new(),
             served_core_ms: 0.0,
+            offer_rates: OfferRates::default(),
             sequence: 0,
             random: 7,
         };
@@ -243,6 +245,10 @@
     /// Delivers the view of the previous interval and computes the next.
     fn publish(&mut self) {
         self.sequence += 1;
+        let now_us = self.now_ms * 1_000;
+        for (at, door) in self.doors.iter().enumerate() {
+            self.offer_rates.reported(&at.to_string(), door.offered().clone(), now_us);
+        }
         let waiting_core_ms: f64 = self.waiting.iter().map(|entry| entry.2).sum();
         let reserved_milli = self.reserved.iter().map(|(_, milli)| milli).sum();
         let kind = KindLoad {
@@ -257,6 +263,7 @@
             capacity_milli: self.capacity_milli,
             largest_worker_milli: 32_000,
             headroom_milli: self.headroom_milli,
+            offered_milli_per_s: self.offer_rates.milli_per_s("grid", now_us),
             plain: kind.clone(),
             long_running: KindLoad {
                 placed_milli: reserved_milli,
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -1,6 +1,8 @@
 //! Calls between the daemons of one fleet: queries that only the planner can answer, and writes on
 //! behalf of a daemon that the store rejects.
 
+use std::collections::HashMap;
+
 use prost::Message;
 
 /// Request to another daemon of the fleet.
@@ -18,6 +20,9 @@
     /// Newest format of stored jobs that the sender reads; see [`JOB_FORMAT`].
     #[prost(uint32, tag = "13")]
     pub job_format: u32,
+    /// CPU that callers of long-running jobs have asked the sender for since its start, by service.
+    #[prost(map = "string, uint64", tag = "14")]
+    pub offered_milli: HashMap<String, u64>,
 }
 
 /// Format of stored jobs that this version reads: 1 has records of refused jobs, 0 has not.
@@ -204,6 +209,9 @@
     /// Best-effort tasks.
     #[prost(message, optional, tag = "7")]
     pub best_effort: Option<KindLoadReport>,
+    /// CPU that callers of long-running jobs ask for at all daemons, per second.
+    #[prost(uint64, tag = "8")]
+    pub offered_milli_per_s: u64,
 }
 
 /// Load of one kind of task.
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -293,7 +293,9 @@
         question: FleetQuestion,
     ) -> PeerReply {
         let sent_us = self.clock.now_us();
-        let mut reply = self.peer_connection.ask_reporting_outcome(addr, question).await;
+        let offered_milli = self.load.offered();
+        let mut reply =
+            self.peer_connection.ask_reporting_outcome(addr, question, offered_milli).await;
         if let PeerReply::Answered(answer) = &mut reply {
             if let Some(load) = answer.load.take() {
                 self.load.report_received(load, sent_us);
--- a/crates/agatesilld/src/fleet/load_state.rs
+++ b/crates/agatesilld/src/fleet/load_state.rs
@@ -11,7 +11,8 @@
 
 use agatesill_platform::prelude::*;
 use agatesill_policy::admission::{
-    Door, HeldView, LoadView, RefusalCause, Return, ServiceLoad, Verdict, calls_for_load_control,
+    Door, HeldView, LoadView, OfferRates, OfferedTotals, RefusalCause, Return, ServiceLoad,
+    Verdict, calls_for_load_control,
 };
 use agatesill_policy::fleet::{JobSpec, US_PER_MS};
 use agatesill_wire::fleet::{JOB_FORMAT, LoadReport};
@@ -28,6 +29,9 @@
 /// a new planner within half a second, or a second if the store is slow.
 const CALLERS_KNOWN_AFTER_US: u64 = 2 * US_PER_S;
 
+/// Name of this daemon among those whose offers are known. The others have addresses.
+const OWN_OFFERS: &str = "own";
+
 /// Maximum number of daemons that are remembered.
 const MAX_CALLERS: usize = 4_096;
 
@@ -123,6 +127,7 @@
     /// Counters of decisions.
     pub counts: AdmissionCounts,
     door: Mutex<Door>,
+    offer_rates: Mutex<OfferRates>,
     published: Mutex<Option<PublishedView>>,
     sequence: AtomicU64,
     callers: Mutex<Callers>,
@@ -146,6 +151,31 @@
         }
     }
 
+    /// Records what the callers of another daemon have asked it for.
+    pub fn offers_reported(&self, sender: &str, totals: OfferedTotals, now_us: u64) {
+        if totals.is_empty() || !lock(&self.callers).heard_us.contains_key(sender) {
+            return;
+        }
+        lock(&self.offer_rates).reported(sender, totals, now_us);
+    }
+
+    /// What the callers of this daemon have asked it for.
+    pub fn offered(&self) -> OfferedTotals {
+        lock(&self.door).offered().clone()
+    }
+
+    /// Completes the loads of the services with what callers ask for at all daemons.
+    fn add_offers(&self, services: &mut [ServiceLoad], now_us: u64) {
+        let own = self.offered();
+        let callers = lock(&self.callers);
+        let mut rates = lock(&self.offer_rates);
+        rates.reported(OWN_OFFERS, own, now_us);
+        rates.retain(|daemon| daemon == OWN_OFFERS || callers.heard_us.contains_key(daemon));
+        for load in services {
+            load.offered_milli_per_s = rates.milli_per_s(&load.service, now_us);
+        }
+    }
+
     /// Publishes the load under the planner's `epoch`; without services there is no view.
     ///
     /// Guards against a refusal that a daemon of an earlier version takes for an accepted job: it is
@@ -155,13 +185,14 @@
         &self,
         epoch: u64,
         planning_since_us: u64,
-        services: Vec<ServiceLoad>,
+        mut services: Vec<ServiceLoad>,
         now_us: u64,
     ) {
         if services.is_empty() {
             return self.withdraw();
         }
         let (daemons, has_old_format) = self.running_daemons(now_us);
+        self.add_offers(&mut services, now_us);
         let held = self.held().filter(|held| held.age_ms(now_us) < CALLER_MEMORY_US / US_PER_MS);
         let knows_callers = now_us.saturating_sub(planning_since_us) >= CALLERS_KNOWN_AFTER_US;
         let known_before = held.as_ref().map_or(0, |held| held.view.daemons);
--- a/crates/agatesilld/src/fleet/peer_connection.rs
+++ b/crates/agatesilld/src/fleet/peer_connection.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use agatesill_coord::prelude::*;
+use agatesill_policy::admission::OfferedTotals;
 use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion, JOB_FORMAT};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
 use agatesill_wire::prelude::*;
@@ -80,12 +81,13 @@
         }
     }
 
-    /// Calls the daemon at `addr` and reports why there is no answer. On failure the connection is
+    /// Calls the daemon at `addr`, tells it `offered_milli`, and reports why there is no answer. On failure the connection is
     /// closed, because an unresponsive one would block every later call.
     pub async fn ask_reporting_outcome(
         &self,
         addr: SocketAddr,
         question: FleetQuestion,
+        offered_milli: OfferedTotals,
     ) -> PeerReply {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed) + 1;
         let connection = self.connection_to(addr);
@@ -93,7 +95,8 @@
         let (answer, answered) = oneshot::channel();
         lock(&connection.waiting).insert(number, answer);
         let sender = self.sender.clone();
-        let call = FleetCall { number, question: Some(question), sender, job_format: JOB_FORMAT };
+        let question = Some(question);
+        let call = FleetCall { number, question, sender, job_format: JOB_FORMAT, offered_milli };
         let is_sent = connection.calls.try_send(call).is_ok();
         let answer = match is_sent {
             true => {
@@ -167,8 +170,13 @@
     ) -> Option<FleetAnswer> {
         let sent = Instant::now();
         let sender = self.sender.clone();
-        let call =
-            FleetCall { number: 1, question: Some(question), sender, job_format: JOB_FORMAT };
+        let call = FleetCall {
+            number: 1,
+            question: Some(question),
+            sender,
+            job_format: JOB_FORMAT,
+            ..FleetCall::default()
+        };
         let outcome = tokio::time::timeout(timeout, exchange_once(addr, call)).await;
         let failure = match outcome {
             Ok(Ok(Some(answer))) => {
@@ -298,7 +306,9 @@
 async fn answer_call(daemon: &DaemonState, call: FleetCall) -> FleetAnswer {
     let mut answer = FleetAnswer { number: call.number, ..FleetAnswer::default() };
     daemon.peers.called_by(&call.sender);
-    daemon.load.called_by(&call.sender, call.job_format, daemon.clock.now_us());
+    let now_us = daemon.clock.now_us();
+    daemon.load.called_by(&call.sender, call.job_format, now_us);
+    daemon.load.offers_reported(&call.sender, call.offered_milli, now_us);
     // A planner that is cut off from the store does not know all the work that waits.
     if daemon.confirmed_planner().is_some() {
         answer.load = daemon.load.report(daemon.clock.now_us());
--- a/crates/agatesilld/src/fleet/predecessors.rs
+++ b/crates/agatesilld/src/fleet/predecessors.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use agatesill_coord::lease::{Owner, owner_key};
+use agatesill_policy::admission::OfferedTotals;
 use agatesill_policy::fleet::ORPHAN_MS;
 use agatesill_wire::fleet::FleetQuestion;
 use agatesill_wire::platform::{KeyVersion, Put};
@@ -82,7 +83,10 @@
         return true;
     }
     let Ok(addr) = planner.address.parse() else { return false };
-    match daemon.peer_connection.ask_reporting_outcome(addr, FleetQuestion::HowIsTheStore(0)).await
+    match daemon
+        .peer_connection
+        .ask_reporting_outcome(addr, FleetQuestion::HowIsTheStore(0), OfferedTotals::default())
+        .await
     {
         PeerReply::Answered(answer) => answer.has_no_planner,
         // A partition may refuse connections while the daemon behind it renews leases.
--- a/crates/agatesilld/tests/config_spread.rs
+++ b/crates/agatesilld/tests/config_spread.rs
@@ -78,7 +78,7 @@
             number: 1,
             question: Some(question),
             sender: self.addr.to_string(),
-            job_format: 0,
+            ..FleetCall::default()
         };
         frames.send(Frame { body: Some(Body::FleetCall(call)) }).await.unwrap();
         match frames.next().await.unwrap().unwrap().body {
--- a/crates/agatesilld/tests/load_views.rs
+++ b/crates/agatesilld/tests/load_views.rs
@@ -163,7 +163,8 @@
         let stream = TcpStream::connect(self.addrs.peer).await.ok()?;
         let mut frames = Framed::new(stream, FrameCodec::default());
         let question = Some(FleetQuestion::HowIsTheStore(1));
-        let call = FleetCall { number: 1, question, sender: "127.0.0.1:9".to_owned(), job_format };
+        let sender = "127.0.0.1:9".to_owned();
+        let call = FleetCall { number: 1, question, sender, job_format, ..FleetCall::default() };
         frames.send(Frame { body: Some(Body::FleetCall(call)) }).await.ok()?;
         match frames.next().await?.ok()?.body {
             Some(Body::FleetAnswer(answer)) => Some(answer),
