Room for long-running jobs: offers of all daemons, and returns when the headroom shrinks

Cause: a daemon took what its own callers had asked it for, times the number of daemons, for what all are about to accept. Retry-After followed the end of long-running tasks alone, which hardly ever end, and said 8 s while the headroom kept after a burst of urgent work was about to shrink.

Change: daemons send totals of what they were asked for with the calls that they make anyway; the planner's daemon publishes a rate with its view. Retry-After is the sooner of the end of long-running tasks and the shrinking of the headroom; refusals of one daemon are extrapolated only as far as their number is certain. Load control only; a daemon of the former version sends no totals and ignores the rate.

--- a/crates/agatesilld/tests/load_views.rs
+++ b/crates/agatesilld/tests/load_views.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use agatesill_platform::settings;
-use agatesill_policy::admission::{LoadControl, ServiceLoad};
+use agatesill_policy::admission::{LoadControl, OfferedTotals, ServiceLoad};
 use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion, JOB_FORMAT, LoadReport};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
 use agatesilld::fleet::load_state::LoadState;
@@ -105,6 +105,22 @@
     assert!(!published(&cut_off, 9, START_US + 20 * S, START_US + 20 * S).may_refuse);
 }
 
+/// Guards against daemons that each know only their own callers.
+#[test]
+fn views_have_what_callers_ask_for_at_all_daemons() {
+    let (planner, daemon) = (LoadState::default(), LoadState::default());
+    for addr in ["127.0.0.1:1", "127.0.0.1:2"] {
+        planner.called_by(addr, JOB_FORMAT, START_US);
+        for total in [500_000, 540_000] {
+            let totals = OfferedTotals::from([("pricing".to_owned(), total)]);
+            planner.offers_reported(addr, totals, START_US);
+        }
+    }
+    daemon.report_received(published(&planner, 7, START_US, START_US), START_US);
+    let held = daemon.held().unwrap();
+    assert_eq!(held.view.service("pricing").unwrap().offered_milli_per_s, 20_000);
+}
+
 /// Guards against views for deployments without load control, and after the end of planning.
 #[test]
 fn without_services_or_planning_there_is_no_view() {
