--- a/crates/agatesilld/tests/load_views.rs
+++ b/crates/agatesilld/tests/load_views.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use agatesill_platform::settings;
-use agatesill_policy::admission::{LoadControl, ServiceLoad};
+use agatesill_policy::admission::{LoadControl, OfferedTotals, ServiceLoad};
 use agatesill_wire::api::{LOAD_PATH, LoadStatus};
 use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion, JOB_FORMAT, LoadReport};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
@@ -107,6 +107,22 @@
     assert!(!published(&cut_off, 9, START_US + 20 * S, START_US + 20 * S).may_refuse);
 }
 
+/// Guards against daemons that each know only their own callers.
+#[test]
+fn views_have_what_callers_ask_for_at_all_daemons() {
+    let (planner, daemon) = (LoadState::default(), LoadState::default());
+    for addr in ["127.0.0.1:1", "127.0.0.1:2"] {
+        planner.called_by(addr, JOB_FORMAT, START_US);
+        for total in [500_000, 540_000] {
+            let totals = OfferedTotals::from([("pricing".to_owned(), total)]);
+            planner.offers_reported(addr, totals, START_US);
+        }
+    }
+    daemon.report_received(published(&planner, 7, START_US, START_US), START_US);
+    let held = daemon.held().unwrap();
+    assert_eq!(held.view.service("pricing").unwrap().offered_milli_per_s, 20_000);
+}
+
 /// Guards against views for deployments without load control, and after the end of planning.
 #[test]
 fn without_services_or_planning_there_is_no_view() {
@@ -166,7 +182,8 @@
         let stream = TcpStream::connect(self.addrs.peer).await.ok()?;
         let mut frames = Framed::new(stream, FrameCodec::default());
         let question = Some(FleetQuestion::HowIsTheStore(1));
-        let call = FleetCall { number: 1, question, sender: "127.0.0.1:9".to_owned(), job_format };
+        let sender = "127.0.0.1:9".to_owned();
+        let call = FleetCall { number: 1, question, sender, job_format, ..FleetCall::default() };
         frames.send(Frame { body: Some(Body::FleetCall(call)) }).await.ok()?;
         match frames.next().await?.ok()?.body {
             Some(Body::FleetAnswer(answer)) => Some(answer),
