Ranking: one function says how timely an occurrence is

counts_in_time and holds_back_nothing took the same five parameters and computed the elapsed time from them. rank computes it once, and timeliness, density and counts_in_time take it with the queue's terms. No change of behaviour.

--- a/crates/agatesill_policy/src/fleet/load.rs
+++ b/crates/agatesill_policy/src/fleet/load.rs
@@ -14,7 +14,7 @@
 use super::colocation::LONG_RUNNING_USED_SHARE;
 use super::drain::{DrainMeter, FreedMeter, remaining_share};
 use super::job::{Job, JobPhase, QueueTerms, Step, TaskState};
-use super::ranking::work_core_ms;
+use super::ranking::{counts_in_time, elapsed_ms, work_core_ms};
 use super::state::{Fleet, TaskGroup};
 use super::usage::TaskKind;
 use super::worker::Worker;
@@ -195,7 +195,8 @@
         now_us: u64,
     ) -> bool {
         let now_ms = ((now_us / US_PER_MS) as i64 + self.wall_offset_ms).max(0) as u64;
-        self.counts_in_time(job, terms, group, now_us, now_ms)
+        let elapsed_ms = elapsed_ms(job, group.occurrence, now_us, now_ms);
+        counts_in_time(job, group.occurrence, terms, elapsed_ms)
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/ranking.rs
+++ b/crates/agatesill_policy/src/fleet/ranking.rs
@@ -80,6 +80,7 @@
     fn rank(&self, group: TaskGroup, now_us: u64, now_ms: u64) -> Option<Ranked> {
         let job = self.job(group.job).filter(|job| job.phase == JobPhase::Active)?;
         let terms = self.terms(job);
+        let elapsed_ms = elapsed_ms(job, group.occurrence, now_us, now_ms);
         let density = if job.spec.steps[group.step as usize].is_lasting {
             let misses_little = self.is_within_allowance(job, group);
             let yield_us =
@@ -88,34 +89,14 @@
             if yields { IN_TIME_DENSITY } else { f64::INFINITY }
         } else {
             let mean = self.mean_work.get(&job.spec.queue).copied().unwrap_or(1.0);
-            let elapsed_ms = elapsed_ms(job, group.occurrence, now_us, now_ms);
-            density(job, group.occurrence, terms.stretch, terms.target_ms, mean, elapsed_ms)
+            density(job, group.occurrence, terms, mean, elapsed_ms)
         };
-        if self.holds_back_nothing(job, terms, group, now_us, now_ms) {
+        if self.holds_back_nothing(job, terms, group, elapsed_ms) {
             return Some(Ranked { priority: OVERDUE_PRIORITY, density: 0.0, group });
         }
         Some(Ranked { priority: terms.priority, density, group })
     }
 
-    /// Whether a waiting group ranks before a new job of its queue: it can still be in time, or some
-    /// of its occurrence's work is done.
-    pub(super) fn counts_in_time(
-        &self,
-        job: &Job,
-        terms: &QueueTerms,
-        group: TaskGroup,
-        now_us: u64,
-        now_ms: u64,
-    ) -> bool {
-        let occurrence = group.occurrence;
-        let elapsed_ms = elapsed_ms(job, occurrence, now_us, now_ms);
-        match timeliness(job, occurrence, terms.stretch, terms.target_ms, elapsed_ms) {
-            Timeliness::InTime => true,
-            Timeliness::Late => has_begun(job, occurrence),
-            Timeliness::Overdue => false,
-        }
-    }
-
     /// Whether a waiting group goes after all others, because its result no longer counts. Without
     /// load control, overdue jobs keep the priority of their queue.
     fn holds_back_nothing(
@@ -123,14 +104,11 @@
         job: &Job,
         terms: &QueueTerms,
         group: TaskGroup,
-        now_us: u64,
-        now_ms: u64,
+        elapsed_ms: f64,
     ) -> bool {
-        let elapsed_ms = elapsed_ms(job, group.occurrence, now_us, now_ms);
         self.controls_load(&terms.service)
             && !job.spec.steps[group.step as usize].is_lasting
-            && timeliness(job, group.occurrence, terms.stretch, terms.target_ms, elapsed_ms)
-                == Timeliness::Overdue
+            && timeliness(job, group.occurrence, terms, elapsed_ms) == Timeliness::Overdue
     }
 
     /// Includes a new job in the mean work of its queue.
@@ -143,6 +121,21 @@
     }
 }
 
+/// Whether waiting work of an occurrence ranks before a new job of its queue: it can still be in time,
+/// or some of the occurrence's work is done.
+pub(super) fn counts_in_time(
+    job: &Job,
+    occurrence: u32,
+    terms: &QueueTerms,
+    elapsed_ms: f64,
+) -> bool {
+    match timeliness(job, occurrence, terms, elapsed_ms) {
+        Timeliness::InTime => true,
+        Timeliness::Late => has_begun(job, occurrence),
+        Timeliness::Overdue => false,
+    }
+}
+
 /// Longest wait among the waiting tasks of a step.
 fn waited_us(job: &Job, group: TaskGroup, now_us: u64) -> u64 {
     job.tasks_of(group.occurrence, group.step)
@@ -154,7 +147,7 @@
 }
 
 /// Time since an occurrence was due by the wall clock, or since its job was accepted.
-fn elapsed_ms(job: &Job, occurrence: u32, now_us: u64, now_ms: u64) -> f64 {
+pub(super) fn elapsed_ms(job: &Job, occurrence: u32, now_us: u64, now_ms: u64) -> f64 {
     let elapsed_ms = match job.spec.due_ms(occurrence) {
         0 => now_us.saturating_sub(job.accepted_us) / US_PER_MS,
         due_ms => now_ms.saturating_sub(due_ms.max(job.spec.accepted_at_ms)),
@@ -179,14 +172,7 @@
     (step.estimate_ms.max(1) * step.need.cpu_milli.max(1)) as f64 / 1_000.0
 }
 
-fn density(
-    job: &Job,
-    occurrence: u32,
-    stretch: f64,
-    target_ms: u64,
-    mean_work: f64,
-    elapsed_ms: f64,
-) -> f64 {
+fn density(job: &Job, occurrence: u32, terms: &QueueTerms, mean_work: f64, elapsed_ms: f64) -> f64 {
     let total = total_work(job);
     let remaining: f64 = job
         .spec
@@ -199,7 +185,7 @@
         })
         .sum();
     let value = FIXED_VALUE_SHARE * mean_work + (1.0 - FIXED_VALUE_SHARE) * total;
-    let share = match timeliness(job, occurrence, stretch, target_ms, elapsed_ms) {
+    let share = match timeliness(job, occurrence, terms, elapsed_ms) {
         Timeliness::InTime => 1.0,
         Timeliness::Late => LATE_VALUE_SHARE,
         Timeliness::Overdue => OVERDUE_VALUE_SHARE,
@@ -218,15 +204,9 @@
     Overdue,
 }
 
-fn timeliness(
-    job: &Job,
-    occurrence: u32,
-    stretch: f64,
-    target_ms: u64,
-    elapsed_ms: f64,
-) -> Timeliness {
+fn timeliness(job: &Job, occurrence: u32, terms: &QueueTerms, elapsed_ms: f64) -> Timeliness {
     let steps = &job.spec.steps;
-    let objective_ms = stretch * critical_path_ms(steps, |_| true) + target_ms as f64;
+    let objective_ms = terms.stretch * critical_path_ms(steps, |_| true) + terms.target_ms as f64;
     let has_remaining = |step: usize| job.remaining[job.step_position(occurrence, step as u32)] > 0;
     let end_ms = elapsed_ms + critical_path_ms(steps, has_remaining);
     if end_ms <= objective_ms {
