Soak: more long-running jobs than the workers hold, and checks of refusals

From seed 5000 on, daemons run with load control, every third job is long-running and held for a few seconds, and together they ask for more than the workers have, while the faults of the seed happen; in every third run one daemon runs without load control. Refused callers return as told, up to four times, come sooner at another daemon, or give up; callers of accepted jobs send them again. The load lasts until five seconds after the last fault, so that a planner has time to learn that all daemons can refuse.

Checked, by what callers were told, workers started and daemons logged: a job whose last answer is 429 never ran; after 200 no daemon answers 429; each 429 has a Retry-After of at least a second and a line job_refused at the daemon that sent it (unless it was killed within a second); every daemon accepts a small long-running job within eight seconds after the load. Schedules and callers of other seeds are the same; seed 5005 is in the short set.

--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -9,10 +9,13 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio_util::sync::CancellationToken;
 
 use crate::daemon::Daemon;
 use crate::faults;
 use crate::history::FaultHistory;
+use crate::load_callers;
+use crate::refusals::{Answer, Answers};
 use crate::support::caller::{Connection, Outcome};
 use crate::support::settings::{self, Step, TaskFault};
 use crate::support::simulated_workers::SimulatedWorkers;
@@ -64,11 +67,15 @@
 pub struct Callers {
     pub known_jobs: Mutex<HashMap<String, KnownJob>>,
     pub violations: Mutex<Vec<String>>,
+    /// Answers to submissions.
+    pub answers: Mutex<Answers>,
+    /// Cancelled when no further jobs are submitted.
+    pub load_over: CancellationToken,
     daemons: Vec<Arc<Daemon>>,
     /// Whether the load balancer opens new connections to each daemon.
     accepts_connections: Vec<AtomicBool>,
     connections: Vec<Vec<AsyncMutex<Connection>>>,
-    simulated_workers: Arc<SimulatedWorkers>,
+    pub simulated_workers: Arc<SimulatedWorkers>,
     history: Arc<FaultHistory>,
 }
 
@@ -77,6 +84,8 @@
 pub enum RequestOutcome {
     /// Status and body.
     Answer(u16, String),
+    /// Status 429, with its Retry-After.
+    Refused(Option<String>),
     /// The daemon never read the request.
     NotSent,
     /// No answer arrived.
@@ -97,6 +106,8 @@
         Self {
             known_jobs: Mutex::default(),
             violations: Mutex::default(),
+            answers: Mutex::default(),
+            load_over: CancellationToken::new(),
             connections: daemons.iter().map(open_connections).collect(),
             accepts_connections: daemons.iter().map(|_| AtomicBool::new(true)).collect(),
             daemons: daemons.to_vec(),
@@ -117,11 +128,20 @@
         }
     }
 
-    fn add_violation(&self, what: String) {
+    pub fn daemon_count(&self) -> usize {
+        self.daemons.len()
+    }
+
+    pub fn is_finished(&self) -> bool {
+        self.history.is_finished()
+    }
+
+    pub fn add_violation(&self, what: String) {
         self.violations.lock().unwrap().push(what);
     }
 
-    /// Sends one request to a daemon, on a connection that stays open.
+    /// Sends one request to a daemon, on a connection that stays open, and records the answer to a
+    /// submission.
     pub async fn send_request(
         &self,
         daemon: usize,
@@ -129,6 +149,23 @@
         queue: &str,
         id: &str,
         body: &str,
+    ) -> RequestOutcome {
+        let is_submission = method == Method::POST;
+        let outcome = self.exchange(daemon, method, queue, id, body).await;
+        if is_submission {
+            let answer = Answer { daemon, received: Instant::now(), told: (&outcome).into() };
+            self.answers.lock().unwrap().entry(id.to_owned()).or_default().push(answer);
+        }
+        outcome
+    }
+
+    async fn exchange(
+        &self,
+        daemon: usize,
+        method: Method,
+        queue: &str,
+        id: &str,
+        body: &str,
     ) -> RequestOutcome {
         let host = format!("{queue}.example");
         let path = format!("/{queue}/{id}");
@@ -145,6 +182,7 @@
                 .await;
         drop(connection);
         let outcome = match outcome {
+            Ok(Outcome::Answered((429, retry_after, _))) => RequestOutcome::Refused(retry_after),
             Ok(Outcome::Answered((status, _, body))) => RequestOutcome::Answer(status, body),
             Ok(Outcome::NotSent) => RequestOutcome::NotSent,
             Ok(Outcome::Cut) | Err(_) => RequestOutcome::NoAnswer,
@@ -159,13 +197,20 @@
     pub async fn live(self: Arc<Self>, seed: u64, number: u32) {
         let mut random = Pcg64Mcg::seed_from_u64(seed << 16 | u64::from(number));
         let id = format!("{:08x}{number:08x}", seed as u32);
-        let (queue, steps, mut task_fault) = draw_job(&mut random, number);
+        let is_held = faults::has_load_control(seed) && load_callers::is_held(number);
+        let (queue, steps, mut task_fault) = match is_held {
+            true => load_callers::draw_held_job(&mut random),
+            false => draw_job(&mut random, number),
+        };
         if faults::has_crashing_tasks(seed) && CRASHING_JOBS.contains(&number) {
             task_fault = TaskFault::CrashesWorker;
         }
         self.simulated_workers.submit(&id, &steps);
         let body = settings::job(&steps, task_fault);
-        let submission = self.submit_job(&mut random, queue, &id, &body).await;
+        let submission = match is_held {
+            true => self.submit_and_return(&mut random, queue, &id, &body).await,
+            false => self.submit_job(&mut random, queue, &id, &body).await,
+        };
         let job = KnownJob {
             queue,
             steps,
@@ -176,7 +221,10 @@
         };
         self.known_jobs.lock().unwrap().insert(id.clone(), job);
         let Submission::Accepted(at) = submission else { return };
-        if number % 7 == 0 && number > 0 {
+        if is_held {
+            self.hold(&mut random, queue, &id, &body).await;
+        }
+        if is_held || number % 7 == 0 && number > 0 {
             self.cancel(&mut random, queue, &id).await;
         }
         self.poll_state(&mut random, queue, &id, at).await;
@@ -194,7 +242,9 @@
             let daemon = random.random_range(0..self.daemons.len());
             match self.send_request(daemon, Method::POST, queue, id, body).await {
                 RequestOutcome::Answer(200, _) => return Submission::Accepted(Instant::now()),
-                RequestOutcome::Answer(429 | 503, _) | RequestOutcome::NotSent => {}
+                RequestOutcome::Answer(503, _)
+                | RequestOutcome::Refused(_)
+                | RequestOutcome::NotSent => {}
                 RequestOutcome::Answer(..) | RequestOutcome::NoAnswer => is_unknown = true,
             }
             tokio::time::sleep(Duration::from_millis(random.random_range(200..800))).await;
@@ -202,7 +252,7 @@
         if is_unknown { Submission::Unknown } else { Submission::Refused }
     }
 
-    async fn cancel(&self, random: &mut Pcg64Mcg, queue: &str, id: &str) {
+    pub async fn cancel(&self, random: &mut Pcg64Mcg, queue: &str, id: &str) {
         tokio::time::sleep(Duration::from_millis(random.random_range(0..900))).await;
         if let Some(job) = self.known_jobs.lock().unwrap().get_mut(id) {
             job.is_cancelled = true;
--- a/crates/agatesilld/tests/fleet_soak/daemon.rs
+++ b/crates/agatesilld/tests/fleet_soak/daemon.rs
@@ -32,9 +32,13 @@
     pub store: Proxy,
     folder: PathBuf,
     metrics_port: u16,
+    /// Mode of load control; the default without one.
+    load_control: Option<&'static str>,
     child: Mutex<Option<Child>>,
     /// Number of processes started.
     starts: AtomicU64,
+    /// When processes were killed.
+    kills: Mutex<Vec<Instant>>,
     /// Whether the process was asked to stop.
     was_asked_to_stop: AtomicBool,
     /// Failures of the process itself.
@@ -48,6 +52,7 @@
         name: &str,
         store: SocketAddr,
         cpu_share: f64,
+        load_control: Option<&'static str>,
         stop: &CancellationToken,
     ) -> Self {
         let listen_addrs = ListenAddrs::allocate().await;
@@ -61,8 +66,10 @@
             store,
             folder: folder.to_owned(),
             metrics_port,
+            load_control,
             child: Mutex::new(None),
             starts: AtomicU64::new(0),
+            kills: Mutex::default(),
             was_asked_to_stop: AtomicBool::new(false),
             problems: Mutex::default(),
         }
@@ -82,6 +89,7 @@
         let errors = log.try_clone().unwrap();
         let process = Command::new(program())
             .args(["--platform", "--metrics-port", &self.metrics_port.to_string()])
+            .args(self.load_control.iter().flat_map(|mode| ["--load-control", mode]))
             .env("AGATESILL_NODE_FILE", self.folder.join(format!("{}.yaml", self.name)))
             .stdin(Stdio::null())
             .stdout(log)
@@ -102,11 +110,17 @@
     pub fn kill(&self) {
         let taken = self.child().take();
         if let Some(mut child) = taken {
+            self.kills.lock().unwrap().push(Instant::now());
             let _ = child.kill();
             let _ = child.wait();
         }
     }
 
+    /// When processes were killed so far.
+    pub fn kills(&self) -> Vec<Instant> {
+        self.kills.lock().unwrap().clone()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         if let Some(child) = self.child().as_ref() {
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -27,6 +27,12 @@
 /// From this seed on each run also has periods in which the store serves one daemon only.
 const FIRST_SEED_WITH_ONE_DAEMON_SERVED: u64 = 4_000;
 
+/// Each run of these seeds has load control and more long-running jobs than the workers hold.
+const SEEDS_WITH_LOAD_CONTROL: std::ops::Range<u64> = 5_000..9_000;
+
+/// In one of so many runs with load control, one daemon has none.
+const RUNS_PER_RUN_WITH_BOTH_MODES: u64 = 3;
+
 /// Time without faults between two rounds of a long run.
 const ROUND_PAUSE: Duration = Duration::from_secs(8);
 
@@ -148,6 +154,23 @@
     (FIRST_SEED_WITH_CRASHES..FIRST_SEED_WITH_WATCH_FAULTS).contains(&seed)
 }
 
+/// Whether the run of a seed has load control and more long-running jobs than the workers hold.
+pub fn has_load_control(seed: u64) -> bool {
+    SEEDS_WITH_LOAD_CONTROL.contains(&seed)
+}
+
+/// Whether one daemon of the run of a seed has no load control, beside others that have it.
+pub fn has_both_modes(seed: u64) -> bool {
+    has_load_control(seed) && seed % RUNS_PER_RUN_WITH_BOTH_MODES == 0
+}
+
+/// Mode of load control of a daemon; `None` for the default.
+pub fn load_control(seed: u64, daemon: usize, daemons: usize) -> Option<&'static str> {
+    let without = (seed / RUNS_PER_RUN_WITH_BOTH_MODES) as usize % daemons;
+    let is_without = has_both_modes(seed) && daemon == without;
+    has_load_control(seed).then_some(if is_without { "off" } else { "on" })
+}
+
 /// The fault schedule of a seed. Every fourth run has planned maintenance only, as only there
 /// callers may expect that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -12,7 +12,9 @@
 mod faults;
 mod gaps;
 mod history;
+mod load_callers;
 mod operator;
+mod refusals;
 mod run;
 mod stale_config;
 #[path = "../../../../platform/tests/support/mod.rs"]
@@ -30,9 +32,9 @@
 /// Seeds of the short set. Together they draw every kind of fault: seed 4 has planned maintenance
 /// only, 1,001 closes a zone, 2,001 has tasks that crash their workers and workers with reduced
 /// capacity, 3,001 and 3,002 have faults of the watches on the store, 4,002 one daemon that the store
-/// serves alone. Seed 46 covers a start that is unanswered, rejected when it is sent again, and
-/// executed late.
-const SEEDS: [u64; 10] = [1, 2, 3, 4, 46, 1_001, 2_001, 3_001, 3_002, 4_002];
+/// serves alone, 5,005 more long-running jobs than the workers hold. Seed 46 covers a start that is
+/// unanswered, rejected when it is sent again, and executed late.
+const SEEDS: [u64; 11] = [1, 2, 3, 4, 46, 1_001, 2_001, 3_001, 3_002, 4_002, 5_005];
 
 /// Concurrent runs. Each has three daemons that are mostly idle.
 const CONCURRENT_RUNS: usize = 2;
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -17,6 +17,7 @@
 use crate::faults::{self, Fault, ScheduledFault};
 use crate::history::FaultHistory;
 use crate::operator::Operator;
+use crate::refusals;
 use crate::support::proxy::{LinkFault, Proxy};
 use crate::support::simulated_workers::{CPU_MILLI, SimulatedWorkers, WorkerFault};
 use crate::support::store::{FakeStore, StoreFault};
@@ -58,6 +59,10 @@
 /// Interval between versions in quick succession.
 const RAPID_VERSION_INTERVAL: Duration = Duration::from_millis(330);
 
+/// Time for which the load lasts after the last fault of a run with load control: until a planner knows
+/// whether all daemons can refuse jobs, and some more.
+const LOAD_AFTER_FAULTS: Duration = Duration::from_secs(5);
+
 /// Jobs submitted per second.
 const JOBS_PER_S: u32 = 8;
 
@@ -108,7 +113,8 @@
         for index in 0..daemon_count {
             let share = CPU_SHARES[index % CPU_SHARES.len()];
             let name = format!("entry-{index}");
-            let daemon = Daemon::prepare(&folder, &name, store_addr, share, &stop).await;
+            let mode = faults::load_control(seed, index, daemon_count);
+            let daemon = Daemon::prepare(&folder, &name, store_addr, share, mode, &stop).await;
             daemons.push(Arc::new(daemon));
         }
         let mut slots = Vec::new();
@@ -214,6 +220,7 @@
             ticks.tick().await;
             jobs.spawn(self.callers.clone().live(self.seed, number));
         }
+        self.callers.load_over.cancel();
         tokio::spawn(async move { while jobs.join_next().await.is_some() {} });
     }
 
@@ -374,7 +381,14 @@
             tokio::time::sleep(Duration::from_millis(200)).await;
             outstanding = self.outstanding().await;
         }
-        tokio::time::sleep(CALM_PERIOD).await;
+        if faults::has_load_control(self.seed) {
+            tokio::join!(
+                tokio::time::sleep(CALM_PERIOD),
+                self.callers.check_refusals_end(self.seed)
+            );
+        } else {
+            tokio::time::sleep(CALM_PERIOD).await;
+        }
         self.history.finish();
         let mut violations = outstanding;
         violations.extend(self.config_probe.violations.lock().unwrap().clone());
@@ -384,6 +398,7 @@
         violations.extend(self.daemons.iter().flat_map(|daemon| daemon.problems()));
         violations.extend(self.starts_of_refused_jobs());
         violations.extend(self.missing_crashes());
+        violations.extend(self.wrong_refusals());
         violations
     }
 
@@ -432,6 +447,31 @@
         is_missing.then(|| "no task crashed its worker".to_owned())
     }
 
+    /// Violations of what callers may expect of a refusal. Without any, a run with load control does
+    /// not test them.
+    fn wrong_refusals(&self) -> Vec<String> {
+        let answers = self.callers.answers.lock().unwrap();
+        let mut violations =
+            refusals::runs_of_refused_jobs(&answers, &self.simulated_workers.starts());
+        violations.extend(refusals::refusals_after_acceptance(&answers));
+        violations.extend(refusals::refusals_without_delay(&answers));
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            let lines = daemon.log_lines("job_refused");
+            let logged: Vec<String> =
+                lines.iter().filter_map(|line| Some(line["job"].as_str()?.to_owned())).collect();
+            let kills = daemon.kills();
+            violations.extend(refusals::refusals_without_line(&answers, index, &logged, &kills));
+        }
+        if faults::has_load_control(self.seed) {
+            let count = refusals::count(&answers);
+            println!("seed {}: {count} refusals", self.seed);
+            if count == 0 && !faults::has_both_modes(self.seed) {
+                violations.push("no job was refused".to_owned());
+            }
+        }
+        violations
+    }
+
     fn starts_of_refused_jobs(&self) -> Vec<String> {
         let known_jobs = self.callers.known_jobs.lock().unwrap();
         let is_refused = |task: &str| {
@@ -527,7 +567,13 @@
         .iter()
         .map(|scheduled| tokio::spawn(run.clone().inject(*scheduled)))
         .collect();
-    run.traffic(period + Duration::from_secs(1)).await;
+    let faults_end =
+        scheduled_faults.iter().map(|scheduled| scheduled.at + scheduled.duration).max();
+    let span = match faults_end.filter(|_| faults::has_load_control(seed)) {
+        Some(faults_end) => period.max(faults_end) + LOAD_AFTER_FAULTS,
+        None => period + Duration::from_secs(1),
+    };
+    run.traffic(span).await;
     for injection in injections {
         if let Err(error) = injection.await {
             run.add_problem(format!("a fault was not injected: {error}"));
