Group commit: acceptances during slow calls share transactions

With a call for each job, the calls in flight bound the acceptances of a daemon: 32 while the store takes 60 times its usual time. Under load control, jobs that are accepted while transactions are under way go into the next one: 16 a transaction, since the store takes 32 entries and each create needs a check and a value. Urgent jobs go first, others keep a quarter, what waits is bounded.

The outcome of a transaction is that of each of its jobs. Keys that exist are answered alone and the rest is sent again; a rejected transaction is split; without an answer each job is unknown and read back as before. A caller that goes away withdraws only what was not sent. Other deployments, refusal records and replacements of records use single calls as before.

--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -18,6 +18,7 @@
 mod activation;
 mod demand;
 mod door;
+pub mod group_commit;
 mod load_view;
 mod promises;
 mod room;
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -13,6 +13,7 @@
 
 use super::active_config::ConfigState;
 use super::clock::Clock;
+use super::group_commit::GroupCommitter;
 use super::line_limit::LineLimit;
 use super::load_state::LoadState;
 use super::metrics::FleetMetrics;
@@ -95,6 +96,8 @@
     pub load: LoadState,
     /// Lease of the records of refused jobs.
     pub record_lease: RecordLease,
+    /// Stores accepted jobs in shared transactions.
+    pub group_commit: GroupCommitter,
     /// Instruments of the metrics.
     pub metrics: FleetMetrics,
     /// Counters of callers' requests.
@@ -120,11 +123,12 @@
 impl DaemonState {
     /// Creates the state of a starting daemon.
     pub fn new(settings: NodeSettings, store: Store, metrics: FleetMetrics) -> Self {
-        let addr = settings.peer_addr;
+        let (addr, clock) = (settings.peer_addr, Clock::start());
         Self {
             settings,
+            group_commit: GroupCommitter::new(store.clone(), metrics.clone(), clock),
             store,
-            clock: Clock::start(),
+            clock,
             peer_connection: PeerConnection::new("planner", addr, ANSWER_TIMEOUT),
             peer_calls: PeerCalls::new(addr),
             peers: PeerDirectory::default(),
@@ -152,8 +156,13 @@
 
     /// Whether load control is active for a service in the active configuration.
     pub fn controls_load(&self, service: &str) -> bool {
-        let active = self.config_state.active();
-        active.is_some_and(|active| self.load.controls(&self.settings, &active, service))
+        self.controlled_priority(service).is_some()
+    }
+
+    /// Priority of the most urgent queues of a service if load control is active for it.
+    pub fn controlled_priority(&self, service: &str) -> Option<u32> {
+        let active = self.config_state.active()?;
+        self.load.controlled_priority(&self.settings, &active, service)
     }
 
     /// The planner, if this daemon runs it.
--- a/crates/agatesilld/src/fleet/load_state.rs
+++ b/crates/agatesilld/src/fleet/load_state.rs
@@ -110,11 +110,12 @@
     old_format_us: u64,
 }
 
-/// Services with load control in one version of the configuration.
+/// Services with load control in one version of the configuration, with the priority of their most
+/// urgent queues.
 #[derive(Debug, Default)]
 struct ControlledServices {
     revision: u64,
-    services: HashSet<String>,
+    services: HashMap<String, u32>,
 }
 
 /// The load as this daemon knows it.
@@ -240,9 +241,14 @@
         lock(&self.door).accepted(job, now_us);
     }
 
-    /// Whether load control is active for a service in the active configuration. The services are
-    /// determined once for each version.
-    pub fn controls(&self, settings: &NodeSettings, active: &ActiveConfig, service: &str) -> bool {
+    /// Priority of the most urgent queues of a service if load control is active for it in the active
+    /// configuration. The services are determined once for each version.
+    pub fn controlled_priority(
+        &self,
+        settings: &NodeSettings,
+        active: &ActiveConfig,
+        service: &str,
+    ) -> Option<u32> {
         let mut controlled = lock(&self.controlled);
         if controlled.revision != active.revision {
             let queues = active.site.terms();
@@ -255,10 +261,13 @@
                     let (control, bounds) = (settings.load_control, &settings.bounds);
                     calls_for_load_control(control, service, &queues, bounds)
                 })
-                .map(str::to_owned)
+                .filter_map(|service| {
+                    let of_service = queues.values().filter(|terms| terms.service == service);
+                    Some((service.to_owned(), of_service.map(|terms| terms.priority).min()?))
+                })
                 .collect();
         }
-        controlled.services.contains(service)
+        controlled.services.get(service).copied()
     }
 }
 
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -24,6 +24,9 @@
 const BUCKETS_S: [f64; 12] =
     [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0];
 
+/// Upper bounds of the histogram buckets of jobs stored by one call.
+const GROUP_BUCKETS: [f64; 4] = [1.0, 2.0, 4.0, 8.0];
+
 /// Instruments of one daemon.
 #[derive(Clone, Debug)]
 pub struct FleetMetrics {
@@ -31,6 +34,8 @@
     requests: Histogram<f64>,
     commits: Histogram<f64>,
     orders: Histogram<f64>,
+    acceptance_groups: Histogram<u64>,
+    acceptance_waits: Histogram<f64>,
 }
 
 impl FleetMetrics {
@@ -44,7 +49,18 @@
         );
         let commits = histogram("agatesill.commit.duration", "Time to store records, by outcome");
         let orders = histogram("agatesill.order.duration", "Time to give an order to a worker");
-        Ok(Self { instruments, requests, commits, orders })
+        let acceptance_waits = histogram(
+            "agatesill.acceptance.wait",
+            "Time from an accepted job to the call that stores it, under load control",
+        );
+        let acceptance_groups = instruments
+            .meter()
+            .u64_histogram("agatesill.acceptance.group")
+            .with_unit("{job}")
+            .with_boundaries(GROUP_BUCKETS.to_vec())
+            .with_description("Jobs stored by one call under load control, by outcome")
+            .build();
+        Ok(Self { instruments, requests, commits, orders, acceptance_groups, acceptance_waits })
     }
 
     /// Records an answer to a caller.
@@ -65,6 +81,16 @@
         self.orders.record(duration.as_secs_f64(), &labels);
     }
 
+    /// Records a call that stores accepted jobs.
+    pub fn acceptance_group(&self, outcome: &'static str, jobs: usize) {
+        self.acceptance_groups.record(jobs as u64, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records how long an accepted job waited for the call that stores it.
+    pub fn acceptance_wait(&self, wait: Duration) {
+        self.acceptance_waits.record(wait.as_secs_f64(), &[]);
+    }
+
     /// Creates the instruments that are read when the metrics are scraped.
     pub fn observe(&self, daemon: &Arc<DaemonState>) {
         let meter = self.instruments.meter();
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod config_watch;
 pub mod daemon_state;
 mod front;
+mod group_commit;
 pub mod job_store;
 mod keys;
 pub mod line_limit;
--- a/crates/agatesilld/src/fleet/submission.rs
+++ b/crates/agatesilld/src/fleet/submission.rs
@@ -51,6 +51,18 @@
     NotStored,
 }
 
+/// How the key of a job is created.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobCreate {
+    /// By a call of its own.
+    Alone,
+    /// In a transaction with other jobs that are accepted meanwhile.
+    Grouped {
+        /// Whether the job is of a most urgent queue of its service.
+        is_urgent: bool,
+    },
+}
+
 /// A record of a refused job as found in the store.
 #[derive(Clone, Copy, Debug)]
 struct FoundRecord {
@@ -67,12 +79,16 @@
 /// Stores a job as `json`, or refuses it by the load that this daemon knows of if load control is
 /// active for its service.
 pub async fn submit_by_load(daemon: &DaemonState, spec: &JobSpec, json: &str) -> Submission {
-    let controls_load = daemon.controls_load(&spec.terms.service);
+    let most_urgent = daemon.controlled_priority(&spec.terms.service);
+    let controls_load = most_urgent.is_some();
+    let create = most_urgent.map_or(JobCreate::Alone, |priority| JobCreate::Grouped {
+        is_urgent: spec.terms.priority <= priority,
+    });
     let mut decide = |returning: Option<Return>| match controls_load {
         true => daemon.load.decide(spec, returning, daemon.clock.now_us()),
         false => Verdict::Accept,
     };
-    let submission = submit(daemon, spec, json, &mut decide).await;
+    let submission = submit(daemon, spec, json, create, &mut decide).await;
     if controls_load && matches!(submission, Submission::Stored { .. }) {
         daemon.load.accepted(spec, daemon.clock.now_us());
     }
@@ -85,6 +101,7 @@
     daemon: &DaemonState,
     spec: &JobSpec,
     json: &str,
+    create: JobCreate,
     decide: &mut (dyn FnMut(Option<Return>) -> Verdict + Send),
 ) -> Submission {
     if daemon.store.is_unavailable() {
@@ -97,7 +114,12 @@
         let planned = plan(spec, found.as_ref(), decide);
         let expect_version = found.map_or(0, |found| found.version);
         let write = match &planned {
-            PlannedWrite::Job => write_guarded(daemon, &key, expect_version, json, 0).await,
+            PlannedWrite::Job => match create {
+                JobCreate::Grouped { is_urgent } if expect_version == 0 => {
+                    daemon.group_commit.create(&key, json, is_urgent).await
+                }
+                _ => write_guarded(daemon, &key, expect_version, json, 0).await,
+            },
             PlannedWrite::Record(record, _) => {
                 write_record(daemon, &key, expect_version, record).await
             }
--- a/crates/agatesilld/tests/submissions.rs
+++ b/crates/agatesilld/tests/submissions.rs
@@ -11,6 +11,7 @@
 
 use agatesill_coord::store::Store;
 use agatesill_platform::settings;
+use agatesill_policy::admission::group_commit::{MAX_GROUP_CREATES, MAX_GROUPS_IN_FLIGHT};
 use agatesill_policy::admission::{Refusal, RefusalCause, Return, Verdict};
 use agatesill_policy::fleet::{JobSpec, QueueTerms};
 use agatesill_wire::fleet::{FleetAnswer, FleetWrite};
@@ -22,9 +23,11 @@
 use agatesilld::fleet::metrics::FleetMetrics;
 use agatesilld::fleet::record_lease::RecordLease;
 use agatesilld::fleet::refusal_record::RefusalRecord;
-use agatesilld::fleet::submission::{self, RefusedJob, Submission};
+use agatesilld::fleet::submission::{self, JobCreate, RefusedJob, Submission};
 use agatesilld::fleet::submission_report;
 use support::settings::ListenAddrs;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 const ID: &str = "00000000000000aa";
 
@@ -50,8 +53,10 @@
     LosesAnswer,
     /// The write is executed by [`FakeStore::execute_late`], and has no answer.
     IsLate,
-    /// The write is rejected.
+    /// The write is not served.
     Rejects,
+    /// The write is invalid.
+    IsInvalid,
 }
 
 #[derive(Default)]
@@ -62,6 +67,8 @@
     faults: VecDeque<Option<WriteFault>>,
     late: Vec<StoreCall>,
     leases: u64,
+    /// Writes that have arrived.
+    writes: usize,
     /// Value that another daemon writes to the job's key before the next write arrives.
     raced: Option<String>,
 }
@@ -70,15 +77,18 @@
 #[derive(Clone, Default)]
 struct MemoryStore {
     state: Arc<Mutex<State>>,
+    /// Whether calls are held back before they are executed.
+    is_held: Arc<watch::Sender<bool>>,
 }
 
 impl MemoryStore {
     fn client(&self) -> Store {
         let store = self.clone();
         Store::with_transport(Arc::new(move |call, _| {
-            let reply = store.call(call);
+            let store = store.clone();
             Box::pin(async move {
-                match reply {
+                store.arrived(&call).await;
+                match store.call(call) {
                     Some(reply) => reply,
                     None => std::future::pending().await,
                 }
@@ -86,10 +96,21 @@
         }))
     }
 
+    /// Counts a call and waits until calls are executed.
+    async fn arrived(&self, call: &StoreCall) {
+        let is_write = matches!(call, StoreCall::Cas { .. } | StoreCall::Txn { .. });
+        self.state.lock().unwrap().writes += usize::from(is_write);
+        self.is_held.subscribe().wait_for(|is_held| !is_held).await.unwrap();
+    }
+
     /// Executes a call; `None` if it has no answer.
     fn call(&self, call: StoreCall) -> Option<Result<StoreReply, Error>> {
         let mut state = self.state.lock().unwrap();
-        let is_write = matches!(&call, StoreCall::Cas { key, .. } if key == KEY);
+        let is_write = match &call {
+            StoreCall::Cas { key, .. } => key == KEY,
+            StoreCall::Txn { puts, .. } => puts.iter().any(|put| put.key == KEY),
+            _ => false,
+        };
         if let Some(value) = state.raced.take_if(|_| is_write) {
             state.put(KEY, &value, 0);
         }
@@ -99,6 +120,9 @@
             Some(WriteFault::Rejects) => {
                 Some(Err(Error::new(ErrorKind::StoreUnavailable, "status 503")))
             }
+            Some(WriteFault::IsInvalid) => {
+                Some(Err(Error::new(ErrorKind::BadRequest, "status 400")))
+            }
             Some(WriteFault::LosesAnswer) => {
                 state.execute(&call);
                 None
@@ -163,6 +187,19 @@
                 }
                 reply.entries = self.entry(key).into_iter().collect();
             }
+            StoreCall::Txn { expected, puts, deletes } => {
+                assert!(expected.len() + puts.len() + deletes.len() <= 32, "too many entries");
+                let found = expected.iter().filter_map(|row| self.entry(&row.key)).collect();
+                reply.applied = expected
+                    .iter()
+                    .all(|row| self.items.get(&row.key).map_or(0, |item| item.1) == row.version);
+                match reply.applied {
+                    true => {
+                        puts.iter().for_each(|put| self.put(&put.key, &put.value, put.lease_id))
+                    }
+                    false => reply.entries = found,
+                }
+            }
             StoreCall::Range { prefix } => reply.entries = self.entry(prefix).into_iter().collect(),
             StoreCall::Grant { .. } => {
                 self.leases += 1;
@@ -218,7 +255,7 @@
 async fn submit(daemon: &DaemonState, arrived_ms: u64, verdict: Verdict) -> Submission {
     let spec = job(arrived_ms);
     let json = serde_json::to_string(&spec).unwrap();
-    submission::submit(daemon, &spec, &json, &mut |_| verdict).await
+    submission::submit(daemon, &spec, &json, JobCreate::Alone, &mut |_| verdict).await
 }
 
 fn is_refused(submission: &Submission) -> bool {
@@ -332,7 +369,7 @@
     let spec = job(refused_ms + 4_250);
     let json = serde_json::to_string(&spec).unwrap();
     let mut asked = Vec::new();
-    let outcome = submission::submit(&one, &spec, &json, &mut |returning| {
+    let outcome = submission::submit(&one, &spec, &json, JobCreate::Alone, &mut |returning| {
         asked.push(returning);
         refuse()
     })
@@ -479,3 +516,232 @@
     let unanswered = FleetAnswer::default();
     assert_eq!(submission_report::decode(&unanswered), Submission::NotStored);
 }
+
+/// ID of the job with [`KEY`] among those of a group.
+const FAULTY: u64 = 0xaa;
+
+/// IDs of the jobs that keep all transactions in flight while a group forms.
+const FIRST_FILLER: u64 = 0x1_0000;
+
+/// Outcome for a job that was not submitted before.
+const NEW: Submission = Submission::Stored { is_return: false };
+
+/// Submits a job for storage in a group.
+fn submit_grouped(daemon: &Arc<DaemonState>, id: u64, is_urgent: bool) -> JoinHandle<Submission> {
+    let daemon = daemon.clone();
+    let spec = JobSpec { id: format!("{id:016x}"), ..job(wall_ms()) };
+    tokio::spawn(async move {
+        let json = serde_json::to_string(&spec).unwrap();
+        let create = JobCreate::Grouped { is_urgent };
+        submission::submit(&daemon, &spec, &json, create, &mut |_| Verdict::Accept).await
+    })
+}
+
+/// Lets all tasks run until each waits.
+async fn settle() {
+    for _ in 0..50 {
+        tokio::task::yield_now().await;
+    }
+}
+
+impl MemoryStore {
+    /// Holds calls back and submits jobs until all transactions are in flight.
+    async fn keep_busy(&self, daemon: &Arc<DaemonState>) -> Vec<JoinHandle<Submission>> {
+        let before = self.state.lock().unwrap().writes;
+        self.is_held.send_replace(true);
+        let fillers = FIRST_FILLER..FIRST_FILLER + MAX_GROUPS_IN_FLIGHT as u64;
+        let fillers = fillers.map(|id| submit_grouped(daemon, id, false)).collect();
+        settle().await;
+        assert_eq!(self.state.lock().unwrap().writes, before + MAX_GROUPS_IN_FLIGHT);
+        fillers
+    }
+
+    fn release(&self) {
+        self.is_held.send_replace(false);
+    }
+
+    fn job_ids(&self) -> Vec<u64> {
+        let state = self.state.lock().unwrap();
+        let ids = state.items.keys().filter_map(|key| key.strip_prefix("in/job/"));
+        let ids = ids.map(|id| u64::from_str_radix(id, 16).unwrap());
+        ids.filter(|id| *id < FIRST_FILLER).collect()
+    }
+}
+
+/// Submits jobs that wait until they share a transaction, and returns their outcomes.
+async fn submit_together(
+    store: &MemoryStore,
+    daemon: &Arc<DaemonState>,
+    ids: &[u64],
+) -> Vec<Submission> {
+    let fillers = store.keep_busy(daemon).await;
+    let together: Vec<_> = ids.iter().map(|id| submit_grouped(daemon, *id, true)).collect();
+    settle().await;
+    store.release();
+    for filler in fillers {
+        assert_eq!(filler.await.unwrap(), NEW);
+    }
+    let mut outcomes = Vec::new();
+    for submission in together {
+        outcomes.push(submission.await.unwrap());
+    }
+    outcomes
+}
+
+/// Guards against a burst during slow calls whose jobs each wait for a call of their own.
+#[tokio::test]
+async fn jobs_that_arrive_during_calls_share_the_next_ones() {
+    let store = MemoryStore::default();
+    let one = Arc::new(daemon(&store).await);
+    let ids: Vec<u64> = (0..10 * MAX_GROUP_CREATES as u64).collect();
+    let outcomes = submit_together(&store, &one, &ids).await;
+    assert!(outcomes.iter().all(|outcome| *outcome == NEW));
+    assert_eq!(store.job_ids(), ids);
+    assert_eq!(store.state.lock().unwrap().writes, MAX_GROUPS_IN_FLIGHT + 10);
+}
+
+/// Guards against a group whose transaction takes effect late: each job is unknown, its repeat finds it
+/// or stores it, and none is stored twice.
+#[tokio::test]
+async fn a_late_group_is_unknown_for_each_job() {
+    for is_repeated_before in [false, true] {
+        let store = MemoryStore::default();
+        let (one, two) = (Arc::new(daemon(&store).await), Arc::new(daemon(&store).await));
+        store.fail_writes(&[Some(WriteFault::IsLate)]);
+        let outcomes = submit_together(&store, &one, &[1, FAULTY, 2]).await;
+        assert_eq!(outcomes, vec![Submission::Unknown; 3]);
+        assert!(store.job_ids().is_empty());
+        if is_repeated_before {
+            assert_eq!(submit_grouped(&two, 1, true).await.unwrap(), NEW);
+        }
+        store.execute_late();
+        let expected = if is_repeated_before { NEW } else { Submission::Existed };
+        assert_eq!(submit_grouped(&two, 2, true).await.unwrap(), expected);
+        assert_eq!(submit_grouped(&two, FAULTY, true).await.unwrap(), expected);
+        assert_eq!(submit_grouped(&two, 1, true).await.unwrap(), Submission::Existed);
+        assert_eq!(store.job_ids(), [1, 2, FAULTY]);
+    }
+}
+
+/// Guards against jobs that are reported as not stored because the answer to their group was lost.
+#[tokio::test]
+async fn jobs_of_a_group_whose_answer_is_lost_are_read_back() {
+    let store = MemoryStore::default();
+    let one = Arc::new(daemon(&store).await);
+    store.fail_writes(&[Some(WriteFault::LosesAnswer)]);
+    assert_eq!(submit_together(&store, &one, &[1, FAULTY, 2]).await, vec![NEW; 3]);
+    assert_eq!(store.job_ids(), [1, 2, FAULTY]);
+}
+
+/// Guards against a stored or refused job that fails the others of its group, or is replaced.
+#[tokio::test]
+async fn existing_keys_of_a_group_are_answered_alone() {
+    let store = MemoryStore::default();
+    let (one, two) = (Arc::new(daemon(&store).await), daemon(&store).await);
+    assert_eq!(submit(&two, wall_ms(), Verdict::Accept).await, NEW);
+    let before = store.value(KEY);
+    let outcomes = submit_together(&store, &one, &[1, FAULTY, 2]).await;
+    assert_eq!(outcomes, [NEW, Submission::Existed, NEW]);
+    assert_eq!(store.value(KEY), before);
+
+    let store = MemoryStore::default();
+    let (one, two) = (Arc::new(daemon(&store).await), daemon(&store).await);
+    assert!(is_refused(&submit(&two, wall_ms(), refuse()).await));
+    let outcomes = submit_together(&store, &one, &[1, FAULTY, 2]).await;
+    assert!(is_refused(&outcomes[1]) && !store.holds_job());
+    assert_eq!((&outcomes[0], &outcomes[2]), (&NEW, &NEW));
+
+    let store = MemoryStore::default();
+    let (one, two) = (Arc::new(daemon(&store).await), daemon(&store).await);
+    refuse_at(&store, &two, long_ago_ms()).await;
+    let outcomes = submit_together(&store, &one, &[1, FAULTY, 2]).await;
+    assert_eq!(outcomes, [NEW, Submission::Stored { is_return: true }, NEW]);
+}
+
+/// Guards against two requests for one job at one daemon that both count as new, or that fail a group.
+#[tokio::test]
+async fn two_requests_for_one_job_store_it_once() {
+    let store = MemoryStore::default();
+    let one = Arc::new(daemon(&store).await);
+    let mut outcomes = submit_together(&store, &one, &[FAULTY, 1, FAULTY]).await;
+    outcomes.sort_by_key(|outcome| *outcome == Submission::Existed);
+    assert_eq!(outcomes, [NEW, NEW, Submission::Existed]);
+}
+
+/// Guards against a job that the store rejects and that fails all others with it.
+#[tokio::test]
+async fn one_bad_job_of_a_group_fails_alone() {
+    let store = MemoryStore::default();
+    let one = Arc::new(daemon(&store).await);
+    store.fail_writes(&[Some(WriteFault::IsInvalid); 8]);
+    let ids: Vec<u64> = (0..7).chain([FAULTY]).collect();
+    let outcomes = submit_together(&store, &one, &ids).await;
+    assert!(outcomes[..7].iter().all(|outcome| *outcome == NEW), "{outcomes:?}");
+    assert_eq!(outcomes[7], Submission::NotStored);
+    assert_eq!(store.job_ids(), ids[..7]);
+}
+
+/// Guards against callers that wait for a store that turns the daemon away, and against jobs that are
+/// stored after their callers were refused.
+#[tokio::test]
+async fn a_group_that_is_not_served_is_refused_at_once() {
+    let store = MemoryStore::default();
+    let one = Arc::new(daemon(&store).await);
+    store.fail_writes(&[Some(WriteFault::Rejects)]);
+    let outcomes = submit_together(&store, &one, &[1, FAULTY, 2]).await;
+    assert_eq!(outcomes, vec![Submission::NotStored; 3]);
+    settle().await;
+    assert!(store.job_ids().is_empty());
+}
+
+/// Guards against a caller that goes away and takes the jobs of others with it, or whose job is stored
+/// although it was not sent and nobody waits for it.
+#[tokio::test]
+async fn a_caller_that_goes_away_neither_loses_nor_delays_others() {
+    let store = MemoryStore::default();
+    let one = Arc::new(daemon(&store).await);
+    let fillers = store.keep_busy(&one).await;
+    let together: Vec<_> = [1, 2, 3].map(|id| submit_grouped(&one, id, true)).into();
+    settle().await;
+    together[1].abort();
+    fillers[0].abort();
+    settle().await;
+    store.release();
+    for (position, submission) in together.into_iter().enumerate() {
+        match position {
+            1 => assert!(submission.await.unwrap_err().is_cancelled()),
+            _ => assert_eq!(submission.await.unwrap(), NEW),
+        }
+    }
+    for filler in fillers.into_iter().skip(1) {
+        assert_eq!(filler.await.unwrap(), NEW);
+    }
+    assert_eq!(store.job_ids(), [1, 3]);
+    let first = format!("in/job/{FIRST_FILLER:016x}");
+    assert!(store.value(&first).is_some(), "its transaction was sent");
+}
+
+/// Guards against a job that was answered or stored although its daemon was lost before it sent the
+/// transaction.
+#[test]
+fn a_daemon_lost_before_sending_has_stored_and_answered_nothing() {
+    let store = MemoryStore::default();
+    let lost = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let mut waiting = None;
+    lost.block_on(async {
+        let one = Arc::new(daemon(&store).await);
+        store.keep_busy(&one).await;
+        let submission = waiting.insert(submit_grouped(&one, 1, true));
+        settle().await;
+        assert!(!submission.is_finished());
+    });
+    drop(lost);
+    store.release();
+    let successor = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    successor.block_on(async {
+        assert!(waiting.unwrap().await.is_err(), "its caller has no answer");
+        assert!(store.job_ids().is_empty());
+        let two = Arc::new(daemon(&store).await);
+        assert_eq!(submit_grouped(&two, 1, true).await.unwrap(), NEW);
+    });
+}
