Return after a store outage: callers spread by rate and urgency

Callers that are refused while the store is away were told to return after the length of the outage so far. In whole seconds they bunch: all who are refused within a second return within one, with those who were refused before. Under load control, a daemon now adds a place among the callers that it has refused since the outage began, urgent ones first, over the time in which the store can store their jobs, and rounds to whole seconds by the job's ID so that the mean is kept. 1 to 8 s, as before. Other deployments keep the Retry-After that they had; `refused` lines have it and the length of the outage.

--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod missing_tasks;
 mod order_outcomes;
 mod orders;
+mod outage_returns;
 mod place;
 mod plan;
 mod polls;
@@ -53,6 +54,7 @@
 pub use longest_wait::{Deferral, FittingWorkers, LongestTransition, LongestWait};
 pub use missing_tasks::{MissingTask, MissingTaskWorker, PlacementWait};
 pub use orders::{JobWrite, Order, OrderKind, OrderOutcome};
+pub use outage_returns::OutageReturns;
 pub use record::{ProgressRecord, TaskRecord};
 pub use refusals::{Refusal, Refusals};
 pub use retry_after::retry_after_ms;
--- a/crates/agatesill_policy/src/fleet/retry_after.rs
+++ b/crates/agatesill_policy/src/fleet/retry_after.rs
@@ -5,10 +5,10 @@
 //! up by the time the store is available again.
 
 /// Minimum Retry-After: an outage that has just begun may be a lost connection.
-const MIN_RETRY_AFTER_MS: u64 = 1_000;
+pub(super) const MIN_RETRY_AFTER_MS: u64 = 1_000;
 
 /// Maximum Retry-After: no caller should wait for long after the store is available again.
-const MAX_RETRY_AFTER_MS: u64 = 8_000;
+pub(super) const MAX_RETRY_AFTER_MS: u64 = 8_000;
 
 /// Returns the time after which a caller should retry in an outage that has lasted for `away_ms`.
 ///
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -21,6 +21,7 @@
 use super::peer_directory::PeerDirectory;
 use super::planner::PlannerHandle;
 use super::record_lease::RecordLease;
+use super::store_outage::StoreOutage;
 
 /// Factor by which a daemon's processor share must exceed the planner's for planning to move there.
 const LARGER_FACTOR: u32 = 2;
@@ -98,6 +99,8 @@
     pub record_lease: RecordLease,
     /// Stores accepted jobs in shared transactions.
     pub group_commit: GroupCommitter,
+    /// Callers refused while the store is unavailable.
+    pub store_outage: StoreOutage,
     /// Instruments of the metrics.
     pub metrics: FleetMetrics,
     /// Counters of callers' requests.
@@ -134,6 +137,7 @@
             peers: PeerDirectory::default(),
             load: LoadState::default(),
             record_lease: RecordLease::default(),
+            store_outage: StoreOutage::default(),
             metrics,
             counts: RequestCounts::default(),
             planner_stats: Mutex::default(),
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -113,7 +113,10 @@
         }
         Submission::Refused(refused) => refuse_job(daemon, &spec, &refused),
         Submission::Unknown => refuse(daemon, id, &write_error(daemon, FleetWrite::Unknown)),
-        Submission::NotStored => refuse(daemon, id, &write_error(daemon, FleetWrite::NotStored)),
+        Submission::NotStored => {
+            let retry_after_ms = daemon.store_outage.retry_after_ms(daemon, &spec);
+            refuse(daemon, id, &not_stored(retry_after_ms))
+        }
     }
 }
 
@@ -165,10 +168,14 @@
             "the store did not report whether the write took effect",
         )
         .retry_after(STORE_RETRY_AFTER_MS),
-        _ => unavailable("the store does not accept the write", store_retry_after_ms(daemon)),
+        _ => not_stored(store_retry_after_ms(daemon)),
     }
 }
 
+fn not_stored(retry_after_ms: u32) -> Error {
+    unavailable("the store does not accept the write", retry_after_ms)
+}
+
 async fn state(daemon: &DaemonState, id: &str) -> Answer {
     match job_store::state(daemon, id).await {
         Ok(Some(((phase, is_started), source))) => {
@@ -203,7 +210,7 @@
     }
 }
 
-/// Retry-After for a write that failed because the store is unavailable.
+/// Retry-After for a cancel that failed because the store is unavailable.
 fn store_retry_after_ms(daemon: &DaemonState) -> u32 {
     retry_after_ms(daemon.store.unavailable_for().as_millis() as u64)
 }
@@ -219,7 +226,9 @@
     let counter = if is_unknown { &daemon.counts.unknown } else { &daemon.counts.refused };
     counter.fetch_add(1, Ordering::Relaxed);
     log::warn!(event = "refused", request = id, kind = row.name, status = row.status,
-        store_failures = daemon.store.consecutive_failures(); "{}", error.detail);
+        store_failures = daemon.store.consecutive_failures(),
+        store_away_ms = daemon.store.unavailable_for().as_millis() as u64,
+        retry_after_ms = error.retry_after_ms; "{}", error.detail);
     error_response(error)
 }
 
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -100,6 +100,7 @@
         observe_daemon(&meter, daemon);
         observe_config(&meter, daemon);
         observe_admission(&meter, daemon);
+        observe_outages(&meter, daemon);
     }
 
     /// All instruments in the Prometheus text format.
@@ -230,6 +231,22 @@
         .build();
 }
 
+fn observe_outages(meter: &Meter, daemon: &Arc<DaemonState>) {
+    let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.store.refused")
+        .with_unit("{job}")
+        .with_description("Jobs refused while the store was unavailable, under load control")
+        .with_callback(move |counter| {
+            let outage = &observed.store_outage;
+            let urgency = |name: &'static str| [KeyValue::new("urgency", name)];
+            let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
+            counter.observe(load(&outage.refused_urgent), &urgency("urgent"));
+            counter.observe(load(&outage.refused_others), &urgency("other"));
+        })
+        .build();
+}
+
 fn observe_config(meter: &Meter, daemon: &Arc<DaemonState>) {
     let observed = daemon.clone();
     meter
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 pub mod record_lease;
 mod recovery;
 pub mod refusal_record;
+pub mod store_outage;
 mod store_watchers;
 pub mod submission;
 pub mod submission_report;
--- a/crates/agatesilld/tests/submissions.rs
+++ b/crates/agatesilld/tests/submissions.rs
@@ -7,6 +7,7 @@
 mod support;
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use agatesill_coord::store::Store;
@@ -745,3 +746,31 @@
         assert_eq!(submit_grouped(&two, 1, true).await.unwrap(), NEW);
     });
 }
+
+/// Guards against callers of an outage that all return in one second, urgent ones behind the others, and
+/// against callers refused for another reason that count into an outage.
+#[tokio::test]
+async fn callers_refused_in_an_outage_are_spread_and_counted() {
+    let store = MemoryStore::default();
+    let one = daemon(&store).await;
+    assert_eq!(one.store_outage.retry_after_ms(&one, &job(wall_ms())), 1_000);
+    let refused = || {
+        let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        (load(&one.store_outage.refused_urgent), load(&one.store_outage.refused_others))
+    };
+    assert_eq!(refused(), (0, 0), "the store is available, and the service has no load control");
+    let mut by_second = [[0; 9]; 2];
+    for id in 0..300_u64 {
+        let is_urgent = id % 3 == 0;
+        let after_ms = one.store_outage.refuse(&format!("{id:016x}"), is_urgent, 2_000, 100.0);
+        by_second[usize::from(!is_urgent)][(after_ms / 1_000) as usize] += 1;
+    }
+    assert_eq!(refused(), (100, 200));
+    let [urgent, others] = by_second;
+    assert!(urgent.iter().zip(others).all(|(urgent, others)| urgent + others <= 150));
+    let mean_s = |callers: [i32; 9]| {
+        let sum_s: i32 = (0..).zip(callers).map(|(second, callers)| second * callers).sum();
+        f64::from(sum_s) / f64::from(callers.iter().sum::<i32>())
+    };
+    assert!(mean_s(urgent) + 0.5 <= mean_s(others), "{urgent:?} {others:?}");
+}
