--- a/crates/agatesilld/tests/load_views.rs
+++ b/crates/agatesilld/tests/load_views.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use agatesill_platform::settings;
@@ -117,6 +118,7 @@
 }
 
 struct Fleet {
+    store: Arc<FakeStore>,
     store_addr: SocketAddr,
     stop: CancellationToken,
 }
@@ -133,7 +135,7 @@
         let (store, store_addr) = FakeStore::start(&stop).await;
         let queue = support::settings::queue("desk", 0);
         store.put("op/config", &support::settings::config(1, &[queue]));
-        Self { store_addr, stop }
+        Self { store, store_addr, stop }
     }
 
     async fn daemon(&self, name: &str, load_control: LoadControl) -> Daemon {
@@ -262,3 +264,27 @@
     assert_eq!(daemon.load(JOB_FORMAT).await, None);
     assert_eq!(daemon.view_age_ms().await, None);
 }
+
+/// Guards against a deployment without load control whose jobs are stored in another way than before, and
+/// against one with it whose jobs are not stored.
+#[tokio::test]
+async fn jobs_are_stored_in_groups_only_under_load_control() {
+    for (load_control, is_grouped) in [(LoadControl::On, true), (LoadControl::Auto, false)] {
+        let fleet = Fleet::new().await;
+        let daemon = fleet.daemon("first", load_control).await;
+        let submit = async |id: u64| {
+            let body =
+                r#"{"spec":"work","steps":[{"count":1,"cpu":1000,"memMb":500,"estimatedMs":100}]}"#;
+            call(daemon.addrs.entry, Method::POST, &format!("/desk/{id:016x}"), body).await
+        };
+        let is_accepted = async |id| submit(id).await.is_some_and(|(status, _, _)| status == 200);
+        wait_until("jobs are accepted", || is_accepted(1)).await;
+        let accepted = futures::future::join_all((1..60).map(is_accepted)).await;
+        assert!(accepted.iter().all(|is_accepted| *is_accepted));
+        for id in 1..60_u64 {
+            assert!(fleet.store.text(&format!("in/job/{id:016x}")).is_some(), "{id}");
+        }
+        let (_, _, text) = call(daemon.metrics, Method::GET, "/metrics", "").await.unwrap();
+        assert_eq!(text.contains("agatesill_acceptance_group"), is_grouped);
+    }
+}
