--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -19,6 +19,7 @@
 mod demand;
 mod door;
 mod extrapolation;
+pub mod group_commit;
 mod load_view;
 mod offers;
 mod promises;
