--- a/crates/agatesill/src/load_table.rs
+++ b/crates/agatesill/src/load_table.rs
@@ -71,8 +71,17 @@
 }
 
 fn services_table(view: &LoadView) -> Table {
-    let headings =
-        ["service", "CPUs", "headroom", "kind", "held", "waiting", "ahead (core-s)", "drain"];
+    let headings = [
+        "service",
+        "CPUs",
+        "headroom",
+        "offered/s",
+        "kind",
+        "held",
+        "waiting",
+        "ahead (core-s)",
+        "drain",
+    ];
     let mut services = table(&headings);
     for service in &view.services {
         for (index, (kind, load)) in kinds(service).into_iter().enumerate() {
@@ -91,18 +100,20 @@
 }
 
 /// Row of one kind of task; the first one of a service has the figures of all kinds.
-fn service_row(service: &ServiceLoad, kind: &str, load: &KindLoad, is_first: bool) -> [String; 8] {
-    let [name, capacity, headroom] = match is_first {
+fn service_row(service: &ServiceLoad, kind: &str, load: &KindLoad, is_first: bool) -> [String; 9] {
+    let [name, capacity, headroom, offered] = match is_first {
         true => [
             service.service.clone(),
             thousandths(service.capacity_milli),
             thousandths(service.headroom_milli),
+            thousandths(service.offered_milli_per_s),
         ],
         false => Default::default(),
     };
     let held = thousandths(load.placed_milli);
     let (waiting, ahead) = (thousandths(load.waiting_milli), thousandths(load.ahead_core_ms));
-    [name, capacity, headroom, kind.to_owned(), held, waiting, ahead, thousandths(load.drain_milli)]
+    let drain = thousandths(load.drain_milli);
+    [name, capacity, headroom, offered, kind.to_owned(), held, waiting, ahead, drain]
 }
 
 /// Formats CPU thousandths as CPUs, or core-milliseconds as core-seconds.
--- a/crates/agatesill/tests/load_table.rs
+++ b/crates/agatesill/tests/load_table.rs
@@ -25,6 +25,7 @@
         capacity_milli: 640_000,
         largest_worker_milli: 32_000,
         headroom_milli,
+        offered_milli_per_s: 1_500,
         plain: kind(410_000, 128_500, 3_500_000, 390_000),
         long_running: kind(200_000, 48_000, 48_000, 2_250),
         best_effort: kind(12_000, 0, 0, 0),
