Failed runs count against failing workers or hopeless jobs

Under load control the planner attributes each failed run. Before, a worker was closed after three failed runs of two jobs in a row, for a fixed time. Hopeless jobs beside healthy ones closed the whole fleet that way, and a worker that fails was the emptiest, got the next tasks, and after each closure as many as it had room for.

A job that failed on several workers while few of its tasks run well is at fault, one that has completed tasks is sound. Runs of sound jobs that fail, beyond those that complete, make a worker distrusted; failed runs of unknown jobs do the more slowly, the more jobs are at fault. A distrusted worker gets one task at a time, and is trusted after four in a row have completed. Tasks avoid the workers on which their job failed, and last attempts those on which sound jobs failed or few runs completed. What ends failed uses up an attempt as before.

--- a/crates/agatesill_policy/src/fleet/idle_jobs.rs
+++ b/crates/agatesill_policy/src/fleet/idle_jobs.rs
@@ -110,6 +110,7 @@
             is_isolated: self.is_isolated(task_ref),
             awaits_separation: self.awaits_separation(task_ref, now_us),
             accepts_throttling: false,
+            attempts: None,
             chosen_racks: &[],
         };
         self.count_refusals(&request, now_us)
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -405,6 +405,10 @@
     pub is_started: bool,
     /// Workers that still report ends of this job whose effect is not stored.
     pub(super) unacked_workers: Vec<WorkerIndex>,
+    /// Workers on which runs failed, the newest first; only kept under load control.
+    pub(super) failed_workers: Vec<WorkerIndex>,
+    /// Whether the job is at fault for its failed runs; only set under load control.
+    pub(super) is_at_fault: bool,
     /// When the job reached its final phase.
     pub ended_us: u64,
     /// When the job was accepted.
@@ -437,6 +441,8 @@
             write_failures: WriteFailures::default(),
             is_started: false,
             unacked_workers: Vec::new(),
+            failed_workers: Vec::new(),
+            is_at_fault: false,
             ended_us: 0,
             accepted_us: now_us,
             runnable_us: now_us,
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -10,6 +10,7 @@
 
 use crate::batch::Resources;
 
+use super::failing_workers::Attempts;
 use super::images::ImageId;
 use super::job::Step;
 use super::refusals::{Refusal, Refusals, refuse_if};
@@ -37,6 +38,8 @@
     pub awaits_separation: bool,
     /// Whether the best-effort task may be placed beside serving tasks that it harms, slowed.
     pub accepts_throttling: bool,
+    /// Attempts of the tasks; `None` without load control.
+    pub attempts: Option<Attempts<'a>>,
     /// Racks already used by the tasks of the step; only tracked if the step wants one rack.
     pub chosen_racks: &'a [String],
 }
@@ -57,6 +60,10 @@
 /// closed one.
 const SUSPECT_PENALTY: f64 = 500.0;
 
+/// Score of a trial of a distrusted worker: before all other workers, or the trial would wait until
+/// they are full.
+const TRIAL_SCORE: f64 = -1_000.0;
+
 /// Candidate workers for the tasks of one step, ordered by score.
 ///
 /// All tasks of a step have the same requirements, so the candidates are scored once and only the
@@ -141,7 +148,9 @@
         let worker = &self.workers[index as usize];
         let is_open = worker.is_open(now_us);
         refuse_if(!worker.is_available(), Refusal::Unavailable)?;
-        let may_use = is_open || request.accepts_closed || self.may_try(request, worker, now_us);
+        let is_trial = self.may_try_distrusted(request, worker, now_us);
+        let may_use =
+            is_open || request.accepts_closed || is_trial || self.may_try(request, worker, now_us);
         refuse_if(!may_use, Refusal::Closed)?;
         refuse_if(worker.has_stray_runs, Refusal::StrayRuns)?;
         refuse_if(!worker.has_capacity_for(&request.step.allocation()), Refusal::Capacity)?;
@@ -149,10 +158,15 @@
         refuse_if(!meets_constraints(request, index, worker), Refusal::Constraint)?;
         let lacks_ticket = |group| self.ticket(group, index, now_us).is_none();
         refuse_if(request.ticket_group.is_some_and(lacks_ticket), Refusal::Ticket)?;
+        if is_trial {
+            return Ok(Score(TRIAL_SCORE + self.placement_score(request, worker)?));
+        }
         let closed = if is_open { 0.0 } else { CLOSED_PENALTY };
+        let penalty = |attempts| worker.failures.penalty(index, attempts, now_us);
+        let failure = request.attempts.map_or(0.0, penalty);
         let cold = if worker.is_cold(now_us) && !request.step.fills { COLD_PENALTY } else { 0.0 };
         let suspect = if worker.isolated_tasks > 0 { SUSPECT_PENALTY } else { 0.0 };
-        Ok(Score(closed + cold + suspect + self.placement_score(request, worker)?))
+        Ok(Score(closed + failure + cold + suspect + self.placement_score(request, worker)?))
     }
 
     /// Counts the workers of the service by whether they would take the task now, and if not, why.
@@ -205,7 +219,10 @@
     ) -> Vec<WorkerIndex> {
         let may_take = |index: WorkerIndex| {
             let worker = &self.workers[index as usize];
-            (worker.is_open(now_us) || request.accepts_closed) && !worker.has_stray_runs
+            let may_use = worker.is_open(now_us)
+                || request.accepts_closed
+                || self.may_try_distrusted(request, worker, now_us);
+            may_use && !worker.has_stray_runs
         };
         let has_no_suspect = |index: WorkerIndex| {
             self.workers[index as usize].isolated_tasks == 0 && may_take(index)
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -6,6 +6,7 @@
 
 use super::US_PER_MS;
 use super::colocation::THROTTLED_SEARCH_INTERVAL_US;
+use super::failing_workers::Attempts;
 use super::images::ImageId;
 use super::job::{Job, JobPhase, Step, TaskRef, TaskState};
 use super::place::{PlacementRequest, WorkerSearch};
@@ -190,6 +191,12 @@
         let mut chosen: Vec<TaskRef> = Vec::with_capacity(tasks.len());
         let mut search: Option<WorkerSearch> = None;
         let GroupContext { step, image, service, ticket_group, accepts_closed, .. } = *context;
+        let failed_workers =
+            self.job(group.job).map_or_else(Vec::new, |job| job.failed_workers.clone());
+        let attempts = self.controls_load(service).then(|| Attempts {
+            failed_workers: &failed_workers,
+            is_last: self.is_last_attempt(group, tasks),
+        });
         for task in tasks {
             let task_ref = TaskRef { job: group.job, task: *task };
             let is_isolated = self.is_isolated(task_ref);
@@ -206,6 +213,7 @@
                 is_isolated,
                 awaits_separation,
                 accepts_throttling,
+                attempts,
                 chosen_racks: &racks,
             };
             // An isolated task is scored differently, so its search is not shared with other tasks.
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -67,6 +67,7 @@
         if poll.ended.len() < MAX_ENDS {
             self.release_absent(index, &present, poll.sent_us, now_us);
         }
+        self.review_failures(index, now_us);
         self.sample_long_running(index, &poll.running, now_us);
         self.detect_slow_worker(index, now_us);
         self.evacuate_slow_workers(now_us);
@@ -296,6 +297,7 @@
         if end.cause == EndCause::Done {
             self.workers[index as usize].consecutive_failures.clear();
             self.workers[index as usize].quarantines = 0;
+            self.note_completed_run(index, now_us);
         }
         true
     }
@@ -320,6 +322,7 @@
         }
         let Some(job) = self.job(task_ref.job) else { return };
         if job.remaining_total == 0 {
+            self.job_outcomes.add(false, now_us);
             self.finish(task_ref.job, JobPhase::Completed, now_us);
         } else if job.remaining[job.step_position(occurrence, step)] == 0 {
             self.open_occurrence(task_ref.job, occurrence, now_us);
@@ -335,7 +338,10 @@
         now_us: u64,
     ) {
         self.counts.failed += 1;
-        self.suspect_worker(index, task_ref.job, now_us);
+        let is_attributed = self.controls_load(&self.workers[index as usize].entry.service);
+        if !is_attributed {
+            self.suspect_worker(index, task_ref.job, now_us);
+        }
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
         let (occurrence, step, _) = job.locate(task_ref.task);
         let members =
@@ -347,6 +353,9 @@
         let max_attempts =
             self.job(task_ref.job).map_or(u32::MAX, |job| self.terms(job).max_attempts.max(1));
         self.release(task_ref, TaskState::Waiting, now_us);
+        if is_attributed {
+            self.attribute_failure(index, task_ref, now_us);
+        }
         if !is_lasting && failures >= max_attempts {
             self.finish(task_ref.job, JobPhase::Failed, now_us);
         }
@@ -365,7 +374,9 @@
         let quarantine_us =
             (INITIAL_QUARANTINE_US << worker.quarantines.min(3)).min(MAX_QUARANTINE_US);
         worker.quarantines += 1;
-        worker.closed_until_us = now_us + quarantine_us;
+        if !worker.failures.is_distrusted {
+            worker.closed_until_us = now_us + quarantine_us;
+        }
         worker.consecutive_failures.clear();
         self.counts.quarantines += 1;
         log::warn!(event = "worker_closed", worker = worker.entry.id.as_str(),
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -10,6 +10,7 @@
 use super::effort::{Effort, EffortCounter};
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
+use super::job_faults::JobOutcomes;
 use super::load::ServiceMeters;
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
@@ -119,6 +120,8 @@
     pub(super) preemption: Preemption,
     pub(super) slow_evacuation: SlowEvacuation,
     pub(super) image_levels: ImageLevels,
+    /// Outcomes of jobs by which failed runs are attributed.
+    pub(super) job_outcomes: JobOutcomes,
     pub(super) advice: HashMap<TaskGroup, Advice>,
     pub(super) questions: Vec<AdviceQuestion>,
     pub(super) mean_work: HashMap<String, f64>,
@@ -163,6 +166,7 @@
             capacity_index: CapacityIndex::default(),
             preemption: Preemption::default(),
             slow_evacuation: SlowEvacuation::default(),
+            job_outcomes: JobOutcomes::default(),
             image_levels: ImageLevels::default(),
             advice: HashMap::new(),
             questions: Vec::new(),
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -6,6 +6,7 @@
 use crate::batch::Resources;
 use crate::value_type;
 
+use super::failing_workers::WorkerFailures;
 use super::images::ImageCounts;
 use super::job::{TaskKey, TaskRef};
 use super::report_clock::ReportClock;
@@ -194,6 +195,8 @@
     pub consecutive_failures: Vec<u32>,
     /// Quarantines since the last run that completed.
     pub quarantines: u32,
+    /// Failed runs by which the worker is distrusted; only kept under load control.
+    pub(super) failures: WorkerFailures,
     /// Number of tasks to be placed apart from other suspects.
     pub isolated_tasks: u32,
     /// Observed speed of the tasks on the worker.
@@ -234,6 +237,7 @@
             closed_until_us: 0,
             consecutive_failures: Vec::new(),
             quarantines: 0,
+            failures: WorkerFailures::default(),
             isolated_tasks: 0,
             speed: WorkerSpeed::default(),
             over_since_us: 0,
