Steps that wait for one full rack are searched for once a round

Under load control, a demand with a label that fitted nowhere now excludes equal or larger ones with the same label for the rest of the round, as for demands without one.

Not built: waiting for the rack of the data where that pays.

--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -1,4 +1,8 @@
 //! The planning loop: places waiting tasks in rank order and chooses a worker for each.
+//!
+//! Load pattern: many tasks wait for workers that are full, all of them or those of one rack. A
+//! demand that fitted nowhere is not tried again in the same round, so that the cost of a round does
+//! not grow with the number of waiting tasks.
 
 use std::collections::HashMap;
 
@@ -37,6 +41,8 @@
     /// Image of a best-effort task; `None` for other tasks. An image that harms serving tasks on a
     /// worker is not placed there, but another image may be.
     fills: Option<ImageId>,
+    /// Label that the worker must have. Demands with a label are only kept under load control.
+    label: String,
 }
 
 /// Placement parameters shared by the tasks of one group.
@@ -91,12 +97,12 @@
         let image = job.images[step as usize];
         let step = &job.spec.steps[step as usize];
         let fills = step.fills.then_some(image);
-        step.label.is_empty()
-            && unplaced.iter().any(|demand| {
-                demand.service == self.terms(job).service
-                    && demand.fills == fills
-                    && step.need.holds(&demand.need)
-            })
+        unplaced.iter().any(|demand| {
+            demand.service == self.terms(job).service
+                && demand.fills == fills
+                && demand.label == step.label
+                && step.need.holds(&demand.need)
+        })
     }
 
     fn place_group(&mut self, group: TaskGroup, unplaced: &mut Vec<UnplacedDemand>, now_us: u64) {
@@ -169,11 +175,11 @@
         } else if ticket_group.is_some() {
             self.request_advice(group, &service, now_us);
         } else if !awaits_separation
-            && step.label.is_empty()
+            && (step.label.is_empty() || self.controls_load(&service))
             && step.max_per_worker == 0
             && !step.is_gang
         {
-            unplaced.push(UnplacedDemand { service, need: step.need, fills });
+            unplaced.push(UnplacedDemand { service, need: step.need, fills, label: step.label });
         }
     }
 
--- a/crates/agatesill_policy/tests/fleet_slow_evacuation.rs
+++ b/crates/agatesill_policy/tests/fleet_slow_evacuation.rs
@@ -48,6 +48,11 @@
 
 impl Replay {
     fn new(control: LoadControl) -> Self {
+        Self::with_jobs(control, 10)
+    }
+
+    /// A fleet with `jobs` long-running jobs, each of which reserves a sixteenth of the CPUs.
+    fn with_jobs(control: LoadControl, job_count: usize) -> Self {
         let entries = (0..WORKERS).map(|index| {
             let mut worker = entry(&format!("w{index}"), &format!("r1-{}", index / 4));
             worker.address = format!("10.0.0.{index}:80");
@@ -55,7 +60,7 @@
         });
         let mut harness = Harness::new(entries.collect());
         let mut jobs = Vec::new();
-        for number in 0..10 {
+        for number in 0..job_count {
             let spec = watch(number);
             harness.fleet.set_queues(HashMap::from([(spec.queue.clone(), spec.terms.clone())]));
             jobs.push(spec.id.clone());
@@ -85,7 +90,8 @@
             self.harness.poll_all();
             self.harness.settle();
             self.harness.now_us = self.harness.now_us.max(next_us);
-            self.harmed_ms += 100_u64.saturating_sub(self.well_served()) * TICK_MS;
+            let tasks = 10 * self.jobs.len() as u64;
+            self.harmed_ms += tasks.saturating_sub(self.well_served()) * TICK_MS;
         }
     }
 
@@ -147,6 +153,33 @@
     assert!(most_missing <= 2, "{most_missing} tasks of a step missing");
 }
 
+/// Guards against evacuation that harms more than it helps while nearly all workers are packed, and
+/// against tasks that are moved again and again for the little room that is left.
+#[test]
+fn evacuation_with_little_room_does_no_harm() {
+    let mut harmed_ms = [0; 2];
+    for (result, control) in harmed_ms.iter_mut().zip([LoadControl::Off, LoadControl::On]) {
+        let mut replay = Replay::with_jobs(control, 15);
+        let is_slow = is_among_three_in_ten;
+        let slow_tasks: usize = (replay.harness.workers.iter())
+            .filter(|(worker, _)| is_slow(**worker))
+            .map(|(_, fake_worker)| fake_worker.running.len())
+            .sum();
+        let mut most_missing = 0;
+        for _ in 0..120 {
+            replay.run(TICK_MS, |worker, _| is_slow(worker));
+            most_missing = most_missing.max(replay.most_missing());
+        }
+        replay.run(3_000, |_, _| false);
+        *result = replay.harmed_ms;
+        assert!(most_missing <= 2, "{most_missing} tasks of a step missing");
+        assert!(replay.stops() <= slow_tasks, "{} stops, {slow_tasks} tasks", replay.stops());
+        assert_eq!(replay.well_served(), 150);
+    }
+    let [without, with] = harmed_ms;
+    assert!(with <= without, "{with} ms of harm, {without} ms without load control");
+}
+
 /// Guards against moves that gain nothing because most workers are slow.
 #[test]
 fn nothing_moves_if_most_workers_are_slow() {
