Workers that answer and fall silent by turns get no new tasks

Their ends are known only when it answers again. Under load control, a worker that has fallen silent twice within ten seconds is closed until it has answered for four. If more than a quarter of the workers fell silent lately, none is: the planner or the network is then to blame.

--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -52,11 +52,15 @@
             // no later than one lease from now.
             worker.lease_until_us = now_us + lease_us;
         }
+        let was_silent = worker.standing == WorkerStanding::Silent;
         worker.standing = WorkerStanding::Good;
         worker.unanswered_calls = 0;
         worker.refused_polls = 0;
         worker.answered_us = now_us;
         worker.reported_us = worker.clock.reported_us(poll, now_us);
+        if was_silent {
+            self.avoid_flapping_worker(index, now_us);
+        }
         self.worker_changed(index);
         self.lease_requested(index, poll.sent_us);
         for end in &poll.ended {
@@ -101,6 +105,7 @@
         worker.unanswered_calls += 1;
         if worker.standing == WorkerStanding::Good {
             worker.standing = WorkerStanding::Silent;
+            worker.silences.add(now_us);
             log::warn!(event = "worker_silent", worker = worker.entry.id.as_str(),
                 last_answer_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
                 is_refused = worker.refused_polls > 0, tasks = worker.tasks.len(); "");
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -7,6 +7,7 @@
 use crate::value_type;
 
 use super::failing_workers::WorkerFailures;
+use super::flapping::Silences;
 use super::images::ImageCounts;
 use super::job::{TaskKey, TaskRef};
 use super::report_clock::ReportClock;
@@ -178,6 +179,8 @@
     pub lease_until_us: u64,
     /// When the worker last answered a poll.
     pub answered_us: u64,
+    /// Silences by which the worker flaps.
+    pub(super) silences: Silences,
     /// Consecutive calls without an answer.
     pub unanswered_calls: u32,
     /// Polls since the last answer whose connection the worker's address refused.
@@ -229,6 +232,7 @@
             reported_us: 0,
             lease_until_us: 0,
             answered_us: 0,
+            silences: Silences::default(),
             unanswered_calls: 0,
             refused_polls: 0,
             is_zone_closed: false,
