--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -52,11 +52,15 @@
             // no later than one lease from now.
             worker.lease_until_us = now_us + lease_us;
         }
+        let was_silent = worker.standing == WorkerStanding::Silent;
         worker.standing = WorkerStanding::Good;
         worker.unanswered_calls = 0;
         worker.refused_polls = 0;
         worker.answered_us = now_us;
         worker.reported_us = worker.clock.reported_us(poll, now_us);
+        if was_silent {
+            self.avoid_flapping_worker(index, now_us);
+        }
         self.worker_changed(index);
         self.lease_requested(index, poll.sent_us);
         for end in &poll.ended {
@@ -67,6 +71,7 @@
         if poll.ended.len() < MAX_ENDS {
             self.release_absent(index, &present, poll.sent_us, now_us);
         }
+        self.review_failures(index, now_us);
         self.sample_long_running(index, &poll.running, now_us);
         self.detect_slow_worker(index, now_us);
         self.evacuate_slow_workers(now_us);
@@ -100,6 +105,7 @@
         worker.unanswered_calls += 1;
         if worker.standing == WorkerStanding::Good {
             worker.standing = WorkerStanding::Silent;
+            worker.silences.add(now_us);
             log::warn!(event = "worker_silent", worker = worker.entry.id.as_str(),
                 last_answer_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
                 is_refused = worker.refused_polls > 0, tasks = worker.tasks.len(); "");
@@ -296,6 +302,7 @@
         if end.cause == EndCause::Done {
             self.workers[index as usize].consecutive_failures.clear();
             self.workers[index as usize].quarantines = 0;
+            self.note_completed_run(index, now_us);
         }
         true
     }
@@ -320,6 +327,7 @@
         }
         let Some(job) = self.job(task_ref.job) else { return };
         if job.remaining_total == 0 {
+            self.job_outcomes.add(false, now_us);
             self.finish(task_ref.job, JobPhase::Completed, now_us);
         } else if job.remaining[job.step_position(occurrence, step)] == 0 {
             self.open_occurrence(task_ref.job, occurrence, now_us);
@@ -335,7 +343,10 @@
         now_us: u64,
     ) {
         self.counts.failed += 1;
-        self.suspect_worker(index, task_ref.job, now_us);
+        let is_attributed = self.controls_load(&self.workers[index as usize].entry.service);
+        if !is_attributed {
+            self.suspect_worker(index, task_ref.job, now_us);
+        }
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
         let (occurrence, step, _) = job.locate(task_ref.task);
         let members =
@@ -347,6 +358,9 @@
         let max_attempts =
             self.job(task_ref.job).map_or(u32::MAX, |job| self.terms(job).max_attempts.max(1));
         self.release(task_ref, TaskState::Waiting, now_us);
+        if is_attributed {
+            self.attribute_failure(index, task_ref, now_us);
+        }
         if !is_lasting && failures >= max_attempts {
             self.finish(task_ref.job, JobPhase::Failed, now_us);
         }
@@ -365,7 +379,9 @@
         let quarantine_us =
             (INITIAL_QUARANTINE_US << worker.quarantines.min(3)).min(MAX_QUARANTINE_US);
         worker.quarantines += 1;
-        worker.closed_until_us = now_us + quarantine_us;
+        if !worker.failures.is_distrusted {
+            worker.closed_until_us = now_us + quarantine_us;
+        }
         worker.consecutive_failures.clear();
         self.counts.quarantines += 1;
         log::warn!(event = "worker_closed", worker = worker.entry.id.as_str(),
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -6,6 +6,8 @@
 use crate::batch::Resources;
 use crate::value_type;
 
+use super::failing_workers::WorkerFailures;
+use super::flapping::Silences;
 use super::images::ImageCounts;
 use super::job::{TaskKey, TaskRef};
 use super::report_clock::ReportClock;
@@ -177,6 +179,8 @@
     pub lease_until_us: u64,
     /// When the worker last answered a poll.
     pub answered_us: u64,
+    /// Silences by which the worker flaps.
+    pub(super) silences: Silences,
     /// Consecutive calls without an answer.
     pub unanswered_calls: u32,
     /// Polls since the last answer whose connection the worker's address refused.
@@ -194,6 +198,8 @@
     pub consecutive_failures: Vec<u32>,
     /// Quarantines since the last run that completed.
     pub quarantines: u32,
+    /// Failed runs by which the worker is distrusted; only kept under load control.
+    pub(super) failures: WorkerFailures,
     /// Number of tasks to be placed apart from other suspects.
     pub isolated_tasks: u32,
     /// Observed speed of the tasks on the worker.
@@ -226,6 +232,7 @@
             reported_us: 0,
             lease_until_us: 0,
             answered_us: 0,
+            silences: Silences::default(),
             unanswered_calls: 0,
             refused_polls: 0,
             is_zone_closed: false,
@@ -234,6 +241,7 @@
             closed_until_us: 0,
             consecutive_failures: Vec::new(),
             quarantines: 0,
+            failures: WorkerFailures::default(),
             isolated_tasks: 0,
             speed: WorkerSpeed::default(),
             over_since_us: 0,
