Failing workers: single failures and last attempts change nothing where no worker fails

Change: workers are avoided from two failed runs beyond the completed ones on, and last attempts are placed with care only within ten seconds of a worker being distrusted or failing a trial. Load control only.

--- a/crates/agatesill_policy/src/fleet/failing_workers.rs
+++ b/crates/agatesill_policy/src/fleet/failing_workers.rs
@@ -25,6 +25,11 @@
 /// Number of failed runs that are kept for each worker.
 const MAX_FAILED_RUNS: usize = 64;
 
+/// Failed runs, beyond those that complete, from which a worker is avoided by tasks that can spare an
+/// attempt. A few runs of a hundred fail on sound workers too, and avoiding these would spread tasks
+/// over workers that are packed well.
+const MIN_AVOIDED_FAILURES: usize = 2;
+
 /// Time for which a failure makes other workers preferable although its worker is still trusted, and
 /// for which a completed run makes a worker preferable for last attempts.
 const MEMORY_US: u64 = 5_000 * US_PER_MS;
@@ -33,6 +38,10 @@
 /// of a worker off the data rack, since a failed run costs an attempt as well as its time.
 const FAILURE_PENALTY: f64 = 200.0;
 
+/// Time for which last attempts are placed with care after a worker was distrusted or failed a trial.
+/// Without failing workers, runs fail by chance, and care would only crowd the proven workers.
+const CARE_US: u64 = 10_000 * US_PER_MS;
+
 /// Completed runs in a row from which a worker is preferred for last attempts.
 const PROVEN_RUNS: u32 = 3;
 
@@ -42,9 +51,6 @@
 /// Penalty of a worker on which runs failed whose jobs may be at fault.
 const UNEXPLAINED_FAILURE_PENALTY: f64 = 50.0;
 
-/// Penalty of a worker that has completed a run since a failure. Single failures prove little.
-const PAST_FAILURE_PENALTY: f64 = 0.25;
-
 /// Time before the first trial of a distrusted worker; it doubles with each trial that fails.
 const TRIAL_INTERVAL_US: u64 = 1_000 * US_PER_MS;
 
@@ -68,6 +74,8 @@
     pub failed_workers: &'a [WorkerIndex],
     /// Whether one more failed run fails the job.
     pub is_last: bool,
+    /// Whether workers are known to fail runs, so that last attempts are placed with care.
+    pub needs_care: bool,
 }
 
 /// Failed and completed runs on a worker.
@@ -102,15 +110,14 @@
         let is_recent = |at_us: u64| at_us > 0 && now_us.saturating_sub(at_us) < MEMORY_US;
         let has_failed = is_recent(self.sound_failed_us);
         let is_proven = self.completed_in_row >= PROVEN_RUNS;
-        let is_failing = has_failed && (attempts.is_last || self.sound_runs > 0);
+        let is_careful = attempts.is_last && attempts.needs_care;
+        let is_failing = has_failed && (is_careful || self.sound_runs >= MIN_AVOIDED_FAILURES);
         if is_failing || attempts.failed_workers.contains(&index) {
             FAILURE_PENALTY
-        } else if is_recent(self.failed_us) && !self.jobs.is_empty() {
+        } else if is_recent(self.failed_us) && self.jobs.len() >= MIN_AVOIDED_FAILURES {
             UNEXPLAINED_FAILURE_PENALTY
-        } else if attempts.is_last && !(is_proven && is_recent(self.completed_us)) {
+        } else if is_careful && !(is_proven && is_recent(self.completed_us)) {
             UNPROVEN_PENALTY
-        } else if has_failed {
-            PAST_FAILURE_PENALTY
         } else {
             0.0
         }
@@ -145,6 +152,7 @@
             failures.next_trial_us = now_us + (TRIAL_INTERVAL_US << doublings);
             failures.failed_trials += 1;
             failures.completed_trials = 0;
+            self.distrusted_us = now_us;
         }
         self.review_failures(index, now_us);
     }
@@ -206,6 +214,7 @@
         worker.failures.completed_trials = 0;
         worker.failures.next_trial_us = now_us + TRIAL_INTERVAL_US;
         worker.closed_until_us = UNTIL_TRUSTED_US;
+        self.distrusted_us = now_us;
         self.counts.quarantines += 1;
         log::warn!(event = "worker_distrusted", worker = worker.entry.id.as_str(),
             failed_runs = worker.failures.jobs.len(), sound_runs = worker.failures.sound_runs;
@@ -241,6 +250,11 @@
             "placing tasks on the worker again");
     }
 
+    /// Whether workers are known to fail runs.
+    pub(super) fn has_failing_workers(&self, now_us: u64) -> bool {
+        self.distrusted_us > 0 && now_us.saturating_sub(self.distrusted_us) < CARE_US
+    }
+
     /// Whether some of these tasks fail their job if they fail once more. Long-running tasks have no
     /// limit on attempts.
     pub(super) fn is_last_attempt(&self, group: TaskGroup, tasks: &[u32]) -> bool {
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -202,6 +202,7 @@
         let attempts = self.controls_load(service).then(|| Attempts {
             failed_workers: &failed_workers,
             is_last: self.is_last_attempt(group, tasks),
+            needs_care: self.has_failing_workers(now_us),
         });
         for task in tasks {
             let task_ref = TaskRef { job: group.job, task: *task };
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -122,6 +122,8 @@
     pub(super) image_levels: ImageLevels,
     /// Outcomes of jobs by which failed runs are attributed.
     pub(super) job_outcomes: JobOutcomes,
+    /// When a worker was last distrusted, or failed a trial; 0 if none was.
+    pub(super) distrusted_us: u64,
     pub(super) advice: HashMap<TaskGroup, Advice>,
     pub(super) questions: Vec<AdviceQuestion>,
     pub(super) mean_work: HashMap<String, f64>,
@@ -167,6 +169,7 @@
             preemption: Preemption::default(),
             slow_evacuation: SlowEvacuation::default(),
             job_outcomes: JobOutcomes::default(),
+            distrusted_us: 0,
             image_levels: ImageLevels::default(),
             advice: HashMap::new(),
             questions: Vec::new(),
