Test: jobs for the load views come from the adapter's support code

The check of wire names outside platform/ failed on a body written out in the test. The same job, built by the support module; what is asserted is unchanged.

--- a/crates/agatesilld/tests/load_views.rs
+++ b/crates/agatesilld/tests/load_views.rs
@@ -346,10 +346,16 @@
     for (load_control, is_grouped) in [(LoadControl::On, true), (LoadControl::Auto, false)] {
         let fleet = Fleet::new().await;
         let daemon = fleet.daemon("first", load_control).await;
+        let step = support::settings::Step {
+            count: 1,
+            work_ms: 100,
+            cpu_milli: 1_000,
+            is_best_effort: false,
+            after: Vec::new(),
+        };
+        let body = support::settings::job(&[step], support::settings::TaskFault::None);
         let submit = async |id: u64| {
-            let body =
-                r#"{"spec":"work","steps":[{"count":1,"cpu":1000,"memMb":500,"estimatedMs":100}]}"#;
-            call(daemon.addrs.entry, Method::POST, &format!("/desk/{id:016x}"), body).await
+            call(daemon.addrs.entry, Method::POST, &format!("/desk/{id:016x}"), &body).await
         };
         let is_accepted = async |id| submit(id).await.is_some_and(|(status, _, _)| status == 200);
         wait_until("jobs are accepted", || is_accepted(1)).await;
