--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,10 +25,11 @@
 EXECUTORS = 12
 CPU_MILLI = 16000
 DOWN_S = 1.0
-# What the cut held up arrives when the short job has ended, about seven seconds after the crash: a cut of
-# five seconds (the default), and packets that are sent again after it.
-# The former entry has been removed by then, after three heartbeats of silence.
-PLANNED_STOP_AFTER_S = 5.5
+# The cut parts the executor from the store, not from the daemons. Its new life registers when it heals.
+CUT_S = 5.0
+# The former entry has been removed by then, after three heartbeats of silence. What the cut held up arrives
+# when the short job has ended, a second or two after the cut.
+PLANNED_STOP_AFTER_S = 6.0
 
 
 def planner(case):
@@ -56,11 +57,11 @@
     former.crash()
     crashed_s = case.record.now()
     await asyncio.sleep(DOWN_S)
-    await case.fleet.add("i-b4e1c0d2", former.ip, former.port, CPU_MILLI)
-    await asyncio.sleep(1.0)
+    await case.fleet.add("i-b4e1c0d2", former.ip, former.port, CPU_MILLI, CUT_S - DOWN_S)
+    await asyncio.sleep(2.0)
     short = dict(step, count=SHORT_TASKS, estimatedMs=SHORT_MS)
     await case.submit(QUEUE, SHORT_JOB, {"ms": SHORT_MS, "cpu": 1000}, short)
-    await asyncio.sleep(0.3)
+    await asyncio.sleep(max(0.0, crashed_s + CUT_S + 0.3 - case.record.now()))
     batch = dict(step, count=BATCH_TASKS, estimatedMs=BATCH_MS)
     await case.submit(QUEUE, BATCH_JOB, {"ms": BATCH_MS, "cpu": 1000}, batch)
     await asyncio.sleep(max(0.0, crashed_s + PLANNED_STOP_AFTER_S - case.record.now()))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -64,9 +64,13 @@
     for _ in range(int(IDLE_S / 0.1)):
         for executor in case.fleet.executors:
             idle -= {task.split(".")[0] for task, _ in executor.runs}
-            most_used = max(most_used, sum(run["cpu"] for run in executor.runs.values()))
+        runs = [run for executor in case.fleet.executors for run in executor.runs.values()]
+        most_used = max(most_used, sum(run["cpu"] for run in runs))
         await asyncio.sleep(0.1)
-    case.record.add(f"for {IDLE_S} s nothing ran of {len(idle)} jobs; most in use on one executor: {most_used}")
+    capacity = EXECUTORS * CPU_MILLI
+    case.record.add(
+        f"for {IDLE_S} s nothing ran of {len(idle)} jobs; most in use at once: {most_used} of {capacity}"
+    )
     lost = []
     for ident in sorted(idle):
         state = await case.state(QUEUE, ident)
@@ -75,7 +79,8 @@
     panics = sum(len(daemon.log_lines("planner_failed")) for daemon in case.daemons)
     alive = sum(daemon.process.poll() is None for daemon in case.daemons)
     case.record.add(f"planners that ended by a panic: {panics}; daemon processes alive: {alive}")
-    if not lost:
+    # The rule asks for under half of the capacity in use; each job needs a small part of the rest.
+    if not lost or most_used >= capacity / 2:
         return ""
     return (
         f"LOST: {len(lost)} of {len(sound)} accepted sound jobs have nothing running and aren't "
