Late entries: the order of entries ends no incarnation, an answer does

What callers saw.

Two incarnations listed at one address: claim_address took the entry with the lower revision for the former one and released its tasks at once. A late write of the former incarnation has the higher revision. The planner that saw the former one end refused its entry; a successor knows entries alone.

Ruled out: ends decided by start times (that site's entries have none), and leases that lapse (the first runs go on for 5 s).

An entry ends no incarnation any more, neither by its revision nor by a later start time in it (an entry may come from another writer). It has the known incarnation polled at once over a new connection (to_verify). Proof is the address's own answer: 421, a later start, or an answer of the other incarnation to a call sent after both were listed (rivals). An incarnation superseded by an answer is not reinstated by a late entry; one that only was silent past its lease is. The start in an entry is a hint until the worker's first answer. Log lines address_contested and restart_listed name both sides with revisions and starts.

--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -36,7 +36,7 @@
         now_us: u64,
     ) {
         if outcome == OrderOutcome::OtherIncarnation {
-            self.worker_gone(order.worker, "another incarnation answers", now_us);
+            self.worker_superseded(order.worker, "another incarnation answers", now_us);
             return;
         }
         if outcome == OrderOutcome::Unanswered {
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -41,12 +41,12 @@
         match worker.order_of(poll.started_ms) {
             Ordering::Less => return,
             Ordering::Greater => {
-                return self.worker_gone(index, "it restarted under its identifier", now_us);
-            }
-            Ordering::Equal => {
-                worker.entry.started_ms = poll.started_ms.max(worker.entry.started_ms)
+                return self.worker_restarted(index, now_us);
             }
+            Ordering::Equal => worker.started_ms = poll.started_ms.max(worker.started_ms),
         }
+        self.supersede_rivals(index, poll.sent_us, now_us);
+        let worker = &mut self.workers[index as usize];
         if worker.standing == WorkerStanding::New {
             // The worker ignores previous owners from here on. Any lease that they requested ends
             // no later than one lease from now.
@@ -123,8 +123,14 @@
         self.worker_silent(index, now_us);
     }
 
+    /// Marks a worker as terminated because another incarnation answers in its place.
+    pub fn worker_superseded(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
+        self.workers[index as usize].is_superseded = true;
+        self.worker_gone(index, why, now_us);
+    }
+
     /// Marks a worker as terminated and releases its tasks, which start elsewhere.
-    pub fn worker_gone(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
+    fn worker_gone(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
         let worker = &mut self.workers[index as usize];
         if worker.standing == WorkerStanding::Gone {
             return;
@@ -133,6 +139,7 @@
         worker.is_listed = false;
         self.terminated.push(index);
         log::warn!(event = "worker_gone", worker = worker.entry.id.as_str(), why = why,
+            revision = worker.entry.revision, started_ms = worker.started_ms,
             tasks = worker.tasks.len(); "");
         self.worker_changed(index);
         self.release_lost_runs(index, true, now_us);
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -1,4 +1,13 @@
 //! Registered workers, and the succession of their incarnations.
+//!
+//! An entry of the registry never ends an incarnation. A store that is slow or cut off may carry out
+//! the last write of a former incarnation after the first one of its successor, so neither the
+//! revisions of the entries nor the start times in them tell which of the two is alive. Only the
+//! process at the address can tell, by its answer to a call. An entry that contradicts the ledger
+//! has the connection to the known incarnation verified at once, so that a worker which has really
+//! terminated is detected without delay.
+
+use std::cmp::Ordering;
 
 use crate::batch::Resources;
 
@@ -8,83 +17,139 @@
 use super::worker::{Worker, WorkerEntry, WorkerIndex, WorkerStanding};
 
 impl Fleet {
-    /// Applies one entry of the registry.
+    /// Applies one entry of the registry. Returns the worker that it describes, or the known
+    /// incarnation under its identifier if the entry describes an earlier one, or a later one whose
+    /// start has not been confirmed yet.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now_us: u64) -> WorkerIndex {
-        if let Some(index) = self.incarnation_of(&entry, now_us) {
-            if self.workers[index as usize].order_of(entry.started_ms).is_lt() {
-                return index;
-            }
-            self.reinstate(index, &entry);
-            let worker = &mut self.workers[index as usize];
-            if worker.entry.service != entry.service || worker.entry.labels != entry.labels {
-                self.capacity_index.withdraw(index, worker);
-            }
-            // A worker known only from job records claims its address now.
-            let is_first_entry = worker.entry.service.is_empty();
-            let has_new_address = (is_first_entry || worker.entry.address != entry.address)
-                && worker.standing != WorkerStanding::Gone;
-            let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
-            worker.is_zone_closed = self.closed_zones.contains_key(&entry.zone);
-            worker.cold_until_us = cold_until_us(&entry, now_us);
-            let previous_capacity = std::mem::replace(&mut worker.entry, entry).capacity;
-            worker.is_listed = true;
-            self.worker_changed(index);
-            self.apply_capacity_change(index, &previous_capacity, now_us);
-            if has_new_address {
-                self.claim_address(index, now_us);
-            }
-            let worker = &self.workers[index as usize];
-            if began_to_leave {
-                log::info!(event = "worker_leaving", worker = worker.entry.id.as_str(),
-                    tasks = worker.tasks.len(), leaves_in_ms = worker.entry.leaves_in_ms; "");
-                self.evacuate(index, now_us);
+        let known = self.worker_by_id.get(&entry.id).copied();
+        let Some(index) = known else { return self.add_worker(entry, now_us) };
+        let worker = &self.workers[index as usize];
+        match worker.order_of(entry.started_ms) {
+            Ordering::Less => {}
+            Ordering::Equal => self.entry_changed(index, entry, now_us),
+            Ordering::Greater if worker.standing == WorkerStanding::Gone => {
+                return self.add_worker(entry, now_us);
             }
-            return index;
+            Ordering::Greater => self.await_successor(index, entry),
         }
+        index
+    }
+
+    fn add_worker(&mut self, entry: WorkerEntry, now_us: u64) -> WorkerIndex {
         let index = self.workers.len() as WorkerIndex;
         self.worker_by_id.insert(entry.id.clone(), index);
         let mut worker = Worker::new(entry);
         worker.is_zone_closed = self.closed_zones.contains_key(&worker.entry.zone);
         worker.cold_until_us = cold_until_us(&worker.entry, now_us);
+        worker.listed_us = now_us;
         self.workers.push(worker);
-        self.claim_address(index, now_us);
+        self.claim_address(index);
         index
     }
 
-    /// Returns the known worker that an entry describes, or that is a later incarnation than the entry's.
-    ///
-    /// A worker that restarts under its identifier holds nothing of before and numbers its ends from
-    /// one again. If it counted as the same, its first ends would be skipped as already applied.
-    fn incarnation_of(&mut self, entry: &WorkerEntry, now_us: u64) -> Option<WorkerIndex> {
-        let index = self.worker_by_id.get(&entry.id).copied()?;
-        if self.workers[index as usize].order_of(entry.started_ms).is_gt() {
-            self.worker_gone(index, "it restarted under its identifier", now_us);
-            return None;
+    fn entry_changed(&mut self, index: WorkerIndex, entry: WorkerEntry, now_us: u64) {
+        self.reinstate(index, &entry);
+        let worker = &mut self.workers[index as usize];
+        worker.successor = None;
+        worker.listed_us = now_us;
+        if worker.entry.service != entry.service || worker.entry.labels != entry.labels {
+            self.capacity_index.withdraw(index, worker);
+        }
+        // A worker known only from job records claims its address now.
+        let is_first_entry = worker.entry.service.is_empty();
+        let has_new_address = (is_first_entry || worker.entry.address != entry.address)
+            && worker.standing != WorkerStanding::Gone;
+        let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
+        worker.is_zone_closed = self.closed_zones.contains_key(&entry.zone);
+        worker.cold_until_us = cold_until_us(&entry, now_us);
+        let previous_capacity = std::mem::replace(&mut worker.entry, entry).capacity;
+        worker.is_listed = true;
+        self.worker_changed(index);
+        self.apply_capacity_change(index, &previous_capacity, now_us);
+        if has_new_address {
+            self.claim_address(index);
+        }
+        let worker = &self.workers[index as usize];
+        if began_to_leave {
+            log::info!(event = "worker_leaving", worker = worker.entry.id.as_str(),
+                tasks = worker.tasks.len(), leaves_in_ms = worker.entry.leaves_in_ms; "");
+            self.evacuate(index, now_us);
+        }
+    }
+
+    /// Keeps an entry that names a later start of a known worker until the worker's own answer
+    /// confirms that it has restarted.
+    fn await_successor(&mut self, index: WorkerIndex, entry: WorkerEntry) {
+        let worker = &mut self.workers[index as usize];
+        if worker.successor.is_none() {
+            log::info!(event = "restart_listed", worker = entry.id.as_str(),
+                revision = entry.revision, started_ms = entry.started_ms,
+                known_revision = worker.entry.revision, known_started_ms = worker.started_ms,
+                standing:? = worker.standing, tasks = worker.tasks.len(); "");
+            self.unverified.push(index);
         }
-        Some(index)
+        worker.successor = Some(Box::new(entry));
     }
 
-    /// Assigns a worker's address to it unless a newer incarnation holds that address, and marks
-    /// the older of the two as terminated. The older incarnation last wrote its entry before the
-    /// newer one started, so the lower revision identifies it, even while the registry still lists
-    /// both.
+    /// Ends an incarnation whose identifier a later one has answered under, and adds the later one
+    /// if its entry is known. The planner then opens the connections to it.
+    pub(super) fn worker_restarted(&mut self, index: WorkerIndex, now_us: u64) {
+        self.worker_superseded(index, "it restarted under its identifier", now_us);
+        if let Some(entry) = self.workers[index as usize].successor.take() {
+            let successor = self.worker_listed(*entry, now_us);
+            self.succeeded.push(successor);
+        }
+    }
+
+    /// Returns the workers added since the last call because they succeed a restarted incarnation.
+    pub fn take_succeeded(&mut self) -> Vec<WorkerIndex> {
+        std::mem::take(&mut self.succeeded)
+    }
+
+    /// Returns the workers that an entry of another incarnation contradicts, since the last call. A
+    /// call over a new connection shows which incarnation is alive.
+    pub fn take_unverified(&mut self) -> Vec<WorkerIndex> {
+        std::mem::take(&mut self.unverified)
+    }
+
+    /// Records a worker as the last one listed at its address, and has the previous one there
+    /// verified. Both stay live until an answer from the address decides.
     ///
-    /// Prevents duplicate runs: if listing order decided, a stale entry could mark the live worker
-    /// as terminated, and its tasks would also be started elsewhere.
-    fn claim_address(&mut self, index: WorkerIndex, now_us: u64) {
+    /// Prevents duplicate runs: if the order of the two entries decided, a late entry of a former
+    /// incarnation would end the live one in the ledger, and its tasks would also start elsewhere.
+    fn claim_address(&mut self, index: WorkerIndex) {
         let entry = &self.workers[index as usize].entry;
-        let other = self.live_worker_at(&entry.address).filter(|other| *other != index);
-        let is_older =
-            |other: WorkerIndex| entry.revision < self.workers[other as usize].entry.revision;
-        let superseded = match other {
-            Some(other) if is_older(other) => Some(index),
-            _ => {
-                self.worker_by_address.insert(entry.address.clone(), index);
-                other
+        let previous = self.worker_by_address.insert(entry.address.clone(), index);
+        let Some(other) = previous.filter(|other| *other != index) else { return };
+        let known = &self.workers[other as usize];
+        if known.standing == WorkerStanding::Gone {
+            return;
+        }
+        log::info!(event = "address_contested", worker = entry.id.as_str(),
+            revision = entry.revision, started_ms = entry.started_ms,
+            known = known.entry.id.as_str(), known_revision = known.entry.revision,
+            known_started_ms = known.started_ms, standing:? = known.standing,
+            is_listed = known.is_listed, tasks = known.tasks.len(); "");
+        self.unverified.push(other);
+        self.workers[index as usize].rivals.push(other);
+        self.workers[other as usize].rivals.push(index);
+    }
+
+    /// Ends the other incarnations listed at a worker's address, now that the worker has answered a
+    /// call sent at `sent_us`. One that has been listed since may have started after the answer.
+    pub(super) fn supersede_rivals(&mut self, index: WorkerIndex, sent_us: u64, now_us: u64) {
+        let rivals = std::mem::take(&mut self.workers[index as usize].rivals);
+        for other in rivals {
+            let worker = &self.workers[index as usize];
+            let rival = &self.workers[other as usize];
+            if rival.entry.address != worker.entry.address {
+                continue;
+            }
+            if rival.listed_us <= sent_us {
+                self.worker_superseded(other, "another incarnation answers", now_us);
+            } else if rival.standing != WorkerStanding::Gone {
+                self.workers[index as usize].rivals.push(other);
             }
-        };
-        if let Some(superseded) = superseded {
-            self.worker_gone(superseded, "another incarnation at its address", now_us);
         }
     }
 
@@ -114,29 +179,25 @@
         }
     }
 
-    /// Reinstates a terminated incarnation that registers again: it was partitioned for longer than
-    /// its lease but is still running, and would otherwise never get a task again. A stale entry of
-    /// an incarnation with a successor, or one that has not been written since, changes nothing.
+    /// Reinstates an incarnation that was given up as unreachable and registers again: it was
+    /// partitioned for longer than its lease but is still running, and would otherwise never get a
+    /// task again. An entry that has not been written since changes nothing, nor does one of an
+    /// incarnation that another one has answered in the place of.
     fn reinstate(&mut self, index: WorkerIndex, entry: &WorkerEntry) {
-        let worker = &self.workers[index as usize];
+        let worker = &mut self.workers[index as usize];
         let is_gone = worker.standing == WorkerStanding::Gone;
         let is_rewritten = entry.revision == 0 || entry.revision > worker.entry.revision;
-        if is_gone && is_rewritten && self.live_worker_at(&entry.address).is_none() {
-            log::info!(event = "worker_back", worker = entry.id.as_str(); "");
-            let worker = &mut self.workers[index as usize];
+        let is_superseded = worker.is_superseded && worker.entry.address == entry.address;
+        if is_gone && is_rewritten && !is_superseded {
+            log::info!(event = "worker_back", worker = entry.id.as_str(),
+                revision = entry.revision, known_revision = worker.entry.revision; "");
             worker.standing = WorkerStanding::New;
+            worker.is_superseded = false;
             worker.refused_polls = 0;
-            self.worker_by_address.insert(entry.address.clone(), index);
+            self.claim_address(index);
         }
     }
 
-    /// Returns the newest worker at an address, unless it has terminated.
-    fn live_worker_at(&self, address: &str) -> Option<WorkerIndex> {
-        let index = self.worker_by_address.get(address).copied()?;
-        let is_live = self.workers[index as usize].standing != WorkerStanding::Gone;
-        is_live.then_some(index)
-    }
-
     /// Records that the registry no longer lists a worker. Its runs may still be present.
     pub fn worker_unlisted(&mut self, id: &str) {
         let Some(index) = self.worker_by_id.get(id).copied() else { return };
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -84,7 +84,7 @@
     pub(super) worker_by_id: HashMap<String, WorkerIndex>,
     /// Addresses that the previous planner knew.
     pub(super) previous_addresses: WorkerAddresses,
-    /// Newest worker incarnation at each address.
+    /// Worker that was listed last at each address.
     pub(super) worker_by_address: HashMap<String, WorkerIndex>,
     pub(super) queues: HashMap<String, QueueTerms>,
     pub(super) closed_zones: ClosedZones,
@@ -104,6 +104,10 @@
     pub(super) starting: u32,
     /// Terminated workers whose connections are still open.
     pub(super) terminated: Vec<WorkerIndex>,
+    /// Workers that an entry of another incarnation contradicts.
+    pub(super) unverified: Vec<WorkerIndex>,
+    /// Workers added because they succeed a restarted incarnation.
+    pub(super) succeeded: Vec<WorkerIndex>,
     /// Last answer times of workers that recently became unresponsive.
     pub(super) lost_contacts_us: VecDeque<u64>,
     /// Workers whose newest acknowledged end has not been passed to their connections yet.
@@ -159,6 +163,8 @@
             lost_contacts_us: VecDeque::new(),
             acked: Vec::new(),
             terminated: Vec::new(),
+            unverified: Vec::new(),
+            succeeded: Vec::new(),
             ended_jobs: Vec::new(),
             retired: HashMap::new(),
             pending_cancels: HashSet::new(),
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -140,6 +140,17 @@
 pub struct Worker {
     /// Registration of the worker.
     pub entry: WorkerEntry,
+    /// When the incarnation started, by its own answers; 0 before the first one, or if its answers
+    /// don't tell.
+    pub started_ms: u64,
+    /// Entry that names a later start than the worker's answers, until an answer decides.
+    pub(super) successor: Option<Box<WorkerEntry>>,
+    /// Other incarnations that have been listed at the worker's address.
+    pub(super) rivals: Vec<WorkerIndex>,
+    /// When the newest entry of the worker was applied.
+    pub(super) listed_us: u64,
+    /// Whether another incarnation has answered in place of this one, which has thus terminated.
+    pub(super) is_superseded: bool,
     /// Whether the registry lists the worker.
     pub is_listed: bool,
     /// Liveness of the worker.
@@ -213,6 +224,11 @@
     pub fn new(entry: WorkerEntry) -> Self {
         Self {
             entry,
+            started_ms: 0,
+            successor: None,
+            rivals: Vec::new(),
+            listed_us: 0,
+            is_superseded: false,
             is_listed: true,
             standing: WorkerStanding::New,
             used: Resources::default(),
@@ -249,9 +265,10 @@
     }
 
     /// Whether a start time is that of an earlier, this, or a later incarnation under the same
-    /// identifier. An unknown one counts as that of this incarnation.
+    /// identifier. An unknown one counts as that of this incarnation, and so does any before the
+    /// worker's first answer.
     pub fn order_of(&self, started_ms: u64) -> Ordering {
-        match (started_ms, self.entry.started_ms) {
+        match (started_ms, self.started_ms) {
             (0, _) | (_, 0) => Ordering::Equal,
             (other, own) => other.cmp(&own),
         }
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -192,8 +192,9 @@
     let mut restarted = entry("w1", "r1-1");
     restarted.id = "w1-reborn".to_owned();
     let new = harness.list(restarted);
-    assert_eq!(harness.fleet.worker(old).standing, WorkerStanding::Gone);
+    assert_eq!(harness.fleet.take_unverified(), vec![old], "a call must show which one is alive");
     harness.poll(new);
+    assert_eq!(harness.fleet.worker(old).standing, WorkerStanding::Gone);
     let orders = harness.plan();
     assert_eq!(starts(&orders).len(), 1);
     assert_eq!((orders[0].worker, orders[0].run), (new, 2));
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -482,7 +482,7 @@
                 self.fleet.predecessors_stopped(now_us);
             }
             Event::OtherIncarnation(worker) => {
-                self.fleet.worker_gone(worker, "another incarnation answers", now_us);
+                self.fleet.worker_superseded(worker, "another incarnation answers", now_us);
             }
             Event::Fenced(worker) => {
                 log::warn!(event = "fenced", epoch = self.epoch,
@@ -508,6 +508,11 @@
 
     fn worker_listed(&mut self, entry: WorkerEntry) {
         let index = self.fleet.worker_listed(entry, self.daemon.clock.now_us());
+        self.connect_listed(index);
+    }
+
+    /// Opens the connections to a listed worker, at once if it may run tasks.
+    fn connect_listed(&mut self, index: WorkerIndex) {
         let is_new = self.fleet.worker(index).answered_us == 0;
         self.has_new_workers |= is_new && !self.connections.is_open(index);
         if self.connections.is_open(index) {
@@ -756,6 +761,12 @@
                 log::warn!(event = "advice_ring_full"; "{error}");
             }
         }
+        for worker in self.fleet.take_unverified() {
+            self.connections.verify(worker);
+        }
+        for worker in self.fleet.take_succeeded() {
+            self.connect_listed(worker);
+        }
         for worker in self.fleet.take_terminated() {
             // The worker may have registered again in the meantime.
             if self.fleet.worker(worker).standing == WorkerStanding::Gone {
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -90,6 +90,8 @@
     is_idle: AtomicBool,
     /// Notified when an idle worker gets an order.
     got_order: Notify,
+    /// Notified when the worker is to be polled at once over a new connection.
+    to_verify: Notify,
     /// Whether starts may be sent: the worker is not leaving and its zone is open.
     takes_starts: AtomicBool,
     /// Notified when an order blocks those queued behind it.
@@ -177,6 +179,7 @@
             is_answering: AtomicBool::new(false),
             is_idle: AtomicBool::new(false),
             got_order: Notify::new(),
+            to_verify: Notify::new(),
             takes_starts: AtomicBool::new(worker.takes_starts()),
             blocked: Notify::new(),
             unhandled_poll: Arc::new(Semaphore::new(1)),
@@ -216,6 +219,14 @@
         }
     }
 
+    /// Has a worker polled at once over a new connection, whose other end is the process that now
+    /// listens at the address.
+    pub fn verify(&self, worker: WorkerIndex) {
+        if let Some((connection, _)) = self.connections.get(&worker) {
+            connection.to_verify.notify_one();
+        }
+    }
+
     /// Sets the newest end that a worker may discard.
     pub fn set_acked(&self, worker: WorkerIndex, acked_end: u64) {
         if let Some((connection, _)) = self.connections.get(&worker) {
@@ -291,6 +302,8 @@
     async fn poll_loop(&self, connection: &WorkerConnection) {
         let mut channel = WorkerChannel::new(connection.addr, &connection.incarnation);
         let mut wait_ms = 0;
+        // When a poll that was cancelled requested a lease, which the worker may have received.
+        let mut cancelled_us = None;
         loop {
             let permit = connection.poll_permit().await;
             let mut newest_end = None;
@@ -298,8 +311,18 @@
             let lease = self.lease_to_request_ms(connection);
             let acked_end = connection.acked_end.load(Ordering::Acquire);
             let timeout = Duration::from_millis(wait_ms) + POLL_TIMEOUT_MARGIN;
-            let polled =
-                channel.poll(self.epoch, lease.unwrap_or(0), acked_end, wait_ms, timeout).await;
+            let requested_us = lease.map(|_| sent_us).or(cancelled_us);
+            let poll = channel.poll(self.epoch, lease.unwrap_or(0), acked_end, wait_ms, timeout);
+            let polled = tokio::select! {
+                polled = poll => polled,
+                () = connection.to_verify.notified() => {
+                    channel.close();
+                    wait_ms = 0;
+                    cancelled_us = requested_us;
+                    continue;
+                }
+            };
+            cancelled_us = None;
             let (event, delay) = match polled {
                 Ok(PollOutcome::Reply(mut poll)) => {
                     let now_ms = (self.daemon.clock.now_us() / US_PER_MS) as i64;
@@ -330,7 +353,6 @@
                     connection.is_answering.store(false, Ordering::Release);
                     // The next poll can't request a lease, so it must not wait for an end.
                     wait_ms = 0;
-                    let requested_us = lease.map(|_| sent_us);
                     let event = match delivery {
                         Delivery::ConnectionRefused => {
                             Event::ConnectionRefused(connection.worker, requested_us)
@@ -351,10 +373,11 @@
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
             } else if connection.is_idle.load(Ordering::Relaxed) {
-                // Both outcomes are fine: the worker got an order, or the next poll is due.
-                drop(
-                    tokio::time::timeout(IDLE_POLL_INTERVAL, connection.got_order.notified()).await,
-                );
+                tokio::select! {
+                    () = tokio::time::sleep(IDLE_POLL_INTERVAL) => {}
+                    () = connection.got_order.notified() => {}
+                    () = connection.to_verify.notified() => channel.close(),
+                }
             }
         }
     }
