Restarted workers: orders go to the incarnation that they were decided for

An order names its worker by the identifier alone, which the new incarnation has too. It answers the starts; then its first answer to a poll shows another start time, and all tasks of the worker count as lost with the former one. The same connection change has three more effects on the way: the first poll carries the former one's newest acknowledged end, so that the new one forgets ends that nobody has read; leases are requested on the former one's clock; and the new one's clock is taken for that of the worker.

Ruled out: starts on their way at the crash (the worker was idle), and entries (they come after the answer to the poll in half of the runs).

A connection can't outlive its process, so what a reply over it has shown of its other end holds for it. If the worker's start is known, orders are sent only over a connection whose other end has named that start in reply to a poll; a new connection begins with such a poll, without lease and acknowledgement. Another start is the outcome "other incarnation", nothing was sent, and the tasks start elsewhere at once. A poll that finds its connection closed asks anew in the same way. Answers of another start set neither the clock nor whether the worker answers. Workers whose answers tell no start are called as before: their identifiers are not used twice. Where the successor's entry came first, it is applied as soon as the answer confirms it.

Tests. start_without_a_reply_may_have_been_received now verifies its connection first; without that, nothing of the start is sent, which a new test checks.

--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -41,7 +41,8 @@
         match worker.order_of(poll.started_ms) {
             Ordering::Less => return,
             Ordering::Greater => {
-                return self.worker_restarted(index, now_us);
+                let why = "it restarted under its identifier";
+                return self.worker_superseded(index, why, now_us);
             }
             Ordering::Equal => worker.started_ms = poll.started_ms.max(worker.started_ms),
         }
@@ -123,14 +124,8 @@
         self.worker_silent(index, now_us);
     }
 
-    /// Marks a worker as terminated because another incarnation answers in its place.
-    pub fn worker_superseded(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
-        self.workers[index as usize].is_superseded = true;
-        self.worker_gone(index, why, now_us);
-    }
-
     /// Marks a worker as terminated and releases its tasks, which start elsewhere.
-    fn worker_gone(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
+    pub(super) fn worker_gone(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
         let worker = &mut self.workers[index as usize];
         if worker.standing == WorkerStanding::Gone {
             return;
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -91,10 +91,11 @@
         worker.successor = Some(Box::new(entry));
     }
 
-    /// Ends an incarnation whose identifier a later one has answered under, and adds the later one
-    /// if its entry is known. The planner then opens the connections to it.
-    pub(super) fn worker_restarted(&mut self, index: WorkerIndex, now_us: u64) {
-        self.worker_superseded(index, "it restarted under its identifier", now_us);
+    /// Ends an incarnation in whose place another one has answered, and adds its successor under the
+    /// same identifier if the entry of that is known. The planner then opens the connections to it.
+    pub fn worker_superseded(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
+        self.workers[index as usize].is_superseded = true;
+        self.worker_gone(index, why, now_us);
         if let Some(entry) = self.workers[index as usize].successor.take() {
             let successor = self.worker_listed(*entry, now_us);
             self.succeeded.push(successor);
--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -259,12 +259,28 @@
     addr: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     driver: Option<tokio::task::JoinHandle<()>>,
+    connections: u64,
+}
+
+/// Over which connection a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Via {
+    /// The open connection, or a new one if none is open.
+    Any,
+    /// Only the open connection, whose other end is known.
+    OpenConnection,
 }
 
 impl Channel {
     /// Creates a channel without opening its connection.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, sender: None, driver: None }
+        Self { addr, sender: None, driver: None, connections: 0 }
+    }
+
+    /// Number of the open connection, counted from 1; `None` if none is open. Calls over the same
+    /// connection reach the same process.
+    pub fn connection(&self) -> Option<u64> {
+        self.sender.as_ref().filter(|sender| !sender.is_closed()).map(|_| self.connections)
     }
 
     /// Sends a request and returns the status and the body of the response.
@@ -274,11 +290,13 @@
     pub async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
+        via: Via,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), CallError> {
         let addr = self.addr;
         let mut delivery = Delivery::NotSent;
-        let outcome = tokio::time::timeout(timeout, self.exchange(request, &mut delivery)).await;
+        let outcome =
+            tokio::time::timeout(timeout, self.exchange(request, via, &mut delivery)).await;
         let detail = match outcome {
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(error)) => format!("{addr}: {error}"),
@@ -291,25 +309,27 @@
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        via: Via,
         delivery: &mut Delivery,
     ) -> Result<(StatusCode, Bytes), BoxError> {
-        let response = self.send(request, delivery).await?;
+        let response = self.send(request, via, delivery).await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await?;
         Ok((status, body.to_bytes()))
     }
 
     /// Sends a request over the open connection. If that one was closed before any part of the
-    /// request was sent, or if none is open, the request is sent over a new one.
+    /// request was sent, or if none is open, the request is sent over a new one if `via` allows it.
     async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        via: Via,
         delivery: &mut Delivery,
     ) -> Result<Response<Incoming>, BoxError> {
         let request = match self.send_over_open(request, delivery).await {
             Ok(response) => return Ok(response),
-            Err((_, Some(unsent))) => *unsent,
-            Err((error, None)) => return Err(error),
+            Err((_, Some(unsent))) if via == Via::Any => *unsent,
+            Err((error, _)) => return Err(error),
         };
         self.connect(delivery).await?;
         self.send_over_open(request, delivery).await.map_err(|(error, _)| error)
@@ -347,6 +367,7 @@
         let (sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         self.sender = Some(sender);
+        self.connections += 1;
         self.driver = Some(tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(event = "channel_ended"; "connection failed: {error}");
--- a/crates/agatesill_wire/tests/channel.rs
+++ b/crates/agatesill_wire/tests/channel.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use agatesill_wire::http::{Channel, Delivery};
+use agatesill_wire::http::{Channel, Delivery, Via};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
@@ -79,7 +79,7 @@
 }
 
 async fn failure(channel: &mut Channel) -> Delivery {
-    channel.call(request(), TIMEOUT).await.unwrap_err().delivery
+    channel.call(request(), Via::Any, TIMEOUT).await.unwrap_err().delivery
 }
 
 /// Guards against an order to a terminated worker that counts as one that may have been received.
@@ -109,7 +109,7 @@
     let (server, addr) = Server::start(Reaction::AnswerAndClose).await;
     let mut channel = Channel::new(addr);
     for _ in 0..20 {
-        assert!(channel.call(request(), TIMEOUT).await.is_ok());
+        assert!(channel.call(request(), Via::Any, TIMEOUT).await.is_ok());
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     assert_eq!(server.requests(), 20);
@@ -121,7 +121,7 @@
     let (server, addr) = Server::start(Reaction::Answer).await;
     let mut channel = Channel::new(addr);
     for _ in 0..3 {
-        assert!(channel.call(request(), TIMEOUT).await.is_ok());
+        assert!(channel.call(request(), Via::Any, TIMEOUT).await.is_ok());
     }
     assert_eq!(server.connections.load(Ordering::Relaxed), 1);
 }
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -92,6 +92,9 @@
     got_order: Notify,
     /// Notified when the worker is to be polled at once over a new connection.
     to_verify: Notify,
+    /// When the incarnation started, by its first answer; 0 before that, or if its answers don't
+    /// tell.
+    started_ms: AtomicU64,
     /// Whether starts may be sent: the worker is not leaving and its zone is open.
     takes_starts: AtomicBool,
     /// Notified when an order blocks those queued behind it.
@@ -118,6 +121,16 @@
         tokio::time::timeout(MAX_HANDLING_WAIT, permit).await.ok()?.ok()
     }
 
+    /// Whether an answer comes from the incarnation that these connections are for. The first one
+    /// that tells its start decides which that is.
+    fn is_answer_of_incarnation(&self, started_ms: u64) -> bool {
+        let known_ms = self.started_ms.load(Ordering::Acquire);
+        if known_ms == 0 {
+            self.started_ms.store(started_ms, Ordering::Release);
+        }
+        known_ms == 0 || started_ms == 0 || started_ms == known_ms
+    }
+
     /// Waits until the worker may discard an end, so that the next poll waits for another one.
     async fn wait_until_acked(&self, end: u64) {
         tokio::time::sleep(GATHER_DELAY).await;
@@ -180,6 +193,7 @@
             is_idle: AtomicBool::new(false),
             got_order: Notify::new(),
             to_verify: Notify::new(),
+            started_ms: AtomicU64::new(worker.started_ms),
             takes_starts: AtomicBool::new(worker.takes_starts()),
             blocked: Notify::new(),
             unhandled_poll: Arc::new(Semaphore::new(1)),
@@ -324,6 +338,14 @@
             };
             cancelled_us = None;
             let (event, delay) = match polled {
+                // Neither its clock nor its ends are those that the next poll would refer to.
+                Ok(PollOutcome::Reply(mut poll))
+                    if !connection.is_answer_of_incarnation(poll.started_ms) =>
+                {
+                    connection.is_answering.store(false, Ordering::Release);
+                    poll.sent_us = sent_us;
+                    (Event::Polled(connection.worker, Box::new(poll)), POLL_BACKOFF)
+                }
                 Ok(PollOutcome::Reply(mut poll)) => {
                     let now_ms = (self.daemon.clock.now_us() / US_PER_MS) as i64;
                     connection
@@ -486,6 +508,7 @@
         let until_ms =
             lease.unwrap_or_else(|| connection.requested_until_ms.load(Ordering::Acquire));
         let (task, kind) = (&order.task, &order.kind);
+        channel.expect_start(connection.started_ms.load(Ordering::Acquire));
         let started = Instant::now();
         let outcome =
             channel.order(self.epoch, task, order.run, kind, until_ms, ORDER_TIMEOUT).await;
--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -173,12 +173,41 @@
     for fault in [LinkFault::Silent, LinkFault::BlocksReplies] {
         let mut connected = connect_over_link().await;
         connected.wait_until_polled().await;
+        assert_eq!(connected.start_task().await, OrderOutcome::Done, "{fault:?}");
         connected.link.set(fault);
         assert_eq!(connected.start_task().await, OrderOutcome::Unanswered, "{fault:?}");
         connected.stop.cancel();
     }
 }
 
+/// Guards against a start that another incarnation under the worker's identifier carries out: over a new
+/// connection, none is sent before the worker's start is known to be the same.
+#[tokio::test]
+async fn start_is_not_sent_to_a_worker_that_restarted_under_its_identifier() {
+    let mut connected = connect().await;
+    connected.wait_until_polled().await;
+    connected.worker.crash();
+    let (id, addr) = (&connected.worker.id, connected.worker.addr);
+    let next = FakeWorker::start_at(id, addr, &connected.stop).await;
+    assert_eq!(connected.start_task().await, OrderOutcome::OtherIncarnation);
+    assert!(next.starts().is_empty());
+    connected.stop.cancel();
+}
+
+/// Guards against a start that counts as one that may have been received although it was not sent, as its
+/// connection could not be verified.
+#[tokio::test]
+async fn start_over_an_unverified_connection_is_undelivered() {
+    for fault in [LinkFault::Silent, LinkFault::BlocksReplies] {
+        let mut connected = connect_over_link().await;
+        connected.wait_until_polled().await;
+        connected.link.set(fault);
+        assert_eq!(connected.start_task().await, OrderOutcome::Undelivered, "{fault:?}");
+        assert!(connected.worker.starts().is_empty(), "{fault:?}");
+        connected.stop.cancel();
+    }
+}
+
 /// Guards against a start that a worker carried out and that counts as undelivered because its
 /// connection was reset.
 #[tokio::test]
