Late entries: contested incarnations are asked without delay

On crash-takeover the end of a crashed worker was known up to a quarter of a second later than by its successor's entry alone: the verification waited for the delay after a failed poll, and the successor's connections for their turn among those to idle workers.

Verification ends that delay, and a worker with rivals at its address is connected at once.

--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -274,6 +274,11 @@
         }
     }
 
+    /// Whether other incarnations have been listed at the worker's address since its last answer.
+    pub fn has_rivals(&self) -> bool {
+        !self.rivals.is_empty()
+    }
+
     /// Whether new tasks may be sent to the worker.
     pub fn is_open(&self, now_us: u64) -> bool {
         self.is_available() && now_us >= self.closed_until_us
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -511,7 +511,8 @@
         self.connect_listed(index);
     }
 
-    /// Opens the connections to a listed worker, at once if it may run tasks.
+    /// Opens the connections to a listed worker: at once if it may run tasks, or if its answer decides
+    /// which incarnation at its address is alive.
     fn connect_listed(&mut self, index: WorkerIndex) {
         let is_new = self.fleet.worker(index).answered_us == 0;
         self.has_new_workers |= is_new && !self.connections.is_open(index);
@@ -519,7 +520,8 @@
             self.connections.set_takes_starts(index, self.fleet.worker(index).takes_starts());
             return;
         }
-        if self.fleet.worker(index).tasks.is_empty() {
+        let worker = self.fleet.worker(index);
+        if worker.tasks.is_empty() && !worker.has_rivals() {
             self.workers_to_connect.insert(index);
         } else {
             self.connections.open(index, self.fleet.worker(index));
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -393,7 +393,10 @@
                 connection.wait_until_acked(end).await;
             }
             if !delay.is_zero() {
-                tokio::time::sleep(delay).await;
+                tokio::select! {
+                    () = tokio::time::sleep(delay) => {}
+                    () = connection.to_verify.notified() => {}
+                }
             } else if connection.is_idle.load(Ordering::Relaxed) {
                 tokio::select! {
                     () = tokio::time::sleep(IDLE_POLL_INTERVAL) => {}
