Limits of numbers: one job, record or entry does not end planning

What callers saw.

Nothing bounds the numbers that callers, workers and other writers give, and the ledger multiplies and adds them in 64 bits with overflow checks. As the job is stored, each successor panics as it reads it back.

The panic is in work_core_ms (ranking.rs).

Change. fleet/limits.rs holds the limits, within which no sum, product or unit conversion of the ledger leaves its type. A new job beyond them is refused with 400 and a reason, at the door and by a daemon that stores it for another one. What is stored or reported already is reduced to the limits where it is read: jobs (restore, watch, notices of peers), records, entries, answers to polls, advice. A job that fits no worker is accepted as before. A stored job or progress that can't be read is set aside: logged, shown as active, cancellable, never planned. Before, a job with unreadable progress started from the beginning, also its done tasks.

--- a/crates/agatesill_policy/src/batch/mod.rs
+++ b/crates/agatesill_policy/src/batch/mod.rs
@@ -52,12 +52,12 @@
             && self.accelerators >= other.accelerators
     }
 
-    /// The sum of both amounts.
+    /// The sum of both amounts, saturating in each dimension.
     pub fn plus(&self, other: &Resources) -> Resources {
         Resources {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
--- a/crates/agatesill_policy/src/fleet/ages.rs
+++ b/crates/agatesill_policy/src/fleet/ages.rs
@@ -22,7 +22,8 @@
     /// Converts a wall-clock time to the ledger's monotonic clock. Times in the future, as clocks
     /// of other daemons may show, become `now_us`.
     pub(super) fn monotonic_us(&self, wall_ms: u64, now_us: u64) -> u64 {
-        let ledger_ms = wall_ms as i64 - self.wall_offset_ms;
+        let wall_ms = i64::try_from(wall_ms).unwrap_or(i64::MAX);
+        let ledger_ms = wall_ms.saturating_sub(self.wall_offset_ms);
         (ledger_ms.max(0) as u64).saturating_mul(US_PER_MS).min(now_us)
     }
 
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -178,7 +178,7 @@
         if self.steps.iter().enumerate().any(is_out_of_order) {
             return Some("a step depends on itself or on a later step");
         }
-        None
+        self.number_fault()
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/load.rs
+++ b/crates/agatesill_policy/src/fleet/load.rs
@@ -181,7 +181,8 @@
         let kind_load = kind_load_mut(load, kind);
         kind_load.waiting_milli += tasks * step.need.cpu_milli;
         if is_ahead {
-            kind_load.ahead_core_ms += (tasks as f64 * work_core_ms(step)) as u64;
+            let ahead_core_ms = (tasks as f64 * work_core_ms(step)) as u64;
+            kind_load.ahead_core_ms = kind_load.ahead_core_ms.saturating_add(ahead_core_ms);
         }
     }
 
--- a/crates/agatesill_policy/src/fleet/ranking.rs
+++ b/crates/agatesill_policy/src/fleet/ranking.rs
@@ -169,7 +169,7 @@
 
 /// Work of one task by its caller's estimate.
 pub(super) fn work_core_ms(step: &Step) -> f64 {
-    (step.estimate_ms.max(1) * step.need.cpu_milli.max(1)) as f64 / 1_000.0
+    step.estimate_ms.max(1) as f64 * step.need.cpu_milli.max(1) as f64 / 1_000.0
 }
 
 fn density(job: &Job, occurrence: u32, terms: &QueueTerms, mean_work: f64, elapsed_ms: f64) -> f64 {
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -116,6 +116,8 @@
     /// Final phase of each job that was retired, or had ended when this ledger was built, and since
     /// when.
     pub(super) retired: HashMap<JobId, (JobPhase, u64)>,
+    /// Jobs whose stored specification or progress can't be read, and whether they had started.
+    pub(super) set_aside: HashMap<JobId, bool>,
     pub(super) pending_cancels: HashSet<JobId>,
     pub(super) images: Images,
     pub(super) interference: InterferenceModel,
@@ -167,6 +169,7 @@
             succeeded: Vec::new(),
             ended_jobs: Vec::new(),
             retired: HashMap::new(),
+            set_aside: HashMap::new(),
             pending_cancels: HashSet::new(),
             images: Images::default(),
             interference: InterferenceModel::default(),
@@ -215,7 +218,10 @@
     /// Adds a stored job; a known job is left unchanged. The age of the job is derived from the
     /// wall-clock time of its acceptance, because the ledger may receive it late.
     pub fn accept(&mut self, spec: JobSpec, now_us: u64) {
-        if self.by_id.contains_key(&spec.id) || self.retired.contains_key(&spec.id) {
+        let is_known = self.by_id.contains_key(&spec.id)
+            || self.retired.contains_key(&spec.id)
+            || self.set_aside.contains_key(&spec.id);
+        if is_known {
             return;
         }
         let was_cancelled = self.pending_cancels.remove(&spec.id);
@@ -295,6 +301,9 @@
     /// A cancel of an unknown job is remembered. After a gap in the store's history both keys are
     /// read again, cancels first, and the job would otherwise start after it was cancelled.
     pub fn cancel(&mut self, id: &str, now_us: u64) {
+        if self.set_aside.remove(id).is_some() {
+            self.retired.insert(id.to_owned(), (JobPhase::Cancelled, now_us));
+        }
         if self.retired.contains_key(id) {
             return;
         }
@@ -499,6 +508,9 @@
         if let Some((phase, _)) = self.retired.get(id) {
             return Some((*phase, true));
         }
+        if let Some(is_started) = self.set_aside.get(id) {
+            return Some((JobPhase::Active, *is_started));
+        }
         let job = self.by_id.get(id).and_then(|slot| self.job(*slot))?;
         Some((job.committed_phase, job.is_started))
     }
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -47,9 +47,22 @@
         self.retired.insert(id.to_owned(), (phase, now_us));
     }
 
+    /// Keeps a stored job that can't be read out of planning. Without its progress, tasks that are
+    /// done would run again. It is shown as active until it is cancelled, and runs of it that are
+    /// still present are stopped as stray runs.
+    pub fn set_aside(&mut self, id: &str, is_started: bool) {
+        self.set_aside.insert(id.to_owned(), is_started);
+    }
+
+    /// Number of stored jobs that are kept out of planning.
+    pub fn jobs_set_aside(&self) -> usize {
+        self.set_aside.len()
+    }
+
     fn restore_task(&mut self, slot: u32, record: &TaskRecord, now_us: u64) {
         let Some(job) = self.jobs[slot as usize].as_mut() else { return };
-        if record.task as usize >= job.tasks.len() {
+        // A second entry for the same task would count its effects twice.
+        if job.tasks.get(record.task as usize).is_none_or(|task| task.run > 0) {
             return;
         }
         let (occurrence, step, _) = job.locate(record.task);
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -6,6 +6,7 @@
 use agatesill_platform::front::{self, FrontCall};
 use agatesill_platform::prelude::*;
 use agatesill_policy::fleet::{JobSpec, retry_after_ms};
+use agatesill_wire::api::ErrorBody;
 use agatesill_wire::fleet::FleetWrite;
 use agatesill_wire::prelude::*;
 use bytes::Bytes;
@@ -232,12 +233,16 @@
     error_response(error)
 }
 
-/// Response without a body to a request that failed, with a Retry-After header if the error has a
-/// delay.
+/// Response to a request that failed, with a Retry-After header if the error has a delay. The body
+/// tells what is wrong with an invalid request, and is empty otherwise.
 fn error_response(error: &Error) -> Answer {
     let row = error.kind.row();
     let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut answer = json_response(status, Bytes::new());
+    let body = match error.kind {
+        ErrorKind::BadRequest => serde_json::to_vec(&ErrorBody::from(error)).unwrap_or_default(),
+        _ => Vec::new(),
+    };
+    let mut answer = json_response(status, Bytes::from(body));
     if error.retry_after_ms > 0 {
         let seconds = error.retry_after_ms.div_ceil(1_000);
         answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/agatesilld/src/fleet/job_store.rs
+++ b/crates/agatesilld/src/fleet/job_store.rs
@@ -75,8 +75,13 @@
 /// Stores or refuses a job on behalf of a daemon that the store turns away.
 pub async fn submit_for(daemon: &DaemonState, id: &str, json: &str) -> Submission {
     match serde_json::from_str::<JobSpec>(json) {
-        Ok(spec) if spec.id == id => submission::submit_by_load(daemon, &spec, json).await,
-        Ok(_) => Submission::NotStored,
+        Ok(spec) if spec.id == id && spec.fault().is_none() => {
+            submission::submit_by_load(daemon, &spec, json).await
+        }
+        Ok(spec) => {
+            log::warn!(event = "job_invalid", job = id; "{}", spec.fault().unwrap_or("other ID"));
+            Submission::NotStored
+        }
         Err(error) => {
             log::warn!(event = "job_undecodable", job = id; "{error}");
             Submission::NotStored
@@ -246,9 +251,14 @@
         );
     }
     if let Some(entry) = daemon.store.get(&keys::progress(id)).await? {
-        let record: ProgressRecord = serde_json::from_str(&entry.value)
-            .map_err(|error| Error::new(ErrorKind::Protocol, format!("progress: {error}")))?;
-        return Ok(Some((record.phase, record.is_started)));
+        return Ok(Some(match serde_json::from_str::<ProgressRecord>(&entry.value) {
+            Ok(record) => (record.phase, record.is_started),
+            // The planner sets such a job aside.
+            Err(error) => {
+                log::error!(event = "record_unreadable", job = id; "{error}");
+                (JobPhase::Active, true)
+            }
+        }));
     }
     let job = daemon.store.get(&keys::job(id)).await?;
     let job = job.filter(|entry| RefusalRecord::decode(&entry.value).is_none());
--- a/crates/agatesilld/src/fleet/peer_connection.rs
+++ b/crates/agatesilld/src/fleet/peer_connection.rs
@@ -23,7 +23,7 @@
 use super::config_peers;
 use super::daemon_state::DaemonState;
 use super::job_store;
-use super::submission_report;
+use super::{store_watchers, submission_report};
 
 /// Timeout of an answer. A round trip takes 4 ms, a write on behalf of another daemon 20 ms.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -332,7 +332,9 @@
             }
         }
         Some(FleetQuestion::Accepted(json)) => {
-            if let (Some(planner), Ok(spec)) = (daemon.planner(), serde_json::from_str(&json)) {
+            if let (Some(planner), Ok(spec)) =
+                (daemon.planner(), store_watchers::accepted_job(&json))
+            {
                 planner.accept(spec);
                 answer.is_known = true;
             }
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -91,7 +91,7 @@
     restore(&mut fleet, &inbox.entries, &progress.entries, orphan_ms, daemon.clock.now_us());
     log::info!(event = "ledger_read", jobs = inbox.entries.len(),
         records = progress.entries.len(), workers = workers.entries.len(),
-        closed_zones = closed.len(), orphan_ms = orphan_ms,
+        set_aside = fleet.jobs_set_aside(), closed_zones = closed.len(), orphan_ms = orphan_ms,
         revision = inbox.revision; "");
     Some(Start {
         fleet,
@@ -129,29 +129,32 @@
     }
 }
 
+/// Restores the stored jobs with their progress. One that can't be read is set aside.
 fn restore(fleet: &mut Fleet, inbox: &[Entry], progress: &[Entry], orphan_ms: u64, now_us: u64) {
-    let mut records: HashMap<&str, (ProgressRecord, u64)> = progress
+    let mut records: HashMap<&str, Result<(ProgressRecord, u64), String>> = progress
         .iter()
-        .filter_map(|entry| {
-            let id = entry.key.strip_prefix(keys::PROGRESS)?;
-            let record = serde_json::from_str(&entry.value)
-                .map_err(|error| log::error!(event = "record_unreadable", job = id; "{error}"))
-                .ok()?;
-            Some((id, (record, entry.version)))
-        })
+        .filter_map(|entry| Some((entry.key.strip_prefix(keys::PROGRESS)?, decode_record(entry))))
         .collect();
     let mut cancels = Vec::new();
     for entry in inbox {
         match keys::inbox(&entry.key) {
             Some(InboxKey::Job(id)) if entry.value == keys::ENDED_JOB => {
-                if let Some((record, _)) = records.remove(id) {
+                if let Some(Ok((record, _))) = records.remove(id) {
                     fleet.restore_ended(id, record.phase, now_us);
                 }
             }
             Some(InboxKey::Job(_)) if RefusalRecord::decode(&entry.value).is_some() => {}
             Some(InboxKey::Job(id)) => {
-                if let Some(spec) = store_watchers::job(entry) {
-                    fleet.restore(spec, records.remove(id), now_us);
+                let record = records.remove(id);
+                let is_started = record.is_some();
+                let job = store_watchers::accepted_job(&entry.value);
+                match job.and_then(|spec| Ok((spec, record.transpose()?))) {
+                    Ok((spec, record)) => fleet.restore(spec, record, now_us),
+                    Err(error) => {
+                        log::error!(event = "job_set_aside", job = id, is_started = is_started;
+                            "{error}");
+                        fleet.set_aside(id, is_started);
+                    }
                 }
             }
             Some(InboxKey::Cancel(id)) => cancels.push(id),
@@ -162,6 +165,13 @@
     fleet.finish_restore(orphan_ms, now_us);
 }
 
+fn decode_record(entry: &Entry) -> Result<(ProgressRecord, u64), String> {
+    let mut record: ProgressRecord =
+        serde_json::from_str(&entry.value).map_err(|error| format!("progress: {error}"))?;
+    record.reduce_numbers();
+    Ok((record, entry.version))
+}
+
 async fn read_with_retries(daemon: &DaemonState, prefix: &str) -> StoreReply {
     loop {
         match daemon.store.read_all(prefix).await {
--- a/crates/agatesilld/src/fleet/store_watchers.rs
+++ b/crates/agatesilld/src/fleet/store_watchers.rs
@@ -126,19 +126,27 @@
 /// Guards against a stored job that a daemon with other limits accepted: the planner could not
 /// handle it, and no other job would run.
 pub fn job(entry: &Entry) -> Option<JobSpec> {
-    let spec: Result<JobSpec, String> =
-        serde_json::from_str(&entry.value).map_err(|error| error.to_string());
-    let valid = spec.and_then(|spec| match spec.fault() {
-        Some(fault) => Err(fault.to_owned()),
-        None => Ok(spec),
-    });
-    valid
+    accepted_job(&entry.value)
         .map_err(|error| {
             log::error!(event = "job_unreadable", key = entry.key.as_str(); "{error}");
         })
         .ok()
 }
 
+/// Decodes a job that was accepted, possibly by a daemon with other limits. Its numbers are reduced to
+/// the limits of this one.
+pub fn accepted_job(json: &str) -> Result<JobSpec, String> {
+    let mut spec: JobSpec = serde_json::from_str(json).map_err(|error| error.to_string())?;
+    if spec.reduce_numbers() {
+        log::warn!(event = "job_reduced", job = spec.id.as_str();
+            "numbers out of range were reduced to their limits");
+    }
+    match spec.fault() {
+        Some(fault) => Err(fault.to_owned()),
+        None => Ok(spec),
+    }
+}
+
 fn inbox_event(entry: &Entry) -> Option<Event> {
     match keys::inbox(&entry.key)? {
         InboxKey::Job(_) if entry.value == keys::ENDED_JOB => None,
