Soak: workers that succeed one another, late entries, numbers at their limits

Seeds from 10,000 on also draw, three times a run: a worker that is back under its identifier or at its address, its entry written late and the former one once more, a kill of the planner near that, a job that fits no worker and an entry of another writer with numbers at their limits. A crash that is still to remove the entry leaves that of a successor under the same identifier.

--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -30,6 +30,10 @@
 /// Each run of these seeds has load control and more long-running jobs than the workers hold.
 const SEEDS_WITH_LOAD_CONTROL: std::ops::Range<u64> = 5_000..9_000;
 
+/// From this seed on each run also has workers that are back under their identifier or at their address,
+/// entries of former incarnations that are written late, and numbers at their limits.
+const FIRST_SEED_WITH_SUCCESSIONS: u64 = 10_000;
+
 /// In one of so many runs with load control, one daemon has none.
 const RUNS_PER_RUN_WITH_BOTH_MODES: u64 = 3;
 
@@ -80,6 +84,12 @@
     StoreConnection(usize, LinkFault),
     /// A worker crashes; another incarnation is started in its place.
     CrashWorker(usize),
+    /// A worker crashes and is back under its identifier. Its former entry is written once more.
+    RestartWorker(usize),
+    /// A worker crashes, and another one is at its address. The former entry is written late.
+    SucceedWorker(usize),
+    /// A job that fits no worker and an entry of another writer, with numbers at their limits.
+    ExtremeNumbers,
     /// The connections to a worker fail in the given way; its tasks continue to run.
     WorkerConnection(usize, LinkFault),
     /// A worker announces that it is leaving, and leaves.
@@ -139,6 +149,9 @@
             | Self::ConfigureRapidly
             | Self::ConfigureLarge
             | Self::CrashWorker(_)
+            | Self::RestartWorker(_)
+            | Self::SucceedWorker(_)
+            | Self::ExtremeNumbers
             | Self::WorkerConnection(..)
             | Self::LeaveWorker(_)
             | Self::CloseZone
@@ -222,10 +235,30 @@
     if seed >= FIRST_SEED_WITH_ONE_DAEMON_SERVED {
         (0..2).for_each(|_| scheduled_faults.extend(draw_one_daemon_served(&mut random, daemons)));
     }
+    if seed >= FIRST_SEED_WITH_SUCCESSIONS && !is_planned {
+        (0..3).for_each(|_| scheduled_faults.extend(draw_succession(&mut random, workers)));
+    }
     scheduled_faults.sort_by_key(|scheduled| scheduled.at);
     scheduled_faults
 }
 
+/// Incarnations of workers that follow one another, with a takeover before the late entry.
+fn draw_succession(random: &mut Pcg64Mcg, workers: usize) -> [ScheduledFault; 3] {
+    let at = Duration::from_millis(random.random_range(500..FAULT_PERIOD.as_millis() as u64));
+    let duration = Duration::from_millis(random.random_range(600..4_000));
+    let worker = random.random_range(0..workers);
+    let fault = match random.random_bool(0.5) {
+        true => Fault::RestartWorker(worker),
+        false => Fault::SucceedWorker(worker),
+    };
+    let takeover_at = at + duration.mul_f64(random.random_range(0.2..1.1));
+    [
+        ScheduledFault { at, duration, fault },
+        ScheduledFault { at: takeover_at, duration, fault: Fault::KillPlanner },
+        ScheduledFault { at, duration: Duration::ZERO, fault: Fault::ExtremeNumbers },
+    ]
+}
+
 /// The store turns all daemons but one away, each in a way of its own, while the configuration
 /// changes.
 fn draw_one_daemon_served(random: &mut Pcg64Mcg, daemons: usize) -> Vec<ScheduledFault> {
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -32,9 +32,11 @@
 /// Seeds of the short set. Together they draw every kind of fault: seed 4 has planned maintenance
 /// only, 1,001 closes a zone, 2,001 has tasks that crash their workers and workers with reduced
 /// capacity, 3,001 and 3,002 have faults of the watches on the store, 4,002 one daemon that the store
-/// serves alone, 5,005 more long-running jobs than the workers hold. Seed 46 covers a start that is
+/// serves alone, 5,005 more long-running jobs than the workers hold, 10,001 and 10,003 workers that are
+/// back under their identifier or at their address, late entries and numbers at their limits. Seed 46
+/// covers a start that is
 /// unanswered, rejected when it is sent again, and executed late.
-const SEEDS: [u64; 11] = [1, 2, 3, 4, 46, 1_001, 2_001, 3_001, 3_002, 4_002, 5_005];
+const SEEDS: [u64; 13] = [1, 2, 3, 4, 46, 1_001, 2_001, 3_001, 3_002, 4_002, 5_005, 10_001, 10_003];
 
 /// Concurrent runs. Each has three daemons that are mostly idle.
 const CONCURRENT_RUNS: usize = 2;
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -86,8 +86,21 @@
     slots: Vec<WorkerSlot>,
     stop: CancellationToken,
     problems: Mutex<Vec<String>>,
+    /// Number of jobs submitted that fit no worker.
+    extreme_jobs: AtomicU64,
 }
 
+/// A job whose numbers are at their limits.
+const EXTREME_JOB: &str = r#"{"spec":"work","steps":[{"count":3,"cpu":10000000000,
+    "memMb":10000000000,"gpu":10000000000,"estimatedMs":1000000000000,"targetMs":1000000000000},
+    {"count":3,"cpu":10000000000,"memMb":10000000000,"estimatedMs":1000000000000,"fills":true,
+    "image":"x"}]}"#;
+
+/// An entry of another writer, of an unknown service.
+const EXTREME_ENTRY: &str = r#"{"service":"unknown","address":"127.0.0.1:9","zone":"a",
+    "state":"ready","capacity":{"cpu":18446744073709551615,"memMb":18446744073709551615},
+    "coldRemainingMs":1796381175327000000,"remainingMs":18446744073709551615}"#;
+
 impl SoakRun {
     /// Starts everything, waits until all daemons are ready, and lets an operator write versions of
     /// the configuration.
@@ -140,6 +153,7 @@
             slots,
             stop,
             problems: Mutex::default(),
+            extreme_jobs: AtomicU64::new(0),
         });
         run.daemons.iter().for_each(|daemon| daemon.start());
         run.wait_until_ready().await;
@@ -169,7 +183,62 @@
         tokio::time::sleep(RESTART_DELAY).await;
         self.slots[slot].replace(&crashed, &self.simulated_workers, &self.store, &self.stop).await;
         tokio::time::sleep(ENTRY_TTL).await;
-        self.store.remove(&format!("servers/{}", crashed.id));
+        self.remove_entry(&self.slots[slot], &crashed);
+    }
+
+    /// Removes the entry of a worker, unless it is that of a successor under the same identifier.
+    fn remove_entry(&self, slot: &WorkerSlot, worker: &FakeWorker) {
+        let current = slot.worker();
+        if current.id != worker.id || current.incarnation == worker.incarnation {
+            self.store.remove(&format!("servers/{}", worker.id));
+        }
+    }
+
+    /// Crashes a worker and starts another incarnation at its address, under `id` or the identifier
+    /// that it had. The new entry is written after a while, and the former one after it once more.
+    async fn succeed_worker(&self, slot: &WorkerSlot, id: Option<String>, duration: Duration) {
+        let (worker, proxy) = slot.current.lock().unwrap().clone();
+        let id = id.unwrap_or_else(|| worker.id.clone());
+        worker.crash();
+        tokio::time::sleep(duration / 4).await;
+        if slot.worker().incarnation != worker.incarnation {
+            return;
+        }
+        let workers = self.simulated_workers.clone();
+        let next = FakeWorker::serve_at(&id, worker.addr, workers, &self.stop).await;
+        let is_current = {
+            let mut current = slot.current.lock().unwrap();
+            let is_current = current.0.incarnation == worker.incarnation;
+            if is_current {
+                *current = (next.clone(), proxy.clone());
+            }
+            is_current
+        };
+        if !is_current {
+            return next.crash();
+        }
+        tokio::time::sleep(duration / 4).await;
+        next.register(&self.store, proxy.addr, "ready");
+        tokio::time::sleep(duration / 2).await;
+        worker.register(&self.store, proxy.addr, "ready");
+        tokio::time::sleep(ENTRY_TTL).await;
+        self.remove_entry(slot, &worker);
+        if slot.worker().incarnation == next.incarnation {
+            next.register(&self.store, proxy.addr, "ready");
+        }
+    }
+
+    /// Submits a job that fits no worker, and writes an entry of another writer.
+    async fn write_extreme_numbers(&self) {
+        self.store.put("servers/unknown", EXTREME_ENTRY);
+        let id = format!(
+            "{:016x}",
+            0x00ff_0000_0000_0000 | self.extreme_jobs.fetch_add(1, Ordering::Relaxed)
+        );
+        let outcome = self.callers.send_request(0, Method::POST, "desk", &id, EXTREME_JOB).await;
+        if matches!(&outcome, RequestOutcome::Answer(status, _) if (400..429).contains(status)) {
+            self.add_problem(format!("a job with numbers at their limits is refused: {outcome:?}"));
+        }
     }
 
     /// Crashes a worker and restarts it once its entry has been removed.
@@ -178,7 +247,7 @@
         let worker = slot.worker();
         worker.crash();
         tokio::time::sleep(ENTRY_TTL).await;
-        self.store.remove(&format!("servers/{}", worker.id));
+        self.remove_entry(slot, &worker);
         slot.replace(&worker, &self.simulated_workers, &self.store, &self.stop).await;
     }
 
@@ -311,6 +380,16 @@
     async fn apply_to_worker(&self, fault: Fault, duration: Duration) {
         match fault {
             Fault::CrashWorker(slot) => self.crash_worker(slot).await,
+            Fault::RestartWorker(slot) => {
+                self.succeed_worker(&self.slots[slot], None, duration).await;
+            }
+            Fault::SucceedWorker(slot) => {
+                let slot = &self.slots[slot];
+                let incarnation = slot.incarnations.fetch_add(1, Ordering::Relaxed) + 1;
+                let id = format!("{}-{incarnation}", slot.name);
+                self.succeed_worker(slot, Some(id), duration).await;
+            }
+            Fault::ExtremeNumbers => self.write_extreme_numbers().await,
             Fault::CrashTwoWorkers(slot) => {
                 let next = (slot + 1) % self.slots.len();
                 tokio::join!(self.crash_worker(slot), self.crash_worker(next));
@@ -338,7 +417,7 @@
                 worker.register(&self.store, proxy.addr, "draining");
                 tokio::time::sleep(duration + ENTRY_TTL).await;
                 worker.crash();
-                self.store.remove(&format!("servers/{}", worker.id));
+                self.remove_entry(slot, &worker);
                 slot.replace(&worker, &self.simulated_workers, &self.store, &self.stop).await;
             }
             Fault::Worker(slot, fault) => {
