--- a/crates/agatesilld/src/fleet/predecessors.rs
+++ b/crates/agatesilld/src/fleet/predecessors.rs
@@ -30,7 +30,8 @@
 pub struct Predecessors {
     /// Those that may still renew leases: they plan, or do not answer.
     pub renewing: Vec<Owner>,
-    /// Whether there may be others, because no planner has registered yet.
+    /// Whether there may be others, because no planner has registered yet or the list of them can't
+    /// be read.
     pub is_incomplete: bool,
 }
 
@@ -47,8 +48,13 @@
     let Some(entry) = reply.entries.iter().find(|entry| entry.key == keys::PLANNERS) else {
         return Ok(Predecessors { renewing: Vec::new(), is_incomplete: true });
     };
-    let planners: Vec<Owner> = serde_json::from_str(&entry.value)
-        .map_err(|error| Error::new(ErrorKind::Protocol, error.to_string()))?;
+    let planners: Vec<Owner> = match serde_json::from_str(&entry.value) {
+        Ok(planners) => planners,
+        Err(error) => {
+            log::error!(event = "planners_unreadable"; "{error}");
+            return Ok(Predecessors { renewing: Vec::new(), is_incomplete: true });
+        }
+    };
     let mut renewing = Vec::new();
     for (place, planner) in planners.into_iter().enumerate() {
         if place >= MAX_QUERIED || !has_stopped(daemon, &planner).await {
