Superseded workers: a later start under the identifier is asked again

Reading the diff: a worker that was superseded before its first answer, so that its start is unknown, would never be used again if it restarted under its identifier at the same address.

An entry with a later start than the last one reinstates it; its answer decides. The job and the entry with extreme numbers are in the simulation of the platform, for the soak and the tests of the whole path.

--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -183,12 +183,14 @@
     /// Reinstates an incarnation that was given up as unreachable and registers again: it was
     /// partitioned for longer than its lease but is still running, and would otherwise never get a
     /// task again. An entry that has not been written since changes nothing, nor does one of an
-    /// incarnation that another one has answered in the place of.
+    /// incarnation in whose place another one has answered.
     fn reinstate(&mut self, index: WorkerIndex, entry: &WorkerEntry) {
         let worker = &mut self.workers[index as usize];
         let is_gone = worker.standing == WorkerStanding::Gone;
         let is_rewritten = entry.revision == 0 || entry.revision > worker.entry.revision;
-        let is_superseded = worker.is_superseded && worker.entry.address == entry.address;
+        let is_superseded = worker.is_superseded
+            && worker.entry.address == entry.address
+            && worker.entry.started_ms >= entry.started_ms;
         if is_gone && is_rewritten && !is_superseded {
             log::info!(event = "worker_back", worker = entry.id.as_str(),
                 revision = entry.revision, known_revision = worker.entry.revision; "");
--- a/crates/agatesill_policy/tests/fleet_refused_connections.rs
+++ b/crates/agatesill_policy/tests/fleet_refused_connections.rs
@@ -123,6 +123,9 @@
     harness.fleet.worker_superseded(worker, "its successor answers", harness.now_us);
     harness.list(listed(&id, 30));
     assert_eq!(standing(&harness, worker), WorkerStanding::Gone);
+    // A later start under the identifier is another incarnation.
+    harness.list(WorkerEntry { started_ms: 9_000, ..listed(&id, 40) });
+    assert_eq!(standing(&harness, worker), WorkerStanding::New);
 }
 
 /// Guards against a successor that starts a recorded task again while its worker runs it behind a
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -19,6 +19,7 @@
 use crate::operator::Operator;
 use crate::refusals;
 use crate::support::proxy::{LinkFault, Proxy};
+use crate::support::settings;
 use crate::support::simulated_workers::{CPU_MILLI, SimulatedWorkers, WorkerFault};
 use crate::support::store::{FakeStore, StoreFault};
 use crate::support::worker::FakeWorker;
@@ -90,17 +91,6 @@
     extreme_jobs: AtomicU64,
 }
 
-/// A job whose numbers are at their limits.
-const EXTREME_JOB: &str = r#"{"spec":"work","steps":[{"count":3,"cpu":10000000000,
-    "memMb":10000000000,"gpu":10000000000,"estimatedMs":1000000000000,"targetMs":1000000000000},
-    {"count":3,"cpu":10000000000,"memMb":10000000000,"estimatedMs":1000000000000,"fills":true,
-    "image":"x"}]}"#;
-
-/// An entry of another writer, of an unknown service.
-const EXTREME_ENTRY: &str = r#"{"service":"unknown","address":"127.0.0.1:9","zone":"a",
-    "state":"ready","capacity":{"cpu":18446744073709551615,"memMb":18446744073709551615},
-    "coldRemainingMs":1796381175327000000,"remainingMs":18446744073709551615}"#;
-
 impl SoakRun {
     /// Starts everything, waits until all daemons are ready, and lets an operator write versions of
     /// the configuration.
@@ -230,12 +220,13 @@
 
     /// Submits a job that fits no worker, and writes an entry of another writer.
     async fn write_extreme_numbers(&self) {
-        self.store.put("servers/unknown", EXTREME_ENTRY);
+        self.store.put("servers/unknown", settings::EXTREME_ENTRY);
         let id = format!(
             "{:016x}",
             0x00ff_0000_0000_0000 | self.extreme_jobs.fetch_add(1, Ordering::Relaxed)
         );
-        let outcome = self.callers.send_request(0, Method::POST, "desk", &id, EXTREME_JOB).await;
+        let outcome =
+            self.callers.send_request(0, Method::POST, "desk", &id, settings::EXTREME_JOB).await;
         if matches!(&outcome, RequestOutcome::Answer(status, _) if (400..429).contains(status)) {
             self.add_problem(format!("a job with numbers at their limits is refused: {outcome:?}"));
         }
