Unreadable progress: the job starts anew, as an earlier test asks

Only a job whose specification can't be read is set aside. Unreadable progress is logged and replaced, as before.

--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -116,7 +116,7 @@
     /// Final phase of each job that was retired, or had ended when this ledger was built, and since
     /// when.
     pub(super) retired: HashMap<JobId, (JobPhase, u64)>,
-    /// Jobs whose stored specification or progress can't be read, and whether they had started.
+    /// Jobs whose stored specification can't be read, and whether they had started.
     pub(super) set_aside: HashMap<JobId, bool>,
     pub(super) pending_cancels: HashSet<JobId>,
     pub(super) images: Images,
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -47,9 +47,8 @@
         self.retired.insert(id.to_owned(), (phase, now_us));
     }
 
-    /// Keeps a stored job that can't be read out of planning. Without its progress, tasks that are
-    /// done would run again. It is shown as active until it is cancelled, and runs of it that are
-    /// still present are stopped as stray runs.
+    /// Keeps a stored job that can't be read out of planning. It is shown as active until it is
+    /// cancelled, and runs of it that are still present are stopped as stray runs.
     pub fn set_aside(&mut self, id: &str, is_started: bool) {
         self.set_aside.insert(id.to_owned(), is_started);
     }
--- a/crates/agatesill_policy/tests/fleet_limits.rs
+++ b/crates/agatesill_policy/tests/fleet_limits.rs
@@ -197,7 +197,7 @@
     assert_sound_job_completes(&mut harness, "workers");
 }
 
-/// Guards against a job without readable progress whose done tasks run again.
+/// Guards against an accepted job that can't be read and that its caller is not told of.
 #[test]
 fn job_that_is_set_aside_is_shown_and_not_planned() {
     let mut harness = Harness::new(vec![entry("w1", "r1-1")]);
--- a/crates/agatesilld/src/fleet/job_store.rs
+++ b/crates/agatesilld/src/fleet/job_store.rs
@@ -253,7 +253,7 @@
     if let Some(entry) = daemon.store.get(&keys::progress(id)).await? {
         return Ok(Some(match serde_json::from_str::<ProgressRecord>(&entry.value) {
             Ok(record) => (record.phase, record.is_started),
-            // The planner sets such a job aside.
+            // Until the planner has replaced the record.
             Err(error) => {
                 log::error!(event = "record_unreadable", job = id; "{error}");
                 (JobPhase::Active, true)
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -129,28 +129,26 @@
     }
 }
 
-/// Restores the stored jobs with their progress. One that can't be read is set aside.
+/// Restores the stored jobs with their progress. A job that can't be read is set aside; one whose
+/// progress can't be read starts anew.
 fn restore(fleet: &mut Fleet, inbox: &[Entry], progress: &[Entry], orphan_ms: u64, now_us: u64) {
-    let mut records: HashMap<&str, Result<(ProgressRecord, u64), String>> = progress
-        .iter()
-        .filter_map(|entry| Some((entry.key.strip_prefix(keys::PROGRESS)?, decode_record(entry))))
-        .collect();
+    let mut records: HashMap<&str, (ProgressRecord, u64)> =
+        progress.iter().filter_map(decode_record).collect();
     let mut cancels = Vec::new();
     for entry in inbox {
         match keys::inbox(&entry.key) {
             Some(InboxKey::Job(id)) if entry.value == keys::ENDED_JOB => {
-                if let Some(Ok((record, _))) = records.remove(id) {
+                if let Some((record, _)) = records.remove(id) {
                     fleet.restore_ended(id, record.phase, now_us);
                 }
             }
             Some(InboxKey::Job(_)) if RefusalRecord::decode(&entry.value).is_some() => {}
             Some(InboxKey::Job(id)) => {
                 let record = records.remove(id);
-                let is_started = record.is_some();
-                let job = store_watchers::accepted_job(&entry.value);
-                match job.and_then(|spec| Ok((spec, record.transpose()?))) {
-                    Ok((spec, record)) => fleet.restore(spec, record, now_us),
+                match store_watchers::accepted_job(&entry.value) {
+                    Ok(spec) => fleet.restore(spec, record, now_us),
                     Err(error) => {
+                        let is_started = record.is_some();
                         log::error!(event = "job_set_aside", job = id, is_started = is_started;
                             "{error}");
                         fleet.set_aside(id, is_started);
@@ -165,11 +163,13 @@
     fleet.finish_restore(orphan_ms, now_us);
 }
 
-fn decode_record(entry: &Entry) -> Result<(ProgressRecord, u64), String> {
-    let mut record: ProgressRecord =
-        serde_json::from_str(&entry.value).map_err(|error| format!("progress: {error}"))?;
+fn decode_record(entry: &Entry) -> Option<(&str, (ProgressRecord, u64))> {
+    let id = entry.key.strip_prefix(keys::PROGRESS)?;
+    let mut record: ProgressRecord = serde_json::from_str(&entry.value)
+        .map_err(|error| log::error!(event = "record_unreadable", job = id; "{error}"))
+        .ok()?;
     record.reduce_numbers();
-    Ok((record, entry.version))
+    Some((id, (record, entry.version)))
 }
 
 async fn read_with_retries(daemon: &DaemonState, prefix: &str) -> StoreReply {
