Logs: the proof by which a run ended, from a task's name to its second run

Each run after the first has a line run_follows: the run before, the worker and incarnation that had it, the proof, and the proof's age when it was applied. run_ended, run_absent, run_lost, start_rejected and worker_gone carry proof and age, all lines of a task its name as on the wire, agatesill trace takes such a name, and the metric agatesill.runs.ended counts by proof. No decision changes.

Measured: tests of the policy and command-line crates pass; the new test of trace shows the chain from placement over worker_gone and run_lost to run_follows.

--- a/crates/agatesill/src/cli.rs
+++ b/crates/agatesill/src/cli.rs
@@ -67,9 +67,15 @@
         .about("Shows the timeline of one job from the daemons' logs and marks gaps in it")
         .after_help(
             "Examples:\n  agatesill trace 8d1d4e714b8f45e5 logs/entry-*.log\n  \
-             cat logs/*.log | agatesill trace 8d1d4e714b8f45e5",
+             cat logs/*.log | agatesill trace 8d1d4e714b8f45e5\n  \
+             agatesill trace 8d1d4e714b8f45e5.0.1.17 logs/entry-*.log",
+        )
+        .arg(
+            Arg::new("id")
+                .required(true)
+                .value_name("ID")
+                .help("ID of the job or request, or name of a task: JOB.OCCURRENCE.STEP.INDEX"),
         )
-        .arg(Arg::new("id").required(true).value_name("ID").help("ID of the job"))
         .arg(
             Arg::new("file")
                 .value_name("FILE")
--- a/crates/agatesill/src/commands/trace.rs
+++ b/crates/agatesill/src/commands/trace.rs
@@ -1,4 +1,4 @@
-//! `trace`: shows the timeline of one job from log files.
+//! `trace`: shows the timeline of one job, task or request from log files.
 
 use std::io::Read;
 use std::path::{Path, PathBuf};
--- a/crates/agatesill/src/timeline.rs
+++ b/crates/agatesill/src/timeline.rs
@@ -1,4 +1,4 @@
-//! Timeline of one job or request, merged from the logs of several daemons.
+//! Timeline of one job, task or request, merged from the logs of several daemons.
 
 use std::collections::HashSet;
 
@@ -28,10 +28,10 @@
 /// Fields that every line has or that the timeline shows in another column.
 const OMITTED_FIELDS: [&str; 6] = ["at_ms", "level", "module", "event", "job", "message"];
 
-/// Returns the timeline of the job or request `id` from `lines`, each paired with the daemon that
-/// wrote it.
+/// Returns the timeline of the job, task or request `id` from `lines`, each paired with the daemon
+/// that wrote it.
 ///
-/// The timeline holds the lines of the job itself and, between the first and the last of these, the
+/// The timeline holds the lines of the job itself, without those of other tasks if `id` names a task, and, between the first and the last of these, the
 /// lines of the workers it was placed on and the `DAEMON_EVENTS`, ordered by time. Lines that are
 /// not JSON are skipped. A summary comes first if the job was refused for lack of capacity. The clocks of machines may differ, and with them the order of lines from
 /// different daemons.
@@ -39,7 +39,7 @@
     let mut all: Vec<LogLine> =
         lines.filter_map(|(source, text)| LogLine::decode(source, text)).collect();
     all.sort_by_key(|line| line.at_ms);
-    let is_own = |line: &LogLine| line.text("job") == Some(id) || line.text("request") == Some(id);
+    let is_own = |line: &LogLine| is_about(line, id);
     let own: Vec<&LogLine> = all.iter().filter(|line| is_own(line)).collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else { return Vec::new() };
     let workers: HashSet<&str> = own.iter().filter_map(|line| line.text("worker")).collect();
@@ -63,6 +63,17 @@
     timeline
 }
 
+/// Whether a line is about a job, a request, or a task named as `job.occurrence.step.index`. The lines
+/// of its job that name no task are also about the task.
+fn is_about(line: &LogLine, id: &str) -> bool {
+    if line.text("job") == Some(id) || line.text("request") == Some(id) {
+        return true;
+    }
+    let Some((job, _)) = id.split_once('.') else { return false };
+    let names_no_task = ["task", "task_index"].iter().all(|name| !line.fields.contains_key(*name));
+    line.text("task") == Some(id) || line.text("job") == Some(job) && names_no_task
+}
+
 fn format_line(line: &LogLine, first_ms: u64) -> String {
     let fields: Vec<String> = line
         .fields
--- a/crates/agatesill/tests/trace.rs
+++ b/crates/agatesill/tests/trace.rs
@@ -6,6 +6,9 @@
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
 
+use agatesill::timeline::timeline;
+use serde_json::json;
+
 const JOB: &str = "0000002100000040";
 
 fn logs() -> Vec<PathBuf> {
@@ -48,6 +51,38 @@
     assert!(timeline.contains("job_accepted") && timeline.contains("job_ended"), "{timeline}");
 }
 
+/// Guards against a second run of a task whose log does not tell what proved the end of the first.
+#[test]
+fn name_of_a_task_leads_to_the_proof_for_its_second_run() {
+    let task = "8d1d4e714b8f45e5.0.1.17";
+    let log = [
+        json!({"at_ms": 1_000, "event": "job_accepted"}),
+        json!({"at_ms": 1_020, "event": "task_placed", "task": task, "run": 1, "worker": "w1"}),
+        json!({"at_ms": 1_021, "event": "task_placed", "task": "8d1d4e714b8f45e5.0.1.18", "run": 1,
+            "worker": "w2"}),
+        json!({"at_ms": 1_400, "event": "worker_gone", "worker": "w1",
+            "why": "another incarnation answers", "evidence_ms": 3}),
+        json!({"at_ms": 1_400, "event": "worker_gone", "worker": "w2",
+            "why": "another incarnation answers", "evidence_ms": 3}),
+        json!({"at_ms": 1_400, "event": "run_lost", "task": task, "run": 1, "worker": "w1",
+            "worker_started_ms": 77, "proof": "superseded", "evidence_ms": 3}),
+        json!({"at_ms": 1_410, "event": "run_follows", "task": task, "run": 2, "after_run": 1,
+            "worker": "w1", "worker_started_ms": 77, "proof": "superseded", "evidence_ms": 3}),
+        json!({"at_ms": 1_500, "event": "job_idle", "task_index": 18}),
+    ];
+    let lines: Vec<String> = log
+        .into_iter()
+        .map(|mut line| {
+            if !line["event"].as_str().is_some_and(|event| event.starts_with("worker_")) {
+                line["job"] = json!("8d1d4e714b8f45e5");
+            }
+            line.to_string()
+        })
+        .collect();
+    let timeline = timeline(lines.iter().map(|line| ("entry-0", line.as_str())), task);
+    insta::assert_snapshot!(timeline.join("\n"));
+}
+
 #[test]
 fn unknown_job_is_an_error() {
     let output = trace("ffffffffffffffff", &logs());
--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -309,7 +309,7 @@
     fn move_or_pause(&mut self, index: WorkerIndex, task: &BestEffortTask) {
         if task.saves_progress || task.percent < 30 {
             log::info!(event = "task_moved", job = self.job_id(task.task_ref.job),
-                task = task.task_ref.task, image = task.image,
+                task = self.task_name(task.task_ref), image = task.image,
                 worker = self.workers[index as usize].entry.id.as_str();
                 "moving task that harms serving tasks");
             self.set_pace(index, task.task_ref, 0);
--- a/crates/agatesill_policy/src/fleet/crashes.rs
+++ b/crates/agatesill_policy/src/fleet/crashes.rs
@@ -14,6 +14,7 @@
 use super::US_PER_MS;
 use super::job::{JobPhase, Task, TaskRef, TaskState};
 use super::missing_tasks::state_name;
+use super::run_end::RunEnd;
 use super::state::Fleet;
 use super::worker::{WorkerIndex, WorkerStanding};
 
@@ -98,11 +99,12 @@
         let is_unexplained = is_attributable && suspects == 1;
         for task_ref in tasks {
             let is_suspect = self.is_suspect(task_ref);
-            let lost = self.describe_lost_run(task_ref, suspects, now_us);
+            let end = self.loss_of(index, task_ref, now_us);
+            let lost = self.describe_lost_run(task_ref, suspects, end, now_us);
             let lost_since_us = self.lost_since_us(index, task_ref);
             self.counts.lost += 1;
             self.mark_dirty(task_ref.job, now_us);
-            self.release(task_ref, TaskState::Waiting, now_us);
+            self.end_run(task_ref, TaskState::Waiting, end, now_us);
             if is_suspect {
                 self.count_crash(task_ref, is_attributable, is_unexplained, lost_since_us);
             }
@@ -215,17 +217,25 @@
         if task.crashes < MAX_CRASHES && task.unexplained_crashes < MAX_UNEXPLAINED_CRASHES {
             return;
         }
-        log::warn!(event = "task_given_up", job = job.spec.id.as_str(), task = task_ref.task,
-            run = task.run, crashes = task.crashes, unexplained = task.unexplained_crashes;
+        log::warn!(event = "task_given_up", job = job.spec.id.as_str(),
+            task:% = job.key(task_ref.task), run = task.run, crashes = task.crashes, unexplained = task.unexplained_crashes;
             "too many worker crashes during its runs");
         self.counts.given_up += 1;
         self.finish(task_ref.job, JobPhase::Failed, now_us);
     }
 
-    fn describe_lost_run(&self, task_ref: TaskRef, suspects: usize, now_us: u64) -> LostRun {
+    fn describe_lost_run(
+        &self,
+        task_ref: TaskRef,
+        suspects: usize,
+        end: RunEnd,
+        now_us: u64,
+    ) -> LostRun {
         let Some(job) = self.job(task_ref.job) else { return LostRun::default() };
         let task = &job.tasks[task_ref.task as usize];
         LostRun {
+            proof: end.proof.name(),
+            evidence_ms: now_us.saturating_sub(end.as_of_us) / US_PER_MS,
             state: state_name(task.state),
             in_state_ms: now_us.saturating_sub(task.since_us) / US_PER_MS,
             suspects,
@@ -246,9 +256,10 @@
         let Some(job) = self.job(task_ref.job) else { return };
         let task = &job.tasks[task_ref.task as usize];
         let worker = &self.workers[index as usize];
-        log::info!(event = "run_lost", job = job.spec.id.as_str(), task = task_ref.task,
-            run = task.run, worker = worker.entry.id.as_str(),
-            is_gone = worker.standing == WorkerStanding::Gone,
+        log::info!(event = "run_lost", job = job.spec.id.as_str(),
+            task:% = job.key(task_ref.task), run = task.run, worker = worker.entry.id.as_str(),
+            worker_started_ms = worker.started_ms, proof = lost.proof,
+            evidence_ms = lost.evidence_ms, is_gone = worker.standing == WorkerStanding::Gone,
             answer_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
             state = lost.state, in_state_ms = lost.in_state_ms,
             unanswered_starts = lost.unanswered_starts,
@@ -260,6 +271,9 @@
 /// What was known of a run before it was lost with its worker.
 #[derive(Debug, Default)]
 struct LostRun {
+    proof: &'static str,
+    /// Age of the proof.
+    evidence_ms: u64,
     state: &'static str,
     in_state_ms: u64,
     /// Number of runs that may have caused the loss of the worker.
--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -1,9 +1,12 @@
 //! Jobs, their steps and tasks.
 
+use std::fmt;
+
 use crate::batch::Resources;
 use crate::value_type;
 
 use super::images::{ImageId, NO_IMAGE};
+use super::run_end::EndedRun;
 use super::slow::StepSpeed;
 use super::worker::WorkerIndex;
 use super::write_failures::WriteFailures;
@@ -197,6 +200,12 @@
     }
 }
 
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
 /// Location of a task in the ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TaskRef {
@@ -252,6 +261,9 @@
     }
 }
 
+/// Value of [`Task::answered_us`] for a run that an earlier planner ordered.
+pub(super) const ANSWERED_BEFORE_EPOCH_US: u64 = 1;
+
 /// State of one task.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -317,6 +329,8 @@
     pub is_crash_suspect: bool,
     /// Whether the newest run has lasted long enough not to be suspected of a crash of its worker.
     pub is_past_probation: bool,
+    /// The run before the next one; `None` if this planner has not seen one end.
+    pub last_end: Option<EndedRun>,
 }
 
 impl Task {
@@ -367,6 +381,7 @@
             crashed_us: 0,
             is_crash_suspect: false,
             is_past_probation: false,
+            last_end: None,
         }
     }
 }
--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -3,6 +3,7 @@
 use super::US_PER_MS;
 use super::job::TaskState;
 use super::orders::{Order, OrderKind, OrderOutcome};
+use super::run_end::{EndProof, RunEnd};
 use super::state::Fleet;
 use super::worker::WorkerIndex;
 
@@ -36,7 +37,8 @@
         now_us: u64,
     ) {
         if outcome == OrderOutcome::OtherIncarnation {
-            self.worker_superseded(order.worker, "another incarnation answers", now_us);
+            let why = "another incarnation answers";
+            self.worker_superseded(order.worker, why, answered_us, now_us);
             return;
         }
         if outcome == OrderOutcome::Unanswered {
@@ -114,7 +116,8 @@
             | OrderOutcome::OtherIncarnation
             | OrderOutcome::Undelivered
             | OrderOutcome::Unanswered => {
-                self.start_rejected(order, outcome, may_begin_later, now_us);
+                let end = (!may_begin_later).then_some(rejection(outcome, answered_us));
+                self.start_rejected(order, outcome, end, now_us);
             }
         }
     }
@@ -122,13 +125,13 @@
     /// Handles a rejected start. The run has not begun and never will, as its number is not reused.
     ///
     /// Guards against an earlier unanswered order for the same run that is carried out later, when
-    /// there is capacity: the task would run twice. A stop bars the run before the task is placed
-    /// again.
+    /// there is capacity: the task would run twice. The rejection is no proof then (`end` is `None`),
+    /// and a stop bars the run before the task is placed again.
     fn start_rejected(
         &mut self,
         order: &Order,
         outcome: OrderOutcome,
-        may_begin_later: bool,
+        end: Option<RunEnd>,
         now_us: u64,
     ) {
         let worker = &mut self.workers[order.worker as usize];
@@ -141,22 +144,24 @@
             _ => REFUSED_BACKOFF_US,
         };
         worker.closed_until_us = worker.closed_until_us.max(now_us + backoff_us);
-        log::warn!(event = "start_rejected", job = order.task.job.as_str(),
-            step = order.task.step, index = order.task.index, run = order.run,
-            worker = worker.entry.id.as_str(), outcome:? = outcome,
-            may_begin_later = may_begin_later, used_cpu_milli = worker.used.cpu_milli,
-            used_memory_mb = worker.used.memory_mb; "");
+        log::warn!(event = "start_rejected", job = order.task.job.as_str(), task:% = order.task,
+            run = order.run, worker = worker.entry.id.as_str(),
+            worker_started_ms = worker.started_ms, outcome:? = outcome,
+            proof = end.map_or("none", |end| end.proof.name()),
+            evidence_ms = end.map_or(0, |end| now_us.saturating_sub(end.as_of_us) / US_PER_MS),
+            used_cpu_milli = worker.used.cpu_milli, used_memory_mb = worker.used.memory_mb; "");
         let is_stopping = matches!(self.task_state(order.task_ref), TaskState::Stopping(_));
-        if is_stopping && may_begin_later {
+        if is_stopping && end.is_none() {
             return;
         }
         self.mark_dirty(order.task_ref.job, now_us);
-        if may_begin_later {
-            self.set_state(order.task_ref, TaskState::Stopping(order.worker), now_us);
-            self.push_order(order.task_ref, order.worker, OrderKind::Stop, now_us);
-            return;
+        match end {
+            Some(end) => self.end_run(order.task_ref, TaskState::Waiting, end, now_us),
+            None => {
+                self.set_state(order.task_ref, TaskState::Stopping(order.worker), now_us);
+                self.push_order(order.task_ref, order.worker, OrderKind::Stop, now_us);
+            }
         }
-        self.release(order.task_ref, TaskState::Waiting, now_us);
     }
 
     /// Handles an order without an answer, which may be carried out seconds later. A start is sent
@@ -223,10 +228,19 @@
     }
 }
 
+/// What the rejection of a start proves, if no other start of the run is unanswered.
+fn rejection(outcome: OrderOutcome, answered_us: u64) -> RunEnd {
+    let proof = match outcome {
+        OrderOutcome::Undelivered | OrderOutcome::Withheld => EndProof::NotSent,
+        _ => EndProof::Rejected,
+    };
+    RunEnd { proof, as_of_us: answered_us }
+}
+
 /// Logs the outcome of a start or stop, with the time since the decision.
 fn log_answer(order: &Order, worker: &str, outcome: OrderOutcome, now_us: u64) {
     log::info!(event = "order_answered", kind = order.kind.name(), job = order.task.job.as_str(),
-        step = order.task.step, index = order.task.index, run = order.run, worker = worker,
+        task:% = order.task, run = order.run, worker = worker,
         outcome:? = outcome,
         decided_ms = now_us.saturating_sub(order.decided_us) / US_PER_MS; "");
 }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -292,9 +292,10 @@
         for task_ref in chosen {
             let task = &job.tasks[task_ref.task as usize];
             let Some(worker) = task.state.worker() else { continue };
+            self.log_run_before(job, *task_ref);
             let worker = &self.workers[worker as usize];
-            log::info!(event = "task_placed", job = job.spec.id.as_str(), step = group.step,
-                task = task_ref.task, run = task.run, worker = worker.entry.id.as_str(),
+            log::info!(event = "task_placed", job = job.spec.id.as_str(),
+                task:% = job.key(task_ref.task), run = task.run, worker = worker.entry.id.as_str(),
                 kind = TaskKind::of(step).name(), cpu_milli = step.need.cpu_milli,
                 waited_ms = waited_ms,
                 without_run_ms = task.idle_us(task.since_us) / US_PER_MS,
@@ -305,6 +306,26 @@
         }
     }
 
+    /// Logs what proved the end of the run that a run follows.
+    fn log_run_before(&self, job: &Job, task_ref: TaskRef) {
+        let task = &job.tasks[task_ref.task as usize];
+        if task.run <= 1 {
+            return;
+        }
+        let Some(ended) = task.last_end else {
+            return log::info!(event = "run_follows", job = job.spec.id.as_str(),
+                task:% = job.key(task_ref.task), run = task.run, proof = "record";
+                "an earlier planner recorded the end of the run before");
+        };
+        let worker = &self.workers[ended.worker as usize];
+        log::info!(event = "run_follows", job = job.spec.id.as_str(),
+            task:% = job.key(task_ref.task), run = task.run, after_run = ended.run,
+            proof = ended.proof.name(), worker = worker.entry.id.as_str(),
+            worker_started_ms = worker.started_ms,
+            evidence_ms = ended.applied_us.saturating_sub(ended.as_of_us) / US_PER_MS,
+            ended_ms = task.since_us.saturating_sub(ended.applied_us) / US_PER_MS; "");
+    }
+
     /// Number of tasks of the group on each worker.
     pub(super) fn count_tasks_by_worker(&self, group: TaskGroup) -> HashMap<WorkerIndex, u32> {
         let mut members = HashMap::new();
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -5,7 +5,9 @@
 
 use super::US_PER_MS;
 use super::job::{JobPhase, TaskKey, TaskRef, TaskState};
+use super::missing_tasks::state_name;
 use super::orders::{Order, OrderKind};
+use super::run_end::{EndProof, RunEnd};
 use super::state::Fleet;
 use super::worker::{EndCause, EndRow, Poll, RunRow, WorkerIndex, WorkerStanding};
 
@@ -42,7 +44,7 @@
             Ordering::Less => return,
             Ordering::Greater => {
                 let why = "it restarted under its identifier";
-                return self.worker_superseded(index, why, now_us);
+                return self.worker_superseded(index, why, poll.sent_us, now_us);
             }
             Ordering::Equal => worker.started_ms = poll.started_ms.max(worker.started_ms),
         }
@@ -65,7 +67,7 @@
         self.worker_changed(index);
         self.lease_requested(index, poll.sent_us);
         for end in &poll.ended {
-            self.run_ended(index, end, now_us);
+            self.run_ended(index, end, poll.sent_us, now_us);
         }
         self.repeat_undelivered_orders(index, now_us);
         let present = self.apply_runs(index, &poll.running, now_us);
@@ -133,9 +135,13 @@
         worker.standing = WorkerStanding::Gone;
         worker.is_listed = false;
         self.terminated.push(index);
+        let evidence_us =
+            if worker.is_superseded { worker.superseded_us } else { worker.lease_until_us };
         log::warn!(event = "worker_gone", worker = worker.entry.id.as_str(), why = why,
             revision = worker.entry.revision, started_ms = worker.started_ms,
-            tasks = worker.tasks.len(); "");
+            evidence_ms = now_us.saturating_sub(evidence_us) / US_PER_MS,
+            answer_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
+            refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
         self.worker_changed(index);
         self.release_lost_runs(index, true, now_us);
     }
@@ -191,7 +197,7 @@
         Some(TaskRef { job: slot, task: place })
     }
 
-    fn run_ended(&mut self, index: WorkerIndex, end: &EndRow, now_us: u64) {
+    fn run_ended(&mut self, index: WorkerIndex, end: &EndRow, sent_us: u64, now_us: u64) {
         let worker = &mut self.workers[index as usize];
         if end.number <= worker.applied_end {
             return;
@@ -202,7 +208,7 @@
             self.track_end(index, end.number, None);
             return;
         };
-        let changed = self.apply_end(index, task_ref, end, now_us);
+        let changed = self.apply_end(index, task_ref, end, sent_us, now_us);
         if changed {
             self.mark_dirty(task_ref.job, now_us);
         }
@@ -264,6 +270,7 @@
         index: WorkerIndex,
         task_ref: TaskRef,
         end: &EndRow,
+        sent_us: u64,
         now_us: u64,
     ) -> bool {
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return false };
@@ -286,20 +293,24 @@
         // An end proves that the run was present, also if no poll has shown it.
         self.starting -= u32::from(task.mark_running(now_us));
         let ran_us = now_us.saturating_sub(task.since_us);
-        log::info!(event = "run_ended", job = end.task.job.as_str(),
-            step = end.task.step, index = end.task.index, run = end.run,
-            worker = self.workers[index as usize].entry.id.as_str(), cause:? = end.cause,
-            ran_ms = ran_us / US_PER_MS; "");
+        let worker = &self.workers[index as usize];
+        log::info!(event = "run_ended", job = end.task.job.as_str(), task:% = end.task, run = end.run,
+            worker = worker.entry.id.as_str(), worker_started_ms = worker.started_ms,
+            cause:? = end.cause, ran_ms = ran_us / US_PER_MS, proof = EndProof::Listed.name(),
+            evidence_ms = now_us.saturating_sub(sent_us) / US_PER_MS; "");
         if end.cause == EndCause::Done {
             self.sample_completed_run(index, task_ref);
         }
         if matches!(end.cause, EndCause::Done | EndCause::Failed) {
             self.clear_crashes(task_ref);
         }
+        let listed = RunEnd { proof: EndProof::Listed, as_of_us: sent_us };
         match end.cause {
-            EndCause::Done if !is_lasting => self.task_done(task_ref, is_gang, now_us),
-            EndCause::Failed => self.task_failed(index, task_ref, is_lasting, is_gang, now_us),
-            _ => self.release(task_ref, TaskState::Waiting, now_us),
+            EndCause::Done if !is_lasting => self.task_done(task_ref, is_gang, listed, now_us),
+            EndCause::Failed => {
+                self.task_failed(index, task_ref, listed, now_us);
+            }
+            _ => self.end_run(task_ref, TaskState::Waiting, listed, now_us),
         }
         if end.cause == EndCause::Done {
             self.workers[index as usize].consecutive_failures.clear();
@@ -309,7 +320,7 @@
         true
     }
 
-    fn task_done(&mut self, task_ref: TaskRef, is_gang: bool, now_us: u64) {
+    fn task_done(&mut self, task_ref: TaskRef, is_gang: bool, end: RunEnd, now_us: u64) {
         let Some(job) = self.job(task_ref.job) else { return };
         let (occurrence, step, _) = job.locate(task_ref.task);
         let members: Vec<u32> =
@@ -319,7 +330,7 @@
             if self.task_state(task_ref) == TaskState::Done {
                 continue;
             }
-            self.release(task_ref, TaskState::Done, now_us);
+            self.end_run(task_ref, TaskState::Done, end, now_us);
             self.counts.done += 1;
             if let Some(job) = self.jobs[task_ref.job as usize].as_mut() {
                 let position = job.step_position(occurrence, step);
@@ -336,14 +347,7 @@
         }
     }
 
-    fn task_failed(
-        &mut self,
-        index: WorkerIndex,
-        task_ref: TaskRef,
-        is_lasting: bool,
-        is_gang: bool,
-        now_us: u64,
-    ) {
+    fn task_failed(&mut self, index: WorkerIndex, task_ref: TaskRef, end: RunEnd, now_us: u64) {
         self.counts.failed += 1;
         let is_attributed = self.controls_load(&self.workers[index as usize].entry.service);
         if !is_attributed {
@@ -351,6 +355,8 @@
         }
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
         let (occurrence, step, _) = job.locate(task_ref.task);
+        let (is_lasting, is_gang) =
+            (job.step(task_ref.task).is_lasting, job.step(task_ref.task).is_gang);
         let members =
             if is_gang { job.tasks_of(occurrence, step) } else { task_ref.task..task_ref.task + 1 };
         for member in members {
@@ -359,7 +365,7 @@
         let failures = job.tasks[task_ref.task as usize].failures;
         let max_attempts =
             self.job(task_ref.job).map_or(u32::MAX, |job| self.terms(job).max_attempts.max(1));
-        self.release(task_ref, TaskState::Waiting, now_us);
+        self.end_run(task_ref, TaskState::Waiting, end, now_us);
         if is_attributed {
             self.attribute_failure(index, task_ref, now_us);
         }
@@ -464,9 +470,9 @@
     /// Stops a run that the ledger does not expect on the worker: its job was cancelled, or its
     /// start was carried out after it had been given up.
     fn stop_stray(&mut self, index: WorkerIndex, row: &RunRow, now_us: u64) {
-        log::warn!(event = "stray_run", job = row.task.job.as_str(), step = row.task.step,
-            index = row.task.index, run = row.run,
-            worker = self.workers[index as usize].entry.id.as_str(); "stopped");
+        let worker = &self.workers[index as usize];
+        log::warn!(event = "stray_run", job = row.task.job.as_str(), task:% = row.task, run = row.run,
+            worker = worker.entry.id.as_str(), worker_started_ms = worker.started_ms; "stopped");
         self.workers[index as usize].has_stray_runs = true;
         let task_ref = TaskRef { job: u32::MAX, task: 0 };
         self.orders.push(Order {
@@ -497,10 +503,10 @@
             })
             .collect();
         for task_ref in absent {
-            log::info!(event = "run_absent", job = self.job_id(task_ref.job), task = task_ref.task,
-                worker = self.workers[index as usize].entry.id.as_str(); "restarting the task");
+            let end = self.absence_of(task_ref, sent_us);
+            self.log_absent_run(index, task_ref, end, now_us);
             self.mark_dirty(task_ref.job, now_us);
-            self.release(task_ref, TaskState::Waiting, now_us);
+            self.end_run(task_ref, TaskState::Waiting, end, now_us);
         }
         self.bar_overdue_starts(index, present, sent_us, now_us);
     }
@@ -526,7 +532,7 @@
             .collect();
         for task_ref in overdue {
             log::info!(event = "order_overdue", job = self.job_id(task_ref.job),
-                task = task_ref.task, state:? = self.task_state(task_ref),
+                task = self.task_name(task_ref), state:? = self.task_state(task_ref),
                 worker = self.workers[index as usize].entry.id.as_str(); "stopping the run");
             self.stop(task_ref, now_us);
         }
@@ -552,6 +558,23 @@
         }
     }
 
+    fn log_absent_run(&self, index: WorkerIndex, task_ref: TaskRef, end: RunEnd, now_us: u64) {
+        let Some(job) = self.job(task_ref.job) else { return };
+        let task = &job.tasks[task_ref.task as usize];
+        let worker = &self.workers[index as usize];
+        log::info!(event = "run_absent", job = job.spec.id.as_str(),
+            task:% = job.key(task_ref.task), run = task.run, state = state_name(task.state),
+            worker = worker.entry.id.as_str(), worker_started_ms = worker.started_ms,
+            proof = end.proof.name(),
+            evidence_ms = now_us.saturating_sub(end.as_of_us) / US_PER_MS,
+            order_answer_ms = now_us.saturating_sub(task.answered_us) / US_PER_MS; "");
+    }
+
+    /// Name of a task in logs, as on the wire.
+    pub(super) fn task_name(&self, task_ref: TaskRef) -> String {
+        self.job(task_ref.job).map_or_else(String::new, |job| job.key(task_ref.task).to_string())
+    }
+
     pub(super) fn job_id(&self, slot: u32) -> &str {
         self.job(slot).map_or("", |job| job.spec.id.as_str())
     }
--- a/crates/agatesill_policy/src/fleet/preempt.rs
+++ b/crates/agatesill_policy/src/fleet/preempt.rs
@@ -109,7 +109,7 @@
     fn preempt(&mut self, candidate: &Candidate, short_milli: u64, now_us: u64) {
         let worker = &self.workers[candidate.worker as usize];
         log::info!(event = "task_preempted", job = self.job_id(candidate.task_ref.job),
-            task = candidate.task_ref.task, worker = worker.entry.id.as_str(),
+            task = self.task_name(candidate.task_ref), worker = worker.entry.id.as_str(),
             cpu_milli = candidate.cpu_milli, short_milli = short_milli,
             answer_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS; "");
         self.stop(candidate.task_ref, now_us);
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -93,8 +93,12 @@
 
     /// Ends an incarnation in whose place another one has answered, and adds its successor under the
     /// same identifier if the entry of that is known. The planner then opens the connections to it.
-    pub fn worker_superseded(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
-        self.workers[index as usize].is_superseded = true;
+    ///
+    /// The answer was to a call sent at `sent_us`.
+    pub fn worker_superseded(&mut self, index: WorkerIndex, why: &str, sent_us: u64, now_us: u64) {
+        let worker = &mut self.workers[index as usize];
+        worker.is_superseded = true;
+        worker.superseded_us = sent_us;
         self.worker_gone(index, why, now_us);
         if let Some(entry) = self.workers[index as usize].successor.take() {
             let successor = self.worker_listed(*entry, now_us);
@@ -147,7 +151,7 @@
                 continue;
             }
             if rival.listed_us <= sent_us {
-                self.worker_superseded(other, "another incarnation answers", now_us);
+                self.worker_superseded(other, "another incarnation answers", sent_us, now_us);
             } else if rival.standing != WorkerStanding::Gone {
                 self.workers[index as usize].rivals.push(other);
             }
--- a/crates/agatesill_policy/src/fleet/slow.rs
+++ b/crates/agatesill_policy/src/fleet/slow.rs
@@ -220,7 +220,8 @@
             .filter(|task_ref| self.ends_sooner_elsewhere(index, *task_ref))
             .collect();
         for task_ref in tasks_to_move {
-            log::info!(event = "task_moved", job = self.job_id(task_ref.job), task = task_ref.task,
+            log::info!(event = "task_moved", job = self.job_id(task_ref.job),
+                task = self.task_name(task_ref),
                 worker = self.workers[index as usize].entry.id.as_str();
                 "moving task off a slow worker");
             self.stop(task_ref, now_us);
--- a/crates/agatesill_policy/src/fleet/slow_evacuation.rs
+++ b/crates/agatesill_policy/src/fleet/slow_evacuation.rs
@@ -224,7 +224,7 @@
     fn evacuate_task(&mut self, candidate: &Candidate, target: WorkerIndex, now_us: u64) {
         let worker = &self.workers[candidate.worker as usize];
         log::info!(event = "task_evacuated", job = self.job_id(candidate.task_ref.job),
-            task = candidate.task_ref.task, worker = worker.entry.id.as_str(),
+            task = self.task_name(candidate.task_ref), worker = worker.entry.id.as_str(),
             speed_percent = (worker.speed.estimate.speed(now_us) * 100.0) as u32,
             tail_percent = (candidate.tail_ratio * 100.0) as u64,
             has_capacity = self.workers[target as usize].entry.id.as_str(),
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -15,6 +15,7 @@
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
 use super::preempt::Preemption;
+use super::run_end::EndCounts;
 use super::serving_tails::ImageLevels;
 use super::slow_evacuation::SlowEvacuation;
 use super::worker::{Worker, WorkerAddresses, WorkerIndex, WorkerStanding};
@@ -66,6 +67,8 @@
     pub slow_workers: u64,
     /// Tasks given up after repeated worker crashes.
     pub given_up: u64,
+    /// Ended runs by what proved their ends.
+    pub ends: EndCounts,
 }
 
 /// Jobs, workers and allocations of one fleet.
@@ -331,7 +334,9 @@
         for task in 0..tasks {
             let task_ref = TaskRef { job: slot, task };
             match self.task_state(task_ref) {
-                TaskState::Chosen(_) => self.release(task_ref, TaskState::Blocked, now_us),
+                TaskState::Chosen(_) => {
+                    self.withdraw_choice(task_ref, TaskState::Blocked, now_us);
+                }
                 TaskState::Ordered(_) | TaskState::Running(_) => self.stop(task_ref, now_us),
                 TaskState::Waiting => self.set_state(task_ref, TaskState::Blocked, now_us),
                 _ => {}
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -2,7 +2,7 @@
 
 use super::US_PER_MS;
 use super::colocation::LearnedInterference;
-use super::job::{Job, JobPhase, JobSpec, TaskRef, TaskState};
+use super::job::{ANSWERED_BEFORE_EPOCH_US, Job, JobPhase, JobSpec, TaskRef, TaskState};
 use super::record::{ProgressRecord, TaskRecord};
 use super::state::Fleet;
 use super::worker::{Worker, WorkerAddresses, WorkerEntry, WorkerIndex};
@@ -89,7 +89,7 @@
                 self.starting -= u32::from(std::mem::take(&mut task.is_starting));
                 // The first poll in the new epoch bars all older orders, so a run missing from its
                 // answer is absent and never starts.
-                task.answered_us = 1;
+                task.answered_us = ANSWERED_BEFORE_EPOCH_US;
             }
             if phase != JobPhase::Active {
                 self.stop(task_ref, now_us);
--- a/crates/agatesill_policy/src/fleet/watchdog.rs
+++ b/crates/agatesill_policy/src/fleet/watchdog.rs
@@ -27,7 +27,8 @@
             .filter(|task_ref| self.is_stalled(*task_ref, now_us))
             .collect();
         for task_ref in stalled {
-            log::warn!(event = "task_still", job = self.job_id(task_ref.job), task = task_ref.task,
+            log::warn!(event = "task_still", job = self.job_id(task_ref.job),
+                task = self.task_name(task_ref),
                 worker = self.workers[index as usize].entry.id.as_str(); "stopped");
             self.stop(task_ref, now_us);
             self.suspect_worker(index, task_ref.job, now_us);
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -151,6 +151,8 @@
     pub(super) listed_us: u64,
     /// Whether another incarnation has answered in place of this one, which has thus terminated.
     pub(super) is_superseded: bool,
+    /// When the call was sent whose answer came from another incarnation.
+    pub(super) superseded_us: u64,
     /// Whether the registry lists the worker.
     pub is_listed: bool,
     /// Liveness of the worker.
@@ -229,6 +231,7 @@
             rivals: Vec::new(),
             listed_us: 0,
             is_superseded: false,
+            superseded_us: 0,
             is_listed: true,
             standing: WorkerStanding::New,
             used: Resources::default(),
--- a/crates/agatesill_policy/src/fleet/write_failures.rs
+++ b/crates/agatesill_policy/src/fleet/write_failures.rs
@@ -181,7 +181,7 @@
             return;
         }
         for task in withdrawn {
-            self.release(TaskRef { job: slot, task }, TaskState::Waiting, now_us);
+            self.withdraw_choice(TaskRef { job: slot, task }, TaskState::Waiting, now_us);
         }
         self.mark_urgent(slot, now_us);
     }
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -167,7 +167,7 @@
         let target = &self.workers[worker as usize];
         let is_gone = target.standing == WorkerStanding::Gone;
         if is_gone || !target.takes_starts() || target.is_over_capacity() {
-            self.release(task_ref, TaskState::Waiting, now_us);
+            self.withdraw_choice(task_ref, TaskState::Waiting, now_us);
             return;
         }
         self.log_start_ordered(task_ref, worker, now_us);
@@ -182,8 +182,8 @@
             return;
         };
         let task = &job.tasks[task_ref.task as usize];
-        log::info!(event = "start_ordered", job = job.spec.id.as_str(), task = task_ref.task,
-            run = task.run, worker = self.workers[worker as usize].entry.id.as_str(),
+        log::info!(event = "start_ordered", job = job.spec.id.as_str(),
+            task:% = job.key(task_ref.task), run = task.run, worker = self.workers[worker as usize].entry.id.as_str(),
             chosen_ms = now_us.saturating_sub(task.since_us) / US_PER_MS,
             without_run_ms = task.idle_us(now_us) / US_PER_MS; "");
     }
--- a/crates/agatesill_policy/src/fleet/zones.rs
+++ b/crates/agatesill_policy/src/fleet/zones.rs
@@ -93,7 +93,7 @@
         for task in members {
             let task_ref = TaskRef { job: task_ref.job, task };
             if matches!(self.task_state(task_ref), TaskState::Chosen(_)) {
-                self.release(task_ref, TaskState::Waiting, now_us);
+                self.withdraw_choice(task_ref, TaskState::Waiting, now_us);
             }
         }
         self.waiting.insert(TaskGroup { job: task_ref.job, occurrence, step });
--- a/crates/agatesill_policy/tests/fleet_crash_waits.rs
+++ b/crates/agatesill_policy/tests/fleet_crash_waits.rs
@@ -28,7 +28,7 @@
     let entry = harness.fleet.worker(worker).entry.clone();
     harness.list(WorkerEntry { is_leaving: true, ..entry });
     harness.workers.remove(&worker);
-    harness.fleet.worker_superseded(worker, "crashed", harness.now_us);
+    harness.fleet.worker_superseded(worker, "crashed", harness.now_us, harness.now_us);
 }
 
 fn only_order(harness: &mut Harness) -> Order {
--- a/crates/agatesill_policy/tests/fleet_refused_connections.rs
+++ b/crates/agatesill_policy/tests/fleet_refused_connections.rs
@@ -120,7 +120,8 @@
 fn superseded_worker_stays_terminated_when_its_entry_is_written_late() {
     let (mut harness, worker) = fleet();
     let id = harness.fleet.worker(worker).entry.id.clone();
-    harness.fleet.worker_superseded(worker, "its successor answers", harness.now_us);
+    let now_us = harness.now_us;
+    harness.fleet.worker_superseded(worker, "its successor answers", now_us, now_us);
     harness.list(listed(&id, 30));
     assert_eq!(standing(&harness, worker), WorkerStanding::Gone);
     // A later start under the identifier is another incarnation.
--- a/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
@@ -692,7 +692,7 @@
                 }
             }
             Event::OtherIncarnation(index) => {
-                fleet.worker_superseded(index, "another incarnation answers", now_us);
+                fleet.worker_superseded(index, "another incarnation answers", now_us, now_us);
             }
             Event::Stored(writes, revision) => {
                 planner.commits_under_way -= 1;
--- a/crates/agatesill_policy/tests/fleet_undelivered_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_undelivered_orders.rs
@@ -33,7 +33,7 @@
 
 fn crash(harness: &mut Harness, worker: WorkerIndex) {
     harness.workers.remove(&worker);
-    harness.fleet.worker_superseded(worker, "crashed", harness.now_us);
+    harness.fleet.worker_superseded(worker, "crashed", harness.now_us, harness.now_us);
     harness.commit();
 }
 
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use agatesill_policy::fleet::EndProof;
 use agatesill_wire::api::LOAD_PATH;
 use agatesill_wire::http::respond;
 use bytes::Bytes;
@@ -133,6 +134,18 @@
             counter.observe(counts.evacuated, &what("evacuated"));
         })
         .build();
+    let ended = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.runs.ended")
+        .with_unit("{run}")
+        .with_description("Ended runs by what proved their ends, while this daemon planned")
+        .with_callback(move |counter| {
+            let ends = ended.planner_stats().counts.ends;
+            for proof in EndProof::ALL {
+                counter.observe(ends.of(proof), &[KeyValue::new("proof", proof.name())]);
+            }
+        })
+        .build();
     let held = daemon.clone();
     meter
         .u64_observable_gauge("agatesill.ledger")
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -121,8 +121,8 @@
     Silent(WorkerIndex, Option<u64>),
     /// The address of a worker refused the connection for a poll. The time is as for `Silent`.
     ConnectionRefused(WorkerIndex, Option<u64>),
-    /// Another incarnation of a worker answered.
-    OtherIncarnation(WorkerIndex),
+    /// Another incarnation of a worker answered a poll that was sent at this time.
+    OtherIncarnation(WorkerIndex, u64),
     /// A worker has seen a higher epoch.
     Fenced(WorkerIndex),
     /// Outcome of an order. The time is when the order was sent, if it requested a lease.
@@ -481,8 +481,9 @@
                 log::info!(event = "predecessors_stopped", epoch = self.epoch; "");
                 self.fleet.predecessors_stopped(now_us);
             }
-            Event::OtherIncarnation(worker) => {
-                self.fleet.worker_superseded(worker, "another incarnation answers", now_us);
+            Event::OtherIncarnation(worker, sent_us) => {
+                let why = "another incarnation answers";
+                self.fleet.worker_superseded(worker, why, sent_us, now_us);
             }
             Event::Fenced(worker) => {
                 log::warn!(event = "fenced", epoch = self.epoch,
@@ -855,7 +856,7 @@
 /// Logs the task that has been without a run for longest, with the reason.
 fn log_wait(wait: &LongestWait, epoch: u64) {
     log::info!(event = "longest_wait", epoch = epoch, kind = wait.kind.name(),
-        job = wait.job.as_str(), step = wait.step, task = wait.task, waited_ms = wait.waited_ms,
+        job = wait.job.as_str(), step = wait.step, task_index = wait.task, waited_ms = wait.waited_ms,
         failed_starts = wait.failed_starts, deferral = wait.deferral.name(),
         cpu_milli = wait.cpu_milli, memory_mb = wait.memory_mb, fitting_open = wait.fitting.open,
         fitting_closed = wait.fitting.closed, fitting_unavailable = wait.fitting.unavailable,
@@ -866,7 +867,7 @@
 /// Logs the task that has been in a transition to or from a run for longest.
 fn log_transition(transition: &LongestTransition, epoch: u64) {
     log::info!(event = "longest_transition", epoch = epoch, state = transition.state,
-        tasks = transition.tasks, job = transition.job.as_str(), task = transition.task,
+        tasks = transition.tasks, job = transition.job.as_str(), task_index = transition.task,
         for_ms = transition.for_ms, worker = transition.worker.as_str(),
         standing:? = transition.standing, is_listed = transition.is_listed; "");
 }
@@ -876,7 +877,7 @@
 fn log_missing(task: &MissingTask, missing: usize, epoch: u64) {
     let detail = wait_detail(task);
     log::info!(event = "task_missing", epoch = epoch, missing = missing, job = task.job.as_str(),
-        task = task.task, run = task.run, state = task.state, missing_ms = task.missing_ms,
+        task_index = task.task, run = task.run, state = task.state, missing_ms = task.missing_ms,
         in_state_ms = task.in_state_ms, failed_starts = task.failed_starts,
         record_age_ms:? = task.record_age_ms, is_committing = task.is_committing; "{detail}");
 }
@@ -888,7 +889,7 @@
     let detail = wait_detail(task);
     log::info!(event = "job_idle", epoch = epoch, idle = idle, job = task.job.as_str(),
         idle_ms = job.idle_ms, waiting = open.waiting, chosen = open.chosen,
-        ordered = open.ordered, stopping = open.stopping, task = task.task, run = task.run,
+        ordered = open.ordered, stopping = open.stopping, task_index = task.task, run = task.run,
         state = task.state, in_state_ms = task.in_state_ms, failed_starts = task.failed_starts,
         is_queued = job.is_queued, record_age_ms:? = task.record_age_ms,
         is_committing = task.is_committing, workers = refusals.as_str(); "{detail}");
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -221,7 +221,7 @@
     pub fn send(&self, order: Order) {
         let Some((connection, orders)) = self.connections.get(&order.worker) else {
             log::warn!(event = "order_dropped", kind = order.kind.name(), job = order.task.job.as_str(),
-                step = order.task.step, index = order.task.index, run = order.run;
+                task:% = order.task, run = order.run;
                 "no connection to the worker is open");
             return;
         };
@@ -366,7 +366,7 @@
                     (Event::Polled(connection.worker, Box::new(poll)), Duration::ZERO)
                 }
                 Ok(PollOutcome::OtherIncarnation) => {
-                    (Event::OtherIncarnation(connection.worker), POLL_BACKOFF)
+                    (Event::OtherIncarnation(connection.worker, sent_us), POLL_BACKOFF)
                 }
                 Ok(PollOutcome::Fenced) => (Event::Fenced(connection.worker), POLL_BACKOFF),
                 Err(CallError { error, delivery }) => {
