A run ends by a proof: one place checks each kind of evidence

The faults of the class behind this incident were conclusions from an observation at this end of a connection (a refused connection, the order of two entries, an answer of any incarnation), drawn at nine places that all called release. Which conditions made each one a proof stood at the callers, or in prose.

release is private to run_end.rs now. A task leaves a worker only with a RunEnd, whose constructors check their conditions: absent from an answer to a poll sent after the answer to an order, lease passed by the time up to which answers are applied, another incarnation answered, start rejected while no other start of the run is unanswered, choice not ordered yet. A lost worker's run without a proof keeps its allocation and is logged (end_unproved) where it was released before; no path does that today.

--- a/crates/agatesill_policy/src/fleet/crashes.rs
+++ b/crates/agatesill_policy/src/fleet/crashes.rs
@@ -92,14 +92,22 @@
     /// Releases all tasks of a worker whose runs are lost, and counts a crash against those still
     /// on probation. `is_crash` is false if the worker may still be up; the crash then counts as
     /// explained.
-    pub(super) fn release_lost_runs(&mut self, index: WorkerIndex, is_crash: bool, now_us: u64) {
+    ///
+    /// All answers received before `as_of_us` have been applied.
+    pub(super) fn release_lost_runs(
+        &mut self,
+        index: WorkerIndex,
+        is_crash: bool,
+        as_of_us: u64,
+        now_us: u64,
+    ) {
         let is_attributable = is_crash && !self.has_other_cause(index);
-        let tasks = std::mem::take(&mut self.workers[index as usize].tasks);
+        let tasks = self.workers[index as usize].tasks.clone();
         let suspects = tasks.iter().filter(|task_ref| self.is_suspect(**task_ref)).count();
         let is_unexplained = is_attributable && suspects == 1;
         for task_ref in tasks {
             let is_suspect = self.is_suspect(task_ref);
-            let end = self.loss_of(index, task_ref, now_us);
+            let Some(end) = self.loss_of(index, task_ref, as_of_us, now_us) else { continue };
             let lost = self.describe_lost_run(task_ref, suspects, end, now_us);
             let lost_since_us = self.lost_since_us(index, task_ref);
             self.counts.lost += 1;
@@ -113,6 +121,25 @@
         }
     }
 
+    /// What proves that a run on a lost worker is over. A run without a proof keeps its allocation.
+    fn loss_of(
+        &self,
+        index: WorkerIndex,
+        task_ref: TaskRef,
+        as_of_us: u64,
+        now_us: u64,
+    ) -> Option<RunEnd> {
+        let worker = &self.workers[index as usize];
+        let task = &self.job(task_ref.job)?.tasks[task_ref.task as usize];
+        let end = RunEnd::lost(task, worker, as_of_us, now_us);
+        if end.is_none() {
+            log::error!(event = "end_unproved", job = self.job_id(task_ref.job),
+                task = self.task_name(task_ref), run = task.run, worker = worker.entry.id.as_str(),
+                lease_left_ms = worker.lease_until_us.saturating_sub(as_of_us) / US_PER_MS; "");
+        }
+        end
+    }
+
     /// Records the last answer of a worker that became unresponsive, for correlation with other
     /// failures.
     pub(super) fn record_unresponsive_worker(&mut self, index: WorkerIndex, now_us: u64) {
@@ -234,8 +261,8 @@
         let Some(job) = self.job(task_ref.job) else { return LostRun::default() };
         let task = &job.tasks[task_ref.task as usize];
         LostRun {
-            proof: end.proof.name(),
-            evidence_ms: now_us.saturating_sub(end.as_of_us) / US_PER_MS,
+            proof: end.name(),
+            evidence_ms: end.age_ms(now_us),
             state: state_name(task.state),
             in_state_ms: now_us.saturating_sub(task.since_us) / US_PER_MS,
             suspects,
--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -3,7 +3,7 @@
 use super::US_PER_MS;
 use super::job::TaskState;
 use super::orders::{Order, OrderKind, OrderOutcome};
-use super::run_end::{EndProof, RunEnd};
+use super::run_end::RunEnd;
 use super::state::Fleet;
 use super::worker::WorkerIndex;
 
@@ -116,7 +116,7 @@
             | OrderOutcome::OtherIncarnation
             | OrderOutcome::Undelivered
             | OrderOutcome::Unanswered => {
-                let end = (!may_begin_later).then_some(rejection(outcome, answered_us));
+                let end = RunEnd::rejected(outcome, answered_us, may_begin_later);
                 self.start_rejected(order, outcome, end, now_us);
             }
         }
@@ -147,8 +147,8 @@
         log::warn!(event = "start_rejected", job = order.task.job.as_str(), task:% = order.task,
             run = order.run, worker = worker.entry.id.as_str(),
             worker_started_ms = worker.started_ms, outcome:? = outcome,
-            proof = end.map_or("none", |end| end.proof.name()),
-            evidence_ms = end.map_or(0, |end| now_us.saturating_sub(end.as_of_us) / US_PER_MS),
+            proof = end.map_or("none", |end| end.name()),
+            evidence_ms = end.map_or(0, |end| end.age_ms(now_us)),
             used_cpu_milli = worker.used.cpu_milli, used_memory_mb = worker.used.memory_mb; "");
         let is_stopping = matches!(self.task_state(order.task_ref), TaskState::Stopping(_));
         if is_stopping && end.is_none() {
@@ -228,15 +228,6 @@
     }
 }
 
-/// What the rejection of a start proves, if no other start of the run is unanswered.
-fn rejection(outcome: OrderOutcome, answered_us: u64) -> RunEnd {
-    let proof = match outcome {
-        OrderOutcome::Undelivered | OrderOutcome::Withheld => EndProof::NotSent,
-        _ => EndProof::Rejected,
-    };
-    RunEnd { proof, as_of_us: answered_us }
-}
-
 /// Logs the outcome of a start or stop, with the time since the decision.
 fn log_answer(order: &Order, worker: &str, outcome: OrderOutcome, now_us: u64) {
     log::info!(event = "order_answered", kind = order.kind.name(), job = order.task.job.as_str(),
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -248,7 +248,7 @@
             chosen.push(task_ref);
         }
         if chosen.len() < tasks.len() && context.step.is_gang {
-            chosen.iter().for_each(|task_ref| self.release(*task_ref, TaskState::Waiting, now_us));
+            chosen.iter().for_each(|task_ref| self.undo_choice(*task_ref, now_us));
             return 0;
         }
         if !chosen.is_empty() {
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -7,7 +7,7 @@
 use super::job::{JobPhase, TaskKey, TaskRef, TaskState};
 use super::missing_tasks::state_name;
 use super::orders::{Order, OrderKind};
-use super::run_end::{EndProof, RunEnd};
+use super::run_end::RunEnd;
 use super::state::Fleet;
 use super::worker::{EndCause, EndRow, Poll, RunRow, WorkerIndex, WorkerStanding};
 
@@ -127,7 +127,15 @@
     }
 
     /// Marks a worker as terminated and releases its tasks, which start elsewhere.
-    pub(super) fn worker_gone(&mut self, index: WorkerIndex, why: &str, now_us: u64) {
+    ///
+    /// All answers received before `as_of_us` have been applied.
+    pub(super) fn worker_gone(
+        &mut self,
+        index: WorkerIndex,
+        why: &str,
+        as_of_us: u64,
+        now_us: u64,
+    ) {
         let worker = &mut self.workers[index as usize];
         if worker.standing == WorkerStanding::Gone {
             return;
@@ -143,7 +151,7 @@
             answer_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
             refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
         self.worker_changed(index);
-        self.release_lost_runs(index, true, now_us);
+        self.release_lost_runs(index, true, as_of_us, now_us);
     }
 
     /// Returns the workers that have terminated since the last call.
@@ -166,7 +174,7 @@
             .map(|(index, _)| index)
             .collect();
         for index in expired {
-            self.worker_gone(index, "silent past its lease and not registered", now_us);
+            self.worker_gone(index, "silent past its lease and not registered", as_of_us, now_us);
         }
         self.release_lapsed(as_of_us, now_us);
     }
@@ -187,7 +195,7 @@
             let worker = &self.workers[index as usize];
             log::warn!(event = "worker_lapsed", worker = worker.entry.id.as_str(),
                 refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
-            self.release_lost_runs(index, false, now_us);
+            self.release_lost_runs(index, false, as_of_us, now_us);
         }
     }
 
@@ -293,18 +301,18 @@
         // An end proves that the run was present, also if no poll has shown it.
         self.starting -= u32::from(task.mark_running(now_us));
         let ran_us = now_us.saturating_sub(task.since_us);
+        let listed = RunEnd::listed(sent_us);
         let worker = &self.workers[index as usize];
         log::info!(event = "run_ended", job = end.task.job.as_str(), task:% = end.task, run = end.run,
             worker = worker.entry.id.as_str(), worker_started_ms = worker.started_ms,
-            cause:? = end.cause, ran_ms = ran_us / US_PER_MS, proof = EndProof::Listed.name(),
-            evidence_ms = now_us.saturating_sub(sent_us) / US_PER_MS; "");
+            cause:? = end.cause, ran_ms = ran_us / US_PER_MS, proof = listed.name(),
+            evidence_ms = listed.age_ms(now_us); "");
         if end.cause == EndCause::Done {
             self.sample_completed_run(index, task_ref);
         }
         if matches!(end.cause, EndCause::Done | EndCause::Failed) {
             self.clear_crashes(task_ref);
         }
-        let listed = RunEnd { proof: EndProof::Listed, as_of_us: sent_us };
         match end.cause {
             EndCause::Done if !is_lasting => self.task_done(task_ref, is_gang, listed, now_us),
             EndCause::Failed => {
@@ -494,16 +502,17 @@
         sent_us: u64,
         now_us: u64,
     ) {
-        let absent: Vec<TaskRef> = self.workers[index as usize]
+        let absent: Vec<(TaskRef, RunEnd)> = self.workers[index as usize]
             .tasks
             .iter()
-            .copied()
-            .filter(|task_ref| {
-                !present.contains(task_ref) && self.is_known_absent(*task_ref, sent_us)
+            .filter(|task_ref| !present.contains(task_ref))
+            .filter_map(|task_ref| {
+                let job = self.job(task_ref.job)?;
+                let end = RunEnd::absent(&job.tasks[task_ref.task as usize], sent_us)?;
+                Some((*task_ref, end))
             })
             .collect();
-        for task_ref in absent {
-            let end = self.absence_of(task_ref, sent_us);
+        for (task_ref, end) in absent {
             self.log_absent_run(index, task_ref, end, now_us);
             self.mark_dirty(task_ref.job, now_us);
             self.end_run(task_ref, TaskState::Waiting, end, now_us);
@@ -548,16 +557,6 @@
         })
     }
 
-    fn is_known_absent(&self, task_ref: TaskRef, sent_us: u64) -> bool {
-        let Some(job) = self.job(task_ref.job) else { return true };
-        let task = &job.tasks[task_ref.task as usize];
-        let is_answered = task.answered_us > 0 && task.answered_us < sent_us;
-        match task.state {
-            TaskState::Running(_) | TaskState::Ordered(_) | TaskState::Stopping(_) => is_answered,
-            _ => false,
-        }
-    }
-
     fn log_absent_run(&self, index: WorkerIndex, task_ref: TaskRef, end: RunEnd, now_us: u64) {
         let Some(job) = self.job(task_ref.job) else { return };
         let task = &job.tasks[task_ref.task as usize];
@@ -565,8 +564,8 @@
         log::info!(event = "run_absent", job = job.spec.id.as_str(),
             task:% = job.key(task_ref.task), run = task.run, state = state_name(task.state),
             worker = worker.entry.id.as_str(), worker_started_ms = worker.started_ms,
-            proof = end.proof.name(),
-            evidence_ms = now_us.saturating_sub(end.as_of_us) / US_PER_MS,
+            proof = end.name(),
+            evidence_ms = end.age_ms(now_us),
             order_answer_ms = now_us.saturating_sub(task.answered_us) / US_PER_MS; "");
     }
 
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -399,64 +399,6 @@
         self.capacity_index.update(index, worker);
     }
 
-    /// Frees the resources allocated to a task and moves the task to another state.
-    pub(super) fn release(&mut self, task_ref: TaskRef, state: TaskState, now_us: u64) {
-        let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
-        let previous_state = job.tasks[task_ref.task as usize].state;
-        let was_isolated = job.tasks[task_ref.task as usize].is_isolated();
-        let (occurrence, step_index, _) = job.locate(task_ref.task);
-        let step = &job.spec.steps[step_index as usize];
-        self.preemption.freeing.remove(&task_ref);
-        let is_active = job.phase == JobPhase::Active;
-        let terms = self.queues.get(&job.spec.queue).unwrap_or(&job.spec.terms);
-        if let Some(meters) = self.load_meters.get_mut(&terms.service) {
-            meters.released(step, state == TaskState::Done, is_active);
-        }
-        if let Some(index) = previous_state.worker() {
-            let worker = &mut self.workers[index as usize];
-            worker.used = worker.used.minus(&step.allocation());
-            let image = job.images[step_index as usize];
-            let is_serving = step.target_ms > 0;
-            if is_serving && worker.serving.remove(image) {
-                self.pairs.serving_removed(image, &worker.filling);
-            } else if step.fills && !is_serving && worker.filling.remove(image) {
-                self.pairs.filling_removed(image, &worker.serving);
-            }
-            if step.fills {
-                worker.best_effort_cpu_milli =
-                    worker.best_effort_cpu_milli.saturating_sub(step.need.cpu_milli);
-            }
-            if step.is_lasting {
-                worker.lasting = worker.lasting.saturating_sub(1);
-                worker.long_running_cpu_milli =
-                    worker.long_running_cpu_milli.saturating_sub(step.need.cpu_milli);
-            }
-            worker.tasks.retain(|other| *other != task_ref);
-            worker.isolated_tasks = worker.isolated_tasks.saturating_sub(u32::from(was_isolated));
-            self.capacity_index.update(index, worker);
-        }
-        let state =
-            if state == TaskState::Waiting && !is_active { TaskState::Blocked } else { state };
-        let task = &mut job.tasks[task_ref.task as usize];
-        task.state = state;
-        task.since_us = now_us;
-        self.starting -= u32::from(std::mem::take(&mut task.is_starting));
-        if task.idle_since_us == 0 {
-            task.idle_since_us = now_us;
-        } else if previous_state.worker().is_some() {
-            task.failed_starts += 1;
-        }
-        task.unanswered = 0;
-        task.has_undelivered_order = false;
-        task.answered_us = 0;
-        task.pace_percent = 100;
-        task.is_throttled = false;
-        task.slowed_us = 0;
-        if state == TaskState::Waiting {
-            self.waiting.insert(TaskGroup { job: task_ref.job, occurrence, step: step_index });
-        }
-    }
-
     /// Updates the capacity index after a change of a worker.
     pub(super) fn worker_changed(&mut self, index: WorkerIndex) {
         self.capacity_index.update(index, &self.workers[index as usize]);
