Rejections for an unknown reason: the run is barred, not taken for never begun

Callers could see a task run twice: a 409 whose reason this program does not know was mapped to NoRoom, which proves that the run never began and frees the task at once. An earlier order may have begun it, and reasons have been added to the protocol before (ticket).

Such a start has the outcome Unexplained now: the run is stopped, which bars it, and the task is placed elsewhere once a later answer lacks it. A stop with this outcome bars nothing and is repeated when overdue, as other rejected stops; a pace is not repeated.

--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -113,6 +113,7 @@
             | OrderOutcome::Refused
             | OrderOutcome::Withheld
             | OrderOutcome::Malformed
+            | OrderOutcome::Unexplained
             | OrderOutcome::OtherIncarnation
             | OrderOutcome::Undelivered
             | OrderOutcome::Unanswered => {
@@ -126,7 +127,7 @@
     ///
     /// Guards against an earlier unanswered order for the same run that is carried out later, when
     /// there is capacity: the task would run twice. The rejection is no proof then (`end` is `None`),
-    /// and a stop bars the run before the task is placed again.
+    /// nor is one for an unknown reason, and a stop bars the run before the task is placed again.
     fn start_rejected(
         &mut self,
         order: &Order,
--- a/crates/agatesill_policy/src/fleet/orders.rs
+++ b/crates/agatesill_policy/src/fleet/orders.rs
@@ -74,6 +74,9 @@
     Withheld,
     /// The worker rejected the order as malformed.
     Malformed,
+    /// The worker rejected the order for a reason that is unknown to this program. An earlier order
+    /// may have begun the run.
+    Unexplained,
     /// Another incarnation of the worker answered at the address.
     OtherIncarnation,
     /// No part of the order was sent to the worker: it refused the connection, for example. The
--- a/crates/agatesill_policy/src/fleet/run_end.rs
+++ b/crates/agatesill_policy/src/fleet/run_end.rs
@@ -136,6 +136,7 @@
             OrderOutcome::Done
             | OrderOutcome::Old
             | OrderOutcome::Fenced
+            | OrderOutcome::Unexplained
             | OrderOutcome::OtherIncarnation
             | OrderOutcome::Unanswered => return None,
         };
