Polls with unreadable rows prove no absence

A run whose row in a worker's list can't be read counted as absent and its task started again beside it: rows that name no task are skipped, and the rest passed as complete.

A poll says whether rows are missing (is_incomplete), and absence is concluded from complete lists only, as with a full list of ends. Runs and ends that could be read are applied as before. run_missing_from_an_incomplete_list_is_not_absent fails without the check (run: 1 of 3 tests of the file) and passes with it.

--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -71,7 +71,7 @@
         }
         self.repeat_undelivered_orders(index, now_us);
         let present = self.apply_runs(index, &poll.running, now_us);
-        if poll.ended.len() < MAX_ENDS {
+        if poll.ended.len() < MAX_ENDS && !poll.is_incomplete {
             self.release_absent(index, &present, poll.sent_us, now_us);
         }
         self.review_failures(index, now_us);
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -116,6 +116,8 @@
     pub clock_ms: u64,
     /// When the incarnation that answered started, by the wall clock; 0 if unknown.
     pub started_ms: u64,
+    /// Whether rows that can't be read are missing from the lists below.
+    pub is_incomplete: bool,
     /// Runs present at the worker.
     pub running: Vec<RunRow>,
     /// Ends that are not acknowledged yet.
--- a/crates/agatesill_policy/tests/fleet_capacity.rs
+++ b/crates/agatesill_policy/tests/fleet_capacity.rs
@@ -113,6 +113,7 @@
         lease_ms: 5_000,
         clock_ms: harness.now_us / MS,
         started_ms: 0,
+        is_incomplete: false,
         running,
         ended: Vec::new(),
     };
--- a/crates/agatesill_policy/tests/fleet_late_answers.rs
+++ b/crates/agatesill_policy/tests/fleet_late_answers.rs
@@ -57,6 +57,7 @@
         lease_ms: 5_000,
         clock_ms: begin_us / MS + ran_ms,
         started_ms: 0,
+        is_incomplete: false,
         running: vec![RunRow {
             task: order.task.clone(),
             run: order.run,
@@ -77,3 +78,20 @@
     }
     assert_eq!(harness.fleet.counts().slow_workers, 0, "a worker was closed as slow");
 }
+
+/// Guards against a task that runs twice because its run is missing from a list with rows that could not
+/// be read.
+#[test]
+fn run_missing_from_an_incomplete_list_is_not_absent() {
+    for is_incomplete in [true, false] {
+        let mut harness = Harness::new(vec![entry("w1", "r1-1")]);
+        harness.fleet.accept(job("price", vec![step(1)]), harness.now_us);
+        harness.settle();
+        harness.advance_ms(100);
+        let sent_us = harness.now_us;
+        harness.advance_ms(5);
+        let poll = Poll { sent_us, clock_ms: 1, is_incomplete, ..Poll::default() };
+        harness.fleet.polled(0, &poll, harness.now_us);
+        assert_eq!(harness.plan().is_empty(), is_incomplete, "incomplete: {is_incomplete}");
+    }
+}
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -373,6 +373,7 @@
         lease_ms: 5_000,
         clock_ms: harness.now_us / MS,
         started_ms: 0,
+        is_incomplete: false,
         running,
         ended: Vec::new(),
     };
--- a/crates/agatesill_policy/tests/fleet_random.rs
+++ b/crates/agatesill_policy/tests/fleet_random.rs
@@ -281,6 +281,7 @@
                 lease_ms: 5_000,
                 clock_ms: sent_us / MS,
                 started_ms: 0,
+                is_incomplete: false,
                 running: worker.runs.values().cloned().collect(),
                 ended: worker.ended.clone(),
             };
--- a/crates/agatesill_policy/tests/fleet_restarted_workers.rs
+++ b/crates/agatesill_policy/tests/fleet_restarted_workers.rs
@@ -25,6 +25,7 @@
         lease_ms: 5_000,
         clock_ms: harness.now_us / MS,
         started_ms,
+        is_incomplete: false,
         running,
         ended,
     }
--- a/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/faults/mod.rs
@@ -940,6 +940,7 @@
                         lease_ms: if poll.has_lease { 5_000 } else { 0 },
                         clock_ms: now_us / MS,
                         started_ms: 0,
+                        is_incomplete: false,
                         running: life.rows(now_us),
                         ended: life.ended.clone(),
                     }),
--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -229,6 +229,7 @@
             lease_ms: 5_000,
             clock_ms: self.now_us / MS,
             started_ms: 0,
+            is_incomplete: false,
             running: fake_worker.running.values().cloned().collect(),
             ended: fake_worker.ended.clone(),
         };
--- a/crates/agatesill_policy/tests/fleet_support/simulation.rs
+++ b/crates/agatesill_policy/tests/fleet_support/simulation.rs
@@ -632,6 +632,7 @@
                 lease_ms: 5_000,
                 clock_ms: now_us / MS,
                 started_ms: 0,
+                is_incomplete: false,
                 running,
                 ended: worker.ended.clone(),
             };
