A lease is requested and reckoned from one reading of the clock

The end of a lease was computed from one reading of the clock and the ledger's account of it from an earlier one. A process that is suspended between the two requests a lease that outlasts what it reckons, by the time of the suspension, beyond the slack of 300 ms: its tasks would start elsewhere while they run. Both are the same reading now.

--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -286,14 +286,15 @@
         self.answers.send(answer).await.is_ok()
     }
 
-    /// Lease end to request, on the worker's clock; `None` if no lease may be requested.
+    /// Lease end to request at `now_us`, on the worker's clock; `None` if no lease may be requested.
+    /// The planner reckons the lease from the same reading of the clock: the process may be suspended
+    /// between two readings, and the second lease would outlast the first.
     ///
     /// Guards against an owner that is cut off from the store and renews leases forever: its
     /// successor could never know when a task on a worker that it cannot reach has ended. Also
     /// guards against renewing the lease of a worker whose answers are lost: requests may still
     /// reach it, and its tasks could never be started elsewhere.
-    fn lease_to_request_ms(&self, connection: &WorkerConnection) -> Option<u64> {
-        let now_us = self.daemon.clock.now_us();
+    fn lease_to_request_ms(&self, connection: &WorkerConnection, now_us: u64) -> Option<u64> {
         let confirmed_us = self.daemon.confirmed_us.load(Ordering::Acquire);
         let is_owner = now_us.saturating_sub(confirmed_us) < MAX_UNCONFIRMED_US;
         if !is_owner || !connection.is_answering.load(Ordering::Acquire) {
@@ -322,7 +323,7 @@
             let permit = connection.poll_permit().await;
             let mut newest_end = None;
             let sent_us = self.daemon.clock.now_us();
-            let lease = self.lease_to_request_ms(connection);
+            let lease = self.lease_to_request_ms(connection, sent_us);
             let acked_end = connection.acked_end.load(Ordering::Acquire);
             let timeout = Duration::from_millis(wait_ms) + POLL_TIMEOUT_MARGIN;
             let requested_us = lease.map(|_| sent_us).or(cancelled_us);
@@ -506,7 +507,7 @@
             return Event::Answered(Box::new(order), OrderOutcome::Withheld, None);
         }
         let sent_us = self.daemon.clock.now_us();
-        let lease = self.lease_to_request_ms(connection);
+        let lease = self.lease_to_request_ms(connection, sent_us);
         // If no lease may be requested, the order carries the end that was requested before.
         let until_ms =
             lease.unwrap_or_else(|| connection.requested_until_ms.load(Ordering::Acquire));
