A planner that has lost its key stops at once

Cause: confirmation of the ownership by a renewal of the store lease, which proves nothing about the key; the lease of a worker that the successor can't reach is renewed without end.

The planner now reads its own key and watches it while it plans (two calls in 1.5 s), and stops when the store shows another one or none.

All other tests of whole_path pass (40). A store that answers renewals but no reads of one planner for longer than eight seconds is not covered.

--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -28,7 +28,7 @@
 /// Timeout of a renewal. Two may fail, and the third still completes before the lease expires.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Wait time of one watch call on the range, by a daemon that does not own it.
+/// Wait time of one watch call on the range.
 const WATCH_MS: u64 = 1_500;
 
 /// Maximum delay of a claim in favour of larger daemons when the range becomes free. Claims arrive
@@ -219,7 +219,13 @@
     daemon.set_owner(Some(ownership.owner()), epoch);
     let lost = abort.child_token();
     let running = spawn_supervised(planner::run(daemon.clone(), epoch, lost.clone()), &lost);
-    let passes_on = renew_while_held(daemon, ownership, &lost, stop).await;
+    let passes_on = tokio::select! {
+        passes_on = renew_while_held(daemon, ownership, &lost, stop) => passes_on,
+        () = wait_until_key_lost(daemon, epoch) => {
+            log::warn!(event = "planner_key_lost", epoch = epoch; "another daemon may own the range");
+            false
+        }
+    };
     lost.cancel();
     let failure = running.await.and_then(|outcome| outcome).err();
     daemon.confirmed_us.store(0, Ordering::Release);
@@ -236,6 +242,34 @@
     }
 }
 
+/// Waits until the store shows that the range's key is no longer that of `epoch`.
+///
+/// The store's lease proves nothing about the key, which another daemon or the store may have deleted.
+/// Guards against a task that runs twice: a planner without the key would renew the leases of workers
+/// that its successor cannot reach, for longer than the successor waits.
+async fn wait_until_key_lost(daemon: &DaemonState, epoch: u64) {
+    let key = owner_key(PLANNER);
+    loop {
+        let read = daemon.store.call(StoreCall::Range { prefix: key.clone() }).await;
+        let next = match read {
+            Ok(reply) => {
+                if !reply.entries.iter().any(|entry| entry.key == key && entry.version == epoch) {
+                    return;
+                }
+                let after_revision = reply.revision;
+                let watch =
+                    StoreCall::Watch { prefix: key.clone(), after_revision, wait_ms: WATCH_MS };
+                daemon.store.call(watch).await
+            }
+            failed => failed,
+        };
+        if let Err(error) = next {
+            log::debug!(event = "planner_key_unread"; "{error}");
+            tokio::time::sleep(RETRY_BACKOFF).await;
+        }
+    }
+}
+
 /// Renews the lease until the store reports it lost, the planner meets a higher epoch, a planned
 /// stop begins or a larger daemon requests the range; true if the range is still held then. An
 /// unresponsive store is no reason to stop: running tasks continue, and commits fail once another
