--- a/crates/agatesill_policy/tests/fleet_restarted_workers.rs
+++ b/crates/agatesill_policy/tests/fleet_restarted_workers.rs
@@ -5,7 +5,7 @@
 mod fleet_support;
 
 use agatesill_policy::fleet::{
-    EndCause, EndRow, Poll, RunRow, TaskKey, WorkerEntry, WorkerIndex, WorkerStanding,
+    EndCause, EndRow, OrderOutcome, Poll, RunRow, TaskKey, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use fleet_support::{Harness, MS, entry, job, step};
 
@@ -156,3 +156,33 @@
     assert_eq!(harness.list(started(20, FIRST_START_MS)), worker);
     assert_eq!(harness.fleet.worker(worker).entry.revision, 20);
 }
+
+/// Guards against a task that runs twice because the list of an earlier incarnation, on which it is missing,
+/// counts as that of its worker.
+#[test]
+fn list_of_an_earlier_incarnation_proves_no_absence() {
+    let (mut harness, worker) = busy_worker();
+    harness.advance_ms(5);
+    let report = poll(&harness, FIRST_START_MS - 500, Vec::new(), Vec::new());
+    answer(&mut harness, worker, &report);
+    assert_eq!(harness.fleet.worker(worker).tasks.len(), 1);
+    assert!(harness.plan().is_empty());
+}
+
+/// Guards against tasks that wait for a lease although an order was answered by another incarnation in place
+/// of their worker.
+#[test]
+fn order_that_another_incarnation_answers_ends_the_worker() {
+    let (mut harness, worker) = busy_worker();
+    harness.fleet.accept(job("next", vec![step(1)]), harness.now_us);
+    let orders = harness.plan();
+    assert_eq!((orders.len(), orders[0].worker), (1, worker));
+    let outcome = OrderOutcome::OtherIncarnation;
+    harness.fleet.order_answered(&orders[0], outcome, harness.now_us);
+    assert_eq!(harness.fleet.worker(worker).standing, WorkerStanding::Gone);
+    assert!(harness.fleet.worker(worker).tasks.is_empty());
+    let next = harness.list(started(20, SECOND_START_MS));
+    let report = poll(&harness, SECOND_START_MS, Vec::new(), Vec::new());
+    answer(&mut harness, next, &report);
+    assert_eq!(harness.plan().len(), 2, "both tasks start again");
+}
