--- a/crates/agatesill_policy/tests/fleet_restarts_between_steps.rs
+++ b/crates/agatesill_policy/tests/fleet_restarts_between_steps.rs
@@ -136,7 +136,12 @@
         let Some(process) = self.processes.get_mut(&entry.address) else { return };
         if process.entry.id != entry.id {
             let why = "another incarnation answers";
-            return self.harness.fleet.worker_superseded(index, why, self.harness.now_us);
+            return self.harness.fleet.worker_superseded(
+                index,
+                why,
+                self.harness.now_us,
+                self.harness.now_us,
+            );
         }
         process.epoch = process.epoch.max(self.epoch);
         // Only the incarnation that has been polled before is told which ends were noted.
@@ -151,6 +156,7 @@
             lease_ms: 5_000,
             clock_ms: self.harness.now_us / MS,
             started_ms: process.entry.started_ms,
+            is_incomplete: false,
             running: process.state.running.values().cloned().collect(),
             ended: process.state.ended.clone(),
         };
--- a/crates/agatesill_policy/tests/fleet_run_proofs.rs
+++ b/crates/agatesill_policy/tests/fleet_run_proofs.rs
@@ -367,7 +367,7 @@
     for outcome in [OrderOutcome::NoRoom, OrderOutcome::Undelivered, OrderOutcome::Old] {
         let mut harness = two_workers();
         let former = harness.plan().remove(0);
-        harness.fleet.worker_superseded(former.worker, "crashed", harness.now_us);
+        harness.fleet.worker_superseded(former.worker, "crashed", harness.now_us, harness.now_us);
         let present = harness.plan().remove(0);
         assert_ne!(present.worker, former.worker);
         harness.execute(&present);
@@ -595,7 +595,12 @@
 fn answer_that_waited_revives_no_terminated_worker() {
     let (mut harness, start) = task_at(Stage::Running);
     let sent_us = harness.now_us;
-    harness.fleet.worker_superseded(start.worker, "another incarnation", harness.now_us);
+    harness.fleet.worker_superseded(
+        start.worker,
+        "another incarnation",
+        harness.now_us,
+        harness.now_us,
+    );
     poll_without_runs(&mut harness, start.worker, sent_us, Vec::new());
     assert_eq!(harness.fleet.worker(start.worker).standing, WorkerStanding::Gone);
     let orders = harness.plan();
