Tests of what the answers of a worker prove, and of leases without an answer

No deterministic test breaks when the second verification is skipped, or an order may open a connection after the first one: that takes a connection that closes between both.

--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -28,6 +28,7 @@
 use tokio_util::task::TaskTracker;
 
 struct Connected {
+    daemon: Arc<DaemonState>,
     answers: mpsc::Receiver<Answer>,
     stop: CancellationToken,
     worker: Arc<FakeWorker>,
@@ -66,14 +67,19 @@
     let index = fleet.worker_listed(entry(&worker.id, addr), daemon.clock.now_us());
     let (sender, answers) = mpsc::channel(1_024);
     let tasks = TaskTracker::new();
-    let mut connections = WorkerConnections::new(daemon, 1, sender, stop.clone(), tasks);
+    let mut connections = WorkerConnections::new(daemon.clone(), 1, sender, stop.clone(), tasks);
     connections.open(index, fleet.worker(index));
-    Connected { answers, stop, worker, link, index, connections }
+    Connected { daemon, answers, stop, worker, link, index, connections }
 }
 
 impl Connected {
     /// Sends a start and returns its outcome.
     async fn start_task(&mut self) -> OrderOutcome {
+        self.start_task_reporting_lease().await.0
+    }
+
+    /// Sends a start and returns its outcome, and when it requested a lease, if it did.
+    async fn start_task_reporting_lease(&mut self) -> (OrderOutcome, Option<u64>) {
         let task = TaskKey { job: "00000000000000e1".to_owned(), occurrence: 0, step: 0, index: 0 };
         let kind = OrderKind::Start {
             payload: "work".to_owned(),
@@ -90,12 +96,32 @@
         });
         loop {
             let answer = self.answers.recv().await.unwrap();
-            if let Event::Answered(_, outcome, _) = answer.event {
-                return outcome;
+            if let Event::Answered(_, outcome, requested_us) = answer.event {
+                return (outcome, requested_us);
+            }
+        }
+    }
+
+    /// Waits for a poll that is not answered. Returns when it requested a lease, if it did, and when it
+    /// was given up.
+    async fn unanswered_poll(&mut self) -> (Option<u64>, u64) {
+        loop {
+            let answer = self.answers.recv().await.unwrap();
+            if let Event::Silent(_, requested_us) | Event::ConnectionRefused(_, requested_us) =
+                answer.event
+            {
+                return (requested_us, answer.reported_us);
             }
         }
     }
 
+    /// Waits until the worker has answered a poll that requested a lease and waits for an end.
+    async fn wait_for_lease(&mut self) {
+        self.wait_until_polled().await;
+        self.wait_until_polled().await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
     /// Waits until the worker has answered a poll.
     async fn wait_until_polled(&mut self) {
         while !matches!(self.answers.recv().await.unwrap().event, Event::Polled(..)) {}
@@ -235,3 +261,92 @@
     assert!(tokio::time::timeout(Duration::from_secs(3), refused).await.is_ok());
     connected.stop.cancel();
 }
+
+/// Guards against a list of runs that counts as newer than it is: a run that begins while a poll waits may
+/// be missing from its answer.
+#[tokio::test]
+async fn answer_to_a_poll_is_as_old_as_its_sending() {
+    let mut connected = connect().await;
+    let mut longest_us = 0;
+    for _ in 0..4 {
+        let answer = connected.answers.recv().await.unwrap();
+        if let Event::Polled(_, poll) = &answer.event {
+            longest_us = longest_us.max(answer.reported_us - poll.sent_us);
+        }
+    }
+    assert!(longest_us >= 450_000, "a poll waits for half a second: {longest_us} us");
+    connected.stop.cancel();
+}
+
+/// Guards against a lease that counts as never requested because the poll which renewed it has no answer.
+#[tokio::test]
+async fn unanswered_poll_reports_the_lease_that_it_requested() {
+    for fault in [LinkFault::Silent, LinkFault::BlocksReplies, LinkFault::Reset] {
+        let mut connected = connect_over_link().await;
+        connected.wait_for_lease().await;
+        let before_us = connected.daemon.clock.now_us();
+        connected.link.set(fault);
+        let (requested_us, reported_us) = connected.unanswered_poll().await;
+        let requested_us = requested_us.unwrap_or_else(|| panic!("{fault:?}: no lease reported"));
+        let least_us = before_us.min(reported_us) - 700_000;
+        assert!(requested_us >= least_us && requested_us <= reported_us, "{fault:?}");
+        connected.stop.cancel();
+    }
+}
+
+/// Guards against the same for a poll that a verification of the connection has cancelled.
+#[tokio::test]
+async fn cancelled_poll_reports_the_lease_that_it_requested() {
+    let mut connected = connect_over_link().await;
+    connected.wait_for_lease().await;
+    connected.daemon.confirmed_us.store(0, Ordering::Release);
+    connected.link.set(LinkFault::BlocksReplies);
+    connected.connections.verify(connected.index);
+    let (requested_us, _) = connected.unanswered_poll().await;
+    assert!(requested_us.is_some());
+    connected.stop.cancel();
+}
+
+/// Guards against the same for an order.
+#[tokio::test]
+async fn unanswered_start_reports_the_lease_that_it_requested() {
+    let mut connected = connect_over_link().await;
+    connected.wait_for_lease().await;
+    assert_eq!(connected.start_task().await, OrderOutcome::Done);
+    connected.link.set(LinkFault::BlocksReplies);
+    let begin_us = connected.daemon.clock.now_us();
+    let (outcome, requested_us) = connected.start_task_reporting_lease().await;
+    assert_eq!(outcome, OrderOutcome::Unanswered);
+    assert!(requested_us.is_some_and(|requested_us| requested_us >= begin_us), "{requested_us:?}");
+    connected.stop.cancel();
+}
+
+/// Guards against leases that an owner without contact to the store renews for ever, and that its
+/// successor does not know of.
+#[tokio::test]
+async fn owner_that_is_not_confirmed_requests_no_lease() {
+    let mut connected = connect_over_link().await;
+    connected.wait_for_lease().await;
+    connected.daemon.confirmed_us.store(0, Ordering::Release);
+    for _ in 0..2 {
+        connected.wait_until_polled().await;
+    }
+    connected.link.set(LinkFault::BlocksReplies);
+    let (requested_us, _) = connected.unanswered_poll().await;
+    assert_eq!(requested_us, None);
+    connected.stop.cancel();
+}
+
+/// Guards against a worker whose lease is renewed for ever although no answer of it arrives, so that its
+/// tasks never start elsewhere.
+#[tokio::test]
+async fn worker_that_does_not_answer_gets_no_lease() {
+    let mut connected = connect_over_link().await;
+    connected.wait_for_lease().await;
+    connected.link.set(LinkFault::BlocksReplies);
+    assert!(connected.unanswered_poll().await.0.is_some());
+    for _ in 0..2 {
+        assert_eq!(connected.unanswered_poll().await.0, None);
+    }
+    connected.stop.cancel();
+}
