--- a/crates/agatesill_policy/tests/fleet_restarted_workers.rs
+++ b/crates/agatesill_policy/tests/fleet_restarted_workers.rs
@@ -186,3 +186,17 @@
     answer(&mut harness, next, &report);
     assert_eq!(harness.plan().len(), 2, "both tasks start again");
 }
+
+/// Guards against tasks that never run again because their worker has restarted with a clock that was set
+/// back: its answers name an earlier start and are ignored, although no lease is renewed.
+#[test]
+fn tasks_restart_after_the_lease_if_answers_name_an_earlier_start() {
+    let (mut harness, worker) = busy_worker();
+    for _ in 0..80 {
+        harness.advance_ms(250);
+        let report = poll(&harness, FIRST_START_MS - 500, Vec::new(), Vec::new());
+        answer(&mut harness, worker, &report);
+        harness.fleet.expire_workers(harness.now_us, harness.now_us);
+    }
+    assert!(harness.fleet.worker(worker).tasks.is_empty(), "the lease ended 14 s ago");
+}
--- a/crates/agatesill_policy/tests/fleet_run_proofs.rs
+++ b/crates/agatesill_policy/tests/fleet_run_proofs.rs
@@ -601,3 +601,26 @@
     let orders = harness.plan();
     assert!(starts(&orders).iter().all(|order| order.worker != start.worker), "{orders:?}");
 }
+
+/// Guards against two runs of a task whose start a worker carries out after it was given up with the
+/// lease: the worker has a lease again since it answers.
+#[test]
+fn start_that_was_lost_with_a_lease_is_barred_when_the_worker_answers_again() {
+    let mut harness = two_workers();
+    let late = harness.plan().remove(0);
+    answer(&mut harness, &late, OrderOutcome::Unanswered);
+    harness.fleet.worker_silent(late.worker, harness.now_us);
+    harness.plan();
+    let other = 1 - late.worker;
+    harness.advance_ms(5_500);
+    harness.poll(other);
+    harness.fleet.expire_workers(harness.now_us, harness.now_us);
+    harness.settle();
+    assert_eq!(harness.present("j").len(), 1, "the task runs elsewhere after the lease");
+    poll_empty(&mut harness, late.worker);
+    let bars_late_start = |order: &Order| {
+        order.kind == OrderKind::Stop && (order.worker, order.run) == (late.worker, late.run)
+    };
+    let orders = harness.plan();
+    assert!(orders.iter().any(bars_late_start), "{orders:?}");
+}
