Starts of runs that were given up with a lease are barred before the next lease

Cause: the lease was taken for the proof that the run is over and that it will never begin. It proves the first only. The start, or its bytes in a connection, may arrive later, and the worker begins the run as soon as it has its next lease. The stop that was to bar it was forgotten with the run.

A worker keeps the runs that were given up with its lease while their starts may arrive. When it answers again they are stopped, again after each answer until the worker consents, and until then no poll or order requests a lease and no task is placed there. A connection that has not been renewed for a lease asks for none before the planner has seen the answer. So a start that arrives before the stop finds no lease, and one that arrives after it is rejected as old.

A worker that is really gone is noticed as before; one that returns gets its lease one round trip later if a start is open.

--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -2,7 +2,7 @@
 
 use super::US_PER_MS;
 use super::job::TaskState;
-use super::orders::{Order, OrderKind, OrderOutcome};
+use super::orders::{NO_TASK, Order, OrderKind, OrderOutcome};
 use super::run_end::RunEnd;
 use super::state::Fleet;
 use super::worker::WorkerIndex;
@@ -41,6 +41,9 @@
             self.worker_superseded(order.worker, why, answered_us, now_us);
             return;
         }
+        if order.task_ref == NO_TASK {
+            self.lost_start_answered(order, outcome);
+        }
         if outcome == OrderOutcome::Unanswered {
             self.handle_unanswered_order(order, now_us);
             return;
--- a/crates/agatesill_policy/src/fleet/orders.rs
+++ b/crates/agatesill_policy/src/fleet/orders.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// Location of the task of an order about a run that the ledger does not expect on the worker.
+pub(super) const NO_TASK: TaskRef = TaskRef { job: u32::MAX, task: 0 };
+
 /// An order to a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -6,7 +6,7 @@
 use super::US_PER_MS;
 use super::job::{JobPhase, TaskKey, TaskRef, TaskState};
 use super::missing_tasks::state_name;
-use super::orders::{Order, OrderKind};
+use super::orders::{NO_TASK, Order, OrderKind};
 use super::run_end::RunEnd;
 use super::state::Fleet;
 use super::worker::{EndCause, EndRow, Poll, RunRow, WorkerIndex, WorkerStanding};
@@ -69,6 +69,7 @@
         for end in &poll.ended {
             self.run_ended(index, end, poll.sent_us, now_us);
         }
+        self.bar_lost_starts(index, now_us);
         self.repeat_undelivered_orders(index, now_us);
         let present = self.apply_runs(index, &poll.running, now_us);
         if poll.ended.len() < MAX_ENDS && !poll.is_incomplete {
@@ -482,10 +483,9 @@
         log::warn!(event = "stray_run", job = row.task.job.as_str(), task:% = row.task, run = row.run,
             worker = worker.entry.id.as_str(), worker_started_ms = worker.started_ms; "stopped");
         self.workers[index as usize].has_stray_runs = true;
-        let task_ref = TaskRef { job: u32::MAX, task: 0 };
         self.orders.push(Order {
             worker: index,
-            task_ref,
+            task_ref: NO_TASK,
             task: row.task.clone(),
             run: row.run,
             kind: OrderKind::Stop,
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -99,6 +99,7 @@
         let worker = &mut self.workers[index as usize];
         worker.is_superseded = true;
         worker.superseded_us = sent_us;
+        worker.unbarred.clear();
         self.worker_gone(index, why, sent_us, now_us);
         if let Some(entry) = self.workers[index as usize].successor.take() {
             let successor = self.worker_listed(*entry, now_us);
--- a/crates/agatesill_policy/src/fleet/run_end.rs
+++ b/crates/agatesill_policy/src/fleet/run_end.rs
@@ -7,9 +7,9 @@
 
 use super::US_PER_MS;
 use super::job::{ANSWERED_BEFORE_EPOCH_US, JobPhase, Task, TaskRef, TaskState};
-use super::orders::OrderOutcome;
+use super::orders::{NO_TASK, Order, OrderKind, OrderOutcome};
 use super::state::{Fleet, TaskGroup};
-use super::worker::{Worker, WorkerIndex};
+use super::worker::{UnbarredRun, Worker, WorkerIndex};
 
 /// What proves that a run is over or has never begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -185,6 +185,9 @@
         end: RunEnd,
         now_us: u64,
     ) {
+        if end.proof == EndProof::LeasePassed {
+            self.remember_unbarred(task_ref);
+        }
         let Some(job) = self.job_mut(task_ref.job) else { return };
         let task = &mut job.tasks[task_ref.task as usize];
         if let Some(worker) = task.state.worker() {
@@ -200,6 +203,54 @@
         self.release(task_ref, state, now_us);
     }
 
+    /// Remembers a run that is given up with the lease of its worker if its start may still arrive.
+    ///
+    /// Guards against a task that runs twice: a lease that has passed ends what runs, but a start that
+    /// is still under way begins the run once the worker has its next lease.
+    fn remember_unbarred(&mut self, task_ref: TaskRef) {
+        let Some(job) = self.job(task_ref.job) else { return };
+        let task = &job.tasks[task_ref.task as usize];
+        let (TaskState::Ordered(worker) | TaskState::Stopping(worker)) = task.state else { return };
+        if task.answered_us > 0 {
+            return;
+        }
+        let run = UnbarredRun { task: job.key(task_ref.task), run: task.run, is_stopping: false };
+        self.workers[worker as usize].unbarred.push(run);
+    }
+
+    /// Stops the runs that were given up with the lease of a worker which answers again.
+    pub(super) fn bar_lost_starts(&mut self, index: WorkerIndex, now_us: u64) {
+        let worker = &mut self.workers[index as usize];
+        for lost in worker.unbarred.iter_mut().filter(|lost| !lost.is_stopping) {
+            lost.is_stopping = true;
+            log::info!(event = "lost_start_barred", job = lost.task.job.as_str(), task:% = lost.task,
+                run = lost.run, worker = worker.entry.id.as_str(); "");
+            self.orders.push(Order {
+                worker: index,
+                task_ref: NO_TASK,
+                task: lost.task.clone(),
+                run: lost.run,
+                kind: OrderKind::Stop,
+                decided_us: now_us,
+            });
+        }
+    }
+
+    /// Applies the outcome of a stop that bars the start of a run which was given up. Without the
+    /// worker's consent it is repeated after the next answer to a poll.
+    pub(super) fn lost_start_answered(&mut self, order: &Order, outcome: OrderOutcome) {
+        let worker = &mut self.workers[order.worker as usize];
+        let is_barred = matches!(outcome, OrderOutcome::Done | OrderOutcome::Old);
+        let is_same = |lost: &UnbarredRun| lost.run == order.run && lost.task == order.task;
+        if is_barred {
+            worker.unbarred.retain(|lost| !is_same(lost));
+        }
+        for lost in worker.unbarred.iter_mut().filter(|lost| is_same(lost)) {
+            lost.is_stopping = false;
+        }
+        self.worker_changed(order.worker);
+    }
+
     /// Withdraws a choice whose start has not been ordered.
     pub(super) fn withdraw_choice(&mut self, task_ref: TaskRef, state: TaskState, now_us: u64) {
         let end = self
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -137,6 +137,17 @@
     Gone,
 }
 
+/// A run that was given up with the lease of its worker, and whose start may still arrive.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct UnbarredRun {
+    /// Key of the task.
+    pub task: TaskKey,
+    /// Run number.
+    pub run: u32,
+    /// Whether a stop has been ordered that is not answered yet.
+    pub is_stopping: bool,
+}
+
 /// State of one worker incarnation.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -155,6 +166,8 @@
     pub(super) is_superseded: bool,
     /// When the call was sent whose answer came from another incarnation.
     pub(super) superseded_us: u64,
+    /// Runs that were given up with the worker's lease and whose starts may still arrive.
+    pub(super) unbarred: Vec<UnbarredRun>,
     /// Whether the registry lists the worker.
     pub is_listed: bool,
     /// Liveness of the worker.
@@ -234,6 +247,7 @@
             listed_us: 0,
             is_superseded: false,
             superseded_us: 0,
+            unbarred: Vec::new(),
             is_listed: true,
             standing: WorkerStanding::New,
             used: Resources::default(),
@@ -284,15 +298,24 @@
         !self.rivals.is_empty()
     }
 
+    /// Whether starts of runs that were given up may still arrive. The worker must not get a lease
+    /// before they are barred.
+    pub fn has_unbarred_runs(&self) -> bool {
+        !self.unbarred.is_empty()
+    }
+
     /// Whether new tasks may be sent to the worker.
     pub fn is_open(&self, now_us: u64) -> bool {
         self.is_available() && now_us >= self.closed_until_us
     }
 
-    /// Whether the worker answers, is registered, is not leaving and is in an open zone. It may
-    /// still be quarantined.
+    /// Whether the worker answers, may get leases, is registered, is not leaving and is in an open
+    /// zone. It may still be quarantined.
     pub fn is_available(&self) -> bool {
-        self.standing == WorkerStanding::Good && self.is_listed && self.takes_starts()
+        self.standing == WorkerStanding::Good
+            && !self.has_unbarred_runs()
+            && self.is_listed
+            && self.takes_starts()
     }
 
     /// Whether starts may still be sent: the worker is not leaving, and its zone is open.
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -427,6 +427,7 @@
         }
         let now_us = self.daemon.clock.now_us();
         self.fleet.order_answered_at(order, outcome, answered_us, now_us);
+        self.update_may_renew(order.worker);
         if outcome == OrderOutcome::Fenced {
             self.lost.cancel();
         }
@@ -463,6 +464,7 @@
             }
             Event::Polled(worker, poll) => {
                 self.fleet.polled(worker, &poll, now_us);
+                self.update_may_renew(worker);
                 self.connections.set_idle(worker, self.fleet.worker(worker).tasks.is_empty());
             }
             Event::Silent(worker, requested_us) => {
@@ -529,6 +531,12 @@
         }
     }
 
+    /// Updates on the connections to a worker whether it may get leases.
+    fn update_may_renew(&self, worker: WorkerIndex) {
+        let has_unbarred_runs = self.fleet.worker(worker).has_unbarred_runs();
+        self.connections.set_may_renew(worker, !has_unbarred_runs);
+    }
+
     fn close_zones(&mut self, closed: &[ClosedZone]) {
         if closed.is_empty() {
             return;
@@ -635,6 +643,8 @@
         // worker connections had two turns to report them.
         let as_of_us = self.answers_as_of_us.min(self.turn_starts_us[1]);
         self.fleet.expire_workers(as_of_us, now_us);
+        let unbarred = self.fleet.live_workers().filter(|(_, worker)| worker.has_unbarred_runs());
+        unbarred.for_each(|(index, _)| self.connections.set_may_renew(index, false));
         self.open_connections();
         self.fleet.open_due(wall_ms(), now_us);
         self.publish_stats();
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -86,6 +86,9 @@
     requested_until_ms: AtomicU64,
     /// Whether the last poll was answered.
     is_answering: AtomicBool,
+    /// Whether leases may be requested: every start of a run that was given up with the worker's lease
+    /// has been barred.
+    may_renew: AtomicBool,
     /// Whether nothing runs on the worker.
     is_idle: AtomicBool,
     /// Notified when an idle worker gets an order.
@@ -190,6 +193,7 @@
             clock_offset_ms: AtomicI64::new(0),
             requested_until_ms: AtomicU64::new(0),
             is_answering: AtomicBool::new(false),
+            may_renew: AtomicBool::new(!worker.has_unbarred_runs()),
             is_idle: AtomicBool::new(false),
             got_order: Notify::new(),
             to_verify: Notify::new(),
@@ -250,6 +254,13 @@
         }
     }
 
+    /// Sets whether a worker may get leases.
+    pub fn set_may_renew(&self, worker: WorkerIndex, may_renew: bool) {
+        if let Some((connection, _)) = self.connections.get(&worker) {
+            connection.may_renew.store(may_renew, Ordering::Release);
+        }
+    }
+
     /// Sets whether nothing runs on a worker.
     pub fn set_idle(&self, worker: WorkerIndex, is_idle: bool) {
         if let Some((connection, _)) = self.connections.get(&worker) {
@@ -297,7 +308,8 @@
     fn lease_to_request_ms(&self, connection: &WorkerConnection, now_us: u64) -> Option<u64> {
         let confirmed_us = self.daemon.confirmed_us.load(Ordering::Acquire);
         let is_owner = now_us.saturating_sub(confirmed_us) < MAX_UNCONFIRMED_US;
-        if !is_owner || !connection.is_answering.load(Ordering::Acquire) {
+        let may_renew = connection.may_renew.load(Ordering::Acquire);
+        if !is_owner || !may_renew || !connection.is_answering.load(Ordering::Acquire) {
             return None;
         }
         let now_ms = (now_us / US_PER_MS) as i64;
@@ -319,6 +331,8 @@
         let mut wait_ms = 0;
         // When a poll that was cancelled requested a lease, which the worker may have received.
         let mut cancelled_us = None;
+        // When the last poll was sent that requested a lease or could have.
+        let mut renewed_us = self.daemon.clock.now_us();
         loop {
             let permit = connection.poll_permit().await;
             let mut newest_end = None;
@@ -348,6 +362,12 @@
                     (Event::Polled(connection.worker, Box::new(poll)), POLL_BACKOFF)
                 }
                 Ok(PollOutcome::Reply(mut poll)) => {
+                    // The planner may have given up the worker's runs with its lease, and must bar
+                    // their starts before the next one.
+                    if sent_us.saturating_sub(renewed_us) >= self.lease_ms * US_PER_MS {
+                        connection.may_renew.store(false, Ordering::Release);
+                    }
+                    renewed_us = sent_us;
                     let now_ms = (self.daemon.clock.now_us() / US_PER_MS) as i64;
                     connection
                         .clock_offset_ms
