Stand-ins: calls to workers that arrive late, workers that restart under their number, unreadable keys

No stand-in could deliver a call after its caller had given up: the server drops the handler of a caller that has disconnected. Workers restarted only when a task crashed them, and the store failed for all keys or for none. The new switches (`delay_calls_ms`, `delay_starts_ms`, `restart`, `unreadable_prefix`), the injector's mode for late calls and the scenario `late-call-faults` do that.

--- a/crates/agatesill_bench/src/faults.rs
+++ b/crates/agatesill_bench/src/faults.rs
@@ -21,6 +21,13 @@
              every accepted job has one outcome",
         kind: Kind::Real(batch_faults),
     },
+    Scenario {
+        name: "late-call-faults",
+        pattern: "batch jobs while calls to workers arrive late, workers restart under their numbers \
+                  and cells change their owners, alone, together or twice",
+        bounds: "as for faults",
+        kind: Kind::Real(late_call_faults),
+    },
     Scenario {
         name: "request-faults",
         pattern: "reads and non-repeatable decisions, re-sent to other daemons while daemons, \
@@ -40,6 +47,15 @@
     )
 }
 
+fn late_call_faults(seed: u64) -> SeedResult {
+    to_seed_result(
+        seed,
+        run(seed, &batch::late_call_limits(), |binary, schedule| async move {
+            batch::run(&binary, schedule).await
+        }),
+    )
+}
+
 fn request_faults(seed: u64) -> SeedResult {
     to_seed_result(
         seed,
--- a/crates/agatesill_standin/src/fault_injector.rs
+++ b/crates/agatesill_standin/src/fault_injector.rs
@@ -1,4 +1,5 @@
-//! Injects network faults in front of a stand-in: partitions, lost responses and slow responses.
+//! Injects network faults in front of a stand-in: partitions, late calls, lost responses and slow
+//! responses.
 
 use std::future::Future;
 use std::sync::Arc;
@@ -24,6 +25,11 @@
         /// Delay of each response.
         delay_ms: u64,
     },
+    /// Calls take effect after a delay, also if the caller has given up by then.
+    DelayCalls {
+        /// Delay of each call.
+        delay_ms: u64,
+    },
 }
 
 /// Fault injector for one network path. Clones share one mode.
@@ -45,7 +51,10 @@
     }
 
     /// Runs `call` under the current mode. `None` means that the caller gets no response.
-    pub async fn apply<T>(&self, call: impl Future<Output = T>) -> Option<T> {
+    pub async fn apply<T: Send + 'static>(
+        &self,
+        call: impl Future<Output = T> + Send + 'static,
+    ) -> Option<T> {
         let mode = *self.mode.borrow();
         match mode {
             FaultMode::PassThrough => Some(call.await),
@@ -63,6 +72,14 @@
                 tokio::time::sleep(Duration::from_millis(delay_ms)).await;
                 Some(response)
             }
+            FaultMode::DelayCalls { delay_ms } => {
+                // A task of its own: the server drops a handler whose caller has disconnected.
+                let delivered = tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                    call.await
+                });
+                delivered.await.ok()
+            }
         }
     }
 
--- a/crates/agatesill_standin/src/faults/batch.rs
+++ b/crates/agatesill_standin/src/faults/batch.rs
@@ -69,6 +69,11 @@
     }
 }
 
+/// Returns the schedule limits of runs with late calls to workers and with workers that restart.
+pub fn late_call_limits() -> ScheduleLimits {
+    ScheduleLimits { kinds: FaultKind::LATE_CALLS.to_vec(), rounds: 4, ..limits() }
+}
+
 /// Runs the scenario with the daemon executable `binary`.
 pub async fn run(binary: &Path, schedule: Schedule) -> RunReport {
     let options =
--- a/crates/agatesill_standin/src/faults/schedule.rs
+++ b/crates/agatesill_standin/src/faults/schedule.rs
@@ -13,6 +13,10 @@
 /// Response delay of a slow network or store.
 pub const SLOW_MS: u64 = 300;
 
+/// Delay of calls in a congested network, longer than the timeout of a call to a worker and than the
+/// leases of a run.
+pub const LATE_MS: u64 = 2_200;
+
 value_type! {
     /// Kinds of faults.
     pub enum FaultKind {
@@ -40,6 +44,10 @@
         WorkerUnreachable,
         /// A worker fails every attempt that it starts.
         WorkerFailsAll,
+        /// A daemon's calls to the workers arrive late, most of them after it has given up.
+        LateWorkerCalls,
+        /// A worker crashes at the beginning of the fault and restarts under its number.
+        WorkerRestarts,
         /// An upstream runs requests and cuts off half of its responses.
         UpstreamDies,
         /// An upstream runs requests and closes half of the connections without a response.
@@ -80,6 +88,18 @@
         FaultKind::WorkerUnreachable,
         FaultKind::WorkerFailsAll,
     ];
+
+    /// Kinds that make calls to workers late or restart workers, with those that change the owner.
+    pub const LATE_CALLS: [FaultKind; 8] = [
+        FaultKind::LateWorkerCalls,
+        FaultKind::LateWorkerCalls,
+        FaultKind::WorkerRestarts,
+        FaultKind::WorkerRestarts,
+        FaultKind::LoseWorkerAnswers,
+        FaultKind::WorkerUnreachable,
+        FaultKind::KillDaemon,
+        FaultKind::PauseDaemon,
+    ];
 }
 
 value_type! {
--- a/crates/agatesill_standin/src/faults/simulation.rs
+++ b/crates/agatesill_standin/src/faults/simulation.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::schedule::{SHORT_LEASE_PERCENT, SLOW_MS};
+use super::schedule::{LATE_MS, SHORT_LEASE_PERCENT, SLOW_MS};
 use super::{DaemonProcess, Fault, FaultKind, Trace};
 use crate::addresses::fresh_address;
 use crate::fault_injector::{FaultInjector, FaultMode};
@@ -146,7 +146,8 @@
                     Err(error) => return respond::<()>(Err(error)),
                 };
                 let unreachable_error = || Err(Error::new(ErrorKind::Unreachable, "store"));
-                respond(injector.apply(store.call(call)).await.unwrap_or_else(unreachable_error))
+                let served = async move { store.call(call).await };
+                respond(injector.apply(served).await.unwrap_or_else(unreachable_error))
             }
         }));
         Ok(addr)
@@ -186,9 +187,13 @@
             FaultKind::SlowWorkers => {
                 daemon.workers_injector.set(FaultMode::DelayResponses { delay_ms: SLOW_MS });
             }
+            FaultKind::LateWorkerCalls => {
+                daemon.workers_injector.set(FaultMode::DelayCalls { delay_ms: LATE_MS });
+            }
             FaultKind::StoreOutage | FaultKind::SlowStore | FaultKind::ShortLeases => {
                 self.store.set_faults(store_faults(fault.kind));
             }
+            FaultKind::WorkerRestarts => worker.into_iter().for_each(|id| self.workers.restart(id)),
             FaultKind::WorkerUnreachable | FaultKind::WorkerFailsAll => {
                 self.set_worker(worker, fault.kind, true);
             }
@@ -210,9 +215,13 @@
             FaultKind::CutStore | FaultKind::LoseStoreAnswers => {
                 daemon.store_injector.set(FaultMode::PassThrough);
             }
-            FaultKind::CutWorkers | FaultKind::LoseWorkerAnswers | FaultKind::SlowWorkers => {
+            FaultKind::CutWorkers
+            | FaultKind::LoseWorkerAnswers
+            | FaultKind::SlowWorkers
+            | FaultKind::LateWorkerCalls => {
                 daemon.workers_injector.set(FaultMode::PassThrough);
             }
+            FaultKind::WorkerRestarts => {}
             FaultKind::StoreOutage | FaultKind::SlowStore | FaultKind::ShortLeases => {
                 self.store.set_faults(StoreFaults::default());
             }
@@ -284,7 +293,9 @@
     fn target_name(&self, fault: Fault) -> String {
         match fault.kind {
             FaultKind::StoreOutage | FaultKind::SlowStore | FaultKind::ShortLeases => String::new(),
-            FaultKind::WorkerUnreachable | FaultKind::WorkerFailsAll => {
+            FaultKind::WorkerUnreachable
+            | FaultKind::WorkerFailsAll
+            | FaultKind::WorkerRestarts => {
                 let index = fault.target % self.worker_ids.len().max(1);
                 format!("worker {}", self.worker_ids.get(index).copied().unwrap_or_default())
             }
--- a/crates/agatesill_standin/src/store.rs
+++ b/crates/agatesill_standin/src/store.rs
@@ -34,6 +34,8 @@
         pub lose_answers_percent: u32,
         /// Watches report no changes.
         pub break_watches: bool,
+        /// Reads and watches of keys under this prefix fail; empty means none.
+        pub unreadable_prefix: String,
         /// Leases expire after this share of their time to live, in percent; 0 means 100%.
         pub lease_percent: u32,
     }
@@ -121,6 +123,9 @@
         if faults.outage {
             return Err(Error::new(ErrorKind::StoreUnavailable, "outage"));
         }
+        if is_unreadable(&call, &faults.unreadable_prefix) {
+            return Err(Error::new(ErrorKind::StoreUnavailable, "unreadable prefix"));
+        }
         if let StoreCall::Watch { prefix, after_revision, wait_ms } = call {
             let wait = Duration::from_millis(wait_ms);
             return self.watch(&prefix, after_revision, wait, faults.break_watches).await;
@@ -161,6 +166,17 @@
     }
 }
 
+fn is_unreadable(call: &StoreCall, unreadable_prefix: &str) -> bool {
+    match call {
+        StoreCall::Range { prefix }
+        | StoreCall::Page { prefix, .. }
+        | StoreCall::Watch { prefix, .. } => {
+            !unreadable_prefix.is_empty() && prefix.starts_with(unreadable_prefix)
+        }
+        _ => false,
+    }
+}
+
 impl State {
     fn apply(&mut self, call: StoreCall) -> Result<StoreReply, Error> {
         self.expire_leases();
--- a/crates/agatesill_standin/src/workers/mod.rs
+++ b/crates/agatesill_standin/src/workers/mod.rs
@@ -40,6 +40,10 @@
         pub lose_answers: bool,
         /// Delay of responses; calls take effect immediately.
         pub slow_ms: u64,
+        /// Delay of calls before they take effect, also if the caller has given up by then.
+        pub delay_calls_ms: u64,
+        /// The same for starts alone.
+        pub delay_starts_ms: u64,
         /// Every attempt fails when it starts.
         pub fail_all: bool,
         /// Classes whose attempts fail when they start.
@@ -109,34 +113,57 @@
             Ok(call) => call,
             Err(error) => return respond::<()>(Err(error)),
         };
-        let unreachable_error =
-            || Err(Error::new(ErrorKind::Unreachable, format!("worker {worker}")));
-        respond(injector.apply(self.call(worker, call)).await.unwrap_or_else(unreachable_error))
+        let standin = self.clone();
+        let served = async move { standin.call(worker, call).await };
+        let lost = || Err(unreachable_error(worker));
+        respond(injector.apply(served).await.unwrap_or_else(lost))
     }
 
     /// Calls a worker with its active faults.
     pub async fn call(&self, worker: WorkerId, call: WorkerCall) -> Result<WorkerReply, Error> {
         let faults = self.lock().faults(worker);
-        let unreachable_error = || Error::new(ErrorKind::Unreachable, format!("worker {worker}"));
         if faults.unreachable {
             tokio::time::sleep(UNREACHABLE_TIMEOUT).await;
-            return Err(unreachable_error());
+            return Err(unreachable_error(worker));
         }
+        let delay_ms = match call {
+            WorkerCall::Start { .. } => faults.delay_calls_ms.max(faults.delay_starts_ms),
+            _ => faults.delay_calls_ms,
+        };
+        if delay_ms == 0 {
+            return self.deliver(worker, call).await;
+        }
+        let standin = self.clone();
+        // A task of its own: the server drops a handler whose caller has disconnected.
+        let delivered = tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            standin.deliver(worker, call).await
+        });
+        delivered.await.unwrap_or_else(|_| Err(unreachable_error(worker)))
+    }
+
+    async fn deliver(&self, worker: WorkerId, call: WorkerCall) -> Result<WorkerReply, Error> {
+        let faults = self.lock().faults(worker);
         if self.lock().is_down(worker) {
-            return Err(unreachable_error());
+            return Err(unreachable_error(worker));
         }
         let reply = self.lock().handle_call(worker, call);
         if self.lock().is_down(worker) {
-            return Err(unreachable_error());
+            return Err(unreachable_error(worker));
         }
         if faults.lose_answers {
             tokio::time::sleep(UNREACHABLE_TIMEOUT).await;
-            return Err(unreachable_error());
+            return Err(unreachable_error(worker));
         }
         tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         reply
     }
 
+    /// Crashes one worker: it loses all attempts and restarts shortly afterwards under its number.
+    pub fn restart(&self, worker: WorkerId) {
+        self.lock().crash(worker);
+    }
+
     /// Replaces the active faults of one worker.
     pub fn set_faults(&self, worker: WorkerId, faults: WorkerFaults) {
         self.lock().set_faults(worker, faults);
@@ -164,6 +191,10 @@
     }
 }
 
+fn unreachable_error(worker: WorkerId) -> Error {
+    Error::new(ErrorKind::Unreachable, format!("worker {worker}"))
+}
+
 /// Starts the workers on `addr` and returns the bound address. Port 0 selects a free port.
 pub async fn start_workers(
     workers: &WorkersStandin,
--- a/crates/agatesill_standin/src/workers/pool.rs
+++ b/crates/agatesill_standin/src/workers/pool.rs
@@ -103,7 +103,8 @@
     }
 
     /// Crashes a worker: it loses all attempts and restarts after [`CRASH_DOWNTIME`].
-    fn crash(&mut self, id: WorkerId) {
+    pub(super) fn crash(&mut self, id: WorkerId) {
+        self.advance_worker(id);
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.down_until = Some(Instant::now() + CRASH_DOWNTIME);
         self.audit.crashes += 1;
