Cells place nothing before a configuration has been read

A daemon that restarted and took a cell over before it had read a configuration planned with an empty one: without quotas, closed zones and profiles. Its submitters saw tasks beyond their team's quota. Cause: the absence of a configuration counted as one that limits nothing. The policy now plans only once a version is active; ends, cancellations and calls to workers go on.

`quotas_hold_before_the_configuration_is_read`: with a quota for one task, a restarted daemon whose reads of `config/` fail started 8 of 8 tasks before, and starts none of the other 7 now.

--- a/crates/agatesilld/src/cells/commit.rs
+++ b/crates/agatesilld/src/cells/commit.rs
@@ -48,7 +48,7 @@
 pub(super) fn start_write(
     name: &str,
     owned: &mut OwnedCell,
-    valid: bool,
+    may_plan: bool,
     config: &BatchConfig,
     events: &mpsc::Sender<Event>,
 ) {
@@ -79,7 +79,7 @@
         });
         return;
     }
-    let Some(deltas) = next_group(owned, valid, config) else {
+    let Some(deltas) = next_group(owned, may_plan, config) else {
         owned.log = Some(log);
         return;
     };
@@ -96,9 +96,13 @@
 
 /// Collects the pending deltas and a new plan, as far as they fit into one record. A plan that is
 /// not written is dropped; the next one is made from the ledger at that time.
-fn next_group(owned: &mut OwnedCell, valid: bool, config: &BatchConfig) -> Option<Vec<CellDelta>> {
+fn next_group(
+    owned: &mut OwnedCell,
+    may_plan: bool,
+    config: &BatchConfig,
+) -> Option<Vec<CellDelta>> {
     let mut deltas = owned.pending.clone();
-    if valid {
+    if may_plan {
         let plan = owned.policy.plan(now_ms(), &owned.cell, config);
         for throttle in plan.throttles {
             owned.connections.entry(throttle.worker).or_default().throttle(throttle);
--- a/crates/agatesilld/src/cells/mod.rs
+++ b/crates/agatesilld/src/cells/mod.rs
@@ -239,6 +239,7 @@
     }
 
     fn tick_cell(&mut self, name: &str, valid: bool, config: &BatchConfig) {
+        let has_config = self.shared.config().version > 0;
         let Some(settings) = self.settings.get(name) else { return };
         let Some(owned) = self.owned.get_mut(name) else { return };
         let unconfirmed = owned.confirmed.elapsed();
@@ -247,7 +248,9 @@
         }
         owned.expire_waiters();
         owned.end_expired_attempts(settings);
-        commit::start_write(name, owned, valid, config, &self.events);
+        // Without a configuration, no quota and no closed zone is known.
+        let may_plan = valid && has_config;
+        commit::start_write(name, owned, may_plan, config, &self.events);
         let calls = workers::CallContext {
             cell: name,
             settings,
