Unreachable workers of a cell get no new tasks until they answer

A task that was lost with an unreachable worker was placed there again, lease after lease, while other workers were free: nothing told the policy which workers answer. Workers that have not answered for a whole lease, the time after which they are not renewed either, are left out of placements now. The ledger, and with it what counts as possible, does not change.

Ends are noticed as before; the task runs again one attempt later, in place of never.

--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -104,6 +104,11 @@
 }
 
 impl BatchPolicy {
+    /// Sets the workers that cannot be reached and get no new tasks until they answer.
+    pub fn set_unreachable(&mut self, workers: BTreeSet<WorkerId>, cell: &Cell) {
+        self.workers.set_unreachable(workers, cell);
+    }
+
     /// Rebuilds the policy's state from the ledger after a takeover.
     ///
     /// The ledger does not hold the times of starts and evictions. Live attempts count as started
--- a/crates/agatesill_policy/src/batch/policy/workers.rs
+++ b/crates/agatesill_policy/src/batch/policy/workers.rs
@@ -52,6 +52,7 @@
     tentative: Vec<(WorkerId, usize, f64)>,
     location_indices: BTreeMap<String, u32>,
     closed_zones: BTreeSet<String>,
+    unreachable: BTreeSet<WorkerId>,
     total: Resources,
 }
 
@@ -83,7 +84,8 @@
         load.has_accelerators = worker.spec.capacity.accelerators > 0;
         let is_schedulable = worker.is_schedulable()
             && !worker.is_over_capacity()
-            && !self.closed_zones.contains(&worker.spec.zone);
+            && !self.closed_zones.contains(&worker.spec.zone)
+            && !self.unreachable.contains(&id);
         self.set_free(id, is_schedulable.then(|| worker.free()));
     }
 
@@ -96,6 +98,14 @@
         cell.workers().for_each(|worker| self.sync(worker));
     }
 
+    /// Sets the workers that cannot be reached and accept no new tasks.
+    pub fn set_unreachable(&mut self, workers: BTreeSet<WorkerId>, cell: &Cell) {
+        let before = std::mem::replace(&mut self.unreachable, workers);
+        let changed: Vec<WorkerId> =
+            before.symmetric_difference(&self.unreachable).copied().collect();
+        changed.iter().filter_map(|id| cell.worker(*id)).for_each(|worker| self.sync(worker));
+    }
+
     /// Sets the free capacity of a worker, or removes the worker from the directory.
     fn set_free(&mut self, id: WorkerId, free: Option<Resources>) {
         if let Some(old) = self.free.remove(&id) {
--- a/crates/agatesilld/src/cells/commit.rs
+++ b/crates/agatesilld/src/cells/commit.rs
@@ -11,6 +11,7 @@
 use super::owned::{Awaited, OwnedCell};
 use super::report::{job_status, log_delta};
 use super::{Event, now_ms};
+use crate::settings::CellSettings;
 
 /// Maximum number of placements proposed for one record.
 pub(super) const MAX_PLACEMENTS_PER_COMMIT: usize = 256;
@@ -48,6 +49,7 @@
 pub(super) fn start_write(
     name: &str,
     owned: &mut OwnedCell,
+    settings: &CellSettings,
     may_plan: bool,
     config: &BatchConfig,
     events: &mpsc::Sender<Event>,
@@ -79,7 +81,7 @@
         });
         return;
     }
-    let Some(deltas) = next_group(owned, may_plan, config) else {
+    let Some(deltas) = next_group(owned, settings, may_plan, config) else {
         owned.log = Some(log);
         return;
     };
@@ -98,11 +100,13 @@
 /// not written is dropped; the next one is made from the ledger at that time.
 fn next_group(
     owned: &mut OwnedCell,
+    settings: &CellSettings,
     may_plan: bool,
     config: &BatchConfig,
 ) -> Option<Vec<CellDelta>> {
     let mut deltas = owned.pending.clone();
     if may_plan {
+        owned.policy.set_unreachable(owned.unresponsive_workers(settings), &owned.cell);
         let plan = owned.policy.plan(now_ms(), &owned.cell, config);
         for throttle in plan.throttles {
             owned.connections.entry(throttle.worker).or_default().throttle(throttle);
--- a/crates/agatesilld/src/cells/mod.rs
+++ b/crates/agatesilld/src/cells/mod.rs
@@ -250,7 +250,7 @@
         owned.end_expired_attempts(settings);
         // Without a configuration, no quota and no closed zone is known.
         let may_plan = valid && has_config;
-        commit::start_write(name, owned, may_plan, config, &self.events);
+        commit::start_write(name, owned, settings, may_plan, config, &self.events);
         let calls = workers::CallContext {
             cell: name,
             settings,
--- a/crates/agatesilld/src/cells/owned.rs
+++ b/crates/agatesilld/src/cells/owned.rs
@@ -124,6 +124,18 @@
         }
     }
 
+    /// Workers that have not answered for a whole lease.
+    ///
+    /// Guards against tasks that are placed on the same unreachable worker again and again.
+    pub(super) fn unresponsive_workers(&self, settings: &CellSettings) -> BTreeSet<WorkerId> {
+        let now = Instant::now();
+        let is_unresponsive = |connection: &WorkerConnection| {
+            connection.is_unresponsive(self.taken_over_at, settings, now)
+        };
+        let unresponsive = self.connections.iter().filter(|(_, one)| is_unresponsive(one));
+        unresponsive.map(|(id, _)| *id).collect()
+    }
+
     /// Queues the end of an attempt that was lost with its worker.
     pub(super) fn end_lost_attempt(&mut self, task: &str, attempt: Attempt, worker: WorkerId) {
         let seen_for_ms = self
--- a/crates/agatesilld/tests/cells/main.rs
+++ b/crates/agatesilld/tests/cells/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod cluster;
+mod ends;
 mod quotas;
 
 use std::sync::Arc;
