Starts and renewals of a cell take effect soon after they were sent, or never

Seen in the tests: a task runs on two workers. (1) A start that was delayed for 4 s ran after its attempt had been declared lost. (2) Renewals that took 3.6 s extended a lease of 4 s beyond the owner's reckoning. (3) A late start ran on its restarted worker, which had forgotten the stop that barred it. (4) Without any loss, beside a worker that takes 0.5 s to answer, 4 tasks ran twice.

Cause: leases are relative to the arrival of a call, and nothing bounded the arrival; the owner reckoned 0.8 s, its own timeout. Its reckoning began when a round of calls was computed, while the round waited for a permit and then sent up to 64 calls one after another. Nothing told a call for a former process from one for the present one.

Change: replies carry the worker's incarnation and clock. Each start and renewal names that incarnation and a limit on its clock, 0.8 s after it is sent; later it has no effect, and a rejected start counts as not sent. The lease counts from the sending, and does not expire while a round may still renew it. Calls are computed when their round may begin; starts and stops that are not sent within 0.4 s wait for the next round. The first call to a worker only asks for its clock. A lost worker is noticed after the same time as before: the lease, 20% and 0.8 s after the last renewal.

Why it holds: the owner takes the clock as read when its reply arrived, which is not before it was read, so the worker's clock reaches the limit by the time that the owner reckons.

--- a/crates/agatesill_standin/src/faults/batch.rs
+++ b/crates/agatesill_standin/src/faults/batch.rs
@@ -417,6 +417,7 @@
         ("resumed", audit.resumed as f64),
         ("lapsed", audit.lapsed as f64),
         ("fenced_calls", audit.fenced_calls as f64),
+        ("late_calls", audit.late_calls as f64),
         ("refused_starts", audit.refused_starts as f64),
         ("finished_twice", audit.finished.values().filter(|times| **times > 1).count() as f64),
         ("lost_checkpoints", audit.lost_checkpoints() as f64),
--- a/crates/agatesill_standin/src/workers/audit.rs
+++ b/crates/agatesill_standin/src/workers/audit.rs
@@ -54,6 +54,9 @@
         pub refused_starts: u64,
         /// Starts of a task whose success the owner had already acknowledged.
         pub starts_after_success: u64,
+        /// Starts and renewals without effect because they arrived too late or were for an earlier
+        /// incarnation of the worker.
+        pub late_calls: u64,
         /// Calls refused because a call with a newer epoch had arrived before.
         pub fenced_calls: u64,
         /// Attempts by task, in start order.
--- a/crates/agatesill_standin/src/workers/mod.rs
+++ b/crates/agatesill_standin/src/workers/mod.rs
@@ -13,7 +13,7 @@
 use agatesill_policy::prelude::*;
 use agatesill_policy::value_type;
 use agatesill_wire::http::{read_json, respond, serve};
-use agatesill_wire::platform::{WorkerCall, WorkerReply};
+use agatesill_wire::platform::{CallValidity, WorkerCall, WorkerReply};
 use agatesill_wire::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -164,6 +164,11 @@
         self.lock().crash(worker);
     }
 
+    /// Returns the validity of a call that takes effect at one worker within `for_ms`.
+    pub fn validity(&self, worker: WorkerId, for_ms: u64) -> CallValidity {
+        self.lock().validity(worker, for_ms)
+    }
+
     /// Replaces the active faults of one worker.
     pub fn set_faults(&self, worker: WorkerId, faults: WorkerFaults) {
         self.lock().set_faults(worker, faults);
--- a/crates/agatesill_standin/src/workers/pool.rs
+++ b/crates/agatesill_standin/src/workers/pool.rs
@@ -5,7 +5,9 @@
 
 use agatesill_policy::batch::{ServiceUsage, TaskUsage};
 use agatesill_policy::prelude::*;
-use agatesill_wire::platform::{AttemptReport, AttemptState, WorkerCall, WorkerReply};
+use agatesill_wire::platform::{
+    AttemptReport, AttemptState, CallValidity, WorkerCall, WorkerReply,
+};
 use agatesill_wire::prelude::*;
 
 use super::audit::{AttemptRecord, WorkerAudit};
@@ -43,10 +45,12 @@
     tasks: Vec<TaskUsage>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Worker {
     spec: Option<WorkerSpec>,
     epoch: u64,
+    incarnation: u64,
+    started_at: Instant,
     attempts: BTreeMap<(TaskId, Attempt), Running>,
     live: BTreeSet<(TaskId, Attempt)>,
     samples: Vec<Sample>,
@@ -54,6 +58,32 @@
     down_until: Option<Instant>,
 }
 
+impl Default for Worker {
+    fn default() -> Self {
+        Self {
+            spec: None,
+            epoch: 0,
+            incarnation: rand::random(),
+            started_at: Instant::now(),
+            attempts: BTreeMap::new(),
+            live: BTreeSet::new(),
+            samples: Vec::new(),
+            faults: WorkerFaults::default(),
+            down_until: None,
+        }
+    }
+}
+
+impl Worker {
+    fn clock_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+
+    fn is_valid(&self, validity: &CallValidity) -> bool {
+        validity.incarnation == self.incarnation && self.clock_ms() <= validity.until_ms
+    }
+}
+
 /// Parameters of a start call.
 struct Start {
     task: TaskId,
@@ -96,6 +126,11 @@
         self.workers.get(&worker).map(|worker| worker.faults.clone()).unwrap_or_default()
     }
 
+    pub(super) fn validity(&mut self, worker: WorkerId, for_ms: u64) -> CallValidity {
+        let worker = self.workers.entry(worker).or_default();
+        CallValidity { incarnation: worker.incarnation, until_ms: worker.clock_ms() + for_ms }
+    }
+
     /// Whether a worker has crashed and not yet restarted.
     pub(super) fn is_down(&self, worker: WorkerId) -> bool {
         let until = self.workers.get(&worker).and_then(|worker| worker.down_until);
@@ -115,6 +150,8 @@
         }
         worker.attempts.clear();
         worker.samples.clear();
+        worker.incarnation = rand::random();
+        worker.started_at = Instant::now();
     }
 
     pub(super) fn uptime_ms(&self) -> u64 {
@@ -137,7 +174,9 @@
     ) -> Result<WorkerReply, Error> {
         self.advance();
         self.fence(id, call_epoch(&call))?;
+        let is_valid = self.check_validity(id, &call);
         match call {
+            WorkerCall::Start { .. } if !is_valid => {}
             WorkerCall::Start {
                 task,
                 attempt,
@@ -147,13 +186,15 @@
                 run_ms,
                 checkpoint_ms,
                 lease_ms,
+                ..
             } => {
                 let start =
                     Start { task, attempt, epoch, need, class, run_ms, checkpoint_ms, lease_ms };
                 self.start(id, start);
             }
             WorkerCall::Renew { attempts, settled, lease_ms, .. } => {
-                self.renew(id, attempts, settled, lease_ms);
+                let renewed = if is_valid { attempts } else { Vec::new() };
+                self.renew(id, renewed, settled, lease_ms);
             }
             WorkerCall::Stop { task, attempt, checkpoint, .. } => {
                 self.stop(id, task, attempt, checkpoint);
@@ -182,6 +223,18 @@
         Ok(())
     }
 
+    /// Whether a call may start attempts or renew leases.
+    fn check_validity(&mut self, id: WorkerId, call: &WorkerCall) -> bool {
+        let (validity, has_effect) = match call {
+            WorkerCall::Start { validity, .. } => (validity, true),
+            WorkerCall::Renew { validity, attempts, .. } => (validity, !attempts.is_empty()),
+            WorkerCall::Stop { .. } | WorkerCall::Throttle { .. } => return true,
+        };
+        let is_valid = self.workers.entry(id).or_default().is_valid(validity);
+        self.audit.late_calls += u64::from(has_effect && !is_valid);
+        is_valid
+    }
+
     fn attempt(&mut self, id: WorkerId, task: &str, attempt: Attempt) -> Option<&mut Running> {
         self.workers.get_mut(&id)?.attempts.get_mut(&(task.to_owned(), attempt))
     }
@@ -404,6 +457,8 @@
             worker.samples.iter().rev().find(|sample| now.duration_since(sample.sampled_at) >= lag);
         WorkerReply {
             attempts,
+            incarnation: worker.incarnation,
+            clock_ms: worker.clock_ms(),
             services: seen.map(|sample| sample.services.clone()).unwrap_or_default(),
             tasks: seen.map(|sample| sample.tasks.clone()).unwrap_or_default(),
             usage_age_ms: seen
--- a/crates/agatesill_wire/src/platform.rs
+++ b/crates/agatesill_wire/src/platform.rs
@@ -133,6 +133,20 @@
     }
 }
 
+value_type! {
+    /// When and at which process a call to a worker may take effect.
+    ///
+    /// Without it, a call that arrives late, also one that was delayed in the network, would start an
+    /// attempt that has been declared lost, or extend a lease that its owner takes for expired.
+    #[derive(Copy, Eq, Default)]
+    pub struct CallValidity {
+        /// Incarnation of the worker that the call is for.
+        pub incarnation: u64,
+        /// Reading of that incarnation's clock after which the call has no effect.
+        pub until_ms: u64,
+    }
+}
+
 /// Request to a worker, idempotent by task and attempt.
 ///
 /// A worker rejects a call whose epoch is lower than the highest it has seen, with
@@ -158,6 +172,8 @@
         checkpoint_ms: u64,
         /// Lease duration, counted from receipt of the call.
         lease_ms: u64,
+        /// The worker starts nothing if the call is not valid, and replies with its reports.
+        validity: CallValidity,
     },
     /// Renews the leases of the listed attempts and returns reports on all attempts known to the
     /// worker.
@@ -172,6 +188,8 @@
         settled: Vec<(TaskId, Attempt)>,
         /// New lease duration, counted from receipt of the call.
         lease_ms: u64,
+        /// The worker renews no lease if the call is not valid.
+        validity: CallValidity,
     },
     /// Stops an attempt. An attempt unknown to the worker is recorded as stopped, so that a late
     /// start call is refused.
@@ -234,6 +252,10 @@
     pub struct WorkerReply {
         /// Attempts known to the worker.
         pub attempts: Vec<AttemptReport>,
+        /// Identifies the worker's process; a restarted worker has another one.
+        pub incarnation: u64,
+        /// Reading of the process's monotonic clock when it replied.
+        pub clock_ms: u64,
         /// Usage of the latency-critical services on the worker at the time of the sample.
         #[serde(default)]
         pub services: Vec<ServiceUsage>,
--- a/crates/agatesilld/src/cells/connections.rs
+++ b/crates/agatesilld/src/cells/connections.rs
@@ -6,7 +6,7 @@
 
 use agatesill_policy::batch::Throttle;
 use agatesill_policy::prelude::*;
-use agatesill_wire::platform::{AttemptReport, AttemptState};
+use agatesill_wire::platform::{AttemptReport, AttemptState, CallValidity, WorkerReply};
 
 use super::workers::WORKER_CALL_TIMEOUT;
 use crate::settings::CellSettings;
@@ -16,11 +16,39 @@
 /// delays on the worker.
 const LEASE_MARGIN_PERCENT: u32 = 20;
 
+/// Reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClockReading {
+    incarnation: u64,
+    clock_ms: u64,
+    /// When the reply that carries the reading had arrived.
+    received: Instant,
+}
+
+impl ClockReading {
+    /// The reading that a reply carries.
+    pub(super) fn new(reply: &WorkerReply, received: Instant) -> Self {
+        Self { incarnation: reply.incarnation, clock_ms: reply.clock_ms, received }
+    }
+
+    /// Validity of a call sent at `sent`: it takes effect within [`WORKER_CALL_TIMEOUT`] or never.
+    ///
+    /// Holds because the reading was taken before its reply arrived, so that the worker's clock shows
+    /// `until_ms` at the end of that time or earlier.
+    pub(super) fn validity(&self, sent: Instant) -> CallValidity {
+        let elapsed = sent.saturating_duration_since(self.received) + WORKER_CALL_TIMEOUT;
+        let until_ms = self.clock_ms.saturating_add(elapsed.as_millis() as u64);
+        CallValidity { incarnation: self.incarnation, until_ms }
+    }
+}
+
 /// An attempt as seen by its worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TrackedAttempt {
     /// When a start or renewal was last sent, regardless of the result of the call.
     pub(super) sent: Instant,
+    /// Whether the round of calls in progress may still send one.
+    pub(super) sending: bool,
     /// Whether the worker's latest answer listed it as running.
     pub(super) seen: bool,
     /// When an answer first listed it as running.
@@ -34,7 +62,14 @@
 impl TrackedAttempt {
     /// Tracks an attempt that has not been started.
     pub(super) fn new(now: Instant) -> Self {
-        Self { sent: now, seen: false, seen_since: None, last_seen: None, start_sent: false }
+        Self {
+            sent: now,
+            sending: false,
+            seen: false,
+            seen_since: None,
+            last_seen: None,
+            start_sent: false,
+        }
     }
 
     /// Tracks an attempt that an earlier owner placed and may have started.
@@ -61,6 +96,8 @@
     pub(super) called: Option<Instant>,
     /// When the worker last answered.
     pub(super) answered: Option<Instant>,
+    /// The newest reading of the worker's clock.
+    pub(super) clock: Option<ClockReading>,
     /// When the worker first answered this owner. From then on it refuses earlier owners.
     pub(super) reached: Option<Instant>,
     pub(super) tracked_attempts: BTreeMap<(TaskId, Attempt), TrackedAttempt>,
@@ -89,7 +126,17 @@
         self.due = true;
     }
 
-    /// Records that the starts of these attempts were not sent after all.
+    /// Records when the finished round sent a start or a renewal of these attempts.
+    pub(super) fn finish_sending(&mut self, sent: &[((TaskId, Attempt), Instant)]) {
+        self.tracked_attempts.values_mut().for_each(|track| track.sending = false);
+        for (key, sent) in sent {
+            if let Some(track) = self.tracked_attempts.get_mut(key) {
+                track.sent = *sent;
+            }
+        }
+    }
+
+    /// Records that the starts of these attempts were not sent after all, or had no effect.
     ///
     /// Guards against healthy jobs that fail for starts that never reached a worker: an attempt that
     /// may have been started and is not reported counts as one that crashed its worker.
@@ -151,7 +198,7 @@
     /// Whether the lease of an attempt has certainly expired.
     ///
     /// The lease counts from the last renewal *sent* by this owner: an unanswered renewal may have
-    /// arrived, at most [`WORKER_CALL_TIMEOUT`] later. After a takeover it counts from the worker's
+    /// arrived, and its validity ends [`WORKER_CALL_TIMEOUT`] later. After a takeover it counts from the worker's
     /// first answer, because the previous owner may have renewed until then. For a worker that has
     /// never answered, it counts from the end of the time for which a previous owner may keep
     /// renewing without the store.
@@ -165,7 +212,11 @@
     ) -> bool {
         let lease = Duration::from_millis(settings.attempt_lease_ms);
         let expiry = lease * (100 + LEASE_MARGIN_PERCENT) / 100 + WORKER_CALL_TIMEOUT;
-        let sent = self.tracked_attempts.get(&(task.to_owned(), attempt)).map(|track| track.sent);
+        let track = self.tracked_attempts.get(&(task.to_owned(), attempt));
+        if track.is_some_and(|track| track.sending) {
+            return false;
+        }
+        let sent = track.map(|track| track.sent);
         let from = match self.reached {
             Some(reached) => reached,
             None => taken_over_at + Duration::from_millis(settings.outage_renew_ms),
--- a/crates/agatesilld/src/cells/mod.rs
+++ b/crates/agatesilld/src/cells/mod.rs
@@ -35,7 +35,7 @@
 use self::forward::Forwarder;
 use self::lease_keeper::{LeaseKeeper, LeaseKeeperCall, Takeover};
 use self::owned::OwnedCell;
-use self::workers::WorkerCallResult;
+use self::workers::{RoundPermit, WorkerCallResult};
 use crate::settings::{CellSettings, Settings};
 use crate::shared::Shared;
 
@@ -80,8 +80,10 @@
     Takeover(Box<Takeover>),
     /// A write to a cell's log finished.
     WriteResult(Box<WriteResult>),
+    /// A round of calls to a worker may begin.
+    RoundPermit(RoundPermit),
     /// A round of calls to a worker finished.
-    Worker(WorkerCallResult),
+    Worker(Box<WorkerCallResult>),
 }
 
 /// The store lease as last reported to the loop.
@@ -182,9 +184,13 @@
                 let name = result.cell.clone();
                 self.contain(&name, |manager| manager.write_finished(*result));
             }
+            Event::RoundPermit(permit) => {
+                let name = permit.cell.clone();
+                self.contain(&name, |manager| manager.begin_worker_calls(permit));
+            }
             Event::Worker(result) => {
                 let name = result.cell.clone();
-                self.contain(&name, |manager| manager.worker_calls_finished(result));
+                self.contain(&name, |manager| manager.worker_calls_finished(*result));
             }
         }
     }
@@ -279,6 +285,24 @@
         }
     }
 
+    fn begin_worker_calls(&mut self, permit: RoundPermit) {
+        let name = permit.cell.clone();
+        let Some(settings) = self.settings.get(&name) else { return };
+        let Some(owned) = self.owned.get_mut(&name) else { return };
+        if owned.epoch != permit.epoch {
+            return;
+        }
+        let calls = workers::CallContext {
+            cell: &name,
+            settings,
+            client: &self.client,
+            permits: &self.worker_call_permits,
+            events: &self.events,
+            may_start: self.lease.is_valid(),
+        };
+        workers::begin_round(owned, &calls, permit);
+    }
+
     fn worker_calls_finished(&mut self, result: WorkerCallResult) {
         let name = result.cell.clone();
         let Some(owned) = self.owned.get_mut(&name) else { return };
--- a/crates/agatesilld/src/cells/workers.rs
+++ b/crates/agatesilld/src/cells/workers.rs
@@ -5,18 +5,20 @@
 //! latest answer determine whether an attempt has to be started, renewed or stopped, so the next
 //! call repairs a lost call, a lost answer or a takeover.
 
-use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use agatesill_policy::prelude::*;
 use agatesill_wire::http::JsonClient;
-use agatesill_wire::platform::{AttemptReport, AttemptState, WorkerCall, WorkerReply};
+use agatesill_wire::platform::{
+    AttemptReport, AttemptState, CallValidity, WorkerCall, WorkerReply,
+};
 use agatesill_wire::prelude::*;
 use hyper::Method;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
-use super::connections::{TrackedAttempt, WorkerConnection};
+use super::connections::{ClockReading, TrackedAttempt, WorkerConnection};
 use super::owned::OwnedCell;
 use super::{Event, ledger_check, usage};
 use crate::settings::CellSettings;
@@ -27,6 +29,11 @@
 /// Maximum number of calls to one worker in one round. The rest wait for the next round.
 const MAX_CALLS_PER_ROUND: usize = 64;
 
+/// Time from the beginning of a round during which starts and stops are sent. The rest wait for the
+/// next round, so that renewals do not wait behind slow answers, and nothing is sent that the ledger
+/// no longer requires.
+const MAX_SEND_DELAY: Duration = Duration::from_millis(400);
+
 /// Maximum back-off for a worker that does not answer, as a multiple of the poll interval.
 const MAX_BACKOFF_INTERVALS: u32 = 4;
 
@@ -41,19 +48,43 @@
     pub(super) may_start: bool,
 }
 
+/// Permission to begin a round of calls, whose calls are determined only then.
+pub(super) struct RoundPermit {
+    pub(super) cell: String,
+    pub(super) epoch: u64,
+    worker: WorkerId,
+    permit: OwnedSemaphorePermit,
+}
+
 /// Result of one round of calls to a worker.
 pub(super) struct WorkerCallResult {
     pub(super) cell: String,
     pub(super) epoch: u64,
     worker: WorkerId,
-    settled: BTreeSet<(TaskId, Attempt)>,
-    stopped: BTreeSet<(TaskId, Attempt)>,
-    /// Starts that were not sent because an earlier call failed.
-    unsent_starts: Vec<(TaskId, Attempt)>,
+    round: Round,
     outcome: Result<WorkerReply, Error>,
 }
 
-/// Starts a round of calls to every worker that is due and has no round in progress.
+/// Progress of a round of calls.
+#[derive(Default)]
+struct Round {
+    /// The newest reading of the worker's clock.
+    clock: Option<ClockReading>,
+    /// Attempts of which a start or renewal was sent, with the time of sending.
+    sent: Vec<((TaskId, Attempt), Instant)>,
+    /// Starts that were not sent, or that the worker rejected as no longer valid.
+    unsent_starts: Vec<(TaskId, Attempt)>,
+    /// Stops that were answered.
+    stopped: Vec<(TaskId, Attempt)>,
+    settled: Vec<(TaskId, Attempt)>,
+    /// Whether calls are left for the next round.
+    has_more: bool,
+}
+
+/// Requests a round of calls to every worker that is due and has no round in progress.
+///
+/// The limit on concurrent calls prevents a cell of slow workers from holding one connection for
+/// each of them.
 pub(super) fn call_due(owned: &mut OwnedCell, context: &CallContext) {
     let now = Instant::now();
     let poll_interval = Duration::from_millis(context.settings.poll_ms);
@@ -65,11 +96,117 @@
         if connection.busy || (polled && !(connection.due && connection.failures == 0)) {
             continue;
         }
-        let calls = calls_for(id, owned, context, now);
-        spawn_calls(id, owned, context, calls);
+        connection.busy = true;
+        let (permits, events) = (context.permits.clone(), context.events.clone());
+        let (cell, epoch) = (context.cell.to_owned(), owned.epoch);
+        tokio::spawn(async move {
+            let Ok(permit) = permits.acquire_owned().await else { return };
+            let permit = RoundPermit { cell, epoch, worker: id, permit };
+            let _ = events.send(Event::RoundPermit(permit)).await;
+        });
+    }
+}
+
+/// Begins a round of calls.
+pub(super) fn begin_round(owned: &mut OwnedCell, context: &CallContext, permit: RoundPermit) {
+    let begun = Instant::now();
+    let calls = calls_for(permit.worker, owned, context, begun);
+    let clock = owned.connections.entry(permit.worker).or_default().clock;
+    let (client, addr) = (context.client.clone(), context.settings.addr);
+    let events = context.events.clone();
+    tokio::spawn(async move {
+        let RoundPermit { cell, epoch, worker, permit } = permit;
+        let mut round = Round { clock, ..Round::default() };
+        let path = format!("/workers/{worker}");
+        let outcome = send_calls(&client, addr, &path, &mut round, calls, begun).await;
+        drop(permit);
+        let result = WorkerCallResult { cell, epoch, worker, round, outcome };
+        let _ = events.send(Event::Worker(Box::new(result))).await;
+    });
+}
+
+/// Sends the calls one after another; the first failure ends the round. Returns the last reply.
+async fn send_calls(
+    client: &JsonClient,
+    addr: SocketAddr,
+    path: &str,
+    round: &mut Round,
+    calls: Vec<WorkerCall>,
+    begun: Instant,
+) -> Result<WorkerReply, Error> {
+    let mut outcome = Err(Error::new(ErrorKind::Unreachable, path));
+    let mut calls = calls.into_iter();
+    for call in calls.by_ref() {
+        let sent = Instant::now();
+        if sent.duration_since(begun) > MAX_SEND_DELAY && may_wait(&call) {
+            round.skip(&call);
+            continue;
+        }
+        let call = round.validate(call, sent);
+        outcome = client.call(Method::POST, addr, path, &call, WORKER_CALL_TIMEOUT).await;
+        match &outcome {
+            Ok(reply) => round.answered(&call, reply),
+            Err(_) => break,
+        }
+    }
+    calls.for_each(|call| round.skip(&call));
+    outcome
+}
+
+fn may_wait(call: &WorkerCall) -> bool {
+    matches!(call, WorkerCall::Start { .. } | WorkerCall::Stop { .. })
+}
+
+impl Round {
+    /// Leaves a call for the next round.
+    fn skip(&mut self, call: &WorkerCall) {
+        self.has_more = true;
+        self.unsent_starts.extend(start_of(call));
+    }
+
+    /// Limits the time in which a call may take effect and records when it is sent.
+    fn validate(&mut self, mut call: WorkerCall, sent: Instant) -> WorkerCall {
+        let limit = self.clock.map_or(CallValidity::default(), |clock| clock.validity(sent));
+        match &mut call {
+            WorkerCall::Start { task, attempt, validity, .. } => {
+                *validity = limit;
+                self.sent.push(((task.clone(), *attempt), sent));
+            }
+            WorkerCall::Renew { attempts, validity, .. } => {
+                *validity = limit;
+                self.sent.extend(attempts.iter().map(|key| (key.clone(), sent)));
+            }
+            WorkerCall::Stop { .. } | WorkerCall::Throttle { .. } => {}
+        }
+        call
+    }
+
+    fn answered(&mut self, call: &WorkerCall, reply: &WorkerReply) {
+        self.clock = Some(ClockReading::new(reply, Instant::now()));
+        match call {
+            WorkerCall::Start { task, attempt, validity, .. } => {
+                let key = (task.clone(), *attempt);
+                if was_invalid(validity, reply) && !is_reported(&key, &reply.attempts) {
+                    self.has_more = true;
+                    self.unsent_starts.push(key);
+                }
+            }
+            WorkerCall::Stop { task, attempt, .. } => self.stopped.push((task.clone(), *attempt)),
+            WorkerCall::Renew { settled, .. } => self.settled.extend(settled.iter().cloned()),
+            WorkerCall::Throttle { .. } => {}
+        }
     }
 }
 
+/// Whether the worker may have rejected a call as no longer valid when it sent `reply`.
+fn was_invalid(validity: &CallValidity, reply: &WorkerReply) -> bool {
+    reply.incarnation != validity.incarnation || reply.clock_ms > validity.until_ms
+}
+
+fn is_reported(key: &(TaskId, Attempt), reports: &[AttemptReport]) -> bool {
+    reports.iter().any(|report| report.task == key.0 && report.attempt == key.1)
+}
+
 /// The calls that the ledger requires for one worker. Stops come first, to free capacity for
 /// starts.
 fn calls_for(
@@ -87,6 +224,7 @@
         .unwrap_or_default();
     let connection = owned.connections.entry(id).or_default();
     connection.called = Some(now);
+    let has_clock = connection.clock.is_some();
     let unresponsive = connection.is_unresponsive(owned.taken_over_at, context.settings, now);
     connection.due = false;
     let mut calls = stops_and_throttles(connection, epoch);
@@ -114,23 +252,28 @@
             .entry(key.clone())
             .or_insert_with(|| TrackedAttempt::inherited(now));
         if track.seen {
-            track.sent = now;
+            track.sending = true;
             renewed.push(key);
         } else if !track.start_sent && context.may_start {
             starts.push((key, start_call(task, job, view, epoch, lease_ms)));
         }
     }
     let settled = connection.settled.iter().take(MAX_CALLS_PER_ROUND).cloned().collect();
-    let free_calls = MAX_CALLS_PER_ROUND.saturating_sub(calls.len());
+    // The first call to a worker only asks for its clock.
+    let free_calls = match has_clock {
+        true => MAX_CALLS_PER_ROUND.saturating_sub(calls.len()),
+        false => 0,
+    };
     connection.due = starts.len() > free_calls;
     for (key, call) in starts.into_iter().take(free_calls) {
         let track =
             connection.tracked_attempts.entry(key).or_insert_with(|| TrackedAttempt::new(now));
-        track.sent = now;
+        track.sending = true;
         track.start_sent = true;
         calls.push(call);
     }
-    calls.push(WorkerCall::Renew { epoch, attempts: renewed, settled, lease_ms });
+    let validity = CallValidity::default();
+    calls.push(WorkerCall::Renew { epoch, attempts: renewed, settled, lease_ms, validity });
     calls
 }
 
@@ -161,42 +304,7 @@
         run_ms: job.spec.run_ms,
         checkpoint_ms: view.checkpoint_ms,
         lease_ms,
-    }
-}
-
-/// Sends the calls one after another; the first failure ends the round.
-///
-/// The limit on concurrent calls prevents a cell of slow workers from holding one connection for
-/// each of them.
-fn spawn_calls(id: WorkerId, owned: &mut OwnedCell, context: &CallContext, calls: Vec<WorkerCall>) {
-    owned.connections.entry(id).or_default().busy = true;
-    let (client, addr) = (context.client.clone(), context.settings.addr);
-    let (permits, events) = (context.permits.clone(), context.events.clone());
-    let (cell, epoch) = (context.cell.to_owned(), owned.epoch);
-    let settled = calls.iter().flat_map(settled_of).collect();
-    let stopped = calls.iter().filter_map(stop_of).collect();
-    tokio::spawn(async move {
-        let Ok(_permit) = permits.acquire_owned().await else { return };
-        let path = format!("/workers/{id}");
-        let mut outcome = Err(Error::new(ErrorKind::Unreachable, path.clone()));
-        let mut unsent = calls.iter();
-        for call in unsent.by_ref() {
-            outcome = client.call(Method::POST, addr, &path, call, WORKER_CALL_TIMEOUT).await;
-            if outcome.is_err() {
-                break;
-            }
-        }
-        let unsent_starts = unsent.filter_map(start_of).collect();
-        let result =
-            WorkerCallResult { cell, epoch, worker: id, settled, stopped, unsent_starts, outcome };
-        let _ = events.send(Event::Worker(result)).await;
-    });
-}
-
-fn settled_of(call: &WorkerCall) -> Vec<(TaskId, Attempt)> {
-    match call {
-        WorkerCall::Renew { settled, .. } => settled.clone(),
-        _ => Vec::new(),
+        validity: CallValidity::default(),
     }
 }
 
@@ -207,13 +315,6 @@
     }
 }
 
-fn stop_of(call: &WorkerCall) -> Option<(TaskId, Attempt)> {
-    match call {
-        WorkerCall::Stop { task, attempt, .. } => Some((task.clone(), *attempt)),
-        _ => None,
-    }
-}
-
 /// Processes the result of a round. [`ErrorKind::Conflict`] means that the worker has received
 /// calls from a later owner, so this one must stop acting.
 pub(super) fn handle_result(
@@ -222,27 +323,31 @@
     result: WorkerCallResult,
 ) -> Result<(), Error> {
     let id = result.worker;
+    let round = result.round;
     let connection = owned.connections.entry(id).or_default();
     connection.busy = false;
+    connection.clock = round.clock;
+    connection.finish_sending(&round.sent);
+    connection.mark_unsent(&round.unsent_starts);
     let reply = match result.outcome {
         Ok(reply) => reply,
         Err(error) => {
             connection.failures = connection.failures.saturating_add(1);
-            connection.mark_unsent(&result.unsent_starts);
             log::warn!(event = "worker_call_failed", cell = name, worker = id; "{error}");
             return Err(error);
         }
     };
     connection.failures = 0;
     connection.answered = Some(Instant::now());
-    result.settled.iter().for_each(|key| {
+    connection.due |= round.has_more;
+    round.settled.iter().for_each(|key| {
         connection.settled.remove(key);
     });
-    result.stopped.iter().for_each(|key| {
+    round.stopped.iter().for_each(|key| {
         connection.to_stop.remove(key);
     });
     let confirmed_missing =
-        result.stopped.into_iter().filter(|key| connection.is_missing(key, &reply.attempts));
+        round.stopped.into_iter().filter(|key| connection.is_missing(key, &reply.attempts));
     let confirmed_missing: Vec<(TaskId, Attempt)> = confirmed_missing.collect();
     let first = connection.reached.is_none();
     if first {
