Soak: live workers behind cuts, unnoticed restarts, records of double runs

The soak could not have found the live runs that were given up: no address refused connections, a restart took 150 ms or more and left the calls in progress without a reply, so that a planner noticed it before it sent an order; workers were never idle, all shared one clock, and tasks were too short to outlast a change of the planner. A violation named two workers and no more.

Seeds from 11,000 on have twelve workers, clocks of their own, bursts of jobs, and long tasks from the fifth second on, and draw one each of: several workers that refuse connections, a flapping one, one cut off or in one direction, two restarts under the identifier of up to four idle or busy workers (early or late entry), one more followed by a cut longer than a lease, late entries of three workers around a change of the planner, late replies to polls alone and to orders alone. Kills, pauses, handovers and removals of the planner and outages of the store are beside them. Schedules of seeds below are unchanged.

The workers' audit log keeps a record of each run. Two runs at once, or a start after a noted done, are found from the records alone at the end of the run and told with the fields of the users' record; the sender is the owner that the store recorded for the fencing token.

A check that changed: a start after a done that was not noted before the lease lapsed, followed by a done of the second run, counted as a violation, because the check kept the task and not the end. The rule excuses that end for good ("unless the executor's lease lapsed between the two"); cuts longer than a lease meet it. Each end is now judged by its own record; double_runs has the cases.

A daemon whose name is the beginning of another one's (entry-1 with 60 daemons) was taken for the planner; names are now compared whole.

--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -16,6 +16,7 @@
 use crate::history::FaultHistory;
 use crate::load_callers;
 use crate::refusals::{Answer, Answers};
+use crate::run::JOBS_PER_S;
 use crate::support::caller::{Connection, Outcome};
 use crate::support::settings::{self, Step, TaskFault};
 use crate::support::simulated_workers::SimulatedWorkers;
@@ -38,6 +39,10 @@
 /// Time after the acceptance from which every daemon must know a job.
 const MAX_VISIBILITY_DELAY: Duration = Duration::from_secs(3);
 
+/// Number from which jobs have long tasks, in runs that have such jobs, and the duration of these.
+const FIRST_LONG_JOB: u32 = faults::LONG_TASKS_FROM.as_secs() as u32 * JOBS_PER_S;
+const LONG_TASK_MS: std::ops::Range<u64> = 2_000..5_000;
+
 /// Numbers of the jobs with tasks that crash their workers, in runs that have such jobs.
 const CRASHING_JOBS: [u32; 2] = [5, 23];
 
@@ -198,10 +203,13 @@
         let mut random = Pcg64Mcg::seed_from_u64(seed << 16 | u64::from(number));
         let id = format!("{:08x}{number:08x}", seed as u32);
         let is_held = faults::has_load_control(seed) && load_callers::is_held(number);
-        let (queue, steps, mut task_fault) = match is_held {
+        let (queue, mut steps, mut task_fault) = match is_held {
             true => load_callers::draw_held_job(&mut random),
             false => draw_job(&mut random, number),
         };
+        if faults::has_live_workers(seed) && number >= FIRST_LONG_JOB {
+            lengthen_batch_tasks(&mut random, queue, &mut steps);
+        }
         if faults::has_crashing_tasks(seed) && CRASHING_JOBS.contains(&number) {
             task_fault = TaskFault::CrashesWorker;
         }
@@ -317,6 +325,13 @@
     }
 }
 
+/// Lets every third job of the batch queue have tasks that outlast a takeover.
+fn lengthen_batch_tasks(random: &mut Pcg64Mcg, queue: &str, steps: &mut [Step]) {
+    if queue == "month" && random.random_range(0..3) == 0 {
+        steps.iter_mut().for_each(|step| step.work_ms = random.random_range(LONG_TASK_MS));
+    }
+}
+
 /// Draws a job by its number. The first three are long-running; the others belong to the desk queue
 /// or are batch work, and some of them cannot succeed.
 fn draw_job(random: &mut Pcg64Mcg, number: u32) -> (&'static str, Vec<Step>, TaskFault) {
--- a/crates/agatesilld/tests/fleet_soak/daemon.rs
+++ b/crates/agatesilld/tests/fleet_soak/daemon.rs
@@ -101,6 +101,11 @@
         *child = Some(process);
     }
 
+    /// Whether an owner key of the store names this daemon.
+    pub fn is_named_in(&self, owner: &str) -> bool {
+        owner.contains(&format!("\"{}\"", self.name))
+    }
+
     /// Identifies the present process: the number of processes started so far.
     pub fn lifetime(&self) -> u64 {
         self.starts.load(Relaxed)
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -34,9 +34,32 @@
 /// entries of former incarnations that are written late, and numbers at their limits.
 const FIRST_SEED_WITH_SUCCESSIONS: u64 = 10_000;
 
+/// From this seed on runs have more workers, jobs in bursts, workers with clocks of their own, and
+/// faults of workers that live on or restart, beside changes of the planner and outages of the store.
+/// They have no other faults.
+const FIRST_SEED_WITH_LIVE_WORKERS: u64 = 11_000;
+
 /// In one of so many runs with load control, one daemon has none.
 const RUNS_PER_RUN_WITH_BOTH_MODES: u64 = 3;
 
+/// Kinds of faults of workers that live on or restart; each run has one of each.
+const LIVE_WORKER_FAULTS: usize = 9;
+
+/// The kind of several workers that refuse connections for longer than a few polls.
+const REFUSED_CONNECTIONS: usize = 0;
+const MIN_REFUSAL: Duration = Duration::from_millis(1_200);
+
+/// The kind whose entries are written late, of several workers at once. A takeover before that is
+/// always beside it.
+const LATE_ENTRY: usize = 2;
+
+/// Number of workers with the same fault at once, for these two kinds.
+const WORKERS_AT_ONCE: usize = 3;
+
+/// Time from which jobs of runs with live workers have tasks that outlast a takeover. Idle workers are
+/// rare from then on.
+pub const LONG_TASKS_FROM: Duration = Duration::from_secs(4);
+
 /// Time without faults between two rounds of a long run.
 const ROUND_PAUSE: Duration = Duration::from_secs(8);
 
@@ -88,6 +111,14 @@
     RestartWorker(usize),
     /// A worker crashes, and another one is at its address. The former entry is written late.
     SucceedWorker(usize),
+    /// Workers crash and are back within milliseconds under their identifiers.
+    RestartWorkers(Restart),
+    /// Like [`Fault::RestartWorkers`]; after the given time their connections fail in the given way.
+    RestartAndCutWorkers(Restart, Duration, LinkFault),
+    /// A worker's address refuses and accepts connections by turns.
+    FlapWorker(usize),
+    /// The planner's daemon is stopped as planned and restarted.
+    TerminatePlanner,
     /// A job that fits no worker and an entry of another writer, with numbers at their limits.
     ExtremeNumbers,
     /// The connections to a worker fail in the given way; its tasks continue to run.
@@ -104,6 +135,17 @@
     Worker(usize, WorkerFault),
 }
 
+/// Workers that restart under their identifiers at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Restart {
+    pub workers: usize,
+    /// Whether the workers with the fewest or those with the most runs restart.
+    pub is_idle: bool,
+    pub downtime: Duration,
+    /// Time from the restart to the first entry.
+    pub entry_delay: Duration,
+}
+
 /// One scheduled fault of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduledFault {
@@ -118,6 +160,7 @@
         matches!(
             self,
             Self::Terminate(_)
+                | Self::TerminatePlanner
                 | Self::RollingRestart
                 | Self::Hangup(_)
                 | Self::Configure
@@ -138,6 +181,7 @@
             Self::KillAll
             | Self::KillPlanner
             | Self::PausePlanner
+            | Self::TerminatePlanner
             | Self::RollingRestart
             | Self::Store(_)
             | Self::StallConfigWatches
@@ -150,6 +194,9 @@
             | Self::ConfigureLarge
             | Self::CrashWorker(_)
             | Self::RestartWorker(_)
+            | Self::RestartWorkers(_)
+            | Self::RestartAndCutWorkers(..)
+            | Self::FlapWorker(_)
             | Self::SucceedWorker(_)
             | Self::ExtremeNumbers
             | Self::WorkerConnection(..)
@@ -187,6 +234,9 @@
 /// The fault schedule of a seed. Every fourth run has planned maintenance only, as only there
 /// callers may expect that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
+    if has_live_workers(seed) {
+        return schedule_with_live_workers(seed, workers);
+    }
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let is_planned = seed % 4 == 0;
     let has_watch_faults = seed >= FIRST_SEED_WITH_WATCH_FAULTS;
@@ -242,6 +292,110 @@
     scheduled_faults
 }
 
+/// Whether workers of the run of a seed live on or restart while their connections fail.
+pub fn has_live_workers(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_LIVE_WORKERS
+}
+
+/// Faults of workers, each with one of the daemons or of the store beside it. Every fourth run has
+/// planned handovers only.
+fn schedule_with_live_workers(seed: u64, workers: usize) -> Vec<ScheduledFault> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut scheduled_faults = Vec::new();
+    for kind in 0..LIVE_WORKER_FAULTS {
+        let first = draw_live_worker_fault(&mut random, kind, workers);
+        scheduled_faults.push(first);
+        scheduled_faults.extend((1..WORKERS_AT_ONCE).filter_map(|nth| {
+            let fault = match first.fault {
+                Fault::SucceedWorker(worker) => Fault::SucceedWorker((worker + nth) % workers),
+                Fault::WorkerConnection(worker, fault) if kind == REFUSED_CONNECTIONS => {
+                    Fault::WorkerConnection((worker + nth) % workers, fault)
+                }
+                _ => return None,
+            };
+            Some(ScheduledFault { fault, ..first })
+        }));
+        let earliest = if kind == LATE_ENTRY { 0.5 } else { 0.0 };
+        let delay = first.duration.mul_f64(random.random_range(earliest..1.1));
+        let beside = ScheduledFault {
+            at: first.at + delay,
+            duration: Duration::from_millis(random.random_range(300..3_000)),
+            fault: draw_fault_beside(&mut random, seed % 4 == 0, kind == LATE_ENTRY),
+        };
+        if kind == LATE_ENTRY || random.random_bool(0.6) {
+            scheduled_faults.push(beside);
+        }
+    }
+    scheduled_faults.sort_by_key(|scheduled| scheduled.at);
+    scheduled_faults
+}
+
+/// Draws a fault of a kind from 0 to [`LIVE_WORKER_FAULTS`].
+fn draw_live_worker_fault(random: &mut Pcg64Mcg, kind: usize, workers: usize) -> ScheduledFault {
+    let worker = random.random_range(0..workers);
+    let mut at = Duration::from_millis(random.random_range(500..FAULT_PERIOD.as_millis() as u64));
+    let mut duration = Duration::from_millis(random.random_range(400..3_500));
+    let delay = Duration::from_millis(random.random_range(300..2_500));
+    let restart = Restart {
+        workers: random.random_range(1..=4),
+        is_idle: random.random_bool(0.7),
+        downtime: Duration::from_millis(random.random_range(5..60)),
+        entry_delay: Duration::from_millis(match random.random_bool(0.5) {
+            true => 0,
+            false => random.random_range(300..3_000),
+        }),
+    };
+    let link_fault = match random.random_range(0..4) {
+        0 => LinkFault::Refuses,
+        1 => LinkFault::Silent,
+        2 => LinkFault::BlocksReplies,
+        _ => LinkFault::BlocksCalls,
+    };
+    let fault = match kind {
+        REFUSED_CONNECTIONS => {
+            duration = duration.max(MIN_REFUSAL);
+            Fault::WorkerConnection(worker, LinkFault::Refuses)
+        }
+        1 => {
+            at = at.min(LONG_TASKS_FROM);
+            Fault::RestartWorkers(Restart { is_idle: true, ..restart })
+        }
+        LATE_ENTRY => {
+            at = LONG_TASKS_FROM + at / 4;
+            duration = Duration::from_millis(random.random_range(1_500..4_000));
+            Fault::SucceedWorker(worker)
+        }
+        3 => Fault::FlapWorker(worker),
+        4 => Fault::WorkerConnection(worker, link_fault),
+        5 => Fault::RestartWorkers(restart),
+        6 => {
+            at /= 2;
+            duration = Duration::from_millis(random.random_range(5_000..9_000));
+            Fault::RestartAndCutWorkers(restart, delay / 2, link_fault)
+        }
+        7 => Fault::Worker(worker, WorkerFault::SlowPolls(delay)),
+        _ => Fault::Worker(worker, WorkerFault::SlowOrders(delay)),
+    };
+    ScheduledFault { at, duration, fault }
+}
+
+/// A change of the planner or, unless it has to be one, an outage of the store.
+fn draw_fault_beside(random: &mut Pcg64Mcg, is_planned: bool, is_change: bool) -> Fault {
+    let delay = Duration::from_millis(random.random_range(500..2_500));
+    if is_planned {
+        return Fault::TerminatePlanner;
+    }
+    match random.random_range(0..if is_change { 6 } else { 9 }) {
+        0 | 1 => Fault::KillPlanner,
+        2 => Fault::PausePlanner,
+        3 | 4 => Fault::TerminatePlanner,
+        5 => Fault::RevokePlanner,
+        6 => Fault::Store(StoreFault::Refuses),
+        7 => Fault::Store(StoreFault::LosesAnswers),
+        _ => Fault::Store(StoreFault::Late(delay)),
+    }
+}
+
 /// Incarnations of workers that follow one another, with a takeover before the late entry.
 fn draw_succession(random: &mut Pcg64Mcg, workers: usize) -> [ScheduledFault; 3] {
     let at = Duration::from_millis(random.random_range(500..FAULT_PERIOD.as_millis() as u64));
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod config_probe;
 mod daemon;
+mod double_runs;
 mod faults;
 mod gaps;
 mod history;
@@ -26,7 +27,7 @@
 
 use self::faults::{FAULT_PERIOD, long_schedule};
 use self::gaps::{Loss, longest_start_gap};
-use self::run::{SoakRun, WORKERS, daemon_count, run_schedule};
+use self::run::{SoakRun, daemon_count, run_schedule, worker_count};
 use self::support::store::StoreFault;
 
 /// Seeds of the short set. Together they draw every kind of fault: seed 4 has planned maintenance
@@ -47,7 +48,7 @@
 /// Runs the schedules of the seeds and returns a report of each failed run.
 async fn soak(seeds: impl IntoIterator<Item = u64>, concurrent_runs: usize) -> Vec<String> {
     let runs = iter(seeds).map(|seed| async move {
-        let scheduled_faults = faults::schedule(seed, daemon_count(), WORKERS);
+        let scheduled_faults = faults::schedule(seed, daemon_count(), worker_count(seed));
         let (violations, folder) = run_schedule(seed, &scheduled_faults, FAULT_PERIOD).await;
         if violations.is_empty() {
             drop(std::fs::remove_dir_all(&folder));
@@ -129,7 +130,7 @@
     let Ok(rounds) = std::env::var("FLEET_SOAK_ROUNDS") else { return };
     let first = std::env::var("FLEET_SOAK_SEEDS").map_or(3_000, |first| first.parse().unwrap());
     let (scheduled_faults, period) =
-        long_schedule(first, rounds.parse().unwrap(), daemon_count(), WORKERS);
+        long_schedule(first, rounds.parse().unwrap(), daemon_count(), worker_count(first));
     let (violations, folder) = run_schedule(first, &scheduled_faults, period).await;
     let shown = violations.join("\n  ");
     assert!(violations.is_empty(), "seed {first}, logs in {}:\n  {shown}", folder.display());
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use hyper::Method;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -14,7 +15,7 @@
 use crate::callers::{Callers, RequestOutcome, Submission};
 use crate::config_probe::{CALM_PERIOD, ConfigProbe};
 use crate::daemon::Daemon;
-use crate::faults::{self, Fault, ScheduledFault};
+use crate::faults::{self, Fault, Restart, ScheduledFault};
 use crate::history::FaultHistory;
 use crate::operator::Operator;
 use crate::refusals;
@@ -28,7 +29,15 @@
 /// reason.
 const CPU_SHARES: [f64; 3] = [0.5, 0.1, 0.5];
 
-pub const WORKERS: usize = 6;
+const WORKERS: usize = 6;
+
+/// Number of workers of runs in which workers restart while idle.
+const WORKERS_WITH_IDLE_ONES: usize = 12;
+
+/// Number of workers of the run of a seed.
+pub fn worker_count(seed: u64) -> usize {
+    if faults::has_live_workers(seed) { WORKERS_WITH_IDLE_ONES } else { WORKERS }
+}
 
 /// Number of daemons of a run: `FLEET_SOAK_DAEMONS`, or one for each processor share.
 pub fn daemon_count() -> usize {
@@ -65,7 +74,45 @@
 const LOAD_AFTER_FAULTS: Duration = Duration::from_secs(5);
 
 /// Jobs submitted per second.
-const JOBS_PER_S: u32 = 8;
+pub const JOBS_PER_S: u32 = 8;
+
+/// Durations for which the address of a worker refuses and accepts connections by turns.
+const FLAP_REFUSED: Duration = Duration::from_millis(600);
+const FLAP_ACCEPTED: Duration = Duration::from_millis(300);
+
+/// Times of the steps in which an incarnation of a worker follows another one.
+#[derive(Clone, Copy)]
+struct Succession {
+    downtime: Duration,
+    /// From the start of the new incarnation to its first entry.
+    entry_delay: Duration,
+    /// From that entry until the former one is written once more, if it is.
+    late_entry_delay: Option<Duration>,
+    /// Whether open connections are closed at once, as when a process ends on a host that runs on.
+    closes_connections: bool,
+}
+
+impl Succession {
+    /// The steps spread over a time, with a late entry.
+    fn within(duration: Duration) -> Self {
+        Self {
+            downtime: duration / 4,
+            entry_delay: duration / 4,
+            late_entry_delay: Some(duration / 2),
+            closes_connections: false,
+        }
+    }
+
+    /// Like [`Succession::within`], with a process that is back soon.
+    fn quick_within(duration: Duration) -> Self {
+        Self {
+            downtime: duration / 16,
+            entry_delay: duration / 16,
+            late_entry_delay: Some(duration * 7 / 8),
+            closes_connections: true,
+        }
+    }
+}
 
 /// A slot for consecutive incarnations of a worker, each behind its own proxy.
 struct WorkerSlot {
@@ -108,6 +155,9 @@
         std::fs::create_dir_all(&folder).unwrap();
         let (store, store_addr) = FakeStore::start(&stop).await;
         let simulated_workers = Arc::new(SimulatedWorkers::new(true));
+        if faults::has_live_workers(seed) {
+            simulated_workers.use_own_clocks();
+        }
         if faults::has_crashing_tasks(seed) {
             simulated_workers.allow_overcommit();
         }
@@ -121,7 +171,7 @@
             daemons.push(Arc::new(daemon));
         }
         let mut slots = Vec::new();
-        for index in 0..WORKERS {
+        for index in 0..worker_count(seed) {
             slots.push(
                 WorkerSlot::start(&format!("w{index}"), &simulated_workers, &store, &stop).await,
             );
@@ -185,12 +235,15 @@
     }
 
     /// Crashes a worker and starts another incarnation at its address, under `id` or the identifier
-    /// that it had. The new entry is written after a while, and the former one after it once more.
-    async fn succeed_worker(&self, slot: &WorkerSlot, id: Option<String>, duration: Duration) {
+    /// that it had.
+    async fn succeed_worker(&self, slot: &WorkerSlot, id: Option<String>, succession: Succession) {
         let (worker, proxy) = slot.current.lock().unwrap().clone();
         let id = id.unwrap_or_else(|| worker.id.clone());
         worker.crash();
-        tokio::time::sleep(duration / 4).await;
+        if succession.closes_connections {
+            proxy.close_open_connections();
+        }
+        tokio::time::sleep(succession.downtime).await;
         if slot.worker().incarnation != worker.incarnation {
             return;
         }
@@ -207,9 +260,10 @@
         if !is_current {
             return next.crash();
         }
-        tokio::time::sleep(duration / 4).await;
+        tokio::time::sleep(succession.entry_delay).await;
         next.register(&self.store, proxy.addr, "ready");
-        tokio::time::sleep(duration / 2).await;
+        let Some(delay) = succession.late_entry_delay else { return };
+        tokio::time::sleep(delay).await;
         worker.register(&self.store, proxy.addr, "ready");
         tokio::time::sleep(ENTRY_TTL).await;
         self.remove_entry(slot, &worker);
@@ -218,6 +272,39 @@
         }
     }
 
+    /// Restarts several workers at once under their identifiers, and returns them.
+    async fn restart_workers(&self, restart: Restart) -> Vec<&WorkerSlot> {
+        let run_count = |slot: &&WorkerSlot| {
+            let runs = self.simulated_workers.run_count(slot.worker().incarnation) as i64;
+            if restart.is_idle { runs } else { -runs }
+        };
+        let mut slots: Vec<&WorkerSlot> = self.slots.iter().collect();
+        slots.sort_by_key(run_count);
+        slots.truncate(restart.workers);
+        let Restart { downtime, entry_delay, .. } = restart;
+        let succession =
+            Succession { downtime, entry_delay, late_entry_delay: None, closes_connections: true };
+        join_all(slots.iter().map(|slot| self.succeed_worker(slot, None, succession))).await;
+        slots
+    }
+
+    /// Lets the connections to a worker fail in the given way for some time.
+    async fn cut_worker(&self, slot: &WorkerSlot, fault: LinkFault, duration: Duration) {
+        let (_, proxy) = slot.current.lock().unwrap().clone();
+        proxy.set(fault);
+        tokio::time::sleep(duration).await;
+        proxy.set(LinkFault::None);
+    }
+
+    /// Lets the address of a worker refuse and accept connections by turns.
+    async fn flap_worker(&self, slot: &WorkerSlot, duration: Duration) {
+        let until = Instant::now() + duration;
+        while Instant::now() < until {
+            self.cut_worker(slot, LinkFault::Refuses, FLAP_REFUSED).await;
+            tokio::time::sleep(FLAP_ACCEPTED).await;
+        }
+    }
+
     /// Submits a job that fits no worker, and writes an entry of another writer.
     async fn write_extreme_numbers(&self) {
         self.store.put("servers/unknown", settings::EXTREME_ENTRY);
@@ -274,10 +361,14 @@
     /// Submits jobs until `span` has passed.
     pub async fn traffic(self: &Arc<Self>, span: Duration) {
         let count = (span.as_millis() as u32 * JOBS_PER_S) / 1_000;
-        let mut ticks = tokio::time::interval(Duration::from_secs(1) / JOBS_PER_S);
+        let jobs_per_burst = if faults::has_live_workers(self.seed) { JOBS_PER_S } else { 1 };
+        let burst_interval = Duration::from_secs(1) * jobs_per_burst / JOBS_PER_S;
+        let mut ticks = tokio::time::interval(burst_interval);
         let mut jobs = tokio::task::JoinSet::new();
         for number in 0..count {
-            ticks.tick().await;
+            if number % jobs_per_burst == 0 {
+                ticks.tick().await;
+            }
             jobs.spawn(self.callers.clone().live(self.seed, number));
         }
         self.callers.load_over.cancel();
@@ -287,7 +378,14 @@
     /// The daemon that owns the planner's range according to the store.
     pub fn planner(&self) -> Option<Arc<Daemon>> {
         let owner = self.store.text("own/planner")?;
-        self.daemons.iter().find(|daemon| owner.contains(&daemon.name)).cloned()
+        self.daemons.iter().find(|daemon| daemon.is_named_in(&owner)).cloned()
+    }
+
+    /// Name of the daemon that sent orders with a fencing token, according to the store.
+    fn sender(&self, fencing_token: u64) -> String {
+        let owner = self.store.owner_at(fencing_token).unwrap_or_default();
+        let sender = self.daemons.iter().find(|daemon| daemon.is_named_in(&owner));
+        sender.map_or_else(|| "an unknown daemon".to_owned(), |daemon| daemon.name.clone())
     }
 
     /// Injects one fault, from its start to its end.
@@ -296,6 +394,9 @@
         let fault = match scheduled.fault {
             Fault::KillPlanner => self.planner_index().map_or(Fault::RevokePlanner, Fault::Kill),
             Fault::PausePlanner => self.planner_index().map_or(Fault::RevokePlanner, Fault::Pause),
+            Fault::TerminatePlanner => {
+                self.planner_index().map_or(Fault::RevokePlanner, Fault::Terminate)
+            }
             fault => fault,
         };
         let entry = self.history.begin(fault.scope(), fault.is_planned());
@@ -361,7 +462,7 @@
                 tokio::time::sleep(duration).await;
                 proxy.set(LinkFault::None);
             }
-            Fault::KillPlanner | Fault::PausePlanner => {
+            Fault::KillPlanner | Fault::PausePlanner | Fault::TerminatePlanner => {
                 self.add_problem(format!("{fault:?} names no daemon"));
             }
             _ => self.apply_to_worker(fault, duration).await,
@@ -372,13 +473,28 @@
         match fault {
             Fault::CrashWorker(slot) => self.crash_worker(slot).await,
             Fault::RestartWorker(slot) => {
-                self.succeed_worker(&self.slots[slot], None, duration).await;
+                self.succeed_worker(&self.slots[slot], None, Succession::within(duration)).await;
+            }
+            Fault::RestartWorkers(restart) => drop(self.restart_workers(restart).await),
+            Fault::RestartAndCutWorkers(restart, delay, fault) => {
+                let slots = self.restart_workers(restart).await;
+                tokio::time::sleep(delay).await;
+                join_all(slots.into_iter().map(|slot| self.cut_worker(slot, fault, duration)))
+                    .await;
+            }
+            Fault::FlapWorker(slot) => self.flap_worker(&self.slots[slot], duration).await,
+            Fault::WorkerConnection(slot, fault) if faults::has_live_workers(self.seed) => {
+                self.cut_worker(&self.slots[slot], fault, duration).await;
             }
             Fault::SucceedWorker(slot) => {
                 let slot = &self.slots[slot];
                 let incarnation = slot.incarnations.fetch_add(1, Ordering::Relaxed) + 1;
                 let id = format!("{}-{incarnation}", slot.name);
-                self.succeed_worker(slot, Some(id), duration).await;
+                let succession = match faults::has_live_workers(self.seed) {
+                    true => Succession::quick_within(duration),
+                    false => Succession::within(duration),
+                };
+                self.succeed_worker(slot, Some(id), succession).await;
             }
             Fault::ExtremeNumbers => self.write_extreme_numbers().await,
             Fault::CrashTwoWorkers(slot) => {
@@ -463,6 +579,13 @@
         let mut violations = outstanding;
         violations.extend(self.config_probe.violations.lock().unwrap().clone());
         violations.extend(self.simulated_workers.violations());
+        let started_at = self.simulated_workers.started_at();
+        violations.extend(
+            self.simulated_workers
+                .double_runs()
+                .iter()
+                .map(|runs| runs.line(started_at, |token| self.sender(token))),
+        );
         violations.extend(self.callers.violations.lock().unwrap().clone());
         violations.extend(self.problems.lock().unwrap().clone());
         violations.extend(self.daemons.iter().flat_map(|daemon| daemon.problems()));
