Entries at another address end no worker that may run tasks

What callers would see: after a takeover 16 tasks of a live worker start again on another one, in the tests. Cause: an entry replaced the address of a worker that had not answered yet, and the address of the newest entry counted as that at which a worker answers. A late entry of a worker that had restarted elsewhere under its identifier made the answer of another worker at the former address end the live one, or the other way round.

An entry that names another address than the one at which a worker with tasks is known, to this planner or to its predecessor, waits until an answer from there or the end of the lease decides; its worker is added then.

--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -197,6 +197,7 @@
             log::warn!(event = "worker_lapsed", worker = worker.entry.id.as_str(),
                 refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
             self.release_lost_runs(index, false, as_of_us, now_us);
+            self.follow_to_other_address(index, as_of_us, now_us);
         }
     }
 
--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -26,6 +26,9 @@
         let worker = &self.workers[index as usize];
         match worker.order_of(entry.started_ms) {
             Ordering::Less => {}
+            Ordering::Equal if self.is_listed_elsewhere(index, &entry) => {
+                self.await_successor(index, entry);
+            }
             Ordering::Equal => self.entry_changed(index, entry, now_us),
             Ordering::Greater if worker.standing == WorkerStanding::Gone => {
                 return self.add_worker(entry, now_us);
@@ -35,6 +38,18 @@
         index
     }
 
+    /// Whether an entry names another address than the one at which a worker with tasks is known to
+    /// this planner or was known to its predecessor. The answers at the known address decide.
+    ///
+    /// Prevents duplicate runs: a late entry of a worker that has restarted elsewhere under its
+    /// identifier would have the live one taken for terminated, as another one answers at the former
+    /// address.
+    fn is_listed_elsewhere(&self, index: WorkerIndex, entry: &WorkerEntry) -> bool {
+        let worker = &self.workers[index as usize];
+        let known = &worker.entry.address;
+        !known.is_empty() && *known != entry.address && !worker.tasks.is_empty()
+    }
+
     fn add_worker(&mut self, entry: WorkerEntry, now_us: u64) -> WorkerIndex {
         let index = self.workers.len() as WorkerIndex;
         self.worker_by_id.insert(entry.id.clone(), index);
@@ -101,12 +116,34 @@
         worker.superseded_us = sent_us;
         worker.unbarred.clear();
         self.worker_gone(index, why, sent_us, now_us);
-        if let Some(entry) = self.workers[index as usize].successor.take() {
-            let successor = self.worker_listed(*entry, now_us);
+        let worker = &mut self.workers[index as usize];
+        if let Some(entry) = worker.successor.take() {
+            let successor = if entry.address == worker.entry.address {
+                self.worker_listed(*entry, now_us)
+            } else {
+                self.add_worker(*entry, now_us)
+            };
             self.succeeded.push(successor);
         }
     }
 
+    /// Ends a worker that has lost its lease at its known address, and adds it at the one that it has
+    /// been listed at since.
+    pub(super) fn follow_to_other_address(
+        &mut self,
+        index: WorkerIndex,
+        as_of_us: u64,
+        now_us: u64,
+    ) {
+        let worker = &mut self.workers[index as usize];
+        let own_address = worker.entry.address.clone();
+        let is_elsewhere = |entry: &mut Box<WorkerEntry>| entry.address != own_address;
+        let Some(entry) = worker.successor.take_if(is_elsewhere) else { return };
+        self.worker_gone(index, "silent past its lease and listed elsewhere", as_of_us, now_us);
+        let successor = self.add_worker(*entry, now_us);
+        self.succeeded.push(successor);
+    }
+
     /// Returns the workers added since the last call because they succeed a restarted incarnation.
     pub fn take_succeeded(&mut self) -> Vec<WorkerIndex> {
         std::mem::take(&mut self.succeeded)
--- a/crates/agatesill_policy/tests/fleet_restarts_between_steps.rs
+++ b/crates/agatesill_policy/tests/fleet_restarts_between_steps.rs
@@ -242,7 +242,7 @@
         let entries: Vec<WorkerEntry> =
             self.processes.values().map(|process| process.entry.clone()).collect();
         self.epoch += 1;
-        self.harness.fleet = self.harness.successor(&[self.spec.clone()], entries);
+        self.harness.fleet = self.harness.successor(std::slice::from_ref(&self.spec), entries);
     }
 
     /// Brings the first run to a moment. Returns the start if it has been recorded but not carried
