--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -350,3 +350,23 @@
     }
     connected.stop.cancel();
 }
+
+/// Guards against a start of a run that was given up with the lease and begins under the next one: the
+/// planner bars it before the worker gets that.
+#[tokio::test]
+async fn worker_that_returns_after_its_lease_gets_none_before_the_planner_agrees() {
+    let mut connected = connect_over_link().await;
+    connected.wait_for_lease().await;
+    connected.link.set(LinkFault::Silent);
+    tokio::time::sleep(Duration::from_millis(6_500)).await;
+    connected.link.set(LinkFault::None);
+    while connected.answers.try_recv().is_ok() {}
+    connected.wait_until_polled().await;
+    let (outcome, requested_us) = connected.start_task_reporting_lease().await;
+    assert_eq!((outcome, requested_us), (OrderOutcome::Late, None));
+    connected.connections.set_may_renew(connected.index, true);
+    let (outcome, requested_us) = connected.start_task_reporting_lease().await;
+    assert_eq!(outcome, OrderOutcome::Done);
+    assert!(requested_us.is_some());
+    connected.stop.cancel();
+}
