A worker that has moved ends no rival at its address

Callers could see a task run twice: an entry gives a worker another address, the connections still lead to the former one, and the answer that comes over them ended the worker listed at the new address although it lives. Answers of a worker whose entry has replaced its address now supersede no other worker.

--- a/crates/agatesill_policy/src/fleet/registry.rs
+++ b/crates/agatesill_policy/src/fleet/registry.rs
@@ -74,6 +74,8 @@
         let is_first_entry = worker.entry.service.is_empty();
         let has_new_address = (is_first_entry || worker.entry.address != entry.address)
             && worker.standing != WorkerStanding::Gone;
+        let is_replaced = !worker.entry.address.is_empty() && worker.entry.address != entry.address;
+        worker.has_moved |= is_replaced;
         let began_to_leave = entry.is_leaving && !worker.entry.is_leaving;
         worker.is_zone_closed = self.closed_zones.contains_key(&entry.zone);
         worker.cold_until_us = cold_until_us(&entry, now_us);
@@ -179,8 +181,12 @@
     }
 
     /// Ends the other incarnations listed at a worker's address, now that the worker has answered a
-    /// call sent at `sent_us`. One that has been listed since may have started after the answer.
+    /// call sent at `sent_us`. One that has been listed since may have started after the answer. A worker
+    /// whose entry names another address than before may have answered from either.
     pub(super) fn supersede_rivals(&mut self, index: WorkerIndex, sent_us: u64, now_us: u64) {
+        if self.workers[index as usize].has_moved {
+            return;
+        }
         let rivals = std::mem::take(&mut self.workers[index as usize].rivals);
         for other in rivals {
             let worker = &self.workers[index as usize];
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -158,6 +158,8 @@
     pub started_ms: u64,
     /// Entry that names a later start than the worker's answers, until an answer decides.
     pub(super) successor: Option<Box<WorkerEntry>>,
+    /// Whether an entry has replaced the address. The connections may lead to the former one.
+    pub(super) has_moved: bool,
     /// Other incarnations that have been listed at the worker's address.
     pub(super) rivals: Vec<WorkerIndex>,
     /// When the newest entry of the worker was applied.
@@ -243,6 +245,7 @@
             entry,
             started_ms: 0,
             successor: None,
+            has_moved: false,
             rivals: Vec::new(),
             listed_us: 0,
             is_superseded: false,
