Reopened connections acknowledge the ends that are stored

Connections that are opened again for a known worker began with acknowledged end 0, so a reinstated worker listed its stored ends until it had a newer one, and each poll returned at once. They now begin with the ledger's figure.

--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -188,7 +188,7 @@
             worker: index,
             incarnation: worker.entry.id.clone(),
             addr,
-            acked_end: AtomicU64::new(0),
+            acked_end: AtomicU64::new(worker.acked_end),
             acked: Notify::new(),
             clock_offset_ms: AtomicI64::new(0),
             requested_until_ms: AtomicU64::new(0),
--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -370,3 +370,40 @@
     assert!(requested_us.is_some());
     connected.stop.cancel();
 }
+
+/// Guards against stored ends that a reinstated worker lists for as long as it has no newer one.
+#[tokio::test]
+async fn reopened_connections_acknowledge_the_ends_that_are_stored() {
+    let mut connected = connect().await;
+    connected.wait_until_polled().await;
+    assert_eq!(connected.start_task().await, OrderOutcome::Done);
+    let poll = loop {
+        let answer = connected.answers.recv().await.unwrap();
+        match answer.event {
+            Event::Polled(_, poll) if !poll.ended.is_empty() => break poll,
+            _ => {}
+        }
+    };
+    let bounds =
+        FleetBounds { lease_max_ms: 10_000, harm_ms: 5_000, drain_ms: 4_000, stop_grace_ms: 400 };
+    let mut fleet = Fleet::new(bounds);
+    let listed = entry(&connected.worker.id, connected.worker.addr);
+    let index = fleet.worker_listed(listed, 1);
+    fleet.polled(index, &poll, 2);
+    let newest = poll.ended.iter().map(|end| end.number).max().unwrap();
+    assert_eq!(fleet.acked_end(index), newest, "no state depends on the end of an unknown task");
+    connected.connections.close(connected.index);
+    while connected.answers.try_recv().is_ok() {}
+    connected.connections.open(index, fleet.worker(index));
+    let acknowledged = async {
+        loop {
+            match connected.answers.recv().await.unwrap().event {
+                Event::Polled(_, poll) if poll.ended.is_empty() => return,
+                _ => {}
+            }
+        }
+    };
+    let acknowledged = tokio::time::timeout(Duration::from_secs(3), acknowledged).await;
+    assert!(acknowledged.is_ok(), "end {newest} is listed for three seconds");
+    connected.stop.cancel();
+}
