Lines and metrics of what starts wait for and of the planner's time

Cause: the lines could not tell whether a start waited for the planner, a record, the store, a send or the worker, nor what the planner's thread spent its time on, so the hypotheses of the incident could not be told apart.

Change: start_waits (once a second and urgency) has the waits of the last second's starts by stage, planner_time the time of the thread by duty; agatesill.start.wait, agatesill.start.waits and agatesill.planner.time are the metrics. An order now carries when it was sent.

--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -41,6 +41,7 @@
             self.worker_superseded(order.worker, why, answered_us, now_us);
             return;
         }
+        self.count_order(order, outcome, answered_us, now_us);
         if order.task_ref == NO_TASK {
             self.lost_start_answered(order, outcome);
         }
--- a/crates/agatesill_policy/src/fleet/orders.rs
+++ b/crates/agatesill_policy/src/fleet/orders.rs
@@ -54,6 +54,8 @@
     pub kind: OrderKind,
     /// When the order was decided.
     pub decided_us: u64,
+    /// When the order was sent; 0 before.
+    pub sent_us: u64,
 }
 
 /// Outcome of an order.
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -266,6 +266,11 @@
         now_us: u64,
     ) {
         self.mark_urgent(group.job, now_us);
+        for task_ref in chosen {
+            let waiting_since_us =
+                self.job(group.job).map(|job| job.tasks[task_ref.task as usize].since_us);
+            self.count_round(*task_ref, waiting_since_us.unwrap_or(now_us), now_us);
+        }
         let Some(job) = self.jobs[group.job as usize].as_mut() else { return };
         let version = job.version;
         let highest_run =
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -491,6 +491,7 @@
             run: row.run,
             kind: OrderKind::Stop,
             decided_us: now_us,
+            sent_us: 0,
         });
     }
 
--- a/crates/agatesill_policy/src/fleet/run_end.rs
+++ b/crates/agatesill_policy/src/fleet/run_end.rs
@@ -232,6 +232,7 @@
                 run: lost.run,
                 kind: OrderKind::Stop,
                 decided_us: now_us,
+                sent_us: 0,
             });
         }
     }
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -18,6 +18,7 @@
 use super::run_end::EndCounts;
 use super::serving_tails::ImageLevels;
 use super::slow_evacuation::SlowEvacuation;
+use super::start_waits::StartWaitCounter;
 use super::worker::{Worker, WorkerAddresses, WorkerIndex, WorkerStanding};
 use super::write_failures::StoreHealth;
 use super::zones::ClosedZones;
@@ -138,6 +139,7 @@
     pub(super) mean_work: HashMap<String, f64>,
     pub(super) counts: Counts,
     pub(super) effort: EffortCounter,
+    pub(super) start_waits: StartWaitCounter,
 }
 
 impl Fleet {
@@ -188,6 +190,7 @@
             mean_work: HashMap::new(),
             counts: Counts::default(),
             effort: EffortCounter::default(),
+            start_waits: StartWaitCounter::default(),
         }
     }
 
@@ -232,6 +235,7 @@
         job.accepted_us = self.monotonic_us(job.spec.accepted_at_ms, now_us);
         let slot = self.insert(job);
         self.open_occurrences(slot, now_us);
+        self.count_acceptance(slot, now_us);
         if was_cancelled {
             self.finish(slot, JobPhase::Cancelled, now_us);
         }
@@ -424,8 +428,15 @@
     ) {
         let Some(job) = self.job(task_ref.job) else { return };
         let run = job.tasks[task_ref.task as usize].run;
-        let order =
-            Order { worker, task_ref, task: job.key(task_ref.task), run, kind, decided_us: now_us };
+        let order = Order {
+            worker,
+            task_ref,
+            task: job.key(task_ref.task),
+            run,
+            kind,
+            decided_us: now_us,
+            sent_us: 0,
+        };
         self.orders.push(order);
     }
 
--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -156,6 +156,7 @@
             })
             .collect();
         for (task, worker) in chosen {
+            self.count_record(TaskRef { job: write.slot, task }, write.taken_us, now_us);
             self.order_start(TaskRef { job: write.slot, task }, worker, now_us);
         }
         self.acknowledge_ends(write.slot);
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -7,7 +7,7 @@
 use agatesill_coord::lease::Owner;
 use agatesill_coord::prelude::*;
 use agatesill_platform::prelude::*;
-use agatesill_policy::fleet::{Counts, Effort, US_PER_MS};
+use agatesill_policy::fleet::{Counts, Effort, StartWaits, US_PER_MS};
 use agatesill_wire::fleet::{FleetAnswer, FleetQuestion};
 use tokio::sync::Notify;
 
@@ -20,6 +20,7 @@
 use super::peer_connection::{ANSWER_TIMEOUT, PeerCalls, PeerConnection, PeerReply};
 use super::peer_directory::PeerDirectory;
 use super::planner::PlannerHandle;
+use super::planner_time::DutyTimes;
 use super::record_lease::RecordLease;
 use super::store_outage::StoreOutage;
 
@@ -61,6 +62,10 @@
     pub effort: Effort,
     /// Age of the oldest answer of a worker that has not been handled yet.
     pub behind_us: u64,
+    /// What starts have waited for since the planner started.
+    pub start_waits: StartWaits,
+    /// Time that the planner has spent on each duty since it started.
+    pub duty_times: DutyTimes,
     /// Steps with waiting tasks.
     pub waiting_steps: u64,
     /// Workers whose incarnation has not ended.
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use agatesill_policy::fleet::EndProof;
+use agatesill_policy::fleet::{EndProof, StartStage, US_PER_MS, Urgency};
 use agatesill_wire::api::LOAD_PATH;
 use agatesill_wire::http::respond;
 use bytes::Bytes;
@@ -22,6 +22,7 @@
 use super::daemon_state::DaemonState;
 use super::load_state::RefusedBecause;
 use super::load_status::load_status;
+use super::planner_time::Duty;
 use crate::instruments::Instruments;
 
 /// Upper bounds of the histogram buckets in seconds. The store answers in 0.01, and the latency
@@ -102,6 +103,8 @@
         self.instruments.observe_lost_lines();
         observe_ledger(&meter, daemon);
         observe_effort(&meter, daemon);
+        observe_start_waits(&meter, daemon);
+        observe_planner_time(&meter, daemon);
         observe_daemon(&meter, daemon);
         observe_config(&meter, daemon);
         observe_admission(&meter, daemon);
@@ -179,6 +182,57 @@
         .build();
 }
 
+fn observe_start_waits(meter: &Meter, daemon: &Arc<DaemonState>) {
+    let labels = |urgency: Urgency, stage: StartStage| {
+        [KeyValue::new("urgency", urgency.name()), KeyValue::new("stage", stage.name())]
+    };
+    let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.start.wait")
+        .with_unit("ms")
+        .with_description("Time that starts have waited, by stage, while this daemon planned")
+        .with_callback(move |counter| {
+            let waits = observed.planner_stats().start_waits;
+            for (urgency, stage) in stages() {
+                let sum_ms = waits.of(urgency, stage).sum_us() / US_PER_MS;
+                counter.observe(sum_ms, &labels(urgency, stage));
+            }
+        })
+        .build();
+    let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.start.waits")
+        .with_unit("{start}")
+        .with_description("Starts whose wait in a stage was counted, while this daemon planned")
+        .with_callback(move |counter| {
+            let waits = observed.planner_stats().start_waits;
+            for (urgency, stage) in stages() {
+                counter.observe(waits.of(urgency, stage).count(), &labels(urgency, stage));
+            }
+        })
+        .build();
+}
+
+fn stages() -> impl Iterator<Item = (Urgency, StartStage)> {
+    Urgency::ALL.into_iter().flat_map(|urgency| StartStage::ALL.map(|stage| (urgency, stage)))
+}
+
+fn observe_planner_time(meter: &Meter, daemon: &Arc<DaemonState>) {
+    let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.planner.time")
+        .with_unit("ms")
+        .with_description("Time of the planner's thread by duty, while this daemon planned")
+        .with_callback(move |counter| {
+            let times = observed.planner_stats().duty_times;
+            for duty in Duty::ALL {
+                let labels = [KeyValue::new("duty", duty.name())];
+                counter.observe(times.of_us(duty) / US_PER_MS, &labels);
+            }
+        })
+        .build();
+}
+
 fn observe_daemon(meter: &Meter, daemon: &Arc<DaemonState>) {
     let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
     let observed = daemon.clone();
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod peer_connection;
 pub mod peer_directory;
 pub mod planner;
+mod planner_time;
 mod predecessors;
 mod ready;
 pub mod record_lease;
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -9,7 +9,7 @@
 use agatesill_policy::fleet::{
     AdviceQuestion, ClosedZone, Fleet, FleetUsage, IdleJob, JobPhase, JobSpec, JobWrite,
     LongestTransition, LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms,
-    SlowWorker, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    SlowWorker, StartStage, StartWaits, Urgency, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinError;
@@ -19,6 +19,7 @@
 use super::clock::wall_ms;
 use super::commits::{self, Committed};
 use super::daemon_state::{DaemonState, PlannerStats};
+use super::planner_time::{Duty, DutyClock};
 use super::predecessors::{self, Predecessors};
 use super::supervision::{cancel_at_end, spawn_supervised};
 use super::worker_connections::WorkerConnections;
@@ -241,6 +242,7 @@
         rounds: RoundStats::default(),
         answers_as_of_us: daemon.clock.now_us(),
         turn_starts_us: [daemon.clock.now_us(); 2],
+        duties: DutyClock::start(daemon.clock.now_us()),
     };
     planner.registry_read(start.workers);
     planner.connect_unlisted_workers();
@@ -341,6 +343,7 @@
     answers_as_of_us: u64,
     /// Start times of the current turn and the previous one.
     turn_starts_us: [u64; 2],
+    duties: DutyClock,
 }
 
 impl Planner {
@@ -354,28 +357,33 @@
         rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let daemon = self.daemon.clone();
         loop {
+            let (mut first_event, mut first_answer) = (None, None);
             tokio::select! {
                 biased;
                 () = lost.cancelled() => break,
                 event = events.recv() => match event {
-                    Some(event) => self.handle(event),
+                    Some(event) => first_event = Some(event),
                     None => break,
                 },
                 _ = rounds.tick() => {}
                 answer = answers.recv() => match answer {
-                    Some(answer) => self.handle_answer(answer),
+                    Some(answer) => first_answer = Some(answer),
                     None => break,
                 },
             }
             let mut turn = Turn::begin(&daemon);
+            self.duties.begin_turn(turn.started_us);
             self.turn_starts_us = [turn.started_us, self.turn_starts_us[0]];
-            self.handle_queued(&mut events, &mut answers);
+            first_event.into_iter().for_each(|event| self.handle(event));
+            self.handle_queued(&mut events, first_answer, &mut answers);
             self.check_times();
             turn.mark_handled();
             self.plan_and_send();
             turn.mark_planned();
             self.log_status();
+            self.begin_duty(Duty::Calls);
             tokio::task::yield_now().await;
+            self.duties.end_turn(daemon.clock.now_us());
             turn.end(self.fleet.waiting_groups());
         }
         self.finish_commits(&mut events).await;
@@ -388,23 +396,37 @@
     fn handle_queued(
         &mut self,
         events: &mut mpsc::Receiver<Event>,
+        first_answer: Option<Answer>,
         answers: &mut mpsc::Receiver<Answer>,
     ) {
         while let Ok(event) = events.try_recv() {
             self.handle(event);
         }
         let started_us = self.daemon.clock.now_us();
-        while self.daemon.clock.now_us() - started_us < MAX_ANSWER_HANDLING_US {
-            match answers.try_recv() {
-                Ok(answer) => self.handle_answer(answer),
-                Err(_) => {
-                    self.answers_as_of_us = self.daemon.clock.now_us();
-                    return;
-                }
+        let mut next = first_answer;
+        loop {
+            let Some(answer) = next.or_else(|| answers.try_recv().ok()) else {
+                self.answers_as_of_us = self.daemon.clock.now_us();
+                return;
+            };
+            let is_outcome = matches!(answer.event, Event::Answered(..));
+            let now_us = self.begin_duty(if is_outcome { Duty::Outcomes } else { Duty::Polls });
+            if now_us - started_us >= MAX_ANSWER_HANDLING_US {
+                self.handle_answer(answer);
+                return;
             }
+            self.handle_answer(answer);
+            next = None;
         }
     }
 
+    /// Counts the time from now on for a duty. Returns the present time.
+    fn begin_duty(&mut self, duty: Duty) -> u64 {
+        let now_us = self.daemon.clock.now_us();
+        self.duties.begin(duty, now_us);
+        now_us
+    }
+
     fn handle_answer(&mut self, answer: Answer) {
         self.answers_as_of_us = self.answers_as_of_us.max(answer.reported_us);
         match answer.event {
@@ -634,7 +656,7 @@
     /// If the checks ran only while no events are queued, an unbroken stream of events would let
     /// terminated workers keep their tasks.
     fn check_times(&mut self) {
-        let now_us = self.daemon.clock.now_us();
+        let now_us = self.begin_duty(Duty::Checks);
         if now_us - self.last_check_us < ROUND_INTERVAL.as_micros() as u64 {
             return;
         }
@@ -667,7 +689,7 @@
     /// Logs the utilisation of the workers, waiting tasks and the planner's progress once a second,
     /// and retires ended jobs.
     fn log_status(&mut self) {
-        let now_us = self.daemon.clock.now_us();
+        let now_us = self.begin_duty(Duty::Status);
         if now_us - self.last_usage_log_us <= USAGE_LOG_INTERVAL_US {
             return;
         }
@@ -684,6 +706,8 @@
         let (slow, described) = self.fleet.slowest_workers(MAX_SLOW_WORKERS_LOGGED, now_us);
         described.iter().for_each(|worker| log_slow_worker(worker, slow, self.epoch));
         self.rounds.log_and_reset(self.epoch);
+        self.duties.log_and_reset(self.epoch, now_us);
+        log_start_waits(&self.fleet.take_start_waits(), self.epoch);
         let (records, oldest_record_ms) = self.fleet.records_waiting(now_us);
         log::info!(event = "planner_duties", epoch = self.epoch,
             starting = self.fleet.starting(), records_waiting = records,
@@ -716,6 +740,8 @@
             counts: self.fleet.counts(),
             effort: self.fleet.effort(),
             behind_us: self.behind_us(),
+            start_waits: self.fleet.start_waits(),
+            duty_times: self.duties.total(),
             waiting_steps: self.fleet.waiting_groups() as u64,
             workers: self.fleet.live_workers().count() as u64,
             silent_workers: self
@@ -753,8 +779,9 @@
         if self.lost.is_cancelled() {
             return;
         }
+        self.begin_duty(Duty::Planning);
         self.plan();
-        let now_us = self.daemon.clock.now_us();
+        let now_us = self.begin_duty(Duty::Records);
         while self.commits_under_way < MAX_CONCURRENT_COMMITS {
             let writes = self.fleet.take_writes(commits::MAX_RECORDS_PER_TXN, now_us);
             if writes.is_empty() {
@@ -762,6 +789,7 @@
             }
             self.commit(writes);
         }
+        self.begin_duty(Duty::Orders);
         for worker in self.fleet.take_acked() {
             self.connections.set_acked(worker, self.fleet.acked_end(worker));
         }
@@ -863,6 +891,22 @@
     }
 }
 
+/// Logs what the starts of the last second waited for: half of them and 95 of 100, and the longest.
+fn log_start_waits(waits: &StartWaits, epoch: u64) {
+    for urgency in Urgency::ALL {
+        let starts = waits.of(urgency, StartStage::Round).count();
+        if starts == 0 {
+            continue;
+        }
+        let [half, most] = [50, 95].map(|percent| {
+            StartStage::ALL.map(|stage| waits.of(urgency, stage).percentile_ms(percent).to_string())
+        });
+        log::info!(event = "start_waits", epoch = epoch, urgency = urgency.name(), starts = starts,
+            stages = StartStage::ALL.map(StartStage::name).join(",").as_str(),
+            half_ms = half.join(",").as_str(), most_ms = most.join(",").as_str(); "");
+    }
+}
+
 /// Logs the task that has been without a run for longest, with the reason.
 fn log_wait(wait: &LongestWait, epoch: u64) {
     log::info!(event = "longest_wait", epoch = epoch, kind = wait.kind.name(),
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -520,13 +520,14 @@
         &self,
         connection: &WorkerConnection,
         channel: &mut WorkerChannel,
-        order: Order,
+        mut order: Order,
     ) -> Event {
         let is_start = matches!(order.kind, OrderKind::Start { .. });
         if is_start && !self.may_start(connection, &order) {
             return Event::Answered(Box::new(order), OrderOutcome::Withheld, None);
         }
         let sent_us = self.daemon.clock.now_us();
+        order.sent_us = sent_us;
         let lease = self.lease_to_request_ms(connection, sent_us);
         // If no lease may be requested, the order carries the end that was requested before.
         let until_ms =
--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -92,6 +92,7 @@
             task,
             run: 1,
             kind,
+            sent_us: 0,
             decided_us: u64::MAX,
         });
         loop {
