Calls to workers are made in turns, those for urgent work first

Callers of urgent jobs waited behind everything else that the planner's daemon does: all its tasks share one run queue, and a start passes it for its acceptance, its record, its send and its answer. The calls between two turns of the planner had no bound and no order, so that the ranking of jobs decided only which start was chosen first.

Calls now pass a gate (call_gate.rs), whose order and number in one turn are a decision of the policy crate (call_queue.rs): urgent starts, stops, paces and overdue polls, then long-running starts and polls of workers with urgent tasks, then the rest, which keeps a quarter of each turn. The number follows the time that calls took in the last turn, 4 ms, so it holds on a host of any speed. A poll waits for half a second at most and goes first then, so leases are renewed; without a lease it does not wait. Starts that wait are dropped once superseded, as before. With time to spare no call waits.

--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod advice;
 mod ages;
+mod call_queue;
 mod capacity_index;
 mod colocation;
 mod crashes;
@@ -53,6 +54,7 @@
 mod zones;
 
 pub use advice::AdviceQuestion;
+pub use call_queue::{CallClass, CallQueue};
 pub use colocation::{LearnedImage, LearnedInterference};
 pub use effort::Effort;
 pub use flapping::Silences;
--- a/crates/agatesill_policy/src/fleet/run_end.rs
+++ b/crates/agatesill_policy/src/fleet/run_end.rs
@@ -8,6 +8,7 @@
 use super::US_PER_MS;
 use super::job::{ANSWERED_BEFORE_EPOCH_US, JobPhase, Task, TaskRef, TaskState};
 use super::orders::{NO_TASK, Order, OrderKind, OrderOutcome};
+use super::start_waits::Urgency;
 use super::state::{Fleet, TaskGroup};
 use super::worker::{UnbarredRun, Worker, WorkerIndex};
 
@@ -297,6 +298,9 @@
                 worker.best_effort_cpu_milli =
                     worker.best_effort_cpu_milli.saturating_sub(step.need.cpu_milli);
             }
+            if Urgency::of(step, terms.priority) == Urgency::Urgent {
+                worker.urgent = worker.urgent.saturating_sub(1);
+            }
             if step.is_lasting {
                 worker.lasting = worker.lasting.saturating_sub(1);
                 worker.long_running_cpu_milli =
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -5,6 +5,7 @@
 use crate::admission::LoadControl;
 
 use super::advice::{Advice, AdviceQuestion};
+use super::call_queue::CallClass;
 use super::capacity_index::CapacityIndex;
 use super::colocation::{InterferenceModel, PairCounts};
 use super::effort::{Effort, EffortCounter};
@@ -18,7 +19,7 @@
 use super::run_end::EndCounts;
 use super::serving_tails::ImageLevels;
 use super::slow_evacuation::SlowEvacuation;
-use super::start_waits::StartWaitCounter;
+use super::start_waits::{StartWaitCounter, Urgency};
 use super::worker::{Worker, WorkerAddresses, WorkerIndex, WorkerStanding};
 use super::write_failures::StoreHealth;
 use super::zones::ClosedZones;
@@ -376,6 +377,9 @@
 
     /// Allocates resources of a worker to a task.
     pub(super) fn allocate(&mut self, task_ref: TaskRef, worker: WorkerIndex, state: TaskState) {
+        let is_urgent = self
+            .job(task_ref.job)
+            .is_some_and(|job| self.urgency(job, task_ref.task) == Urgency::Urgent);
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
         let step = job.step(task_ref.task);
         let (need, fills, is_long_running) = (step.allocation(), step.fills, step.is_lasting);
@@ -398,6 +402,7 @@
         worker.used = worker.used.plus(&need);
         worker.best_effort_cpu_milli += if fills { cpu } else { 0 };
         worker.lasting += u32::from(is_long_running);
+        worker.urgent += u32::from(is_urgent);
         worker.long_running_cpu_milli += if is_long_running { cpu } else { 0 };
         worker.tasks.push(task_ref);
         self.capacity_index.update(index, worker);
@@ -440,23 +445,32 @@
         self.orders.push(order);
     }
 
-    /// Returns the orders that may be sent now. A start that was to be repeated is dropped if its
-    /// run has been stopped, for example because the job was cancelled.
+    /// Returns the orders that may be sent now.
     pub fn take_orders(&mut self) -> Vec<Order> {
         let orders = std::mem::take(&mut self.orders);
-        orders.into_iter().filter(|order| !self.is_superseded(order)).collect()
+        orders.into_iter().filter(|order| self.may_send(order)).collect()
     }
 
-    fn is_superseded(&self, order: &Order) -> bool {
+    /// Whether an order that has waited may still be sent. A start may not if its run has been stopped,
+    /// for example because the job was cancelled.
+    pub fn may_send(&self, order: &Order) -> bool {
         if !matches!(order.kind, OrderKind::Start { .. }) {
-            return false;
+            return true;
         }
-        self.job(order.task_ref.job).is_none_or(|job| {
+        self.job(order.task_ref.job).is_some_and(|job| {
             let task = &job.tasks[order.task_ref.task as usize];
-            task.run != order.run || task.state != TaskState::Ordered(order.worker)
+            task.run == order.run && task.state == TaskState::Ordered(order.worker)
         })
     }
 
+    /// Class of the call that sends an order.
+    pub fn call_class(&self, order: &Order) -> CallClass {
+        let urgency = self
+            .job(order.task_ref.job)
+            .map_or(Urgency::Deferrable, |job| self.urgency(job, order.task_ref.task));
+        CallClass::of_order(&order.kind, urgency)
+    }
+
     pub(super) fn lease_us(&self) -> u64 {
         (self.lease_ms() * 102 / 100 + LEASE_SLACK_MS) * US_PER_MS
     }
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -180,6 +180,8 @@
     pub best_effort_cpu_milli: u64,
     /// Number of long-running tasks on the worker.
     pub lasting: u32,
+    /// Number of urgent tasks on the worker.
+    pub urgent: u32,
     /// CPU reserved by the long-running tasks on the worker.
     pub long_running_cpu_milli: u64,
     /// Serving tasks by image.
@@ -256,6 +258,7 @@
             used: Resources::default(),
             best_effort_cpu_milli: 0,
             lasting: 0,
+            urgent: 0,
             long_running_cpu_milli: 0,
             serving: ImageCounts::default(),
             filling: ImageCounts::default(),
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod active_config;
 mod advice_client;
+mod call_gate;
 mod clock;
 mod commits;
 pub mod config_peers;
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -356,6 +356,7 @@
         let mut rounds = tokio::time::interval(ROUND_INTERVAL);
         rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let daemon = self.daemon.clone();
+        let gate = self.connections.gate().clone();
         loop {
             let (mut first_event, mut first_answer) = (None, None);
             tokio::select! {
@@ -365,6 +366,7 @@
                     Some(event) => first_event = Some(event),
                     None => break,
                 },
+                () = gate.wait_for_calls() => {}
                 _ = rounds.tick() => {}
                 answer = answers.recv() => match answer {
                     Some(answer) => first_answer = Some(answer),
@@ -383,8 +385,10 @@
             self.log_status();
             self.begin_duty(Duty::Calls);
             tokio::task::yield_now().await;
-            self.duties.end_turn(daemon.clock.now_us());
-            turn.end(self.fleet.waiting_groups());
+            let ended_us = daemon.clock.now_us();
+            self.duties.end_turn(ended_us);
+            gate.begin_turn(ended_us - turn.planned_us);
+            turn.end(ended_us, self.fleet.waiting_groups());
         }
         self.finish_commits(&mut events).await;
     }
@@ -487,7 +491,7 @@
             Event::Polled(worker, poll) => {
                 self.fleet.polled(worker, &poll, now_us);
                 self.update_may_renew(worker);
-                self.connections.set_idle(worker, self.fleet.worker(worker).tasks.is_empty());
+                self.connections.set_tasks(worker, self.fleet.worker(worker));
             }
             Event::Silent(worker, requested_us) => {
                 if let Some(requested_us) = requested_us {
@@ -709,12 +713,14 @@
         self.duties.log_and_reset(self.epoch, now_us);
         log_start_waits(&self.fleet.take_start_waits(), self.epoch);
         let (records, oldest_record_ms) = self.fleet.records_waiting(now_us);
+        let (calls_waiting, calls_per_turn) = self.connections.gate().load();
         log::info!(event = "planner_duties", epoch = self.epoch,
             starting = self.fleet.starting(), records_waiting = records,
             oldest_record_ms = oldest_record_ms,
             unchecked_ms = (now_us - self.last_check_us) / 1_000,
             behind_ms = self.behind_us() / 1_000, lines_to_open = self.workers_to_connect.len(),
-            commits_under_way = self.commits_under_way,
+            commits_under_way = self.commits_under_way, calls_waiting = calls_waiting,
+            calls_per_turn = calls_per_turn,
             is_registry_current = self.daemon.is_registry_current(); "");
         self.log_if_behind();
         self.fleet.retire_ended();
@@ -793,9 +799,7 @@
         for worker in self.fleet.take_acked() {
             self.connections.set_acked(worker, self.fleet.acked_end(worker));
         }
-        for order in self.fleet.take_orders() {
-            self.connections.send(order);
-        }
+        self.send_orders();
         for question in self.fleet.take_questions() {
             if let Err(error) = self.questions.try_send(question) {
                 // A dropped question counts as unanswered and is sent again.
@@ -816,6 +820,18 @@
         }
     }
 
+    /// Queues the new orders, and sends those whose turn it is.
+    fn send_orders(&mut self) {
+        let gate = self.connections.gate();
+        for order in self.fleet.take_orders() {
+            gate.push_order(self.fleet.call_class(&order), order);
+        }
+        for order in gate.release(|order| self.fleet.may_send(order)) {
+            self.connections.set_tasks(order.worker, self.fleet.worker(order.worker));
+            self.connections.send(order);
+        }
+    }
+
     fn commit(&mut self, writes: Vec<JobWrite>) {
         self.commits_under_way += 1;
         let (daemon, epoch, events) = (self.daemon.clone(), self.epoch, self.events.clone());
@@ -878,8 +894,7 @@
     }
 
     /// Logs the time spent in each part if the turn took longer than [`BEHIND_THRESHOLD_US`].
-    fn end(self, waiting_steps: usize) {
-        let ended_us = self.daemon.clock.now_us();
+    fn end(self, ended_us: u64, waiting_steps: usize) {
         let turn_us = ended_us - self.started_us;
         if turn_us > BEHIND_THRESHOLD_US {
             log::warn!(event = "planner_slow", turn_ms = turn_us / 1_000,
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -8,7 +8,8 @@
 
 use agatesill_platform::workers::{MAX_POLL_WAIT_MS, PollOutcome, WorkerChannel};
 use agatesill_policy::fleet::{
-    Fleet, Order, OrderKind, OrderOutcome, US_PER_MS, Worker, WorkerIndex, WorkerStanding,
+    CallClass, Fleet, Order, OrderKind, OrderOutcome, US_PER_MS, Worker, WorkerIndex,
+    WorkerStanding,
 };
 use agatesill_wire::http::{CallError, Delivery};
 use tokio::sync::{Mutex, Notify, OwnedSemaphorePermit, Semaphore, mpsc};
@@ -16,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::call_gate::CallGate;
 use super::daemon_state::DaemonState;
 use super::planner::{Answer, Event};
 
@@ -91,6 +93,8 @@
     may_renew: AtomicBool,
     /// Whether nothing runs on the worker.
     is_idle: AtomicBool,
+    /// Whether urgent tasks run on the worker, or are about to.
+    has_urgent_tasks: AtomicBool,
     /// Notified when an idle worker gets an order.
     got_order: Notify,
     /// Notified when the worker is to be polled at once over a new connection.
@@ -124,6 +128,19 @@
         tokio::time::timeout(MAX_HANDLING_WAIT, permit).await.ok()?.ok()
     }
 
+    /// Class of the next poll. One of a worker without a lease, or of one that did not answer, is not
+    /// delayed, because its lease must be renewed.
+    fn poll_class(&self) -> CallClass {
+        let has_lease = self.requested_until_ms.load(Ordering::Acquire) > 0;
+        if !has_lease || !self.is_answering.load(Ordering::Acquire) {
+            CallClass::First
+        } else if self.has_urgent_tasks.load(Ordering::Relaxed) {
+            CallClass::Second
+        } else {
+            CallClass::Last
+        }
+    }
+
     /// Whether an answer comes from the incarnation that these connections are for. The first one
     /// that tells its start decides which that is.
     fn is_answer_of_incarnation(&self, started_ms: u64) -> bool {
@@ -152,6 +169,7 @@
 /// Connections to all workers.
 pub struct WorkerConnections {
     daemon: Arc<DaemonState>,
+    gate: Arc<CallGate>,
     epoch: u64,
     lease_ms: u64,
     answers: mpsc::Sender<Answer>,
@@ -170,7 +188,13 @@
         tasks: TaskTracker,
     ) -> Self {
         let lease_ms = Fleet::new(daemon.settings.bounds.clone()).lease_ms();
-        Self { daemon, epoch, lease_ms, answers, stop, tasks, connections: HashMap::new() }
+        let (gate, connections) = (Arc::default(), HashMap::new());
+        Self { daemon, gate, epoch, lease_ms, answers, stop, tasks, connections }
+    }
+
+    /// The gate that all calls to workers pass.
+    pub fn gate(&self) -> &Arc<CallGate> {
+        &self.gate
     }
 
     /// Whether the connections to a worker are open.
@@ -195,6 +219,7 @@
             is_answering: AtomicBool::new(false),
             may_renew: AtomicBool::new(!worker.has_unbarred_runs()),
             is_idle: AtomicBool::new(false),
+            has_urgent_tasks: AtomicBool::new(worker.urgent > 0),
             got_order: Notify::new(),
             to_verify: Notify::new(),
             started_ms: AtomicU64::new(worker.started_ms),
@@ -215,6 +240,7 @@
     fn client(&self) -> WorkerClient {
         WorkerClient {
             daemon: self.daemon.clone(),
+            gate: self.gate.clone(),
             epoch: self.epoch,
             lease_ms: self.lease_ms,
             answers: self.answers.clone(),
@@ -261,10 +287,11 @@
         }
     }
 
-    /// Sets whether nothing runs on a worker.
-    pub fn set_idle(&self, worker: WorkerIndex, is_idle: bool) {
-        if let Some((connection, _)) = self.connections.get(&worker) {
-            connection.is_idle.store(is_idle, Ordering::Relaxed);
+    /// Updates what runs on a worker, which decides when it is polled.
+    pub fn set_tasks(&self, index: WorkerIndex, worker: &Worker) {
+        if let Some((connection, _)) = self.connections.get(&index) {
+            connection.is_idle.store(worker.tasks.is_empty(), Ordering::Relaxed);
+            connection.has_urgent_tasks.store(worker.urgent > 0, Ordering::Relaxed);
         }
     }
 
@@ -285,6 +312,7 @@
 
 struct WorkerClient {
     daemon: Arc<DaemonState>,
+    gate: Arc<CallGate>,
     epoch: u64,
     lease_ms: u64,
     answers: mpsc::Sender<Answer>,
@@ -335,6 +363,7 @@
         let mut renewed_us = self.daemon.clock.now_us();
         loop {
             let permit = connection.poll_permit().await;
+            self.gate.enter_poll(connection.poll_class()).await;
             let mut newest_end = None;
             let sent_us = self.daemon.clock.now_us();
             let lease = self.lease_to_request_ms(connection, sent_us);
