Records of ends wait for their batch, also beside urgent records

Each transaction was filled up with records that nothing waits for, however young: with starts in every turn of the planner, the end of each task cost a record of its whole job, and the delay that gathers ends never applied. Records that are not urgent are now written once they have waited for the batching delay. The ends of tasks are acknowledged later, so a worker is polled again after half a second at most, and after 100 ms if it has urgent tasks, whose next steps wait for their ends.

--- a/crates/agatesill_policy/src/fleet/writes.rs
+++ b/crates/agatesill_policy/src/fleet/writes.rs
@@ -52,14 +52,6 @@
     /// others are returned once one of them has waited for the batching delay. Each job has at most
     /// one record in flight, so that a later one never meets an earlier one of unknown outcome.
     pub fn take_writes(&mut self, max_entries: usize, now_us: u64) -> Vec<JobWrite> {
-        let mut is_due_by_slot = self.dirty.iter().map(|(slot, since_us)| {
-            let is_due =
-                self.urgent.contains(slot) || now_us.saturating_sub(*since_us) > BATCHING_DELAY_US;
-            is_due && !self.is_write_delayed(*slot, now_us)
-        });
-        if !is_due_by_slot.any(|is_due| is_due) {
-            return Vec::new();
-        }
         let slots = self.slots_to_write(max_entries / ENTRIES_PER_RECORD / 2, now_us);
         let mut writes = Vec::new();
         let mut zones = BTreeSet::new();
@@ -96,7 +88,9 @@
         let mut others = Vec::new();
         for (slot, since_us) in &self.dirty {
             let Some(job) = self.job(*slot).filter(|job| !job.is_committing) else { continue };
-            if self.is_write_delayed(*slot, now_us) {
+            let is_due =
+                self.urgent.contains(slot) || now_us.saturating_sub(*since_us) > BATCHING_DELAY_US;
+            if !is_due || self.is_write_delayed(*slot, now_us) {
                 continue;
             }
             if now_us.saturating_sub(*since_us) >= OVERDUE_AFTER_US {
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -40,8 +40,12 @@
 const GATHER_DELAY: Duration = Duration::from_millis(8);
 
 /// Maximum delay of the next poll after a run has ended, until the end is stored and the worker may
-/// discard it. An earlier poll would return at once with the same end and no new information.
-const ACK_TIMEOUT: Duration = Duration::from_millis(150);
+/// discard it. An earlier poll would return at once with the same end; it would show the other ends
+/// since then, and figures that are half a second newer.
+const ACK_TIMEOUT: Duration = Duration::from_millis(POLL_WAIT_MS);
+
+/// The same for a worker with urgent tasks, whose next steps wait for their ends.
+const URGENT_ACK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Longest time for which a poll waits until the planner has handled the answer to the previous one.
 /// A lease of the worker must be renewed meanwhile.
@@ -81,8 +85,9 @@
     incarnation: String,
     addr: SocketAddr,
     acked_end: AtomicU64,
-    /// Notified when [`WorkerConnection::acked_end`] increases.
-    acked: Notify,
+    /// Notified when [`WorkerConnection::acked_end`] increases, or the worker gets its first urgent
+    /// task.
+    to_poll: Notify,
     clock_offset_ms: AtomicI64,
     /// Latest lease end that was requested, on the worker's clock.
     requested_until_ms: AtomicU64,
@@ -153,15 +158,19 @@
 
     /// Waits until the worker may discard an end, so that the next poll waits for another one.
     async fn wait_until_acked(&self, end: u64) {
+        let began = Instant::now();
         tokio::time::sleep(GATHER_DELAY).await;
-        let acked = async {
-            while self.acked_end.load(Ordering::Acquire) < end {
-                self.acked.notified().await;
+        while self.acked_end.load(Ordering::Acquire) < end {
+            let is_urgent = self.has_urgent_tasks.load(Ordering::Relaxed);
+            let timeout = if is_urgent { URGENT_ACK_TIMEOUT } else { ACK_TIMEOUT };
+            let until = began + timeout;
+            if Instant::now() >= until {
+                log::debug!(event = "end_unacknowledged", worker = self.incarnation.as_str(),
+                    end = end; "");
+                return;
             }
-        };
-        if tokio::time::timeout(ACK_TIMEOUT, acked).await.is_err() {
-            log::debug!(event = "end_unacknowledged", worker = self.incarnation.as_str(), end = end;
-                "");
+            // Both an acknowledgement and an urgent task end the wait; after a timeout the loop does.
+            drop(tokio::time::timeout_at(until, self.to_poll.notified()).await);
         }
     }
 }
@@ -213,7 +222,7 @@
             incarnation: worker.entry.id.clone(),
             addr,
             acked_end: AtomicU64::new(worker.acked_end),
-            acked: Notify::new(),
+            to_poll: Notify::new(),
             clock_offset_ms: AtomicI64::new(0),
             requested_until_ms: AtomicU64::new(0),
             is_answering: AtomicBool::new(false),
@@ -275,7 +284,7 @@
     pub fn set_acked(&self, worker: WorkerIndex, acked_end: u64) {
         if let Some((connection, _)) = self.connections.get(&worker) {
             if connection.acked_end.swap(acked_end, Ordering::AcqRel) != acked_end {
-                connection.acked.notify_one();
+                connection.to_poll.notify_one();
             }
         }
     }
@@ -291,7 +300,11 @@
     pub fn set_tasks(&self, index: WorkerIndex, worker: &Worker) {
         if let Some((connection, _)) = self.connections.get(&index) {
             connection.is_idle.store(worker.tasks.is_empty(), Ordering::Relaxed);
-            connection.has_urgent_tasks.store(worker.urgent > 0, Ordering::Relaxed);
+            let is_urgent = worker.urgent > 0;
+            if is_urgent && !connection.has_urgent_tasks.swap(is_urgent, Ordering::Relaxed) {
+                connection.to_poll.notify_one();
+            }
+            connection.has_urgent_tasks.store(is_urgent, Ordering::Relaxed);
         }
     }
 
