Calls are carried out in the task that makes them

A start waits for a passage through the daemon's run queue at each hand-over between tasks. Each HTTP connection had a task of its own, so that a call to the store passed the queue four or five times: to the connection, from its answer to the response, to its body, and to the caller.

A connection (channel.rs, split from http.rs) now makes progress in the caller's task, with a waker of its own for what waits inside. JsonClient pools such connections in place of hyper-util's client; a call without an answer still replaces the pool. What proves that a request was not sent is unchanged: a connection that the other end has closed is noticed before the request is passed to it.

--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -1,19 +1,17 @@
 //! JSON over HTTP/1: clients and a server loop for all control interfaces.
 
+use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
@@ -21,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::api::ErrorBody;
+use crate::channel::{Channel, Delivery, Via};
 use crate::error::{Error, ErrorKind};
 
 /// Maximum body size of a control call: two values of the store's maximum size.
@@ -41,58 +40,74 @@
 /// Time within which a caller must send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-type PooledClient = Client<HttpConnector, Full<Bytes>>;
-
 /// Client for a JSON interface, with pooled connections.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct JsonClient {
     pool: Arc<Mutex<Pool>>,
     operator: String,
     token: String,
 }
 
-/// The pooled connections in use, and how often they have been replaced.
-#[derive(Debug)]
+/// The unused connections, and how often they have been replaced.
+#[derive(Debug, Default)]
 struct Pool {
-    client: PooledClient,
+    idle: HashMap<SocketAddr, Vec<IdleChannel>>,
     replacements: u64,
 }
 
-/// Replaces the pool when a call ends without an answer.
+#[derive(Debug)]
+struct IdleChannel {
+    channel: Channel,
+    since: Instant,
+}
+
+impl Pool {
+    /// Takes the connection to `addr` that was used last.
+    fn take(&mut self, addr: SocketAddr) -> Option<Channel> {
+        self.idle.get_mut(&addr)?.pop().map(|idle| idle.channel)
+    }
+
+    /// Keeps a connection for later calls, and closes those that have been unused for long.
+    fn put(&mut self, addr: SocketAddr, channel: Channel) {
+        let since = Instant::now();
+        let idle = self.idle.entry(addr).or_default();
+        idle.retain(|idle| since.duration_since(idle.since) < IDLE_CONNECTION_TIMEOUT);
+        idle.push(IdleChannel { channel, since });
+    }
+}
+
+/// A call over a pooled connection. Replaces the pool when the call ends without an answer.
 ///
 /// Guards against connections that went silent without being closed: each later call that takes one
 /// of them from the pool would wait for its whole timeout.
-struct UnansweredCall {
+struct PooledCall {
     pool: Arc<Mutex<Pool>>,
     replacements: u64,
     is_answered: bool,
 }
 
-impl Drop for UnansweredCall {
+impl PooledCall {
+    /// Keeps the connection of a call that was answered completely.
+    fn keep(&self, addr: SocketAddr, channel: Channel) {
+        let mut pool = lock(&self.pool);
+        if pool.replacements == self.replacements {
+            pool.put(addr, channel);
+        }
+    }
+}
+
+impl Drop for PooledCall {
     fn drop(&mut self) {
-        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut pool = lock(&self.pool);
         // Of several calls on the same pool, the first one replaces it.
         if !self.is_answered && pool.replacements == self.replacements {
-            *pool = Pool { client: pooled_client(), replacements: self.replacements + 1 };
+            *pool = Pool { replacements: self.replacements + 1, ..Pool::default() };
         }
     }
 }
 
-fn pooled_client() -> PooledClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(Duration::from_secs(1)));
-    Client::builder(TokioExecutor::new())
-        .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
-        .build(connector)
-}
-
-impl Default for JsonClient {
-    fn default() -> Self {
-        let pool = Pool { client: pooled_client(), replacements: 0 };
-        let pool = Arc::new(Mutex::new(pool));
-        Self { pool, operator: String::new(), token: String::new() }
-    }
+fn lock(pool: &Mutex<Pool>) -> MutexGuard<'_, Pool> {
+    pool.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl JsonClient {
@@ -161,7 +176,8 @@
         let is_read = method == Method::GET;
         let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{addr}{path}"))
+            .uri(path)
+            .header("host", addr.to_string())
             .header("content-type", "application/json");
         if !self.operator.is_empty() {
             request = request.header(OPERATOR_HEADER, &self.operator);
@@ -170,34 +186,38 @@
             request = request.header(TOKEN_HEADER, &self.token);
         }
         let request = request.body(Full::new(body)).map_err(|error| malformed(&error))?;
-        let (client, mut unanswered) = self.begin_call();
-        let head = tokio::time::timeout(head_timeout, client.request(request))
+        let (mut channel, mut call) = self.begin_call(addr);
+        let mut delivery = Delivery::NotSent;
+        let head = channel.send(request, Via::Any, &mut delivery);
+        let head = tokio::time::timeout(head_timeout, head)
             .await
             .map_err(|_| late_error("response", head_timeout))?;
         // Both an answer and a connection that failed say that the connection is not silent.
-        unanswered.is_answered = true;
+        call.is_answered = true;
         let response = head.map_err(|error| unreachable_error(&error))?;
         let status = response.status();
-        unanswered.is_answered = false;
-        let bytes = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
+        call.is_answered = false;
+        let bytes = channel.collect(response.into_body());
         let bytes = tokio::time::timeout(body_timeout, bytes)
             .await
             .map_err(|_| late_error("complete response", body_timeout))?;
-        unanswered.is_answered = true;
+        call.is_answered = true;
         let bytes = bytes.map_err(|error| match error.downcast_ref::<LengthLimitError>() {
             // A read has no effect. After a change, an unread response leaves it unknown whether the
             // change took effect.
             Some(_) if is_read => too_large(addr, path),
             _ => unreachable_error(&error),
         })?;
-        Ok((status, bytes.to_bytes()))
+        call.keep(addr, channel);
+        Ok((status, bytes))
     }
 
-    fn begin_call(&self) -> (PooledClient, UnansweredCall) {
-        let pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
-        let (client, replacements) = (pool.client.clone(), pool.replacements);
+    fn begin_call(&self, addr: SocketAddr) -> (Channel, PooledCall) {
+        let mut pool = lock(&self.pool);
+        let channel = pool.take(addr).unwrap_or_else(|| Channel::new(addr));
+        let replacements = pool.replacements;
         drop(pool);
-        (client, UnansweredCall { pool: self.pool.clone(), replacements, is_answered: false })
+        (channel, PooledCall { pool: self.pool.clone(), replacements, is_answered: false })
     }
 }
 
@@ -208,189 +228,6 @@
     )
 }
 
-/// How far the request of a failed call got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Delivery {
-    /// The connection was refused: no process listens at the address, or a partition rejects connections.
-    ConnectionRefused,
-    /// No part of the request was sent, for another reason.
-    NotSent,
-    /// The request may have been received.
-    Unknown,
-}
-
-impl Delivery {
-    /// Name used in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Delivery::ConnectionRefused => "connection_refused",
-            Delivery::NotSent => "not_sent",
-            Delivery::Unknown => "unknown",
-        }
-    }
-}
-
-/// A call over a [`Channel`] that failed.
-#[derive(Clone, Debug)]
-pub struct CallError {
-    /// The error.
-    pub error: Error,
-    /// How far the request got.
-    pub delivery: Delivery,
-}
-
-impl From<CallError> for Error {
-    fn from(failed: CallError) -> Self {
-        failed.error
-    }
-}
-
-type BoxError = Box<dyn std::error::Error + Send + Sync>;
-
-/// A request that was not answered, and the request itself if no part of it was sent.
-type UnansweredRequest = (BoxError, Option<Box<Request<Full<Bytes>>>>);
-
-/// Connection to one address, opened on demand and used for one call at a time.
-///
-/// A connection pool opens a second connection whenever two calls overlap. With channels, the
-/// caller controls the number of connections.
-#[derive(Debug)]
-pub struct Channel {
-    addr: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
-    driver: Option<tokio::task::JoinHandle<()>>,
-    connections: u64,
-}
-
-/// Over which connection a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Via {
-    /// The open connection, or a new one if none is open.
-    Any,
-    /// Only the open connection, whose other end is known.
-    OpenConnection,
-}
-
-impl Channel {
-    /// Creates a channel without opening its connection.
-    pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, sender: None, driver: None, connections: 0 }
-    }
-
-    /// Number of the open connection, counted from 1; `None` if none is open. Calls over the same
-    /// connection reach the same process.
-    pub fn connection(&self) -> Option<u64> {
-        self.sender.as_ref().filter(|sender| !sender.is_closed()).map(|_| self.connections)
-    }
-
-    /// Sends a request and returns the status and the body of the response.
-    ///
-    /// On any failure, including a timeout, the connection is closed, because an unresponsive
-    /// connection would block all later calls.
-    pub async fn call(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        via: Via,
-        timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
-        let addr = self.addr;
-        let mut delivery = Delivery::NotSent;
-        let outcome =
-            tokio::time::timeout(timeout, self.exchange(request, via, &mut delivery)).await;
-        let detail = match outcome {
-            Ok(Ok(response)) => return Ok(response),
-            Ok(Err(error)) => format!("{addr}: {error}"),
-            Err(_) => format!("{addr}: no response within {} ms", timeout.as_millis()),
-        };
-        self.close();
-        Err(CallError { error: Error::new(ErrorKind::Unreachable, detail), delivery })
-    }
-
-    async fn exchange(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        via: Via,
-        delivery: &mut Delivery,
-    ) -> Result<(StatusCode, Bytes), BoxError> {
-        let response = self.send(request, via, delivery).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await?;
-        Ok((status, body.to_bytes()))
-    }
-
-    /// Sends a request over the open connection. If that one was closed before any part of the
-    /// request was sent, or if none is open, the request is sent over a new one if `via` allows it.
-    async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        via: Via,
-        delivery: &mut Delivery,
-    ) -> Result<Response<Incoming>, BoxError> {
-        let request = match self.send_over_open(request, delivery).await {
-            Ok(response) => return Ok(response),
-            Err((_, Some(unsent))) if via == Via::Any => *unsent,
-            Err((error, _)) => return Err(error),
-        };
-        self.connect(delivery).await?;
-        self.send_over_open(request, delivery).await.map_err(|(error, _)| error)
-    }
-
-    async fn send_over_open(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        delivery: &mut Delivery,
-    ) -> Result<Response<Incoming>, UnansweredRequest> {
-        let Some(sender) = self.sender.as_mut() else {
-            return Err(("not connected".into(), Some(Box::new(request))));
-        };
-        if let Err(error) = sender.ready().await {
-            return Err((error.into(), Some(Box::new(request))));
-        }
-        *delivery = Delivery::Unknown;
-        sender.try_send_request(request).await.map_err(|mut failed| {
-            let unsent = failed.take_message();
-            if unsent.is_some() {
-                *delivery = Delivery::NotSent;
-            }
-            (failed.into_error().into(), unsent.map(Box::new))
-        })
-    }
-
-    async fn connect(&mut self, delivery: &mut Delivery) -> Result<(), BoxError> {
-        self.close();
-        let stream = tokio::net::TcpStream::connect(self.addr).await.inspect_err(|error| {
-            if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                *delivery = Delivery::ConnectionRefused;
-            }
-        })?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-        self.sender = Some(sender);
-        self.connections += 1;
-        self.driver = Some(tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(event = "channel_ended"; "connection failed: {error}");
-            }
-        }));
-        Ok(())
-    }
-
-    /// Closes the connection; the next call opens a new one.
-    pub fn close(&mut self) {
-        self.sender = None;
-        if let Some(driver) = self.driver.take() {
-            driver.abort();
-        }
-    }
-}
-
-impl Drop for Channel {
-    fn drop(&mut self) {
-        self.close();
-    }
-}
-
 fn malformed(error: &dyn std::fmt::Display) -> Error {
     Error::new(ErrorKind::Protocol, format!("malformed message: {error}"))
 }
--- a/crates/agatesill_wire/src/lib.rs
+++ b/crates/agatesill_wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages, error kinds and codecs shared by all Agatesill processes.
 
 pub mod api;
+pub mod channel;
 pub mod error;
 pub mod fleet;
 pub mod http;
--- a/crates/agatesill_wire/tests/channel.rs
+++ b/crates/agatesill_wire/tests/channel.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use agatesill_wire::http::{Channel, Delivery, Via};
+use agatesill_wire::channel::{Channel, Delivery, Via};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -11,7 +11,7 @@
     CallClass, Fleet, Order, OrderKind, OrderOutcome, US_PER_MS, Worker, WorkerIndex,
     WorkerStanding,
 };
-use agatesill_wire::http::{CallError, Delivery};
+use agatesill_wire::channel::{CallError, Delivery};
 use tokio::sync::{Mutex, Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
