--- a/crates/agatesilld/tests/urgent_starts.rs
+++ b/crates/agatesilld/tests/urgent_starts.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use support::caller::{Connection, Outcome, call};
+use support::jobs;
 use support::light_workers::{self, Calls};
 use support::settings::{ListenAddrs, config, daemon as daemon_settings, queue};
 use support::store::FakeStore;
@@ -81,12 +82,11 @@
 
 /// Keeps [`BACKLOG_TASKS`] best-effort tasks waiting until `stop` is cancelled.
 async fn submit_batch(entry: SocketAddr, calls: Arc<Calls>, stop: CancellationToken) {
-    let job = json!({"spec": "300/1000", "steps": [{"count": BATCH_TASKS, "cpu": 1_000,
-        "memMb": 500, "estimatedMs": 300, "fills": true, "image": "bills"}]});
+    let job = jobs::best_effort(BATCH_TASKS, 300);
     let mut jobs = 0;
     while !stop.is_cancelled() {
         if jobs * BATCH_TASKS < calls.starts.load(Ordering::Relaxed) + BACKLOG_TASKS {
-            submit(entry, "bills.example", &format!("b{jobs:015x}"), &job.to_string()).await;
+            submit(entry, "bills.example", &format!("b{jobs:015x}"), &job).await;
             jobs += 1;
         } else {
             tokio::time::sleep(Duration::from_millis(2)).await;
@@ -97,12 +97,11 @@
 /// Submits urgent jobs one after the other. Returns the other calls before the first start of each,
 /// in ascending order.
 async fn calls_before_urgent_starts(entry: SocketAddr, calls: &Arc<Calls>) -> Vec<u64> {
-    let job = json!({"spec": "100/1000",
-        "steps": [{"count": 8, "cpu": 1_000, "memMb": 500, "estimatedMs": 100}]});
+    let job = jobs::urgent(8, 100);
     for number in 0..URGENT_JOBS {
         let id = format!("d{number:015x}");
         calls.submitted(&id);
-        submit(entry, "desk.example", &id, &job.to_string()).await;
+        submit(entry, "desk.example", &id, &job).await;
         wait_until("the urgent job starts", || async { calls.first_starts('d').len() > number })
             .await;
         tokio::time::sleep(Duration::from_millis(200)).await;
