A turn's calls take a millisecond, and overdue polls go after urgent starts

Callers of urgent jobs still waited behind other calls: a start passes a turn at its acceptance, its record, its send and its answer, and each turn let 4 ms of calls pass. And with less processor time than the polls need, every poll became overdue after half a second and shared the first class with urgent starts.

A turn now lets 1 ms of calls pass. Overdue polls are a class of their own: after the calls for urgent and long-running work, before all others, with a quarter of each turn reserved for it and for the last class, so leases are renewed however much urgent work there is. Polls of workers without a lease still go first.

--- a/crates/agatesill_policy/src/fleet/call_queue.rs
+++ b/crates/agatesill_policy/src/fleet/call_queue.rs
@@ -14,30 +14,33 @@
 /// Time for which the calls of one turn should take the processor: long enough to keep the planner's
 /// own part of a turn small, and short enough for an urgent start to pass several turns in its
 /// objective.
-const CALLS_PER_TURN_US: u64 = 4 * US_PER_MS;
+const CALLS_PER_TURN_US: u64 = US_PER_MS;
 
 /// Least and greatest number of calls in one turn.
-const MIN_CALLS_PER_TURN: usize = 16;
+const MIN_CALLS_PER_TURN: usize = 8;
 const MAX_CALLS_PER_TURN: usize = 512;
 
-/// Part of each turn, in calls, that the first calls leave to the last ones: one of this many.
-const LAST_CLASS_SHARE: usize = 4;
+/// Part of each turn, in calls, that the first two classes leave to the others: one of this many.
+const RESERVED_SHARE: usize = 4;
 
 /// Order of calls while not all can be made at once. Calls of one class are made in the order of their
 /// requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CallClass {
-    /// Urgent starts, stops, changes of pace, and polls that are overdue.
+    /// Urgent starts, stops, changes of pace, and polls of workers without a lease.
     First,
     /// Starts of long-running tasks, and polls of workers with urgent tasks.
     Second,
+    /// Polls that are overdue.
+    Overdue,
     /// Other starts and polls.
     Last,
 }
 
 impl CallClass {
     /// All classes, in order.
-    pub const ALL: [CallClass; 3] = [CallClass::First, CallClass::Second, CallClass::Last];
+    pub const ALL: [CallClass; 4] =
+        [CallClass::First, CallClass::Second, CallClass::Overdue, CallClass::Last];
 
     /// Class of an order about a task of this urgency.
     pub fn of_order(kind: &OrderKind, urgency: Urgency) -> Self {
@@ -59,7 +62,7 @@
     calls_per_turn: usize,
     /// Calls that may still be made in this turn.
     left: usize,
-    /// Calls of the last class among those, which other calls leave alone.
+    /// Those among them that the first two classes leave to the others.
     reserved: usize,
     /// Whether calls have waited in this turn.
     is_limiting: bool,
@@ -71,7 +74,7 @@
             waiting: std::array::from_fn(|_| VecDeque::new()),
             calls_per_turn: MAX_CALLS_PER_TURN,
             left: MAX_CALLS_PER_TURN,
-            reserved: MAX_CALLS_PER_TURN / LAST_CLASS_SHARE,
+            reserved: MAX_CALLS_PER_TURN / RESERVED_SHARE,
             is_limiting: false,
         }
     }
@@ -141,19 +144,17 @@
             self.calls_per_turn = (calls + calls / 8 + 1).min(MAX_CALLS_PER_TURN);
         }
         self.left = self.calls_per_turn;
-        self.reserved = self.calls_per_turn / LAST_CLASS_SHARE;
+        self.reserved = self.calls_per_turn / RESERVED_SHARE;
     }
 
     fn may_call(&self, class: CallClass) -> bool {
-        match class {
-            CallClass::Last => self.left > 0,
-            CallClass::First | CallClass::Second => self.left > self.reserved,
-        }
+        let reserved = if class < CallClass::Overdue { self.reserved } else { 0 };
+        self.left > reserved
     }
 
     fn count(&mut self, class: CallClass) {
         self.left -= 1;
-        if class == CallClass::Last {
+        if class >= CallClass::Overdue {
             self.reserved = self.reserved.saturating_sub(1);
         }
     }
--- a/crates/agatesilld/src/fleet/call_gate.rs
+++ b/crates/agatesilld/src/fleet/call_gate.rs
@@ -32,7 +32,7 @@
         let Some(turn) = self.take_or_wait(class) else { return };
         // The turn is dropped with the planner, whose connections end then.
         if tokio::time::timeout(MAX_POLL_DELAY, turn).await.is_err() {
-            if let Some(turn) = self.take_or_wait(CallClass::First) {
+            if let Some(turn) = self.take_or_wait(CallClass::Overdue) {
                 drop(turn.await);
             }
         }
