Learning of interference updates half of its symmetric matrix

Of the planner's samples beside busy processes 4% were in InterferenceModel::learn, which updated both halves of a symmetric covariance for each sample. Only the diagonal is read elsewhere and stored for a successor. The other half is now neither kept nor read.

--- a/crates/agatesill_policy/src/fleet/colocation/interference.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/interference.rs
@@ -68,6 +68,7 @@
 #[derive(Debug)]
 struct Regression {
     weights: [f64; FEATURES],
+    /// Symmetric; only the elements on and above the diagonal are kept.
     covariance: [[f64; FEATURES]; FEATURES],
     /// Usage of each best-effort image, summed over all samples.
     seen: Usage,
@@ -93,17 +94,19 @@
         let present: Vec<(usize, f64)> =
             features.iter().copied().enumerate().filter(|(_, feature)| *feature > 0.0).collect();
         let mut gain = [0.0; FEATURES];
-        for (out, row) in gain.iter_mut().zip(&self.covariance).take(used) {
-            *out = present.iter().map(|(index, feature)| row[*index] * feature).sum();
+        for (place, out) in gain.iter_mut().enumerate().take(used) {
+            let covariance = |index: usize| self.covariance[place.min(index)][place.max(index)];
+            *out = present.iter().map(|(index, feature)| covariance(*index) * feature).sum();
         }
         let scale = 1.0 + dot(&gain, &features);
         let error = value - dot(&self.weights, &features);
         for (weight, gain) in self.weights.iter_mut().zip(&gain).take(used) {
             *weight += gain / scale * error;
         }
-        for (row, a) in self.covariance.iter_mut().zip(&gain).take(used) {
-            for (cell, b) in row.iter_mut().zip(&gain).take(used) {
-                *cell -= a * b / scale;
+        for (place, row) in self.covariance.iter_mut().enumerate().take(used) {
+            let share = gain[place] / scale;
+            for (cell, other) in row[place..used].iter_mut().zip(&gain[place..used]) {
+                *cell -= share * other;
             }
         }
         for (seen, usage) in self.seen.iter_mut().zip(usage) {
