Each row of a worker's answer is looked up once

The handling of a poll looked up the job and the task of each reported run three times, by hashes of its identifier, and collected the runs in a hash set. The runs that the ledger expects are now resolved once (ReportedRun) and passed on; absence is told by a search in a sorted list. Runs that the ledger does not expect on the worker no longer count as samples of its speed and pace, which they were before for the moment until their stop.

--- a/crates/agatesill_policy/src/fleet/colocation/pacing.rs
+++ b/crates/agatesill_policy/src/fleet/colocation/pacing.rs
@@ -7,8 +7,9 @@
 use crate::fleet::images::ImageId;
 use crate::fleet::job::{TaskRef, TaskState};
 use crate::fleet::orders::OrderKind;
+use crate::fleet::polls::ReportedRun;
 use crate::fleet::state::Fleet;
-use crate::fleet::worker::{RunRow, WorkerIndex};
+use crate::fleet::worker::WorkerIndex;
 
 use super::capacity::best_effort_cores;
 use super::interference::{HARMFUL_WEIGHT, MAX_IMAGES, PairClass, Usage, usage_units};
@@ -93,10 +94,10 @@
     pub(in crate::fleet) fn update_pacing(
         &mut self,
         index: WorkerIndex,
-        rows: &[RunRow],
+        reported: &[ReportedRun<'_>],
         now_us: u64,
     ) {
-        let (serving, best_effort) = self.classify_rows(index, rows);
+        let (serving, best_effort) = self.classify_runs(index, reported);
         self.log_colocation(index, &serving, &best_effort);
         let worst = serving.iter().map(|serving_task| serving_task.ratio).fold(0.0, f64::max);
         let worker = &mut self.workers[index as usize];
@@ -166,30 +167,26 @@
         }
     }
 
-    fn classify_rows(
+    fn classify_runs(
         &self,
         index: WorkerIndex,
-        rows: &[RunRow],
+        reported: &[ReportedRun<'_>],
     ) -> (Vec<ServingTask>, Vec<BestEffortTask>) {
         let worker = &self.workers[index as usize];
         let (mut serving, mut best_effort) = (Vec::new(), Vec::new());
-        for row in rows {
-            let Some(slot) = self.by_id.get(&row.task.job).copied() else { continue };
-            let Some(job) = self.job(slot) else { continue };
-            let Some(place) = job.find(row.task.occurrence, row.task.step, row.task.index) else {
-                continue;
-            };
-            let (step, task) = (job.step(place), &job.tasks[place as usize]);
+        for ReportedRun { task_ref, row } in reported.iter().copied() {
+            let Some(job) = self.job(task_ref.job) else { continue };
+            let (step, task) = (job.step(task_ref.task), &job.tasks[task_ref.task as usize]);
             if task.state != TaskState::Running(index) {
                 continue;
             }
             if step.target_ms > 0 && row.percent >= 100 {
                 let ratio = row.figure as f64 / step.target_ms as f64;
-                serving.push(ServingTask { image: job.image(place), ratio });
+                serving.push(ServingTask { image: job.image(task_ref.task), ratio });
             } else if step.fills {
                 best_effort.push(BestEffortTask {
-                    task_ref: TaskRef { job: slot, task: place },
-                    image: job.image(place),
+                    task_ref,
+                    image: job.image(task_ref.task),
                     cores: row.figure as f64 / 1_000.0,
                     usage: usage_units(worker, row.figure as f64),
                     pace_percent: task.pace_percent,
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -32,6 +32,15 @@
 /// Maximum quarantine, so that a faulty worker is tried again eventually.
 const MAX_QUARANTINE_US: u64 = 30_000 * US_PER_MS;
 
+/// A run that a worker reports and that the ledger expects there.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportedRun<'a> {
+    /// Location of the task.
+    pub task_ref: TaskRef,
+    /// What the worker reports.
+    pub row: &'a RunRow,
+}
+
 impl Fleet {
     /// Applies a worker's answer to a poll.
     pub fn polled(&mut self, index: WorkerIndex, poll: &Poll, now_us: u64) {
@@ -71,19 +80,19 @@
         }
         self.bar_lost_starts(index, now_us);
         self.repeat_undelivered_orders(index, now_us);
-        let present = self.apply_runs(index, &poll.running, now_us);
+        let reported = self.apply_runs(index, &poll.running, now_us);
         if poll.ended.len() < MAX_ENDS && !poll.is_incomplete {
-            self.release_absent(index, &present, poll.sent_us, now_us);
+            self.release_absent(index, &reported, poll.sent_us, now_us);
         }
         self.review_failures(index, now_us);
-        self.sample_long_running(index, &poll.running, now_us);
+        self.sample_long_running(index, &reported, now_us);
         self.detect_slow_worker(index, now_us);
         self.evacuate_slow_workers(now_us);
         self.stop_stalled(index, now_us);
         if self.workers[index as usize].entry.is_leaving {
             self.evacuate(index, now_us);
         }
-        self.update_pacing(index, &poll.running, now_us);
+        self.update_pacing(index, &reported, now_us);
         self.worker_changed(index);
     }
 
@@ -406,9 +415,15 @@
             for_ms = quarantine_us / US_PER_MS; "quarantined after consecutive failures");
     }
 
-    /// Applies the reported runs. Runs that the ledger does not expect on the worker are stopped.
-    fn apply_runs(&mut self, index: WorkerIndex, rows: &[RunRow], now_us: u64) -> HashSet<TaskRef> {
-        let mut present = HashSet::with_capacity(rows.len());
+    /// Applies the reported runs and returns those that the ledger expects on the worker. All others are
+    /// stopped.
+    fn apply_runs<'a>(
+        &mut self,
+        index: WorkerIndex,
+        rows: &'a [RunRow],
+        now_us: u64,
+    ) -> Vec<ReportedRun<'a>> {
+        let mut reported = Vec::with_capacity(rows.len());
         self.workers[index as usize].has_stray_runs = false;
         for row in rows {
             match self
@@ -416,13 +431,13 @@
                 .filter(|task_ref| self.is_expected(index, *task_ref, row.run))
             {
                 Some(task_ref) => {
-                    present.insert(task_ref);
+                    reported.push(ReportedRun { task_ref, row });
                     self.apply_run(index, task_ref, row, now_us);
                 }
                 None => self.stop_stray(index, row, now_us),
             }
         }
-        present
+        reported
     }
 
     fn is_expected(&self, index: WorkerIndex, task_ref: TaskRef, run: u32) -> bool {
@@ -500,14 +515,17 @@
     fn release_absent(
         &mut self,
         index: WorkerIndex,
-        present: &HashSet<TaskRef>,
+        reported: &[ReportedRun<'_>],
         sent_us: u64,
         now_us: u64,
     ) {
+        let mut present: Vec<TaskRef> = reported.iter().map(|run| run.task_ref).collect();
+        present.sort_unstable();
+        let is_absent = |task_ref: &TaskRef| present.binary_search(task_ref).is_err();
         let absent: Vec<(TaskRef, RunEnd)> = self.workers[index as usize]
             .tasks
             .iter()
-            .filter(|task_ref| !present.contains(task_ref))
+            .filter(|task_ref| is_absent(task_ref))
             .filter_map(|task_ref| {
                 let job = self.job(task_ref.job)?;
                 let end = RunEnd::absent(&job.tasks[task_ref.task as usize], sent_us)?;
@@ -519,7 +537,7 @@
             self.mark_dirty(task_ref.job, now_us);
             self.end_run(task_ref, TaskState::Waiting, end, now_us);
         }
-        self.bar_overdue_starts(index, present, sent_us, now_us);
+        self.bar_overdue_starts(index, is_absent, sent_us, now_us);
     }
 
     /// Bars starts that were neither answered nor carried out within [`START_TIMEOUT_US`] when the
@@ -531,7 +549,7 @@
     fn bar_overdue_starts(
         &mut self,
         index: WorkerIndex,
-        present: &HashSet<TaskRef>,
+        is_absent: impl Fn(&TaskRef) -> bool,
         sent_us: u64,
         now_us: u64,
     ) {
@@ -539,7 +557,7 @@
             .tasks
             .iter()
             .copied()
-            .filter(|task_ref| !present.contains(task_ref) && self.is_overdue(*task_ref, sent_us))
+            .filter(|task_ref| is_absent(task_ref) && self.is_overdue(*task_ref, sent_us))
             .collect();
         for task_ref in overdue {
             log::info!(event = "order_overdue", job = self.job_id(task_ref.job),
--- a/crates/agatesill_policy/src/fleet/serving_tails.rs
+++ b/crates/agatesill_policy/src/fleet/serving_tails.rs
@@ -9,6 +9,7 @@
 use super::US_PER_MS;
 use super::images::ImageId;
 use super::job::{TaskRef, TaskState};
+use super::polls::ReportedRun;
 use super::speed::RecentMean;
 use super::state::Fleet;
 use super::worker::{RunRow, WorkerIndex};
@@ -47,7 +48,12 @@
 impl Fleet {
     /// Samples the speed of a worker from its long-running tasks, each compared with the other tasks
     /// of its image. The task that is affected least decides.
-    pub(super) fn sample_long_running(&mut self, index: WorkerIndex, rows: &[RunRow], now_us: u64) {
+    pub(super) fn sample_long_running(
+        &mut self,
+        index: WorkerIndex,
+        reported: &[ReportedRun<'_>],
+        now_us: u64,
+    ) {
         let worker = &self.workers[index as usize];
         if !self.controls_load(&worker.entry.service)
             || now_us.saturating_sub(worker.speed.tails_sampled_us) < SAMPLE_INTERVAL_US
@@ -56,8 +62,7 @@
         }
         self.workers[index as usize].speed.tails_sampled_us = now_us;
         let (mut tasks, mut speed, mut best_effort_milli) = (0_u32, 0.0_f64, 0);
-        for row in rows {
-            let Some(task_ref) = self.find(&row.task) else { continue };
+        for ReportedRun { task_ref, row } in reported.iter().copied() {
             if self.task_state(task_ref) != TaskState::Running(index) {
                 continue;
             }
