Steps that may not start now are neither ranked nor searched for

While 1,024 starts are in progress, no step of a queue of lower priority is placed, but each round still ranked, cloned and sorted all of them: with a backlog of best-effort jobs the rounds took the time that urgent starts lacked. Such steps are left out before ranking; a step is cloned only once a worker is searched for; the tasks of an occurrence are counted once. A step that is not placed now also preempts nothing.

--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -397,6 +397,8 @@
     pub(super) images: Vec<ImageId>,
     /// Tasks ordered by occurrence, step and index.
     pub tasks: Vec<Task>,
+    /// Number of tasks in one occurrence.
+    tasks_per_occurrence: u32,
     /// Number of tasks that are not done, by occurrence and step.
     pub remaining: Vec<u32>,
     /// Observed speed of the tasks, by occurrence and step.
@@ -444,6 +446,7 @@
         Self {
             images: vec![NO_IMAGE; spec.steps.len()],
             tasks: vec![Task::new(TaskState::Blocked, now_us); total as usize],
+            tasks_per_occurrence: per_occurrence,
             speeds: vec![StepSpeed::default(); remaining.len()],
             remaining,
             remaining_total: total,
@@ -468,7 +471,7 @@
 
     /// Returns the occurrence and step of a task and its index within the step.
     pub fn locate(&self, task: u32) -> (u32, u32, u32) {
-        let per_occurrence = self.spec.tasks_per_occurrence().max(1);
+        let per_occurrence = self.tasks_per_occurrence.max(1);
         let mut rest = task % per_occurrence;
         for (index, step) in self.spec.steps.iter().enumerate() {
             if rest < step.count {
@@ -491,7 +494,7 @@
     /// Index of the first task of a step.
     pub fn first_of(&self, occurrence: u32, step: u32) -> u32 {
         let before: u32 = self.spec.steps[..step as usize].iter().map(|step| step.count).sum();
-        occurrence * self.spec.tasks_per_occurrence() + before
+        occurrence * self.tasks_per_occurrence + before
     }
 
     /// Indices of all tasks of a step.
--- a/crates/agatesill_policy/src/fleet/longest_wait.rs
+++ b/crates/agatesill_policy/src/fleet/longest_wait.rs
@@ -229,7 +229,7 @@
         };
         if job.tasks[task as usize].is_backing_off(now_us) {
             Deferral::BackingOff
-        } else if self.are_starts_limited(job) {
+        } else if self.are_starts_limited(self.terms(job).priority) {
             Deferral::StartsInProgress
         } else if job.awaits_record() {
             Deferral::AwaitsRecord
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -81,9 +81,9 @@
         self.preempt_for_urgent(&still_waiting, now_us);
     }
 
-    /// Whether no further task of the job's queue is placed because of the starts in progress.
-    pub(super) fn are_starts_limited(&self, job: &Job) -> bool {
-        self.terms(job).priority > 0 && self.starting >= MAX_STARTING_TASKS
+    /// Whether no further task of a queue of this priority is placed because of the starts in progress.
+    pub(super) fn are_starts_limited(&self, priority: u32) -> bool {
+        priority > 0 && self.starting >= MAX_STARTING_TASKS
     }
 
     /// Whether a demand of a planning round that fitted no worker shows that the tasks of a step do
@@ -97,11 +97,12 @@
         let image = job.images[step as usize];
         let step = &job.spec.steps[step as usize];
         let fills = step.fills.then_some(image);
+        let service = &self.terms(job).service;
         unplaced.iter().any(|demand| {
-            demand.service == self.terms(job).service
-                && demand.fills == fills
-                && demand.label == step.label
+            demand.fills == fills
                 && step.need.holds(&demand.need)
+                && demand.label == step.label
+                && demand.service == *service
         })
     }
 
@@ -110,9 +111,11 @@
             self.waiting.remove(&group);
             return;
         };
-        let step = job.spec.steps[group.step as usize].clone();
-        let service = self.terms(job).service.clone();
-        let ticket_group = self.terms(job).needs_advice.then_some(group);
+        let is_limited = self.are_starts_limited(self.terms(job).priority);
+        if job.phase == JobPhase::Active && (is_limited || job.awaits_record()) {
+            return;
+        }
+        let step = &job.spec.steps[group.step as usize];
         let waiting: Vec<u32> = job
             .tasks_of(group.occurrence, group.step)
             .filter(|task| job.tasks[*task as usize].state == TaskState::Waiting)
@@ -126,9 +129,6 @@
             self.waiting.remove(&group);
             return;
         }
-        if self.are_starts_limited(job) || job.awaits_record() {
-            return;
-        }
         if step.is_gang && tasks.len() < step.count as usize {
             // Some members are not ready to start yet, and a gang starts only as a whole.
             return;
@@ -151,6 +151,10 @@
         {
             return;
         }
+        let step = step.clone();
+        let terms = self.terms(job);
+        let service = terms.service.clone();
+        let ticket_group = terms.needs_advice.then_some(group);
         let context = GroupContext {
             step: &step,
             image,
--- a/crates/agatesill_policy/src/fleet/ranking.rs
+++ b/crates/agatesill_policy/src/fleet/ranking.rs
@@ -63,7 +63,8 @@
 }
 
 impl Fleet {
-    /// Returns all waiting groups in the order in which they are placed.
+    /// Returns the waiting groups in the order in which they are placed, without those that are not
+    /// because of the starts in progress.
     pub(super) fn ranked(&self, now_us: u64, now_ms: u64) -> Vec<Ranked> {
         let mut ranked: Vec<Ranked> =
             self.waiting.iter().filter_map(|group| self.rank(*group, now_us, now_ms)).collect();
@@ -80,6 +81,9 @@
     fn rank(&self, group: TaskGroup, now_us: u64, now_ms: u64) -> Option<Ranked> {
         let job = self.job(group.job).filter(|job| job.phase == JobPhase::Active)?;
         let terms = self.terms(job);
+        if self.are_starts_limited(terms.priority) {
+            return None;
+        }
         let elapsed_ms = elapsed_ms(job, group.occurrence, now_us, now_ms);
         let density = if job.spec.steps[group.step as usize].is_lasting {
             let misses_little = self.is_within_allowance(job, group);
