Pages of the store that end with a large odd entry are read

Operators of systems like ours reported that one odd entry among those of the workers kept the machines that read the list from following it. Nesting, numbers and addresses end nothing here, but size does: a page of the store ends with the value that takes it over 1 MB, and a value may have 1 MiB, so that a reply of base64 may be close to 3 MB. The client read 2 MiB at most. With a few large entries in the list, no planner and no successor could read it any more: workers that joined later got no tasks, and the attempts followed each other without a delay.

Responses may now have 4 MiB (requests 2 MiB as before), and a full read that fails for its size is retried after a delay.

--- a/crates/agatesill_wire/src/channel.rs
+++ b/crates/agatesill_wire/src/channel.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 
 use crate::error::{Error, ErrorKind};
-use crate::http::MAX_BODY_BYTES;
+use crate::http::MAX_RESPONSE_BYTES;
 
 /// Timeout of the opening of a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -152,7 +152,7 @@
 
     /// Reads the body of the response to the last request.
     pub(crate) async fn collect(&mut self, body: Incoming) -> Result<Bytes, BoxError> {
-        let body = Limited::new(body, MAX_BODY_BYTES).collect();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         match self.open.as_mut() {
             Some(open) => Ok(drive(&mut open.connection, body).await?.to_bytes()),
             None => Err("not connected".into()),
--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -22,16 +22,20 @@
 use crate::channel::{Channel, Delivery, Via};
 use crate::error::{Error, ErrorKind};
 
-/// Maximum body size of a control call: two values of the store's maximum size.
+/// Maximum body size of a request: two values of the store's maximum size.
 pub const MAX_BODY_BYTES: usize = 2 << 20;
 
+/// Maximum body size of a response. A page of the store ends with the value that takes it over 1 MB, which
+/// may have the maximum size, and all values are sent as base64.
+pub const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
 /// Header with the name of the operator who makes the call.
 pub const OPERATOR_HEADER: &str = "x-agatesill-operator";
 
 /// Header with the operator's token, required if the settings list tokens.
 pub const TOKEN_HEADER: &str = "x-agatesill-token";
 
-/// Timeout of the body of a long response: 2 MB take two seconds at 10 Mbit/s.
+/// Timeout of the body of a long response: 4 MB take less at 10 Mbit/s.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Time after which an idle control connection is closed.
@@ -224,7 +228,7 @@
 fn too_large(addr: SocketAddr, path: &str) -> Error {
     Error::new(
         ErrorKind::TooLarge,
-        format!("{addr}{path}: response exceeds {MAX_BODY_BYTES} bytes"),
+        format!("{addr}{path}: response exceeds {MAX_RESPONSE_BYTES} bytes"),
     )
 }
 
--- a/crates/agatesilld/src/fleet/store_watchers.rs
+++ b/crates/agatesilld/src/fleet/store_watchers.rs
@@ -240,7 +240,7 @@
                         tokio::time::sleep(timing.delay).await;
                     }
                 }
-                Err(error) if error.kind == ErrorKind::TooLarge => {
+                Err(error) if error.kind == ErrorKind::TooLarge && cursor.is_some() => {
                     log::warn!(event = "news_too_large", prefix = prefix;
                         "reading the prefix again: {error}");
                     cursor = None;
