Lines and metrics of what the losses of workers wait for, across planners

For a worker that does not answer no line showed what its loss waits for, since when, and what the planners before had waited: a successor's lines began anew with its takeover, like its wait.

The planner records in own/leases which workers with tasks do not answer, how long, and for how much longer leases may run there; its successor reads the record. loss_awaited says once a second, for each of at most eight such workers, whether its loss waits for a lease of this planner or of earlier ones, since when and what was waited before. worker_gone and worker_lapsed say the same, and agatesill.losses.awaited and agatesill.ledger (longest_silence_ms) count it. No decision changes.

--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 mod images;
 mod job;
 mod job_faults;
+mod lease_record;
 mod limits;
 mod load;
 mod longest_wait;
@@ -61,6 +62,9 @@
 pub use idle_jobs::{IdleJob, OpenTasks};
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
 pub use job_faults::{JobOutcomes, is_job_at_fault};
+pub use lease_record::{
+    LeaseRecord, LossWait, SeenLeaseRecord, Silence, SilentWorker, UnansweringWorker,
+};
 pub use limits::{MAX_AMOUNT, MAX_DURATION_MS, MAX_WALL_MS};
 pub use longest_wait::{Deferral, FittingWorkers, LongestTransition, LongestWait};
 pub use missing_tasks::{MissingTask, MissingTaskWorker, PlacementWait};
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -5,6 +5,7 @@
 
 use super::US_PER_MS;
 use super::job::{JobPhase, TaskKey, TaskRef, TaskState};
+use super::lease_record::Silence;
 use super::missing_tasks::state_name;
 use super::orders::{NO_TASK, Order, OrderKind};
 use super::run_end::RunEnd;
@@ -68,6 +69,7 @@
         worker.standing = WorkerStanding::Good;
         worker.unanswered_calls = 0;
         worker.refused_polls = 0;
+        worker.silence = Silence::default();
         worker.answered_us = now_us;
         worker.reported_us = worker.clock.reported_us(poll, now_us);
         if was_silent {
@@ -116,6 +118,7 @@
             return;
         }
         worker.unanswered_calls += 1;
+        worker.silence.begin(now_us);
         if worker.standing == WorkerStanding::Good {
             worker.standing = WorkerStanding::Silent;
             worker.silences.add(now_us);
@@ -159,6 +162,8 @@
             revision = worker.entry.revision, started_ms = worker.started_ms,
             evidence_ms = now_us.saturating_sub(evidence_us) / US_PER_MS,
             answer_age_ms = now_us.saturating_sub(worker.answered_us) / US_PER_MS,
+            silent_ms = worker.silence.total_ms(now_us),
+            planners_before = worker.silence.planners_before,
             refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
         self.worker_changed(index);
         self.release_lost_runs(index, true, as_of_us, now_us);
@@ -204,7 +209,8 @@
         for index in lapsed {
             let worker = &self.workers[index as usize];
             log::warn!(event = "worker_lapsed", worker = worker.entry.id.as_str(),
-                refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
+                silent_ms = worker.silence.total_ms(now_us),
+                planners_before = worker.silence.planners_before, refused_polls = worker.refused_polls, tasks = worker.tasks.len(); "");
             self.release_lost_runs(index, false, as_of_us, now_us);
             self.follow_to_other_address(index, as_of_us, now_us);
         }
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -12,6 +12,7 @@
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
 use super::job_faults::JobOutcomes;
+use super::lease_record::SeenLeaseRecord;
 use super::load::ServiceMeters;
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
@@ -89,6 +90,8 @@
     pub(super) worker_by_id: HashMap<String, WorkerIndex>,
     /// Addresses that the previous planner knew.
     pub(super) previous_addresses: WorkerAddresses,
+    /// What the previous planners recorded about the leases of workers.
+    pub(super) handed_over: SeenLeaseRecord,
     /// Worker that was listed last at each address.
     pub(super) worker_by_address: HashMap<String, WorkerIndex>,
     pub(super) queues: HashMap<String, QueueTerms>,
@@ -156,6 +159,7 @@
             workers: Vec::new(),
             worker_by_id: HashMap::new(),
             previous_addresses: WorkerAddresses::new(),
+            handed_over: SeenLeaseRecord::default(),
             worker_by_address: HashMap::new(),
             queues: HashMap::new(),
             closed_zones: ClosedZones::new(),
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -166,8 +166,10 @@
     /// request leases.
     pub fn finish_restore(&mut self, orphan_ms: u64, now_us: u64) {
         let until_us = now_us + self.lease_us() + orphan_ms * US_PER_MS;
-        for worker in &mut self.workers {
+        for index in 0..self.workers.len() {
+            let worker = &mut self.workers[index];
             worker.lease_until_us = worker.lease_until_us.max(until_us);
+            self.restore_silence(index as WorkerIndex, now_us);
         }
     }
 
--- a/crates/agatesill_policy/src/fleet/worker.rs
+++ b/crates/agatesill_policy/src/fleet/worker.rs
@@ -10,6 +10,7 @@
 use super::flapping::Silences;
 use super::images::ImageCounts;
 use super::job::{TaskKey, TaskRef};
+use super::lease_record::Silence;
 use super::report_clock::ReportClock;
 use super::slow::WorkerSpeed;
 
@@ -213,6 +214,8 @@
     pub answered_us: u64,
     /// Silences by which the worker flaps.
     pub(super) silences: Silences,
+    /// How long the worker has not answered.
+    pub silence: Silence,
     /// Consecutive calls without an answer.
     pub unanswered_calls: u32,
     /// Polls since the last answer whose connection the worker's address refused.
@@ -274,6 +277,7 @@
             lease_until_us: 0,
             answered_us: 0,
             silences: Silences::default(),
+            silence: Silence::default(),
             unanswered_calls: 0,
             refused_polls: 0,
             is_zone_closed: false,
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -7,7 +7,7 @@
 use agatesill_coord::lease::Owner;
 use agatesill_coord::prelude::*;
 use agatesill_platform::prelude::*;
-use agatesill_policy::fleet::{Counts, Effort, StartWaits, US_PER_MS};
+use agatesill_policy::fleet::{Counts, Effort, LossWait, StartWaits, US_PER_MS};
 use agatesill_wire::fleet::{FleetAnswer, FleetQuestion};
 use tokio::sync::Notify;
 
@@ -72,6 +72,10 @@
     pub workers: u64,
     /// Unresponsive workers among them.
     pub silent_workers: u64,
+    /// Workers that do not answer and may have runs, by what their losses wait for.
+    pub awaited_losses: [u64; LossWait::ALL.len()],
+    /// Longest time for which one of them has not answered any planner.
+    pub longest_silence_ms: u64,
 }
 
 /// What is known of the owner of the planner's range.
--- a/crates/agatesilld/src/fleet/keys.rs
+++ b/crates/agatesilld/src/fleet/keys.rs
@@ -25,6 +25,10 @@
 /// to have stopped.
 pub const PLANNERS: &str = "planners";
 
+/// The leases of workers that do not answer, kept for the planner's successors. The key is under the prefix
+/// of owners, so that one watch shows changes of both.
+pub const LEASES: &str = "own/leases";
+
 /// Key of an accepted job.
 pub fn job(id: &str) -> String {
     format!("{JOB}{id}")
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use agatesill_policy::fleet::{EndProof, StartStage, US_PER_MS, Urgency};
+use agatesill_policy::fleet::{EndProof, LossWait, StartStage, US_PER_MS, Urgency};
 use agatesill_wire::api::LOAD_PATH;
 use agatesill_wire::http::respond;
 use bytes::Bytes;
@@ -102,6 +102,7 @@
         let meter = self.instruments.meter();
         self.instruments.observe_lost_lines();
         observe_ledger(&meter, daemon);
+        observe_awaited_losses(&meter, daemon);
         observe_effort(&meter, daemon);
         observe_start_waits(&meter, daemon);
         observe_planner_time(&meter, daemon);
@@ -160,6 +161,7 @@
             gauge.observe(planner_stats.behind_us / 1_000, &what("behind_ms"));
             gauge.observe(planner_stats.workers, &what("workers"));
             gauge.observe(planner_stats.silent_workers, &what("silent_workers"));
+            gauge.observe(planner_stats.longest_silence_ms, &what("longest_silence_ms"));
             gauge.observe(planner_stats.counts.quarantines, &what("quarantines"));
             gauge.observe(planner_stats.counts.slow_workers, &what("slow_workers"));
             gauge.observe(planner_stats.counts.given_up, &what("given_up"));
@@ -167,6 +169,23 @@
         .build();
 }
 
+fn observe_awaited_losses(meter: &Meter, daemon: &Arc<DaemonState>) {
+    let observed = daemon.clone();
+    meter
+        .u64_observable_gauge("agatesill.losses.awaited")
+        .with_unit("{worker}")
+        .with_description(
+            "Workers that do not answer and may have runs, by what their losses wait for",
+        )
+        .with_callback(move |gauge| {
+            let awaited = observed.planner_stats().awaited_losses;
+            for wait in LossWait::ALL {
+                gauge.observe(awaited[wait as usize], &[KeyValue::new("wait", wait.name())]);
+            }
+        })
+        .build();
+}
+
 fn observe_effort(meter: &Meter, daemon: &Arc<DaemonState>) {
     let observed = daemon.clone();
     meter
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -9,7 +9,8 @@
 use agatesill_policy::fleet::{
     AdviceQuestion, ClosedZone, Fleet, FleetUsage, IdleJob, JobPhase, JobSpec, JobWrite,
     LongestTransition, LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms,
-    SlowWorker, StartStage, StartWaits, Urgency, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
+    SlowWorker, StartStage, StartWaits, UnansweringWorker, Urgency, Worker, WorkerEntry,
+    WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinError;
@@ -19,6 +20,7 @@
 use super::clock::wall_ms;
 use super::commits::{self, Committed};
 use super::daemon_state::{DaemonState, PlannerStats};
+use super::lease_records::{self, LeaseRecords, LeaseWrite};
 use super::planner_time::{Duty, DutyClock};
 use super::predecessors::{self, Predecessors};
 use super::supervision::{cancel_at_end, spawn_supervised};
@@ -92,6 +94,9 @@
 /// Maximum number of slow workers logged in one second.
 const MAX_SLOW_WORKERS_LOGGED: usize = 4;
 
+/// Maximum number of workers that do not answer and may have runs that are logged once a second.
+const MAX_UNANSWERING_LOGGED: usize = 8;
+
 /// Timeout of the last commits at a planned stop.
 const LAST_COMMITS_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -134,6 +139,8 @@
     Committed(Committed),
     /// No earlier planner requests leases any more.
     PredecessorsStopped,
+    /// Outcome of a write of the record of leases.
+    LeasesWritten(LeaseWrite),
     /// The addresses of the workers could not be stored.
     AddressesUnsaved,
     /// The configuration has changed.
@@ -233,6 +240,7 @@
         last_learned_save_us: daemon.clock.now_us(),
         last_addresses_save_us: 0,
         has_new_workers: false,
+        lease_records: LeaseRecords::after(start.leases_version),
         workers_to_connect: BTreeSet::new(),
         planning_since_us: daemon.clock.now_us(),
         last_load_view_us: 0,
@@ -328,6 +336,7 @@
     last_addresses_save_us: u64,
     /// Whether workers have been listed whose addresses are not stored.
     has_new_workers: bool,
+    lease_records: LeaseRecords,
     /// Idle workers whose connections are to be opened.
     workers_to_connect: BTreeSet<WorkerIndex>,
     /// When this daemon began to plan.
@@ -528,6 +537,7 @@
                 self.fleet.advice_answered(&question, good, valid_ms, now_us);
             }
             Event::Committed(committed) => self.committed(committed),
+            Event::LeasesWritten(write) => self.leases_written(&write, now_us),
             Event::AddressesUnsaved => self.has_new_workers = true,
             Event::QueuesChanged(queues) => self.fleet.set_queues(queues),
             Event::StateOf(id, reply) => drop(reply.send(self.fleet.state_of(&id))),
@@ -606,6 +616,31 @@
         });
     }
 
+    /// Stores for a successor which workers do not answer.
+    fn save_leases(&mut self, now_us: u64) {
+        let record = self.fleet.lease_record(self.epoch, now_us);
+        if !self.lease_records.is_due(&record, now_us) {
+            return;
+        }
+        let version = self.lease_records.begin(now_us);
+        let (daemon, epoch, events) = (self.daemon.clone(), self.epoch, self.events.clone());
+        self.tasks.spawn(async move {
+            let written = lease_records::store(&daemon, epoch, version, record).await;
+            if events.send(Event::LeasesWritten(written)).await.is_err() {
+                log::debug!(event = "lease_record_unheard"; "the planner has ended");
+            }
+        });
+    }
+
+    fn leases_written(&mut self, write: &LeaseWrite, now_us: u64) {
+        self.lease_records.written(write, now_us);
+        if matches!(write, LeaseWrite::Superseded) {
+            log::warn!(event = "superseded", epoch = self.epoch;
+                "another daemon owns the planner's range");
+            self.lost.cancel();
+        }
+    }
+
     /// Opens the connections to some of the idle workers that have none yet.
     fn open_connections(&mut self) {
         let is_lagging = self.behind_us() > LAG_THRESHOLD_US;
@@ -676,6 +711,7 @@
         self.publish_stats();
         self.publish_load(now_us);
         self.save_worker_addresses(now_us);
+        self.save_leases(now_us);
         if now_us - self.last_learned_save_us > SAVE_LEARNED_INTERVAL_US {
             self.last_learned_save_us = now_us;
             let learned = self.fleet.learned();
@@ -707,6 +743,8 @@
         described.iter().for_each(|task| log_missing(task, missing, self.epoch));
         let (idle, described) = self.fleet.idle_jobs(MAX_IDLE_JOBS_LOGGED, now_us);
         described.iter().for_each(|job| log_idle(job, idle, self.epoch));
+        let (described, _) = self.fleet.describe_unanswering(MAX_UNANSWERING_LOGGED, now_us);
+        described.iter().for_each(|worker| log_unanswering(worker, self.epoch));
         let (slow, described) = self.fleet.slowest_workers(MAX_SLOW_WORKERS_LOGGED, now_us);
         described.iter().for_each(|worker| log_slow_worker(worker, slow, self.epoch));
         self.rounds.log_and_reset(self.epoch);
@@ -741,6 +779,7 @@
     }
 
     fn publish_stats(&self) {
+        let now_us = self.daemon.clock.now_us();
         let is_unresponsive = |worker: &&Worker| worker.standing != WorkerStanding::Good;
         self.daemon.set_planner_stats(PlannerStats {
             counts: self.fleet.counts(),
@@ -756,6 +795,8 @@
                 .map(|(_, worker)| worker)
                 .filter(is_unresponsive)
                 .count() as u64,
+            awaited_losses: self.fleet.describe_unanswering(0, now_us).1,
+            longest_silence_ms: self.fleet.longest_silence_ms(now_us),
         });
     }
 
@@ -964,6 +1005,15 @@
         is_committing = task.is_committing, workers = refusals.as_str(); "{detail}");
 }
 
+/// Logs what the loss of a worker that does not answer waits for, and since when.
+fn log_unanswering(worker: &UnansweringWorker, epoch: u64) {
+    log::info!(event = "loss_awaited", epoch = epoch, worker = worker.id.as_str(),
+        tasks = worker.tasks, waits_for = worker.wait.name(), left_ms = worker.left_ms,
+        since_ms = worker.since_ms, before_ms = worker.before_ms,
+        planners_before = worker.planners_before, is_listed = worker.is_listed,
+        refused_polls = worker.refused_polls; "");
+}
+
 fn log_slow_worker(worker: &SlowWorker, slow: usize, epoch: u64) {
     log::info!(event = "worker_speed", epoch = epoch, slow = slow, worker = worker.id.as_str(),
         speed_percent = worker.speed_percent, confidence_percent = worker.confidence_percent,
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -12,6 +12,7 @@
 use super::clock::wall_ms;
 use super::daemon_state::DaemonState;
 use super::keys::{self, InboxKey};
+use super::lease_records;
 use super::predecessors::{self, Predecessors};
 use super::refusal_record::RefusalRecord;
 use super::store_watchers;
@@ -33,6 +34,8 @@
     pub inbox_revision: u64,
     /// Revision at which closed zones were read.
     pub zones_revision: u64,
+    /// Version of the record of leases that the planner takes over; 0 if there is none.
+    pub leases_version: u64,
     /// Planners before this one.
     pub predecessors: Predecessors,
 }
@@ -56,10 +59,11 @@
             read_with_retries(daemon, keys::LEARNED),
             read_with_retries(daemon, keys::WORKERS),
             read_with_retries(daemon, zones::PREFIX),
+            read_with_retries(daemon, keys::LEASES),
             register_as_planner(daemon, epoch)
         )
     };
-    let ((inbox, progress), workers, learned, addresses, zones, predecessors) = tokio::select! {
+    let ((inbox, progress), workers, learned, addresses, zones, leases, predecessors) = tokio::select! {
         () = lost.cancelled() => return None,
         read = read => read,
     };
@@ -87,6 +91,10 @@
         lost.cancel();
         return None;
     };
+    let (seen, leases_version) = lease_records::decode(&leases.entries, daemon.clock.now_us());
+    log::info!(event = "leases_taken_over", epoch = epoch, from_epoch = seen.record.epoch,
+        version = leases_version, silent_workers = seen.record.silent.len(); "");
+    fleet.take_over_leases(seen);
     let orphan_ms = predecessors.orphan_ms();
     restore(&mut fleet, &inbox.entries, &progress.entries, orphan_ms, daemon.clock.now_us());
     log::info!(event = "ledger_read", jobs = inbox.entries.len(),
@@ -100,6 +108,7 @@
         registry_read_us,
         inbox_revision: inbox.revision,
         zones_revision: zones.revision,
+        leases_version,
         predecessors,
     })
 }
