--- a/crates/agatesill_policy/tests/fleet_support/mod.rs
+++ b/crates/agatesill_policy/tests/fleet_support/mod.rs
@@ -12,7 +12,8 @@
 use agatesill_policy::batch::Resources;
 use agatesill_policy::fleet::{
     EndCause, EndRow, Fleet, FleetBounds, JobSpec, JobWrite, ORPHAN_MS, Order, OrderKind,
-    OrderOutcome, Poll, QueueTerms, RunRow, Step, TaskKey, WorkerEntry, WorkerIndex,
+    OrderOutcome, Poll, QueueTerms, RunRow, SeenLeaseRecord, Step, TaskKey, WorkerEntry,
+    WorkerIndex,
 };
 
 /// Microseconds in a millisecond.
@@ -258,7 +259,19 @@
 
     /// Builds the ledger of a successor from the stored records, with these workers registered.
     pub fn successor(&self, jobs: &[JobSpec], entries: Vec<WorkerEntry>) -> Fleet {
+        self.successor_after(jobs, entries, SeenLeaseRecord::default(), ORPHAN_MS)
+    }
+
+    /// Like [`Harness::successor`], with what earlier planners recorded about the leases of workers.
+    pub fn successor_after(
+        &self,
+        jobs: &[JobSpec],
+        entries: Vec<WorkerEntry>,
+        seen: SeenLeaseRecord,
+        orphan_ms: u64,
+    ) -> Fleet {
         let mut fleet = Fleet::new(bounds());
+        fleet.take_over_leases(seen);
         for spec in jobs {
             let record = self
                 .stored
@@ -266,7 +279,7 @@
                 .map(|(text, revision)| (serde_json::from_str(text).unwrap(), *revision));
             fleet.restore(spec.clone(), record, self.now_us);
         }
-        fleet.finish_restore(ORPHAN_MS, self.now_us);
+        fleet.finish_restore(orphan_ms, self.now_us);
         for entry in entries {
             fleet.worker_listed(entry, self.now_us);
         }
