--- a/crates/agatesill_policy/src/fleet/lease_record.rs
+++ b/crates/agatesill_policy/src/fleet/lease_record.rs
@@ -1,20 +1,25 @@
-//! What a planner hands over to its successors about the leases of workers that do not answer.
+//! What a planner hands over to its successors about the leases of workers.
 //!
 //! Load pattern: workers are lost for good, and the planner changes every few seconds. Each planner has to
 //! wait for the leases that may still run at these workers. If it began the wait anew, tasks would be
 //! without a run for as long as planners change.
 //!
-//! The record holds durations that count from its write. A reader counts them from when it, or another
-//! daemon, first saw that version of the record, which is never before the write. So no two clocks are
-//! compared, and what is lost at a takeover is the time from the write until a daemon that still lives has
-//! seen it.
+//! The record holds durations that count from its write. A reader counts them from when it first saw that
+//! version of the record, which is never before the write. So no two clocks are compared.
+//!
+//! The durations hold because of what a planner refrains from:
+//!
+//! - It requests no lease before a record says so ([`Tenure::Renewing`]), and none that ends later than
+//!   [`LEASE_HORIZON_MS`] after the last record whose write was confirmed.
+//! - It requests no lease at a worker that a record names as silent, until a record without that worker is
+//!   confirmed. Such a worker is *withheld*, also while the outcome of a write is unknown.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::value_type;
 
 use super::US_PER_MS;
-use super::state::Fleet;
+use super::state::{Fleet, LEASE_SLACK_MS};
 use super::worker::{Worker, WorkerIndex, WorkerStanding};
 
 /// Maximum number of workers in a record, so that its size stays small beside the other records.
@@ -35,14 +40,43 @@
     }
 }
 
+/// Time from the last record of a planner until all leases that it requests have ended, whatever becomes of
+/// the planner. Tasks live on for so long while the store is away, and a successor waits for so long for a
+/// planner that is gone for good.
+const LEASES_END_MS: u64 = 8_600;
+
+/// Time from the sending of the last confirmed record until the latest lease end that its planner requests, on
+/// the clock of a worker. With two percent for a slow clock and the time that a call may be in flight, such
+/// a lease has ended after [`LEASES_END_MS`].
+pub const LEASE_HORIZON_MS: u64 = (LEASES_END_MS - LEASE_SLACK_MS) * 100 / 102;
+
+/// Time after a takeover during which workers that are not known to be silent have answered or not.
+const FIRST_ANSWER_US: u64 = 500 * US_PER_MS;
+
+/// Which leases the writer of a record may request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tenure {
+    /// It has not requested any, and does not before another record is stored.
+    Starting,
+    /// It requests leases at all workers that the record does not name as silent.
+    Renewing,
+    /// It requests none any more.
+    Stopped,
+}
+
 value_type! {
-    /// The leases of workers as one planner hands them over.
+    /// The leases of workers as one planner hands them over. All times count from the write.
     #[serde(default)]
     #[derive(Default)]
     pub struct LeaseRecord {
-        /// Epoch of the planner that wrote the record.
+        /// Epoch of the planner that wrote the record; 0 in an empty record.
         pub epoch: u64,
-        /// Workers that do not answer, by identifier.
+        /// Time after which all leases have ended that the writer has requested, unless it writes another
+        /// record.
+        pub own_left_ms: u64,
+        /// The same for all planners before the writer.
+        pub earlier_left_ms: u64,
+        /// Workers that do not answer, by identifier. The other two times do not apply to them.
         pub silent: BTreeMap<String, SilentWorker>,
     }
 }
@@ -56,6 +90,58 @@
     pub seen_us: u64,
 }
 
+impl SeenLeaseRecord {
+    /// Whether the times of the record can be relied on.
+    pub fn is_reliable(&self) -> bool {
+        self.record.epoch > 0
+    }
+
+    /// When all leases have ended at workers that the record does not name as silent.
+    fn ends_us(&self) -> u64 {
+        let left_ms = self.record.own_left_ms.max(self.record.earlier_left_ms);
+        self.seen_us + left_ms * US_PER_MS
+    }
+
+    /// The first record of a planner that takes over. If the previous planner is certain to have stopped,
+    /// its leases end within `lease_us` from now.
+    pub fn restated(
+        &self,
+        epoch: u64,
+        has_stopped: bool,
+        lease_us: u64,
+        now_us: u64,
+    ) -> LeaseRecord {
+        let passed_ms = now_us.saturating_sub(self.seen_us) / US_PER_MS;
+        let left_ms = |left_ms: u64| left_ms.saturating_sub(passed_ms);
+        let own_left_ms = match has_stopped {
+            true => left_ms(self.record.own_left_ms).min(lease_us.div_ceil(US_PER_MS)),
+            false => left_ms(self.record.own_left_ms),
+        };
+        let silent = self.record.silent.iter().map(|(id, worker)| {
+            let (left_ms, silent_ms) = (left_ms(worker.left_ms), worker.silent_ms + passed_ms);
+            (id.clone(), SilentWorker { left_ms, silent_ms, ..worker.clone() })
+        });
+        LeaseRecord {
+            epoch,
+            own_left_ms: 0,
+            earlier_left_ms: own_left_ms.max(left_ms(self.record.earlier_left_ms)),
+            silent: silent.collect(),
+        }
+    }
+}
+
+/// What the ledger knows of the leases of earlier planners, and where it requests none.
+#[derive(Debug, Default)]
+pub(super) struct LeaseBook {
+    /// The record that this planner has taken over.
+    handed_over: SeenLeaseRecord,
+    /// When all leases of earlier planners have ended at workers that `handed_over` does not name.
+    earlier_until_us: u64,
+    /// Workers at which no lease may be requested, by identifier: those that a record in the store may name
+    /// as silent.
+    withheld: BTreeSet<String>,
+}
+
 /// What is known of the silence of a worker that does not answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Silence {
@@ -133,17 +219,114 @@
 impl Fleet {
     /// Takes over what earlier planners recorded, before any job is restored.
     pub fn take_over_leases(&mut self, seen: SeenLeaseRecord) {
-        self.handed_over = seen;
+        self.leases.withheld = seen.record.silent.keys().cloned().collect();
+        self.leases.handed_over = seen;
+    }
+
+    /// Whether no lease may be requested at the worker with this identifier.
+    pub fn is_withheld(&self, id: &str) -> bool {
+        self.leases.withheld.contains(id)
     }
 
-    /// The record for a successor.
-    pub fn lease_record(&self, epoch: u64, now_us: u64) -> LeaseRecord {
+    /// Whether a worker with tasks has not answered this planner yet, nor failed to.
+    pub fn awaits_first_answers(&self) -> bool {
+        self.unanswering_workers().any(|(_, worker)| {
+            worker.standing == WorkerStanding::New && worker.unanswered_calls == 0
+        })
+    }
+
+    /// Workers that do not answer, may have runs and are not withheld yet. Those that have not been called
+    /// in vain yet are among them if `includes_uncalled` is true.
+    pub fn workers_to_withhold(&self, includes_uncalled: bool) -> Vec<WorkerIndex> {
+        let room = MAX_SILENT_WORKERS.saturating_sub(self.leases.withheld.len());
+        self.unanswering_workers()
+            .filter(|(_, worker)| worker.unanswered_calls > 0 || includes_uncalled)
+            .filter(|(_, worker)| !self.is_withheld(&worker.entry.id))
+            .map(|(index, _)| index)
+            .take(room)
+            .collect()
+    }
+
+    /// Withholds leases from a worker. The last one was requested at `requested_us`, if any was.
+    pub fn withhold(&mut self, index: WorkerIndex, requested_us: Option<u64>) {
+        if let Some(requested_us) = requested_us {
+            self.lease_requested(index, requested_us);
+        }
+        let id = self.workers[index as usize].entry.id.clone();
+        self.leases.withheld.insert(id);
+    }
+
+    /// The record for a successor. Names the withheld workers that still do not answer.
+    pub fn lease_record(&self, epoch: u64, tenure: Tenure, now_us: u64) -> LeaseRecord {
         let silent = self
             .unanswering_workers()
-            .take(MAX_SILENT_WORKERS)
+            .filter(|(_, worker)| self.is_withheld(&worker.entry.id))
             .map(|(_, worker)| (worker.entry.id.clone(), silent_worker(worker, now_us)))
             .collect();
-        LeaseRecord { epoch, silent }
+        let own_left_ms = match tenure {
+            Tenure::Starting => 0,
+            Tenure::Renewing => LEASES_END_MS,
+            Tenure::Stopped => self.lease_us().div_ceil(US_PER_MS),
+        };
+        let earlier_left_ms = left_ms(self.leases.earlier_until_us, now_us);
+        LeaseRecord { epoch, own_left_ms, earlier_left_ms, silent }
+    }
+
+    /// Applies that a record is stored and replaces all earlier ones. Returns the workers at which leases may
+    /// be requested again.
+    pub fn lease_record_stored(&mut self, record: &LeaseRecord) -> Vec<WorkerIndex> {
+        let is_silent = |id: &String| {
+            let index = self.worker_by_id.get(id);
+            index.is_some_and(|index| self.workers[*index as usize].is_loss_awaited())
+        };
+        let dropped: Vec<String> = self
+            .leases
+            .withheld
+            .iter()
+            .filter(|id| !record.silent.contains_key(*id) && !is_silent(id))
+            .cloned()
+            .collect();
+        self.leases.withheld.retain(|id| !dropped.contains(id));
+        dropped.iter().filter_map(|id| self.worker_by_id.get(id).copied()).collect()
+    }
+
+    /// When all leases of earlier planners have ended at a restored worker. Planners whose record can't be
+    /// relied on may renew leases for `orphan_ms` more.
+    fn earlier_leases_end_us(&self, orphan_ms: u64, now_us: u64) -> u64 {
+        let handed_over = &self.leases.handed_over;
+        if !handed_over.is_reliable() {
+            return now_us + self.lease_us() + orphan_ms * US_PER_MS;
+        }
+        match orphan_ms {
+            0 => handed_over.ends_us().min(now_us + self.lease_us()),
+            _ => handed_over.ends_us(),
+        }
+    }
+
+    /// Sets when the leases of earlier planners have ended at each restored worker.
+    pub(super) fn restore_leases(&mut self, orphan_ms: u64, now_us: u64) {
+        let all_end_us = self.earlier_leases_end_us(orphan_ms, now_us);
+        self.leases.earlier_until_us = all_end_us;
+        for index in 0..self.workers.len() as WorkerIndex {
+            self.restore_silence(index, now_us);
+            let worker = &mut self.workers[index as usize];
+            let handed_over = &self.leases.handed_over;
+            let ends_us = match handed_over.record.silent.get(&worker.entry.id) {
+                Some(silent) => handed_over.seen_us + silent.left_ms * US_PER_MS,
+                None => all_end_us.max(now_us + FIRST_ANSWER_US),
+            };
+            worker.lease_until_us = worker.lease_until_us.max(ends_us);
+        }
+    }
+
+    /// Records that no previous owner requests leases any more: none ends later than one lease from
+    /// now.
+    pub fn predecessors_stopped(&mut self, now_us: u64) {
+        let until_us = now_us + self.lease_us();
+        self.leases.earlier_until_us = self.leases.earlier_until_us.min(until_us);
+        for worker in &mut self.workers {
+            worker.lease_until_us = worker.lease_until_us.min(until_us);
+        }
     }
 
     /// Workers that do not answer and may have runs.
@@ -175,11 +358,13 @@
     }
 
     /// Begins the silence of a restored worker, whose answers this planner has yet to get.
-    pub(super) fn restore_silence(&mut self, index: WorkerIndex, now_us: u64) {
+    fn restore_silence(&mut self, index: WorkerIndex, now_us: u64) {
         let worker = &mut self.workers[index as usize];
         worker.silence.begin(now_us);
-        let Some(handed) = self.handed_over.record.silent.get(&worker.entry.id) else { return };
-        let unrecorded_us = now_us.saturating_sub(self.handed_over.seen_us);
+        let Some(handed) = self.leases.handed_over.record.silent.get(&worker.entry.id) else {
+            return;
+        };
+        let unrecorded_us = now_us.saturating_sub(self.leases.handed_over.seen_us);
         worker.silence.before_ms = handed.silent_ms + unrecorded_us / US_PER_MS;
         worker.silence.planners_before = handed.planners;
     }
@@ -193,9 +378,14 @@
     }
 }
 
+/// Time until `until_us`, rounded up.
+fn left_ms(until_us: u64, now_us: u64) -> u64 {
+    until_us.saturating_sub(now_us).div_ceil(US_PER_MS)
+}
+
 fn silent_worker(worker: &Worker, now_us: u64) -> SilentWorker {
     SilentWorker {
-        left_ms: worker.lease_until_us.saturating_sub(now_us).div_ceil(US_PER_MS),
+        left_ms: left_ms(worker.lease_until_us, now_us),
         silent_ms: worker.silence.total_ms(now_us),
         planners: worker.silence.planners_before + 1,
     }
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -63,7 +63,8 @@
 pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
 pub use job_faults::{JobOutcomes, is_job_at_fault};
 pub use lease_record::{
-    LeaseRecord, LossWait, SeenLeaseRecord, Silence, SilentWorker, UnansweringWorker,
+    LEASE_HORIZON_MS, LeaseRecord, LossWait, SeenLeaseRecord, Silence, SilentWorker, Tenure,
+    UnansweringWorker,
 };
 pub use limits::{MAX_AMOUNT, MAX_DURATION_MS, MAX_WALL_MS};
 pub use longest_wait::{Deferral, FittingWorkers, LongestTransition, LongestWait};
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -12,7 +12,7 @@
 use super::images::Images;
 use super::job::{Job, JobId, JobPhase, JobSpec, QueueTerms, TaskRef, TaskState};
 use super::job_faults::JobOutcomes;
-use super::lease_record::SeenLeaseRecord;
+use super::lease_record::LeaseBook;
 use super::load::ServiceMeters;
 use super::orders::{Order, OrderKind};
 use super::plan::UnplacedDemand;
@@ -90,8 +90,8 @@
     pub(super) worker_by_id: HashMap<String, WorkerIndex>,
     /// Addresses that the previous planner knew.
     pub(super) previous_addresses: WorkerAddresses,
-    /// What the previous planners recorded about the leases of workers.
-    pub(super) handed_over: SeenLeaseRecord,
+    /// Leases of earlier planners, and workers from which leases are withheld.
+    pub(super) leases: LeaseBook,
     /// Worker that was listed last at each address.
     pub(super) worker_by_address: HashMap<String, WorkerIndex>,
     pub(super) queues: HashMap<String, QueueTerms>,
@@ -159,7 +159,7 @@
             workers: Vec::new(),
             worker_by_id: HashMap::new(),
             previous_addresses: WorkerAddresses::new(),
-            handed_over: SeenLeaseRecord::default(),
+            leases: LeaseBook::default(),
             worker_by_address: HashMap::new(),
             queues: HashMap::new(),
             closed_zones: ClosedZones::new(),
@@ -475,7 +475,8 @@
         CallClass::of_order(&order.kind, urgency)
     }
 
-    pub(super) fn lease_us(&self) -> u64 {
+    /// Time after which a lease that was requested from a worker has ended.
+    pub fn lease_us(&self) -> u64 {
         (self.lease_ms() * 102 / 100 + LEASE_SLACK_MS) * US_PER_MS
     }
 
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -1,6 +1,5 @@
 //! Rebuilding of the ledger from the stored records after a takeover.
 
-use super::US_PER_MS;
 use super::colocation::LearnedInterference;
 use super::job::{ANSWERED_BEFORE_EPOCH_US, Job, JobPhase, JobSpec, TaskRef, TaskState};
 use super::record::{ProgressRecord, TaskRecord};
@@ -8,8 +7,8 @@
 use super::worker::{Worker, WorkerAddresses, WorkerEntry, WorkerIndex};
 
 /// How long an owner that has lost contact with the store may continue to renew leases. The
-/// successor of such an owner waits for this time plus one lease before it counts a task on an
-/// unresponsive worker as ended.
+/// successor of an owner without a record of leases waits for this time plus one lease before it counts a
+/// task on an unresponsive worker as ended.
 pub const ORPHAN_MS: u64 = 8_000;
 
 impl Fleet {
@@ -161,24 +160,10 @@
         self.interference.restore(learned, &mut self.images);
     }
 
-    /// Completes the restore. Runs on unresponsive workers may continue until the longest lease
-    /// that a previous owner could have requested; `orphan_ms` is how long such an owner may still
-    /// request leases.
+    /// Completes the restore. Runs on unresponsive workers may continue until the longest lease that a
+    /// previous owner could have requested. `orphan_ms` is 0 if all previous owners are certain to have
+    /// stopped, or else how long one whose record can't be relied on may still request leases.
     pub fn finish_restore(&mut self, orphan_ms: u64, now_us: u64) {
-        let until_us = now_us + self.lease_us() + orphan_ms * US_PER_MS;
-        for index in 0..self.workers.len() {
-            let worker = &mut self.workers[index];
-            worker.lease_until_us = worker.lease_until_us.max(until_us);
-            self.restore_silence(index as WorkerIndex, now_us);
-        }
-    }
-
-    /// Records that no previous owner requests leases any more: none ends later than one lease from
-    /// now.
-    pub fn predecessors_stopped(&mut self, now_us: u64) {
-        let until_us = now_us + self.lease_us();
-        for worker in &mut self.workers {
-            worker.lease_until_us = worker.lease_until_us.min(until_us);
-        }
+        self.restore_leases(orphan_ms, now_us);
     }
 }
--- a/crates/agatesill_policy/tests/fleet_planner_changes.rs
+++ b/crates/agatesill_policy/tests/fleet_planner_changes.rs
@@ -3,7 +3,7 @@
 mod fleet_support;
 
 use agatesill_policy::fleet::{
-    JobSpec, LeaseRecord, ORPHAN_MS, OrderKind, Poll, SeenLeaseRecord, Step, WorkerEntry,
+    JobSpec, LeaseRecord, ORPHAN_MS, OrderKind, Poll, SeenLeaseRecord, Step, Tenure, WorkerEntry,
     WorkerIndex, WorkerStanding,
 };
 use fleet_support::{Harness, MS, entry, job, step};
@@ -17,6 +17,9 @@
 /// Time after which a call to the lost worker counts as unanswered.
 const POLL_TIMEOUT_MS: u64 = 1_200;
 
+/// Time after which a new planner records the workers that have not answered.
+const FIRST_ANSWERS_MS: u64 = 100;
+
 /// Time between two writes of the record that a successor reads.
 const RECORD_INTERVAL_MS: u64 = 1_000;
 
@@ -70,7 +73,8 @@
             harness.advance_ms(500);
             harness.poll_all();
         }
-        let stored = (harness.fleet.lease_record(1, harness.now_us), harness.now_us);
+        let stored =
+            (harness.fleet.lease_record(1, Tenure::Renewing, harness.now_us), harness.now_us);
         harness.fleet.worker_unlisted(&lost.id);
         Self { harness, spec, lost, healthy, stored, epoch: 1 }
     }
@@ -80,15 +84,20 @@
         workers.find(|(_, worker)| worker.entry.id == id).map(|(index, _)| index)
     }
 
-    fn store_record(&mut self) {
+    /// Stores the record, which names workers that have not answered.
+    fn store_record(&mut self, tenure: Tenure) {
         let now_us = self.harness.now_us;
-        self.stored = (self.harness.fleet.lease_record(self.epoch, now_us), now_us);
+        for index in self.harness.fleet.workers_to_withhold(true) {
+            self.harness.fleet.withhold(index, None);
+        }
+        self.stored = (self.harness.fleet.lease_record(self.epoch, tenure, now_us), now_us);
+        self.harness.fleet.lease_record_stored(&self.stored.0);
     }
 
     /// Ends this planner. Its successor takes over some time later.
     fn change(&mut self, change: Change) {
         if change == Change::Planned {
-            self.store_record();
+            self.store_record(Tenure::Stopped);
         }
         self.harness.commit();
         self.harness.advance_ms(change.takeover_ms());
@@ -120,10 +129,10 @@
         }
         self.harness.fleet.expire_workers(now_us, now_us);
         let orders = self.harness.plan();
-        let current = self.harness.fleet.lease_record(self.epoch, now_us);
-        let is_changed = !current.silent.keys().eq(self.stored.0.silent.keys());
+        let is_changed = since_takeover_ms >= FIRST_ANSWERS_MS
+            && !self.harness.fleet.workers_to_withhold(true).is_empty();
         if is_changed || now_us - self.stored.1 >= RECORD_INTERVAL_MS * MS {
-            self.store_record();
+            self.store_record(Tenure::Renewing);
         }
         orders.iter().any(|order| matches!(order.kind, OrderKind::Start { .. }))
     }
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -120,9 +120,14 @@
     pub unknown_route_lines: LineLimit,
     /// When ownership of the planner's range was last confirmed; 0 while it is not owned.
     pub confirmed_us: AtomicU64,
+    /// Time before which all leases end that this daemon may request from workers; 0 while it may request
+    /// none.
+    pub lease_horizon_us: AtomicU64,
     /// Time up to which the planner of this daemon has received all changes of the registry; 0
     /// before the first read.
     pub registry_as_of_us: AtomicU64,
+    /// Version of the newest record of leases that this daemon has seen, and when it saw it first.
+    seen_leases: Mutex<(u64, u64)>,
     planner: Mutex<Option<PlannerHandle>>,
     owner: RwLock<RangeOwner>,
     planner_stats: Mutex<PlannerStats>,
@@ -153,7 +158,9 @@
             config_state: ConfigState::default(),
             unknown_route_lines: LineLimit::new(MAX_UNKNOWN_ROUTE_LINES_PER_S),
             confirmed_us: AtomicU64::new(0),
+            lease_horizon_us: AtomicU64::new(0),
             registry_as_of_us: AtomicU64::new(0),
+            seen_leases: Mutex::default(),
             planner: Mutex::default(),
             owner: RwLock::default(),
             is_stopping: AtomicBool::new(false),
@@ -210,6 +217,15 @@
         age_us < self.settings.bounds.drain_ms * MAX_REGISTRY_AGE_IN_DRAIN_BOUNDS * US_PER_MS
     }
 
+    /// Notes that a version of the record of leases is in the store. Returns when this daemon saw it first.
+    pub fn saw_leases(&self, version: u64) -> u64 {
+        let mut seen = self.seen_leases.lock().unwrap_or_else(PoisonError::into_inner);
+        if version > seen.0 {
+            *seen = (version, self.clock.now_us());
+        }
+        if version == seen.0 { seen.1 } else { self.clock.now_us() }
+    }
+
     /// Sets the handle of the planner; `None` when this daemon no longer runs it.
     pub fn set_planner(&self, planner: Option<PlannerHandle>) {
         *self.planner.lock().unwrap_or_else(PoisonError::into_inner) = planner;
--- a/crates/agatesilld/src/fleet/ownership.rs
+++ b/crates/agatesilld/src/fleet/ownership.rs
@@ -4,16 +4,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use agatesill_coord::lease::{Owner, Ownership, owner_key};
+use agatesill_coord::lease::{OWNER_PREFIX, Owner, Ownership, owner_key};
 use agatesill_coord::store::WatchCursor;
 use agatesill_wire::fleet::FleetQuestion;
-use agatesill_wire::platform::StoreCall;
+use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
 use agatesill_wire::prelude::*;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::daemon_state::DaemonState;
-use super::keys::PLANNER;
+use super::keys::{self, PLANNER};
 use super::peer_connection::PeerReply;
 use super::planner;
 use super::supervision::spawn_supervised;
@@ -85,10 +85,12 @@
 /// Waits until the range is free; false if the caller must call again.
 async fn wait_until_free(daemon: &DaemonState, stop: &CancellationToken) -> bool {
     let key = owner_key(PLANNER);
-    let Ok(reply) = daemon.store.call(StoreCall::Range { prefix: key.clone() }).await else {
+    let Ok(reply) = daemon.store.call(StoreCall::Range { prefix: OWNER_PREFIX.to_owned() }).await
+    else {
         tokio::time::sleep(RETRY_BACKOFF).await;
         return false;
     };
+    note_leases(daemon, &reply.entries);
     let entry = reply.entries.iter().find(|entry| entry.key == key);
     let owner: Option<Owner> = entry.and_then(|entry| serde_json::from_str(&entry.value).ok());
     let epoch = entry.map_or(0, |entry| entry.version);
@@ -100,7 +102,7 @@
         Some(_) => {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = wait_until_changed(daemon, key.clone(), reply.revision) => {}
+                () = wait_until_changed(daemon, &key, reply.revision) => {}
                 why = wait_until_planner_fails(daemon) =>
                     delete_owner(daemon, &key, epoch, why).await,
                 () = request_handover(daemon) => {}
@@ -110,15 +112,26 @@
     }
 }
 
-/// Watches a key until it changes, the history is lost or the store fails.
-async fn wait_until_changed(daemon: &DaemonState, key: String, read_revision: u64) {
+/// Notes which version of the record of leases is in the store.
+fn note_leases(daemon: &DaemonState, entries: &[Entry]) {
+    if let Some(entry) = entries.iter().find(|entry| entry.key == keys::LEASES) {
+        daemon.saw_leases(entry.version);
+    }
+}
+
+/// Watches the key of an owner until it changes, the history is lost or the store fails.
+async fn wait_until_changed(daemon: &DaemonState, key: &str, read_revision: u64) {
     let mut cursor = WatchCursor::after_read(read_revision);
     loop {
         let after_revision = cursor.after_revision();
-        let watch = StoreCall::Watch { prefix: key.clone(), after_revision, wait_ms: WATCH_MS };
+        let prefix = OWNER_PREFIX.to_owned();
+        let watch = StoreCall::Watch { prefix, after_revision, wait_ms: WATCH_MS };
         match daemon.store.call(watch).await {
-            Ok(reply) if reply.applied || reply.is_compacted => return,
-            Ok(reply) => cursor.advance(&reply, Instant::now()),
+            Ok(reply) if reply.is_compacted || has_changed(&reply, key) => return,
+            Ok(reply) => {
+                note_leases(daemon, &reply.entries);
+                cursor.advance(&reply, Instant::now());
+            }
             Err(error) => {
                 log::debug!(event = "owner_unwatched"; "{error}");
                 return tokio::time::sleep(RETRY_BACKOFF).await;
@@ -127,6 +140,14 @@
     }
 }
 
+/// Whether the reply to a watch may tell of a change of `key`.
+fn has_changed(reply: &StoreReply, key: &str) -> bool {
+    let is_told = reply.entries.iter().any(|entry| entry.key == key)
+        || reply.deleted.iter().any(|deleted| deleted == key);
+    let tells_of_others = !reply.entries.is_empty() || !reply.deleted.is_empty();
+    reply.applied && (is_told || !tells_of_others)
+}
+
 /// Waits until the planner most likely can't plan: its address refuses connections, or the store
 /// refuses its calls while it serves this daemon. Returns the reason.
 ///
@@ -216,6 +237,7 @@
     let Some(epoch) = ownership.epoch(PLANNER) else { return };
     log::info!(event = "planner_owned", epoch = epoch; "");
     daemon.confirmed_us.store(daemon.clock.now_us(), Ordering::Release);
+    daemon.lease_horizon_us.store(0, Ordering::Release);
     daemon.set_owner(Some(ownership.owner()), epoch);
     let lost = abort.child_token();
     let running = spawn_supervised(planner::run(daemon.clone(), epoch, lost.clone()), &lost);
@@ -227,10 +249,16 @@
         }
     };
     lost.cancel();
-    let failure = running.await.and_then(|outcome| outcome).err();
+    let (last_leases, failure) = match running.await.and_then(|outcome| outcome) {
+        Ok(last_leases) => (last_leases, None),
+        Err(error) => (None, Some(error)),
+    };
     daemon.confirmed_us.store(0, Ordering::Release);
     log::info!(event = "planner_left", epoch = epoch, passes_on = passes_on; "");
     daemon.set_owner(None, epoch);
+    if let Some(last_leases) = last_leases.filter(|_| passes_on) {
+        last_leases.store(daemon, epoch).await;
+    }
     if passes_on || failure.is_some() {
         if let Err(error) = ownership.give_up(PLANNER).await {
             log::warn!(event = "range_not_given_up"; "{error}");
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -5,12 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use agatesill_coord::lease::Owner;
 use agatesill_platform::advice::AdviceReply;
 use agatesill_policy::fleet::{
     AdviceQuestion, ClosedZone, Fleet, FleetUsage, IdleJob, JobPhase, JobSpec, JobWrite,
-    LongestTransition, LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome, Poll, QueueTerms,
-    SlowWorker, StartStage, StartWaits, UnansweringWorker, Urgency, Worker, WorkerEntry,
-    WorkerIndex, WorkerStanding,
+    LEASE_HORIZON_MS, LongestTransition, LongestWait, MissingTask, ORPHAN_MS, Order, OrderOutcome,
+    Poll, QueueTerms, SlowWorker, StartStage, StartWaits, Tenure, US_PER_MS, UnansweringWorker,
+    Urgency, Worker, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::JoinError;
@@ -20,7 +21,7 @@
 use super::clock::wall_ms;
 use super::commits::{self, Committed};
 use super::daemon_state::{DaemonState, PlannerStats};
-use super::lease_records::{self, LeaseRecords, LeaseWrite};
+use super::lease_records::{self, LastLeases, LeaseRecords, LeaseWrite};
 use super::planner_time::{Duty, DutyClock};
 use super::predecessors::{self, Predecessors};
 use super::supervision::{cancel_at_end, spawn_supervised};
@@ -209,15 +210,16 @@
 }
 
 /// Plans under `epoch` until `lost` is cancelled. The planner itself cancels `lost` when it
-/// observes a higher epoch. Fails if the planner panics; all that it spawned has ended then, too.
+/// observes a higher epoch. Returns the record for its successor, unless the ledger could not be read. Fails
+/// if the planner panics; all that it spawned has ended then, too.
 pub async fn run(
     daemon: Arc<DaemonState>,
     epoch: u64,
     lost: CancellationToken,
-) -> Result<(), JoinError> {
+) -> Result<Option<LastLeases>, JoinError> {
     let (answers, answered) = mpsc::channel(ANSWER_QUEUE_CAPACITY);
     let (events, queued_events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-    let Some(start) = recovery::recover(&daemon, epoch, &lost).await else { return Ok(()) };
+    let Some(start) = recovery::recover(&daemon, epoch, &lost).await else { return Ok(None) };
     let tasks = TaskTracker::new();
     // All tasks that this planner spawns end with it, and it ends with any of its watchers: without
     // them it would plan on a state that does not change any more.
@@ -240,7 +242,8 @@
         last_learned_save_us: daemon.clock.now_us(),
         last_addresses_save_us: 0,
         has_new_workers: false,
-        lease_records: LeaseRecords::after(start.leases_version),
+        lease_records: LeaseRecords::start(start.leases_version, daemon.clock.now_us()),
+        renewing: start.predecessors.renewing.clone(),
         workers_to_connect: BTreeSet::new(),
         planning_since_us: daemon.clock.now_us(),
         last_load_view_us: 0,
@@ -278,7 +281,7 @@
         &lost,
     ));
     if start.predecessors.orphan_ms() > 0 {
-        let work = clear_predecessors(daemon.clone(), epoch, start.predecessors, events.clone());
+        let work = wait_for_predecessors(daemon.clone(), start.predecessors, events.clone());
         let stop = stop.clone();
         tasks.spawn(async move {
             stop.run_until_cancelled(work).await;
@@ -290,21 +293,24 @@
         lines_to_open = planner.workers_to_connect.len(),
         tasks_on_unlisted_workers = lost_tasks, unlisted_workers = lost_workers; "");
     let ended = lost.clone();
-    let serving = async move { planner.serve(queued_events, answered, &ended).await };
+    let serving = async move {
+        planner.serve(queued_events, answered, &ended).await;
+        planner
+    };
     let outcome = spawn_supervised(serving, &lost).await;
     daemon.set_planner(None);
     daemon.load.withdraw();
     stop.cancel();
     tasks.close();
     tasks.wait().await;
-    outcome
+    daemon.lease_horizon_us.store(0, Ordering::Release);
+    outcome.map(|planner| Some(planner.last_leases()))
 }
 
-/// Clears the stored list of earlier planners when none of them can still renew leases, and tells the
-/// planner. Planners that are not registered can't be queried.
-async fn clear_predecessors(
+/// Tells the planner when no earlier one can still renew leases. Planners that are not registered can't be
+/// queried.
+async fn wait_for_predecessors(
     daemon: Arc<DaemonState>,
-    epoch: u64,
     predecessors: Predecessors,
     events: mpsc::Sender<Event>,
 ) {
@@ -314,10 +320,7 @@
         predecessors::wait_until_stopped(&daemon, predecessors.renewing).await;
     }
     if events.send(Event::PredecessorsStopped).await.is_err() {
-        return;
-    }
-    if let Err(error) = predecessors::announce(&daemon, epoch, &[]).await {
-        log::debug!(event = "predecessors_not_forgotten"; "{error}");
+        log::debug!(event = "predecessors_unheard"; "the planner has ended");
     }
 }
 
@@ -337,6 +340,8 @@
     /// Whether workers have been listed whose addresses are not stored.
     has_new_workers: bool,
     lease_records: LeaseRecords,
+    /// Earlier planners that may still renew leases.
+    renewing: Vec<Owner>,
     /// Idle workers whose connections are to be opened.
     workers_to_connect: BTreeSet<WorkerIndex>,
     /// When this daemon began to plan.
@@ -516,6 +521,7 @@
             }
             Event::PredecessorsStopped => {
                 log::info!(event = "predecessors_stopped", epoch = self.epoch; "");
+                self.renewing.clear();
                 self.fleet.predecessors_stopped(now_us);
             }
             Event::OtherIncarnation(worker, sent_us) => {
@@ -563,10 +569,15 @@
         if worker.tasks.is_empty() && !worker.has_rivals() {
             self.workers_to_connect.insert(index);
         } else {
-            self.connections.open(index, self.fleet.worker(index));
+            self.open_connections_to(index);
         }
     }
 
+    fn open_connections_to(&mut self, index: WorkerIndex) {
+        let worker = self.fleet.worker(index);
+        self.connections.open(index, worker, self.fleet.is_withheld(&worker.entry.id));
+    }
+
     /// Updates on the connections to a worker whether it may get leases.
     fn update_may_renew(&self, worker: WorkerIndex) {
         let has_unbarred_runs = self.fleet.worker(worker).has_unbarred_runs();
@@ -593,7 +604,7 @@
     /// previous planner knew. Their answers show whether they have terminated.
     fn connect_unlisted_workers(&mut self) {
         for index in self.fleet.unlisted_workers_with_tasks() {
-            self.connections.open(index, self.fleet.worker(index));
+            self.open_connections_to(index);
         }
     }
 
@@ -616,38 +627,85 @@
         });
     }
 
-    /// Stores for a successor which workers do not answer.
-    fn save_leases(&mut self, now_us: u64) {
-        let record = self.fleet.lease_record(self.epoch, now_us);
+    /// Withholds leases from workers that do not answer, and stores the record of leases when it is due.
+    fn update_leases(&mut self, now_us: u64) {
+        let is_first_wait_over = self.lease_records.is_first_wait_over(now_us);
+        let may_begin = is_first_wait_over || !self.fleet.awaits_first_answers();
+        if !self.lease_records.allows_leases() && !may_begin {
+            return;
+        }
+        if !self.daemon.store.is_unavailable() {
+            self.withhold_leases(is_first_wait_over);
+        }
+        let record = self.fleet.lease_record(self.epoch, Tenure::Renewing, now_us);
         if !self.lease_records.is_due(&record, now_us) {
             return;
         }
         let version = self.lease_records.begin(now_us);
+        let planners = self.planners(self.daemon.owner());
         let (daemon, epoch, events) = (self.daemon.clone(), self.epoch, self.events.clone());
         self.tasks.spawn(async move {
-            let written = lease_records::store(&daemon, epoch, version, record).await;
+            let written = lease_records::store(&daemon, epoch, version, record, &planners).await;
             if events.send(Event::LeasesWritten(written)).await.is_err() {
                 log::debug!(event = "lease_record_unheard"; "the planner has ended");
             }
         });
     }
 
+    fn withhold_leases(&mut self, includes_uncalled: bool) {
+        for index in self.fleet.workers_to_withhold(includes_uncalled) {
+            let requested_us = self.connections.withhold(index);
+            self.fleet.withhold(index, requested_us);
+        }
+    }
+
+    /// Daemons that may renew leases: earlier planners and, if it does, this one.
+    fn planners(&self, own: Option<Owner>) -> Vec<Owner> {
+        own.into_iter().chain(self.renewing.iter().cloned()).collect()
+    }
+
     fn leases_written(&mut self, write: &LeaseWrite, now_us: u64) {
+        let allowed_leases = self.lease_records.allows_leases();
         self.lease_records.written(write, now_us);
-        if matches!(write, LeaseWrite::Superseded) {
-            log::warn!(event = "superseded", epoch = self.epoch;
-                "another daemon owns the planner's range");
-            self.lost.cancel();
+        match write {
+            LeaseWrite::Stored(stored) => {
+                let horizon_us = stored.sent_us + LEASE_HORIZON_MS * US_PER_MS;
+                self.daemon.lease_horizon_us.store(horizon_us, Ordering::Release);
+                for worker in self.fleet.lease_record_stored(&stored.record) {
+                    self.connections.resume(worker);
+                }
+                if !allowed_leases {
+                    self.connections.resume_all();
+                }
+            }
+            LeaseWrite::Failed => {}
+            LeaseWrite::Superseded => {
+                log::warn!(event = "superseded", epoch = self.epoch;
+                    "another daemon owns the planner's range");
+                self.lost.cancel();
+            }
         }
     }
 
+    /// The record of leases after all calls of this planner have ended.
+    fn last_leases(mut self) -> LastLeases {
+        self.withhold_leases(true);
+        let tenure = match self.lease_records.allows_leases() {
+            true => Tenure::Stopped,
+            false => Tenure::Starting,
+        };
+        let record = self.fleet.lease_record(self.epoch, tenure, self.daemon.clock.now_us());
+        let planners = self.planners(None);
+        LastLeases { version: self.lease_records.version(), record, planners }
+    }
+
     /// Opens the connections to some of the idle workers that have none yet.
     fn open_connections(&mut self) {
         let is_lagging = self.behind_us() > LAG_THRESHOLD_US;
         let count = if is_lagging { CONNECTIONS_PER_ROUND_IN_LAG } else { CONNECTIONS_PER_ROUND };
         for _ in 0..count {
             let Some(index) = self.workers_to_connect.pop_first() else { return };
-            self.connections.open(index, self.fleet.worker(index));
+            self.open_connections_to(index);
         }
     }
 
@@ -711,7 +769,7 @@
         self.publish_stats();
         self.publish_load(now_us);
         self.save_worker_addresses(now_us);
-        self.save_leases(now_us);
+        self.update_leases(now_us);
         if now_us - self.last_learned_save_us > SAVE_LEARNED_INTERVAL_US {
             self.last_learned_save_us = now_us;
             let learned = self.fleet.learned();
@@ -812,7 +870,9 @@
 
     fn plan(&mut self) {
         let started_us = self.daemon.clock.now_us();
-        if started_us < self.next_round_us || !self.daemon.is_registry_current() {
+        // No start would be accepted without a lease.
+        let may_start = self.lease_records.allows_leases() && self.daemon.is_registry_current();
+        if started_us < self.next_round_us || !may_start {
             return;
         }
         self.fleet.plan(started_us, wall_ms());
--- a/crates/agatesilld/src/fleet/predecessors.rs
+++ b/crates/agatesilld/src/fleet/predecessors.rs
@@ -6,16 +6,16 @@
 
 use std::time::Duration;
 
-use agatesill_coord::lease::{Owner, owner_key};
+use agatesill_coord::lease::Owner;
 use agatesill_policy::admission::OfferedTotals;
 use agatesill_policy::fleet::ORPHAN_MS;
 use agatesill_wire::fleet::FleetQuestion;
-use agatesill_wire::platform::{KeyVersion, Put};
+use agatesill_wire::platform::Entry;
 use agatesill_wire::prelude::*;
 use tokio::time::Instant;
 
 use super::daemon_state::DaemonState;
-use super::keys::{self, PLANNER};
+use super::keys;
 use super::peer_connection::PeerReply;
 
 /// Maximum number of earlier planners that are queried. If more of them are not known to have
@@ -42,17 +42,24 @@
     }
 }
 
-/// Reads which daemons planned before, and queries whether they still do.
-pub async fn find(daemon: &DaemonState) -> Result<Predecessors, Error> {
+/// Reads which daemons planned before, and queries whether they still do. Also returns the version of the
+/// list.
+pub async fn find(daemon: &DaemonState) -> Result<(Predecessors, u64), Error> {
     let reply = daemon.store.read_all(keys::PLANNERS).await?;
-    let Some(entry) = reply.entries.iter().find(|entry| entry.key == keys::PLANNERS) else {
-        return Ok(Predecessors { renewing: Vec::new(), is_incomplete: true });
+    let entry = reply.entries.iter().find(|entry| entry.key == keys::PLANNERS);
+    let version = entry.map_or(0, |entry| entry.version);
+    Ok((query(daemon, entry).await, version))
+}
+
+async fn query(daemon: &DaemonState, entry: Option<&Entry>) -> Predecessors {
+    let Some(entry) = entry else {
+        return Predecessors { renewing: Vec::new(), is_incomplete: true };
     };
     let planners: Vec<Owner> = match serde_json::from_str(&entry.value) {
         Ok(planners) => planners,
         Err(error) => {
             log::error!(event = "planners_unreadable"; "{error}");
-            return Ok(Predecessors { renewing: Vec::new(), is_incomplete: true });
+            return Predecessors { renewing: Vec::new(), is_incomplete: true };
         }
     };
     let mut renewing = Vec::new();
@@ -61,7 +68,7 @@
             renewing.push(planner);
         }
     }
-    Ok(Predecessors { renewing, is_incomplete: false })
+    Predecessors { renewing, is_incomplete: false }
 }
 
 /// Waits until none of these daemons calls workers any more, or for at most [`ORPHAN_MS`].
@@ -99,14 +106,3 @@
         PeerReply::Refused | PeerReply::Silent => false,
     }
 }
-
-/// Stores that this daemon plans under `epoch`, and which other daemons may still renew leases.
-/// Returns false if another daemon owns the range.
-pub async fn announce(daemon: &DaemonState, epoch: u64, renewing: &[Owner]) -> Result<bool, Error> {
-    let planners: Vec<Owner> = daemon.owner().into_iter().chain(renewing.iter().cloned()).collect();
-    let value = serde_json::to_string(&planners)
-        .map_err(|error| Error::new(ErrorKind::Protocol, error.to_string()))?;
-    let expected = vec![KeyVersion { key: owner_key(PLANNER), version: epoch }];
-    let put = Put { key: keys::PLANNERS.to_owned(), value, lease_id: 0 };
-    Ok(daemon.store.txn(expected, vec![put], Vec::new()).await?.applied)
-}
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -4,15 +4,18 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use agatesill_coord::lease::Owner;
 use agatesill_platform::{registry, zones};
-use agatesill_policy::fleet::{ClosedZone, Fleet, ProgressRecord, WorkerEntry};
+use agatesill_policy::fleet::{
+    ClosedZone, Fleet, LeaseRecord, ProgressRecord, SeenLeaseRecord, US_PER_MS, WorkerEntry,
+};
 use agatesill_wire::platform::{Entry, StoreReply};
 use tokio_util::sync::CancellationToken;
 
 use super::clock::wall_ms;
 use super::daemon_state::DaemonState;
 use super::keys::{self, InboxKey};
-use super::lease_records;
+use super::lease_records::{self, LeaseWrite};
 use super::predecessors::{self, Predecessors};
 use super::refusal_record::RefusalRecord;
 use super::store_watchers;
@@ -34,7 +37,7 @@
     pub inbox_revision: u64,
     /// Revision at which closed zones were read.
     pub zones_revision: u64,
-    /// Version of the record of leases that the planner takes over; 0 if there is none.
+    /// Version of the record of leases that this planner has announced.
     pub leases_version: u64,
     /// Planners before this one.
     pub predecessors: Predecessors,
@@ -59,11 +62,10 @@
             read_with_retries(daemon, keys::LEARNED),
             read_with_retries(daemon, keys::WORKERS),
             read_with_retries(daemon, zones::PREFIX),
-            read_with_retries(daemon, keys::LEASES),
             register_as_planner(daemon, epoch)
         )
     };
-    let ((inbox, progress), workers, learned, addresses, zones, leases, predecessors) = tokio::select! {
+    let ((inbox, progress), workers, learned, addresses, zones, announcement) = tokio::select! {
         () = lost.cancelled() => return None,
         read = read => read,
     };
@@ -87,14 +89,11 @@
     }
     let closed: Vec<ClosedZone> = zones.entries.iter().filter_map(zones::decode).collect();
     fleet.set_closed_zones(&closed, zones.revision, daemon.clock.now_us());
-    let Some(predecessors) = predecessors else {
+    let Some(Announcement { predecessors, leases, version: leases_version }) = announcement else {
         lost.cancel();
         return None;
     };
-    let (seen, leases_version) = lease_records::decode(&leases.entries, daemon.clock.now_us());
-    log::info!(event = "leases_taken_over", epoch = epoch, from_epoch = seen.record.epoch,
-        version = leases_version, silent_workers = seen.record.silent.len(); "");
-    fleet.take_over_leases(seen);
+    fleet.take_over_leases(leases);
     let orphan_ms = predecessors.orphan_ms();
     restore(&mut fleet, &inbox.entries, &progress.entries, orphan_ms, daemon.clock.now_us());
     log::info!(event = "ledger_read", jobs = inbox.entries.len(),
@@ -113,25 +112,64 @@
     })
 }
 
+/// What a planner has announced before it renews any lease.
+struct Announcement {
+    predecessors: Predecessors,
+    /// The record of leases, as restated by this planner.
+    leases: SeenLeaseRecord,
+    /// Version of the restated record.
+    version: u64,
+}
+
 /// Finds out which earlier planners may still renew leases, and stores that this daemon plans now;
 /// `None` if another daemon owns the range. This daemon renews no lease before that is stored,
 /// because the next successor must know which daemons to query.
-async fn register_as_planner(daemon: &DaemonState, epoch: u64) -> Option<Predecessors> {
-    let predecessors = loop {
+async fn register_as_planner(daemon: &DaemonState, epoch: u64) -> Option<Announcement> {
+    let (predecessors, planners_version) = loop {
         match predecessors::find(daemon).await {
-            Ok(predecessors) => break predecessors,
+            Ok(found) => break found,
             Err(error) => {
                 log::warn!(event = "ledger_unread", prefix = keys::PLANNERS; "{error}");
                 tokio::time::sleep(RETRY_BACKOFF).await;
             }
         }
     };
+    let queried_us = daemon.clock.now_us();
+    let lease_us = Fleet::new(daemon.settings.bounds.clone()).lease_us();
+    let planners: Vec<Owner> =
+        daemon.owner().into_iter().chain(predecessors.renewing.iter().cloned()).collect();
     loop {
-        match predecessors::announce(daemon, epoch, &predecessors.renewing).await {
-            Ok(true) => return Some(predecessors),
-            Ok(false) => return None,
-            Err(error) => {
-                log::warn!(event = "planner_unannounced", epoch = epoch; "{error}");
+        let reply = read_with_retries(daemon, keys::LEASES).await;
+        let entry = reply.entries.iter().find(|entry| entry.key == keys::LEASES);
+        let version = entry.map_or(0, |entry| entry.version);
+        // Each planner that keeps a record writes both keys together.
+        let seen = entry
+            .filter(|_| version >= planners_version)
+            .map(|entry| lease_records::decode(entry, daemon.saw_leases(version)))
+            .unwrap_or_default();
+        let has_stopped = predecessors.orphan_ms() == 0;
+        log::info!(event = "leases_taken_over", epoch = epoch, from_epoch = seen.record.epoch,
+            version = version, is_reliable = seen.is_reliable(), has_stopped = has_stopped,
+            seen_ms_ago = queried_us.saturating_sub(seen.seen_us) / US_PER_MS,
+            own_left_ms = seen.record.own_left_ms, earlier_left_ms = seen.record.earlier_left_ms,
+            silent_workers = seen.record.silent.len(); "");
+        let now_us = daemon.clock.now_us();
+        let record = match seen.is_reliable() {
+            true => seen.restated(epoch, has_stopped, lease_us, now_us),
+            false => LeaseRecord {
+                epoch,
+                earlier_left_ms: lease_us.div_ceil(US_PER_MS) + predecessors.orphan_ms(),
+                ..LeaseRecord::default()
+            },
+        };
+        match lease_records::store(daemon, epoch, version, record, &planners).await {
+            LeaseWrite::Stored(stored) => {
+                let leases = SeenLeaseRecord { record: stored.record, seen_us: now_us };
+                return Some(Announcement { predecessors, leases, version: stored.version });
+            }
+            LeaseWrite::Superseded => return None,
+            LeaseWrite::Failed => {
+                log::warn!(event = "planner_unannounced", epoch = epoch; "");
                 tokio::time::sleep(RETRY_BACKOFF).await;
             }
         }
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -78,6 +78,14 @@
 /// How long leases are renewed after ownership was last confirmed. A successor waits this long.
 const MAX_UNCONFIRMED_US: u64 = agatesill_policy::fleet::ORPHAN_MS * US_PER_MS;
 
+/// Whether leases are withheld from a worker, decided at one moment for all its connections.
+#[derive(Debug)]
+struct LeaseGate {
+    is_withheld: bool,
+    /// When the last lease was requested.
+    requested_us: Option<u64>,
+}
+
 /// State shared by the tasks that serve the connections to one worker.
 #[derive(Debug)]
 pub struct WorkerConnection {
@@ -96,6 +104,9 @@
     /// Whether leases may be requested: every start of a run that was given up with the worker's lease
     /// has been barred.
     may_renew: AtomicBool,
+    lease_gate: std::sync::Mutex<LeaseGate>,
+    /// Notified when leases may be requested again.
+    to_renew: Notify,
     /// Whether nothing runs on the worker.
     is_idle: AtomicBool,
     /// Whether urgent tasks run on the worker, or are about to.
@@ -133,6 +144,10 @@
         tokio::time::timeout(MAX_HANDLING_WAIT, permit).await.ok()?.ok()
     }
 
+    fn lease_gate(&self) -> std::sync::MutexGuard<'_, LeaseGate> {
+        self.lease_gate.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     /// Class of the next poll. One of a worker without a lease, or of one that did not answer, is not
     /// delayed, because its lease must be renewed.
     fn poll_class(&self) -> CallClass {
@@ -211,8 +226,9 @@
         self.connections.contains_key(&index)
     }
 
-    /// Opens the connections to a worker, unless they are open or the worker is terminated.
-    pub fn open(&mut self, index: WorkerIndex, worker: &Worker) {
+    /// Opens the connections to a worker, unless they are open or the worker is terminated. No lease is
+    /// requested while the worker is withheld.
+    pub fn open(&mut self, index: WorkerIndex, worker: &Worker, is_withheld: bool) {
         if self.connections.contains_key(&index) || worker.standing == WorkerStanding::Gone {
             return;
         }
@@ -227,6 +243,8 @@
             requested_until_ms: AtomicU64::new(0),
             is_answering: AtomicBool::new(false),
             may_renew: AtomicBool::new(!worker.has_unbarred_runs()),
+            lease_gate: std::sync::Mutex::new(LeaseGate { is_withheld, requested_us: None }),
+            to_renew: Notify::new(),
             is_idle: AtomicBool::new(false),
             has_urgent_tasks: AtomicBool::new(worker.urgent > 0),
             got_order: Notify::new(),
@@ -289,6 +307,27 @@
         }
     }
 
+    /// Withholds leases from a worker. Returns when the last one was requested.
+    pub fn withhold(&self, worker: WorkerIndex) -> Option<u64> {
+        let (connection, _) = self.connections.get(&worker)?;
+        let mut gate = connection.lease_gate();
+        gate.is_withheld = true;
+        gate.requested_us
+    }
+
+    /// Lets leases be requested from a worker again.
+    pub fn resume(&self, worker: WorkerIndex) {
+        if let Some((connection, _)) = self.connections.get(&worker) {
+            connection.lease_gate().is_withheld = false;
+            connection.to_renew.notify_one();
+        }
+    }
+
+    /// Has workers that have answered polled again, because leases may be requested from now on.
+    pub fn resume_all(&self) {
+        self.connections.values().for_each(|(connection, _)| connection.to_renew.notify_one());
+    }
+
     /// Sets whether a worker may get leases.
     pub fn set_may_renew(&self, worker: WorkerIndex, may_renew: bool) {
         if let Some((connection, _)) = self.connections.get(&worker) {
@@ -353,13 +392,27 @@
         if !is_owner || !may_renew || !connection.is_answering.load(Ordering::Acquire) {
             return None;
         }
+        let horizon_us = self.daemon.lease_horizon_us.load(Ordering::Acquire);
+        let lease_ms = self.lease_ms.min(horizon_us.saturating_sub(now_us) / US_PER_MS);
+        let mut gate = connection.lease_gate();
+        if lease_ms == 0 || gate.is_withheld {
+            return None;
+        }
+        gate.requested_us = gate.requested_us.max(Some(now_us));
+        drop(gate);
         let now_ms = (now_us / US_PER_MS) as i64;
         let worker_ms = now_ms + connection.clock_offset_ms.load(Ordering::Acquire);
-        let until_ms = worker_ms.max(0) as u64 + self.lease_ms;
+        let until_ms = worker_ms.max(0) as u64 + lease_ms;
         connection.requested_until_ms.fetch_max(until_ms, Ordering::AcqRel);
         Some(until_ms)
     }
 
+    /// Whether a lease can't be requested however often the worker is polled.
+    fn is_withheld(&self, connection: &WorkerConnection) -> bool {
+        self.daemon.lease_horizon_us.load(Ordering::Acquire) == 0
+            || connection.lease_gate().is_withheld
+    }
+
     async fn poll_until_stopped(self, connection: Arc<WorkerConnection>) {
         tokio::select! {
             () = connection.stop.cancelled() => {}
@@ -426,7 +479,9 @@
                         POLL_WAIT_MS
                     };
                     newest_end = poll.ended.iter().map(|end| end.number).max();
-                    (Event::Polled(connection.worker, Box::new(poll)), Duration::ZERO)
+                    let is_withheld = self.is_withheld(connection);
+                    let delay = if is_withheld { POLL_BACKOFF } else { Duration::ZERO };
+                    (Event::Polled(connection.worker, Box::new(poll)), delay)
                 }
                 Ok(PollOutcome::OtherIncarnation) => {
                     (Event::OtherIncarnation(connection.worker, sent_us), POLL_BACKOFF)
@@ -459,6 +514,7 @@
                 tokio::select! {
                     () = tokio::time::sleep(delay) => {}
                     () = connection.to_verify.notified() => {}
+                    () = connection.to_renew.notified() => {}
                 }
             } else if connection.is_idle.load(Ordering::Relaxed) {
                 tokio::select! {
--- a/crates/agatesilld/tests/planner_changes.rs
+++ b/crates/agatesilld/tests/planner_changes.rs
@@ -98,6 +98,8 @@
         let stop = CancellationToken::new();
         let (store, store_addr) = FakeStore::start(&stop).await;
         store.put("op/config", &settings::config(3, &[settings::queue("desk", 0)]));
+        // No planner before the first one is waited for.
+        store.put("planners", "[]");
         let folder = std::env::temp_dir().join(format!("planner-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let state = Arc::new(SimulatedWorkers::new(true));
--- a/crates/agatesilld/tests/worker_connections.rs
+++ b/crates/agatesilld/tests/worker_connections.rs
@@ -60,6 +60,7 @@
     let daemon = Arc::new(DaemonState::new(settings, store::store(store_addr), metrics));
     // Only an owner whose ownership was confirmed renews leases.
     daemon.confirmed_us.store(daemon.clock.now_us(), Ordering::Release);
+    daemon.lease_horizon_us.store(u64::MAX, Ordering::Release);
     daemon.registry_as_of_us.store(daemon.clock.now_us(), Ordering::Release);
     let bounds =
         FleetBounds { lease_max_ms: 10_000, harm_ms: 5_000, drain_ms: 4_000, stop_grace_ms: 400 };
@@ -68,7 +69,7 @@
     let (sender, answers) = mpsc::channel(1_024);
     let tasks = TaskTracker::new();
     let mut connections = WorkerConnections::new(daemon.clone(), 1, sender, stop.clone(), tasks);
-    connections.open(index, fleet.worker(index));
+    connections.open(index, fleet.worker(index), false);
     Connected { daemon, answers, stop, worker, link, index, connections }
 }
 
@@ -80,6 +81,11 @@
 
     /// Sends a start and returns its outcome, and when it requested a lease, if it did.
     async fn start_task_reporting_lease(&mut self) -> (OrderOutcome, Option<u64>) {
+        self.start_run(1).await
+    }
+
+    /// Like [`Connected::start_task_reporting_lease`], for a run of the task.
+    async fn start_run(&mut self, run: u32) -> (OrderOutcome, Option<u64>) {
         let task = TaskKey { job: "00000000000000e1".to_owned(), occurrence: 0, step: 0, index: 0 };
         let kind = OrderKind::Start {
             payload: "work".to_owned(),
@@ -90,7 +96,7 @@
             worker: self.index,
             task_ref: TaskRef { job: 0, task: 0 },
             task,
-            run: 1,
+            run,
             kind,
             sent_us: 0,
             decided_us: u64::MAX,
@@ -395,7 +401,7 @@
     assert_eq!(fleet.acked_end(index), newest, "no state depends on the end of an unknown task");
     connected.connections.close(connected.index);
     while connected.answers.try_recv().is_ok() {}
-    connected.connections.open(index, fleet.worker(index));
+    connected.connections.open(index, fleet.worker(index), false);
     let acknowledged = async {
         loop {
             match connected.answers.recv().await.unwrap().event {
@@ -408,3 +414,37 @@
     assert!(acknowledged.is_ok(), "end {newest} is listed for three seconds");
     connected.stop.cancel();
 }
+
+/// Guards against a lease at a worker that a successor counts as one without new leases.
+#[tokio::test]
+async fn withheld_worker_gets_no_lease_until_it_is_resumed() {
+    let mut connected = connect().await;
+    connected.wait_until_polled().await;
+    let (_, requested_us) = connected.start_task_reporting_lease().await;
+    let last_us = connected.connections.withhold(connected.index);
+    assert!(requested_us.is_some() && last_us >= requested_us, "{requested_us:?}, {last_us:?}");
+    for _ in 0..5 {
+        let (_, requested_us) = connected.start_task_reporting_lease().await;
+        assert_eq!(requested_us, None);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!(connected.connections.withhold(connected.index), last_us);
+    connected.connections.resume(connected.index);
+    assert!(connected.start_task_reporting_lease().await.1.is_some());
+    connected.stop.cancel();
+}
+
+/// Guards against leases that outlast the time for which a successor waits, while the store does not confirm
+/// the planner's records.
+#[tokio::test]
+async fn leases_end_at_the_horizon_of_the_last_confirmed_record() {
+    const HORIZON: Duration = Duration::from_millis(1_500);
+    let mut connected = connect().await;
+    let horizon_us = connected.daemon.clock.now_us() + HORIZON.as_micros() as u64;
+    connected.daemon.lease_horizon_us.store(horizon_us, Ordering::Release);
+    connected.wait_until_polled().await;
+    assert_eq!(connected.start_run(1).await.0, OrderOutcome::Done);
+    tokio::time::sleep(HORIZON + Duration::from_millis(100)).await;
+    assert_eq!(connected.start_run(2).await, (OrderOutcome::Late, None));
+    connected.stop.cancel();
+}
