Tests and soak: series of planner changes beside lost workers; last records name all workers

A planned stop handed over one lease for each worker that had answered its last poll, counted from the stop: tasks of a worker that died just before were away for up to 6.6 s. The last record now names the workers with tasks, those with the oldest leases first, and when the last lease of each ends.

--- a/crates/agatesill_policy/src/fleet/lease_record.rs
+++ b/crates/agatesill_policy/src/fleet/lease_record.rs
@@ -26,7 +26,7 @@
 const MAX_SILENT_WORKERS: usize = 256;
 
 value_type! {
-    /// A worker that does not answer and may have runs.
+    /// A worker that may have runs and gets no leases.
     pub struct SilentWorker {
         /// Time after which all leases have ended that any planner has requested at the worker.
         #[serde(rename = "l")]
@@ -76,7 +76,8 @@
         pub own_left_ms: u64,
         /// The same for all planners before the writer.
         pub earlier_left_ms: u64,
-        /// Workers that do not answer, by identifier. The other two times do not apply to them.
+        /// Workers at which the writer requests no leases, by identifier: those that do not answer, and any
+        /// once it has stopped. The other two times do not apply to them.
         pub silent: BTreeMap<String, SilentWorker>,
     }
 }
@@ -238,15 +239,27 @@
     /// Workers that do not answer, may have runs and are not withheld yet. Those that have not been called
     /// in vain yet are among them if `includes_uncalled` is true.
     pub fn workers_to_withhold(&self, includes_uncalled: bool) -> Vec<WorkerIndex> {
-        let room = MAX_SILENT_WORKERS.saturating_sub(self.leases.withheld.len());
         self.unanswering_workers()
             .filter(|(_, worker)| worker.unanswered_calls > 0 || includes_uncalled)
             .filter(|(_, worker)| !self.is_withheld(&worker.entry.id))
             .map(|(index, _)| index)
-            .take(room)
+            .take(self.room_to_withhold())
             .collect()
     }
 
+    /// Workers that may have runs and are not withheld yet.
+    pub fn workers_with_runs(&self) -> Vec<WorkerIndex> {
+        self.live_workers()
+            .filter(|(_, worker)| !worker.tasks.is_empty() && !self.is_withheld(&worker.entry.id))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// Number of workers that may be withheld beside those that are.
+    pub fn room_to_withhold(&self) -> usize {
+        MAX_SILENT_WORKERS.saturating_sub(self.leases.withheld.len())
+    }
+
     /// Withholds leases from a worker. The last one was requested at `requested_us`, if any was.
     pub fn withhold(&mut self, index: WorkerIndex, requested_us: Option<u64>) {
         if let Some(requested_us) = requested_us {
@@ -256,12 +269,15 @@
         self.leases.withheld.insert(id);
     }
 
-    /// The record for a successor. Names the withheld workers that still do not answer.
+    /// The record for a successor. Names the withheld workers that still do not answer, and those that do as
+    /// well if no leases are requested any more.
     pub fn lease_record(&self, epoch: u64, tenure: Tenure, now_us: u64) -> LeaseRecord {
         let silent = self
-            .unanswering_workers()
-            .filter(|(_, worker)| self.is_withheld(&worker.entry.id))
-            .map(|(_, worker)| (worker.entry.id.clone(), silent_worker(worker, now_us)))
+            .live_workers()
+            .map(|(_, worker)| worker)
+            .filter(|worker| self.is_withheld(&worker.entry.id) && !worker.tasks.is_empty())
+            .filter(|worker| worker.is_loss_awaited() || tenure == Tenure::Stopped)
+            .map(|worker| (worker.entry.id.clone(), silent_worker(worker, now_us)))
             .collect();
         let own_left_ms = match tenure {
             Tenure::Starting => 0,
@@ -387,7 +403,7 @@
     SilentWorker {
         left_ms: left_ms(worker.lease_until_us, now_us),
         silent_ms: worker.silence.total_ms(now_us),
-        planners: worker.silence.planners_before + 1,
+        planners: worker.silence.planners_before + u32::from(worker.silence.since_us > 0),
     }
 }
 
--- a/crates/agatesill_policy/tests/fleet_planner_changes.rs
+++ b/crates/agatesill_policy/tests/fleet_planner_changes.rs
@@ -3,8 +3,8 @@
 mod fleet_support;
 
 use agatesill_policy::fleet::{
-    JobSpec, LeaseRecord, ORPHAN_MS, OrderKind, Poll, SeenLeaseRecord, Step, Tenure, WorkerEntry,
-    WorkerIndex, WorkerStanding,
+    JobSpec, LEASE_HORIZON_MS, LeaseRecord, ORPHAN_MS, OrderKind, Poll, SeenLeaseRecord, Step,
+    Tenure, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use fleet_support::{Harness, MS, entry, job, step};
 
@@ -25,6 +25,12 @@
 
 const TICK_MS: u64 = 50;
 
+/// Time from the request of a lease until it has ended at a worker with a slow clock.
+const LEASE_END_MS: u64 = 5_400;
+
+/// Time for which a call may be in flight.
+const LEASE_SLACK_MS: u64 = 300;
+
 /// How the planner changes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Change {
@@ -198,6 +204,54 @@
     }
 }
 
+/// Guards against a lease that is counted as ended too early: the wait for a worker that an earlier planner has
+/// called last ends no sooner than the lease itself, however many planners follow.
+#[test]
+fn task_of_a_silent_worker_is_started_before_its_last_lease_has_ended() {
+    for change in [Change::Planned, Change::Killed, Change::Gone] {
+        for interval_ms in [1_000, 1_900, 2_500, 4_500] {
+            let away_ms = Series::start().time_away_ms(change, 1_500, interval_ms);
+            assert!(away_ms >= LEASE_END_MS, "{change:?}, {interval_ms} ms apart: {away_ms} ms");
+            let gap_ms = change.takeover_ms() + 2 * TICK_MS;
+            assert!(away_ms <= LEASE_END_MS + gap_ms, "{change:?}, {interval_ms}: {away_ms} ms");
+        }
+    }
+}
+
+/// Guards against two runs of a task: a planner that is only cut off renews leases up to its horizon at a
+/// worker with a slow clock.
+#[test]
+fn task_is_started_while_a_planner_that_is_cut_off_may_still_hold_its_lease() {
+    let horizon_end_ms = LEASE_HORIZON_MS * 102 / 100 + LEASE_SLACK_MS;
+    let mut series = Series::start();
+    series.store_record(Tenure::Renewing);
+    let away_ms = series.time_away_ms(Change::Gone, 0, 0);
+    assert!(away_ms >= horizon_end_ms, "{away_ms} ms, its lease may run for {horizon_end_ms} ms");
+    assert!(away_ms <= horizon_end_ms + 2 * TICK_MS, "{away_ms} ms");
+}
+
+/// Guards against leases of a planner two before that are forgotten, as its successor is gone before it has
+/// requested any.
+#[test]
+fn leases_of_a_planner_before_the_last_are_forgotten() {
+    let mut series = Series::start();
+    series.store_record(Tenure::Renewing);
+    let died_us = series.harness.now_us;
+    for _ in 0..3 {
+        series.change(Change::Gone);
+        let now_us = series.harness.now_us;
+        let seen = SeenLeaseRecord { record: series.stored.0.clone(), seen_us: series.stored.1 };
+        let lease_us = series.harness.fleet.lease_us();
+        series.stored = (seen.restated(series.epoch, false, lease_us, now_us), now_us);
+    }
+    let horizon_end_us = died_us + (LEASE_HORIZON_MS * 102 / 100 + LEASE_SLACK_MS) * MS;
+    while series.harness.now_us < horizon_end_us - TICK_MS * MS {
+        assert!(!series.tick(0), "at {} ms", (series.harness.now_us - died_us) / MS);
+    }
+    let is_started = (0..4).any(|_| series.tick(0));
+    assert!(is_started);
+}
+
 /// Guards against lines that show only what the present planner has waited.
 #[test]
 fn silence_of_a_worker_includes_what_earlier_planners_have_waited() {
--- a/crates/agatesilld/src/fleet/planner.rs
+++ b/crates/agatesilld/src/fleet/planner.rs
@@ -689,7 +689,13 @@
 
     /// The record of leases after all calls of this planner have ended.
     fn last_leases(mut self) -> LastLeases {
-        self.withhold_leases(true);
+        let runs = self.fleet.workers_with_runs().into_iter();
+        let mut requested: Vec<_> =
+            runs.map(|index| (self.connections.withhold(index), index)).collect();
+        // A worker that has been lost since its last poll has the oldest lease.
+        requested.sort_unstable();
+        requested.truncate(self.fleet.room_to_withhold());
+        requested.into_iter().for_each(|(at_us, index)| self.fleet.withhold(index, at_us));
         let tenure = match self.lease_records.allows_leases() {
             true => Tenure::Stopped,
             false => Tenure::Starting,
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -39,6 +39,20 @@
 /// They have no other faults.
 const FIRST_SEED_WITH_LIVE_WORKERS: u64 = 11_000;
 
+/// From this seed on workers are lost for good beside changes of the planner in series. Runs have no other
+/// faults.
+const FIRST_SEED_WITH_LOST_WORKERS: u64 = 12_000;
+
+/// Longest time for which tasks of a lost worker may be without a run while planners are restarted as planned,
+/// and if they are killed, suspended or cut off.
+const MAX_AWAY_PLANNED: Duration = Duration::from_secs(7);
+const MAX_AWAY_UNPLANNED: Duration = Duration::from_secs(10);
+
+/// Time from the loss of workers to the end of a series of changes. After the last unplanned one a planner is
+/// in place again before the tasks are due.
+const PLANNED_SERIES: Duration = Duration::from_secs(12);
+const UNPLANNED_SERIES: Duration = Duration::from_secs(6);
+
 /// In one of so many runs with load control, one daemon has none.
 const RUNS_PER_RUN_WITH_BOTH_MODES: u64 = 3;
 
@@ -129,6 +143,11 @@
     CloseZone,
     /// Two workers crash at once; other incarnations are started in their places.
     CrashTwoWorkers(usize),
+    /// The workers with the most long-running tasks crash for good, and their addresses fail in the given
+    /// way. The tasks must run again within the given time.
+    LoseWorkers(usize, LinkFault, Duration),
+    /// The planner's daemon is cut off from the store. It still reaches the workers.
+    CutPlanner,
     /// A worker's capacity is temporarily reduced to a quarter.
     ReduceCapacity(usize),
     /// A worker misbehaves in the given way.
@@ -187,7 +206,8 @@
             | Self::StallConfigWatches
             | Self::SilenceOpenConnections
             | Self::CompactHistory
-            | Self::RevokePlanner => Scope::All,
+            | Self::RevokePlanner
+            | Self::CutPlanner => Scope::All,
             Self::Hangup(_)
             | Self::Configure
             | Self::ConfigureRapidly
@@ -203,6 +223,7 @@
             | Self::LeaveWorker(_)
             | Self::CloseZone
             | Self::CrashTwoWorkers(_)
+            | Self::LoseWorkers(..)
             | Self::ReduceCapacity(_)
             | Self::Worker(..) => Scope::Elsewhere,
         }
@@ -234,6 +255,9 @@
 /// The fault schedule of a seed. Every fourth run has planned maintenance only, as only there
 /// callers may expect that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
+    if seed >= FIRST_SEED_WITH_LOST_WORKERS {
+        return schedule_with_lost_workers(seed);
+    }
     if has_live_workers(seed) {
         return schedule_with_live_workers(seed, workers);
     }
@@ -292,6 +316,44 @@
     scheduled_faults
 }
 
+/// Workers that are lost for good, and changes of the planner before and after that, at equal intervals. Every
+/// other run has planned changes only.
+fn schedule_with_lost_workers(seed: u64) -> Vec<ScheduledFault> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let is_planned = seed % 2 == 0;
+    let (max_away, series) = match is_planned {
+        true => (MAX_AWAY_PLANNED, PLANNED_SERIES),
+        false => (MAX_AWAY_UNPLANNED, UNPLANNED_SERIES),
+    };
+    let lost_at = LONG_TASKS_FROM + Duration::from_millis(random.random_range(1_000..2_000));
+    let link_fault = match random.random_bool(0.5) {
+        true => LinkFault::Refuses,
+        false => LinkFault::Silent,
+    };
+    let lost = ScheduledFault {
+        at: lost_at,
+        duration: max_away,
+        fault: Fault::LoseWorkers(random.random_range(2..=4), link_fault, max_away),
+    };
+    let mut scheduled_faults = vec![lost];
+    let interval = Duration::from_millis(random.random_range(1_000..6_000));
+    let mut at = lost_at - interval.mul_f64(random.random_range(0.0..0.5));
+    while at < lost_at + series {
+        let fault = match random.random_range(0..6) {
+            _ if is_planned => Fault::TerminatePlanner,
+            0 => Fault::TerminatePlanner,
+            1 => Fault::PausePlanner,
+            2 => Fault::CutPlanner,
+            _ => Fault::KillPlanner,
+        };
+        let duration = Duration::from_millis(random.random_range(400..6_000));
+        scheduled_faults.push(ScheduledFault { at, duration, fault });
+        at += interval;
+    }
+    scheduled_faults.sort_by_key(|scheduled| scheduled.at);
+    scheduled_faults
+}
+
 /// Whether workers of the run of a seed live on or restart while their connections fail.
 pub fn has_live_workers(seed: u64) -> bool {
     seed >= FIRST_SEED_WITH_LIVE_WORKERS
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -319,6 +319,39 @@
         }
     }
 
+    /// Crashes the workers with the most long-running tasks, and verifies that these run elsewhere in time.
+    async fn lose_workers(&self, count: usize, fault: LinkFault, max_away: Duration) {
+        let tasks_of = |slot: &WorkerSlot| {
+            self.simulated_workers.long_running_tasks(slot.worker().incarnation)
+        };
+        let mut slots: Vec<&WorkerSlot> = self.slots.iter().collect();
+        slots.sort_by_key(|slot| std::cmp::Reverse(tasks_of(slot).len()));
+        slots.truncate(count);
+        let tasks: Vec<String> = slots.iter().flat_map(|slot| tasks_of(slot)).collect();
+        if tasks.is_empty() {
+            self.add_problem("no long-running task was on a lost worker".to_owned());
+        }
+        let lost_at = Instant::now();
+        let lost: Vec<_> = slots.iter().map(|slot| slot.current.lock().unwrap().clone()).collect();
+        for (worker, proxy) in &lost {
+            worker.crash();
+            proxy.set(fault);
+        }
+        tokio::time::sleep(ENTRY_TTL).await;
+        slots.iter().zip(&lost).for_each(|(slot, (worker, _))| self.remove_entry(slot, worker));
+        tokio::time::sleep_until((lost_at + max_away).into()).await;
+        for task in tasks.iter().filter(|task| self.simulated_workers.running(task) == 0) {
+            let job = task.split('.').next().unwrap_or_default();
+            let known_jobs = self.callers.known_jobs.lock().unwrap();
+            if known_jobs.get(job).is_some_and(|job| !job.is_cancelled) {
+                self.add_problem(format!("{task} has no run {max_away:?} after its worker died"));
+            }
+        }
+        for (slot, (worker, _)) in slots.iter().zip(&lost) {
+            slot.replace(worker, &self.simulated_workers, &self.store, &self.stop).await;
+        }
+    }
+
     /// Crashes a worker and restarts it once its entry has been removed.
     async fn crash_worker(&self, slot: usize) {
         let slot = &self.slots[slot];
@@ -397,6 +430,9 @@
             Fault::TerminatePlanner => {
                 self.planner_index().map_or(Fault::RevokePlanner, Fault::Terminate)
             }
+            Fault::CutPlanner => self.planner_index().map_or(Fault::RevokePlanner, |daemon| {
+                Fault::StoreConnection(daemon, LinkFault::Silent)
+            }),
             fault => fault,
         };
         let entry = self.history.begin(fault.scope(), fault.is_planned());
@@ -462,7 +498,10 @@
                 tokio::time::sleep(duration).await;
                 proxy.set(LinkFault::None);
             }
-            Fault::KillPlanner | Fault::PausePlanner | Fault::TerminatePlanner => {
+            Fault::KillPlanner
+            | Fault::PausePlanner
+            | Fault::TerminatePlanner
+            | Fault::CutPlanner => {
                 self.add_problem(format!("{fault:?} names no daemon"));
             }
             _ => self.apply_to_worker(fault, duration).await,
@@ -501,6 +540,9 @@
                 let next = (slot + 1) % self.slots.len();
                 tokio::join!(self.crash_worker(slot), self.crash_worker(next));
             }
+            Fault::LoseWorkers(count, fault, max_away) => {
+                self.lose_workers(count, fault, max_away).await;
+            }
             Fault::ReduceCapacity(slot) => {
                 let (worker, proxy) = self.slots[slot].current.lock().unwrap().clone();
                 self.simulated_workers.set_capacity(worker.incarnation, CPU_MILLI / 4);
