Numbers of a record of leases that no planner writes are reduced when it is read

A record with numbers near the limits of their types, by another writer, would end each planner that reads it by an overflow, or let it wait for ever.

--- a/crates/agatesill_policy/src/fleet/lease_record.rs
+++ b/crates/agatesill_policy/src/fleet/lease_record.rs
@@ -19,12 +19,19 @@
 use crate::value_type;
 
 use super::US_PER_MS;
+use super::limits::MAX_DURATION_MS;
 use super::state::{Fleet, LEASE_SLACK_MS};
 use super::worker::{Worker, WorkerIndex, WorkerStanding};
 
 /// Maximum number of workers in a record, so that its size stays small beside the other records.
 const MAX_SILENT_WORKERS: usize = 256;
 
+/// Maximum time until the end of leases. Those of planners without a record are over far sooner.
+const MAX_LEFT_MS: u64 = 60_000;
+
+/// Maximum number of planners that are counted.
+const MAX_PLANNERS: u32 = 1_000_000;
+
 value_type! {
     /// A worker that may have runs and gets no leases.
     pub struct SilentWorker {
@@ -82,6 +89,20 @@
     }
 }
 
+impl LeaseRecord {
+    /// Reduces numbers that no planner writes, so that sums of them can't overflow and no wait is endless.
+    pub fn reduce_numbers(&mut self) {
+        let reduce = |left_ms: &mut u64| *left_ms = (*left_ms).min(MAX_LEFT_MS);
+        reduce(&mut self.own_left_ms);
+        reduce(&mut self.earlier_left_ms);
+        for worker in self.silent.values_mut() {
+            reduce(&mut worker.left_ms);
+            worker.silent_ms = worker.silent_ms.min(MAX_DURATION_MS);
+            worker.planners = worker.planners.min(MAX_PLANNERS);
+        }
+    }
+}
+
 /// A record of an earlier planner, and when it was seen first.
 #[derive(Clone, Debug, Default)]
 pub struct SeenLeaseRecord {
--- a/crates/agatesill_policy/tests/fleet_planner_changes.rs
+++ b/crates/agatesill_policy/tests/fleet_planner_changes.rs
@@ -3,8 +3,8 @@
 mod fleet_support;
 
 use agatesill_policy::fleet::{
-    JobSpec, LEASE_HORIZON_MS, LeaseRecord, ORPHAN_MS, OrderKind, Poll, SeenLeaseRecord, Step,
-    Tenure, WorkerEntry, WorkerIndex, WorkerStanding,
+    JobSpec, LEASE_HORIZON_MS, LeaseRecord, ORPHAN_MS, OrderKind, Poll, SeenLeaseRecord,
+    SilentWorker, Step, Tenure, WorkerEntry, WorkerIndex, WorkerStanding,
 };
 use fleet_support::{Harness, MS, entry, job, step};
 
@@ -269,3 +269,26 @@
     let index = series.index_of(&lost.id).unwrap();
     assert_eq!(series.harness.fleet.worker(index).standing, WorkerStanding::New);
 }
+
+/// Guards against a planner that ends by an overflow, on a record with numbers at their limits.
+#[test]
+fn record_with_numbers_at_their_limits_ends_no_planner() {
+    let mut series = Series::start();
+    let id = series.lost.id.clone();
+    let silent = SilentWorker { left_ms: u64::MAX, silent_ms: u64::MAX, planners: u32::MAX };
+    let mut record = LeaseRecord {
+        epoch: u64::MAX,
+        own_left_ms: u64::MAX,
+        earlier_left_ms: u64::MAX,
+        silent: [(id, silent)].into(),
+    };
+    record.reduce_numbers();
+    series.stored = (record, series.harness.now_us);
+    series.change(Change::Killed);
+    series.tick(POLL_TIMEOUT_MS);
+    let now_us = series.harness.now_us;
+    let seen = SeenLeaseRecord { record: series.stored.0.clone(), seen_us: now_us };
+    let restated = seen.restated(2, true, series.harness.fleet.lease_us(), now_us);
+    assert!(restated.earlier_left_ms >= restated.own_left_ms);
+    assert_eq!(series.harness.fleet.describe_unanswering(8, now_us).0.len(), 1);
+}
--- a/crates/agatesilld/src/fleet/lease_records.rs
+++ b/crates/agatesilld/src/fleet/lease_records.rs
@@ -209,9 +209,10 @@
 
 /// Decodes the record of an entry that had been written at `seen_us`. One that can't be read is empty.
 pub fn decode(entry: &Entry, seen_us: u64) -> SeenLeaseRecord {
-    let record = serde_json::from_str(&entry.value).unwrap_or_else(|error| {
+    let mut record: LeaseRecord = serde_json::from_str(&entry.value).unwrap_or_else(|error| {
         log::error!(event = "lease_record_unreadable"; "{error}");
         LeaseRecord::default()
     });
+    record.reduce_numbers();
     SeenLeaseRecord { record, seen_us }
 }
