--- a/crates/agatesill_policy/src/fleet/lease_record.rs
+++ b/crates/agatesill_policy/src/fleet/lease_record.rs
@@ -54,10 +54,11 @@
 
 /// Time from the sending of the last confirmed record until the latest lease end that its planner requests, on
 /// the clock of a worker. With two percent for a slow clock and the time that a call may be in flight, such
-/// a lease has ended after [`LEASES_END_MS`].
+/// a lease has ended after `LEASES_END_MS`.
 pub const LEASE_HORIZON_MS: u64 = (LEASES_END_MS - LEASE_SLACK_MS) * 100 / 102;
 
-/// Time after a takeover during which workers that are not known to be silent have answered or not.
+/// Time after a takeover before which no task is given up, unless its worker is known to be silent: workers that
+/// live have answered by then.
 const FIRST_ANSWER_US: u64 = 500 * US_PER_MS;
 
 /// Which leases the writer of a record may request.
--- a/crates/agatesilld/src/fleet/worker_connections.rs
+++ b/crates/agatesilld/src/fleet/worker_connections.rs
@@ -75,7 +75,7 @@
 /// get no orders for long periods, and file descriptors are limited.
 const UNUSED_CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How long leases are renewed after ownership was last confirmed. A successor waits this long.
+/// How long leases are renewed after the store's lease was last confirmed, at the most.
 const MAX_UNCONFIRMED_US: u64 = agatesill_policy::fleet::ORPHAN_MS * US_PER_MS;
 
 /// Whether leases are withheld from a worker, decided at one moment for all its connections.
