Decision on connections: shares of the process, and whom to close when room is short

Clients that nobody controls took memory and descriptors until the process had none left; nothing counted what a connection holds. Shares divides memoryMb and maxFds among callers, peers and the small endpoints, after what the process needs itself: callers get what is left, a half of the memory at most and a sixteenth at least. ConnectionTable keeps one listener within its share. When room is short it closes the connection that is furthest behind, unfinished requests before idle ones: silent for longest, or slower than 64 kB a second. One that is served is never closed. Larger requests leave a quarter of the share to small ones, so that newcomers get in while nobody is behind yet.

--- a/crates/agatesill_policy/src/lib.rs
+++ b/crates/agatesill_policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod batch;
+pub mod connections;
 pub mod fleet;
 pub mod profile;
 pub mod request;
