--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -117,6 +117,9 @@
 /// more tasks could exceed the size of a value in the store, and the job could not be continued.
 const MAX_TASKS: u64 = 8_192;
 
+/// Maximum number of steps of a job: each has a task.
+pub const MAX_STEPS: usize = MAX_TASKS as usize;
+
 value_type! {
     /// A job as stored when it is accepted.
     pub struct JobSpec {
@@ -168,6 +171,9 @@
         if self.steps.is_empty() {
             return Some("job has no steps");
         }
+        if self.steps.len() > MAX_STEPS {
+            return Some("job has too many steps");
+        }
         let per_occurrence: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
         let tasks = per_occurrence.saturating_mul(u64::from(self.rounds()));
         if tasks == 0 {
--- a/crates/agatesill_policy/src/fleet/mod.rs
+++ b/crates/agatesill_policy/src/fleet/mod.rs
@@ -60,7 +60,9 @@
 pub use effort::Effort;
 pub use flapping::Silences;
 pub use idle_jobs::{IdleJob, OpenTasks};
-pub use job::{Job, JobId, JobPhase, JobSpec, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState};
+pub use job::{
+    Job, JobId, JobPhase, JobSpec, MAX_STEPS, QueueTerms, Step, Task, TaskKey, TaskRef, TaskState,
+};
 pub use job_faults::{JobOutcomes, is_job_at_fault};
 pub use lease_record::{
     LEASE_HORIZON_MS, LeaseRecord, LossWait, SeenLeaseRecord, Silence, SilentWorker, Tenure,
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -101,6 +101,11 @@
             return refuse(daemon, id, &Error::new(ErrorKind::Protocol, error.to_string()));
         }
     };
+    drop(body);
+    if value.len() > daemon.settings.store_value_bytes {
+        let detail = format!("the store takes no value of {} bytes", value.len());
+        return refuse(daemon, id, &Error::new(ErrorKind::TooLarge, detail));
+    }
     match store_or_refuse(daemon, &spec, &value).await {
         Submission::Stored { is_return } => {
             daemon.load.counts.returns_accepted.fetch_add(u64::from(is_return), Ordering::Relaxed);
