One listener with limits: callers, readiness and metrics stay within their shares

Callers saw a process that ran out of memory or descriptors. The front served any number of connections with some 400 kB of hyper's buffer each, kept a body until it was complete, for ever, and held each chunk with the buffer into which it was read: 60 clients with 10 kB in packets of a byte took 505 MB. The kernel's receive buffers came on top.

agatesill_wire::listener is the one listener for these edges. It counts what a connection holds (its buffers and the kernel's, a head, a body in segments, the decoded job) and asks the connection table for room. Bodies are copied out of the read buffers, also those of the store's and the workers' answers. The head and idle limits of the operators' configuration hold, a body has until the caller's deadline (30 s at most), unread answers 10 s. SO_RCVBUF bounds the kernel's part. A connection that gets no room is closed without an answer: before the body is read nobody knows whether its ID was accepted before, so neither 429 nor 503 would be true. Closings are counted by edge and reason, and logged with the address, five lines a second.

Requests inside the limits in ten shapes are served in calm (new test).

--- a/crates/agatesill_wire/src/channel.rs
+++ b/crates/agatesill_wire/src/channel.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Connection, SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
@@ -16,6 +16,7 @@
 
 use crate::error::{Error, ErrorKind};
 use crate::http::MAX_RESPONSE_BYTES;
+use crate::listener::collect;
 
 /// Timeout of the opening of a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -152,9 +153,9 @@
 
     /// Reads the body of the response to the last request.
     pub(crate) async fn collect(&mut self, body: Incoming) -> Result<Bytes, BoxError> {
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let body = collect(body, MAX_RESPONSE_BYTES);
         match self.open.as_mut() {
-            Some(open) => Ok(drive(&mut open.connection, body).await?.to_bytes()),
+            Some(open) => Ok(drive(&mut open.connection, body).await?),
             None => Err("not connected".into()),
         }
     }
--- a/crates/agatesill_wire/src/http.rs
+++ b/crates/agatesill_wire/src/http.rs
@@ -6,21 +6,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use agatesill_policy::connections::ListenerShare;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::api::ErrorBody;
 use crate::channel::{Channel, Delivery, Via};
 use crate::error::{Error, ErrorKind};
+use crate::listener::{self, BodyError, ConnectionHandle, Edge, EdgeLimits, Shutdown};
 
 /// Maximum body size of a request: two values of the store's maximum size.
 pub const MAX_BODY_BYTES: usize = 2 << 20;
@@ -41,8 +40,8 @@
 /// Time after which an idle control connection is closed.
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time within which a caller must send a request head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which an operator must send the body of a request.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Client for a JSON interface, with pooled connections.
 #[derive(Clone, Debug, Default)]
@@ -206,10 +205,10 @@
             .await
             .map_err(|_| late_error("complete response", body_timeout))?;
         call.is_answered = true;
-        let bytes = bytes.map_err(|error| match error.downcast_ref::<LengthLimitError>() {
+        let bytes = bytes.map_err(|error| match error.downcast_ref::<BodyError>() {
             // A read has no effect. After a change, an unread response leaves it unknown whether the
             // change took effect.
-            Some(_) if is_read => too_large(addr, path),
+            Some(BodyError::TooLarge) if is_read => too_large(addr, path),
             _ => unreachable_error(&error),
         })?;
         call.keep(addr, channel);
@@ -236,58 +235,36 @@
     Error::new(ErrorKind::Protocol, format!("malformed message: {error}"))
 }
 
-/// Serves `handler` on `listener` until `stop` is cancelled, then completes in-flight requests.
+/// Serves `handler` on `listener` until `stop` is cancelled, then completes in-flight requests. The
+/// number of connections and what they hold are not limited; [`listener::serve`] limits them.
 pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
-    let connections = TaskTracker::new();
-    loop {
-        let stream = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log::warn!(event = "accept_failed"; "failed to accept a connection: {error}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            },
-        };
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let stop = stop.clone();
-        connections.spawn(async move {
-            let service = service_fn(move |request| {
-                let response = handler(request);
-                async move { Ok::<_, std::convert::Infallible>(response.await) }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                _ = connection.as_mut() => {}
-                () = stop.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
-                }
-            }
-        });
-    }
-    connections.close();
-    connections.wait().await;
+    let share = ListenerShare { connections: usize::MAX, bytes: u64::MAX };
+    let edge = Edge::new("unlimited", EdgeLimits::default(), share);
+    let stop = Shutdown { drain: stop, ..Shutdown::default() };
+    let handler = move |request, _| handler(request);
+    listener::serve(listener, edge, stop, listener::no_response, handler).await;
 }
 
 /// Reads and decodes a JSON body of at most [`MAX_BODY_BYTES`].
 pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Error> {
-    let bytes = Limited::new(body, MAX_BODY_BYTES)
-        .collect()
-        .await
-        .map_err(|error| Error::new(ErrorKind::TooLarge, format!("request body: {error}")))?
-        .to_bytes();
+    decode_json(listener::collect(body, MAX_BODY_BYTES).await)
+}
+
+/// Like [`read_json`], and counts the memory of the body on the connection.
+pub async fn read_counted_json<T: DeserializeOwned>(
+    connection: &ConnectionHandle,
+    body: Incoming,
+) -> Result<T, Error> {
+    decode_json(listener::collect_body(connection, body, MAX_BODY_BYTES, READ_TIMEOUT).await)
+}
+
+fn decode_json<T: DeserializeOwned>(body: Result<Bytes, BodyError>) -> Result<T, Error> {
+    let bytes =
+        body.map_err(|error| Error::new(ErrorKind::TooLarge, format!("request body: {error}")))?;
     serde_json::from_slice(&bytes)
         .map_err(|error| Error::new(ErrorKind::BadRequest, format!("request body: {error}")))
 }
--- a/crates/agatesill_wire/src/lib.rs
+++ b/crates/agatesill_wire/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod fleet;
 pub mod http;
 pub mod jobs;
+pub mod line_limit;
+pub mod listener;
 pub mod peer;
 pub mod platform;
 pub mod record;
--- a/crates/agatesilld/src/fleet/line_limit.rs
+++ b/crates/agatesill_wire/src/line_limit.rs
@@ -2,7 +2,8 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use super::clock::US_PER_S;
+/// Microseconds in a second.
+const US_PER_S: u64 = 1_000_000;
 
 /// A limit of lines per second.
 #[derive(Debug)]
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -13,6 +13,7 @@
 
 use super::active_config::ConfigState;
 use super::clock::Clock;
+use super::edges::Edges;
 use super::group_commit::GroupCommitter;
 use super::line_limit::LineLimit;
 use super::load_state::LoadState;
@@ -104,6 +105,8 @@
     pub peers: PeerDirectory,
     /// The load of the services.
     pub load: LoadState,
+    /// The edges of this daemon.
+    pub edges: Edges,
     /// Lease of the records of refused jobs.
     pub record_lease: RecordLease,
     /// Stores accepted jobs in shared transactions.
@@ -142,6 +145,7 @@
     pub fn new(settings: NodeSettings, store: Store, metrics: FleetMetrics) -> Self {
         let (addr, clock) = (settings.peer_addr, Clock::start());
         Self {
+            edges: Edges::new(&settings),
             settings,
             group_commit: GroupCommitter::new(store.clone(), metrics.clone(), clock),
             store,
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -2,18 +2,20 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use agatesill_platform::front::{self, FrontCall};
 use agatesill_platform::prelude::*;
-use agatesill_policy::fleet::{JobSpec, retry_after_ms};
+use agatesill_policy::fleet::{JobSpec, Step, retry_after_ms};
 use agatesill_wire::api::ErrorBody;
 use agatesill_wire::fleet::FleetWrite;
+use agatesill_wire::listener::{BodyError, ConnectionHandle, collect_body};
 use agatesill_wire::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use super::active_config::ActiveConfig;
@@ -25,12 +27,26 @@
 /// Retry-After while the store is unavailable. The store client tries again within a second.
 const STORE_RETRY_AFTER_MS: u32 = 1_000;
 
+/// Most time for the body of a request.
+const MAX_BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Least time for the body of a request.
+const MIN_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Copies of a job's value in memory while it is stored: the value, the strings of the decoded job, and
+/// the encoded call.
+const VALUE_COPIES: usize = 4;
+
 type Answer = Response<Full<Bytes>>;
 
 /// Answers one request and records its duration.
-pub async fn answer(daemon: Arc<DaemonState>, request: Request<Incoming>) -> Answer {
+pub async fn answer(
+    daemon: Arc<DaemonState>,
+    request: Request<Incoming>,
+    connection: ConnectionHandle,
+) -> Answer {
     let started = Instant::now();
-    let (name, mut answer) = route(&daemon, request).await;
+    let (name, mut answer) = route(&daemon, request, &connection).await;
     if daemon.is_stopping() {
         // Guards against a request that arrives on an open connection just as this daemon ends: its
         // connection would be closed without an answer. Callers open their next connection to
@@ -41,7 +57,11 @@
     answer
 }
 
-async fn route(daemon: &Arc<DaemonState>, request: Request<Incoming>) -> (&'static str, Answer) {
+async fn route(
+    daemon: &Arc<DaemonState>,
+    request: Request<Incoming>,
+    connection: &ConnectionHandle,
+) -> (&'static str, Answer) {
     let Some(active) = daemon.config_state.active() else {
         return ("none", refuse(daemon, "", &unavailable("no configuration yet", 1_000)));
     };
@@ -59,7 +79,10 @@
     };
     match call {
         FrontCall::Submit { queue, id } => {
-            ("submit", submit(daemon, queue, id, request, config.max_body_bytes).await)
+            let timeout = body_timeout(request.headers());
+            let max_bytes = config.limits.max_body_bytes;
+            let body = collect_body(connection, request.into_body(), max_bytes, timeout).await;
+            ("submit", submit(daemon, queue, id, body, connection).await)
         }
         FrontCall::State { id } => ("state", state(daemon, id).await),
         FrontCall::Cancel { id } => ("cancel", cancel(daemon, id).await),
@@ -82,14 +105,18 @@
     daemon: &Arc<DaemonState>,
     queue: &Queue,
     id: &str,
-    request: Request<Incoming>,
-    max_body_bytes: usize,
+    body: Result<Bytes, BodyError>,
+    connection: &ConnectionHandle,
 ) -> Answer {
-    let body = match Limited::new(request.into_body(), max_body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
+    let body = match body {
+        Ok(body) => body,
+        Err(error @ BodyError::TooLarge) => {
             return refuse(daemon, id, &Error::new(ErrorKind::TooLarge, error.to_string()));
         }
+        Err(error @ BodyError::Broken(_)) => {
+            return refuse(daemon, id, &Error::new(ErrorKind::BadRequest, error.to_string()));
+        }
+        Err(BodyError::NoRoom) => return no_room(connection).await,
     };
     let spec = match front::job(queue, id, &body, wall_ms()) {
         Ok(spec) => spec,
@@ -106,6 +133,9 @@
         let detail = format!("the store takes no value of {} bytes", value.len());
         return refuse(daemon, id, &Error::new(ErrorKind::TooLarge, detail));
     }
+    if !connection.hold(submission_bytes(&spec, &value)) {
+        return no_room(connection).await;
+    }
     match store_or_refuse(daemon, &spec, &value).await {
         Submission::Stored { is_return } => {
             daemon.load.counts.returns_accepted.fetch_add(u64::from(is_return), Ordering::Relaxed);
@@ -126,6 +156,25 @@
     }
 }
 
+/// Time for the body of a request. Its caller does not wait for longer.
+fn body_timeout(headers: &HeaderMap) -> Duration {
+    let waits = front::waits_ms(headers).map_or(MAX_BODY_TIMEOUT, Duration::from_millis);
+    waits.clamp(MIN_BODY_TIMEOUT, MAX_BODY_TIMEOUT)
+}
+
+/// Memory of a job while it is stored: the job itself, its value, and the call to the store.
+fn submission_bytes(spec: &JobSpec, value: &str) -> u64 {
+    let steps_bytes = spec.steps.len() * size_of::<Step>();
+    (steps_bytes + value.len() * VALUE_COPIES) as u64
+}
+
+/// Waits for the end of a connection that is closed for lack of room. An answer could only say what is
+/// not known here: whether a request with the same ID was accepted before.
+async fn no_room(connection: &ConnectionHandle) -> Answer {
+    connection.closed().await;
+    error_response(&Error::new(ErrorKind::OutcomeUnknown, "no room for the request"))
+}
+
 /// Stores a job or a record of its refusal. If the store turns this daemon away, the planner's daemon
 /// does so.
 async fn store_or_refuse(daemon: &DaemonState, spec: &JobSpec, value: &str) -> Submission {
--- a/crates/agatesilld/src/fleet/metrics.rs
+++ b/crates/agatesilld/src/fleet/metrics.rs
@@ -7,9 +7,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use agatesill_policy::connections::CloseReason;
 use agatesill_policy::fleet::{EndProof, LossWait, StartStage, US_PER_MS, Urgency};
 use agatesill_wire::api::LOAD_PATH;
 use agatesill_wire::http::respond;
+use agatesill_wire::listener::Edge;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -110,6 +112,7 @@
         observe_config(&meter, daemon);
         observe_admission(&meter, daemon);
         observe_outages(&meter, daemon);
+        observe_edges(&meter, daemon);
     }
 
     /// All instruments in the Prometheus text format.
@@ -401,6 +404,50 @@
         .build();
 }
 
+fn observe_edges(meter: &Meter, daemon: &Arc<DaemonState>) {
+    let name = |edge: &Edge| KeyValue::new("edge", edge.name());
+    let observed = daemon.clone();
+    meter
+        .u64_observable_counter("agatesill.connections.closed")
+        .with_unit("{connection}")
+        .with_description("Connections refused or closed by this daemon, by reason")
+        .with_callback(move |counter| {
+            for edge in observed.edges.all() {
+                for reason in CloseReason::ALL {
+                    let labels = [name(edge), KeyValue::new("reason", reason.name())];
+                    counter.observe(edge.closed(reason), &labels);
+                }
+            }
+        })
+        .build();
+    let observed = daemon.clone();
+    meter
+        .u64_observable_gauge("agatesill.connections.open")
+        .with_unit("{connection}")
+        .with_description("Open connections, and how many there may be")
+        .with_callback(move |gauge| {
+            for edge in observed.edges.all() {
+                let what = |what: &'static str| [name(edge), KeyValue::new("what", what)];
+                gauge.observe(edge.held().0 as u64, &what("open"));
+                gauge.observe(edge.share().connections as u64, &what("share"));
+            }
+        })
+        .build();
+    let observed = daemon.clone();
+    meter
+        .u64_observable_gauge("agatesill.connections.memory")
+        .with_unit("By")
+        .with_description("Memory that connections are counted for, and how much they may hold")
+        .with_callback(move |gauge| {
+            for edge in observed.edges.all() {
+                let what = |what: &'static str| [name(edge), KeyValue::new("what", what)];
+                gauge.observe(edge.held().1, &what("held"));
+                gauge.observe(edge.share().bytes, &what("share"));
+            }
+        })
+        .build();
+}
+
 /// Answers one request for the load or, on any other path, for the metrics.
 pub async fn answer(daemon: Arc<DaemonState>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     if request.uri().path() == LOAD_PATH {
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -12,12 +12,13 @@
 pub mod config_peers;
 pub mod config_watch;
 pub mod daemon_state;
+pub mod edges;
 mod front;
 mod group_commit;
 pub mod job_store;
 mod keys;
 mod lease_records;
-pub mod line_limit;
+pub use agatesill_wire::line_limit;
 mod load_report;
 pub mod load_state;
 mod load_status;
@@ -45,8 +46,14 @@
 
 use agatesill_platform::prelude::*;
 use agatesill_platform::store;
-use agatesill_wire::http::serve;
+use agatesill_wire::listener::{
+    ConnectionHandle, Edge, Shutdown, limit_receive_buffer, no_response, serve,
+};
 use agatesill_wire::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -123,17 +130,18 @@
     tasks.spawn(config_peers::fetch_versions(daemon.clone(), stop_entry.clone()));
     tasks.spawn(ownership::run(daemon.clone(), stop.clone(), abort));
     tasks.spawn(peer_connection::serve(daemon.clone(), peers, stop_entry.clone()));
-    tasks.spawn(serve(ready, stop_entry.clone(), {
+    tasks.spawn(edges::keep_up_to_date(daemon.clone(), stop_entry.clone()));
+    tasks.spawn(serve_edge(ready, &daemon.edges.ready, &stop_entry, {
         let daemon = daemon.clone();
-        move |request| ready::answer(daemon.clone(), request)
+        move |request, _| ready::answer(daemon.clone(), request)
     }));
-    tasks.spawn(serve(figures, stop_entry.clone(), {
+    tasks.spawn(serve_edge(figures, &daemon.edges.metrics, &stop_entry, {
         let daemon = daemon.clone();
-        move |request| metrics::answer(daemon.clone(), request)
+        move |request, _| metrics::answer(daemon.clone(), request)
     }));
-    tasks.spawn(serve(entry, stop_entry.clone(), {
+    tasks.spawn(serve_edge(entry, &daemon.edges.callers, &stop_entry, {
         let daemon = daemon.clone();
-        move |request| front::answer(daemon.clone(), request)
+        move |request, connection| front::answer(daemon.clone(), request, connection)
     }));
     stop.cancelled().await;
     shut_down(&daemon, &stop_entry, &tasks).await;
@@ -157,7 +165,24 @@
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(addr).await.map_err(|error| {
+    let listener = TcpListener::bind(addr).await.map_err(|error| {
         Error::new(ErrorKind::Settings, format!("cannot listen on {addr}: {error}"))
-    })
+    })?;
+    limit_receive_buffer(&listener);
+    Ok(listener)
+}
+
+/// Serves HTTP on one edge until `stop` is cancelled, then completes open requests.
+fn serve_edge<H, F>(
+    listener: TcpListener,
+    edge: &Edge,
+    stop: &CancellationToken,
+    handler: H,
+) -> impl Future<Output = ()> + Send + use<H, F>
+where
+    H: Fn(Request<Incoming>, ConnectionHandle) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let stop = Shutdown { drain: stop.clone(), ..Shutdown::default() };
+    serve(listener, edge.clone(), stop, no_response, handler)
 }
--- a/crates/agatesilld/src/relay/exchange.rs
+++ b/crates/agatesilld/src/relay/exchange.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use agatesill_wire::api::ErrorBody;
+use agatesill_wire::listener::collect;
 use agatesill_wire::prelude::*;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -143,9 +143,9 @@
     if length.is_none_or(|bytes| bytes > STREAM_FROM_BYTES) {
         return ExchangeResult::Streamed(parts, body, connection);
     }
-    let buffered = Limited::new(body, STREAM_FROM_BYTES as usize).collect();
+    let buffered = collect(body, STREAM_FROM_BYTES as usize);
     let body = match timeout_at(deadline, buffered).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => return ExchangeResult::Broken(error.to_string()),
         Err(_) => return ExchangeResult::TimedOut,
     };
--- a/crates/agatesilld/tests/misbehaving_clients/main.rs
+++ b/crates/agatesilld/tests/misbehaving_clients/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used)] // A failed assumption of a test fails the test.
 
+mod calm;
 mod crowd;
 mod process;
 #[path = "../../../../platform/tests/support/mod.rs"]
--- a/crates/agatesilld/tests/misbehaving_clients/process.rs
+++ b/crates/agatesilld/tests/misbehaving_clients/process.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 
 use hyper::Method;
 use serde_json::json;
@@ -31,7 +30,6 @@
 pub struct DaemonProcess {
     pub addrs: ListenAddrs,
     pub metrics: SocketAddr,
-    pub store: Arc<FakeStore>,
     child: Child,
     folder: PathBuf,
     stop: CancellationToken,
@@ -67,7 +65,7 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        let daemon = Self { addrs, metrics, store, child, folder, stop };
+        let daemon = Self { addrs, metrics, child, folder, stop };
         wait_until("the daemon is ready", || daemon.is_ready()).await;
         daemon
     }
