Connections of other daemons stay within a share, and announced frames are counted

Whoever reached the address of the other daemons could open connections without limit and announce frames of 2 MB that never end: 1,219 sockets, 74 MB resident and 25 MB unread from 60 connections. Calls of one connection were answered in tasks without a limit.

The peers' edge uses the listener of the other edges: a quarter of the descriptors, a sixteenth of the memory, unfinished frames closed first and after 10 s. A connection reads no further call while 256 are unanswered.

--- a/crates/agatesilld/src/fleet/peer_connection.rs
+++ b/crates/agatesilld/src/fleet/peer_connection.rs
@@ -10,6 +10,7 @@
 use agatesill_coord::prelude::*;
 use agatesill_policy::admission::OfferedTotals;
 use agatesill_wire::fleet::{FleetAnswer, FleetCall, FleetQuestion, JOB_FORMAT};
+use agatesill_wire::listener::{ConnectionHandle, EdgeStream, accept, no_response};
 use agatesill_wire::peer::{Body, Frame, FrameCodec};
 use agatesill_wire::prelude::*;
 use futures::{SinkExt, StreamExt};
@@ -31,8 +32,8 @@
 /// Capacity of the frame queue of one connection.
 const FRAME_QUEUE_CAPACITY: usize = 256;
 
-/// Delay after a failed accept.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Calls of one connection that are not answered yet. No further one is read meanwhile.
+const MAX_OPEN_CALLS: usize = 256;
 
 type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<FleetAnswer>>>>;
 
@@ -253,46 +254,49 @@
 /// Serves calls of other daemons until `stop` is cancelled.
 pub async fn serve(daemon: Arc<DaemonState>, listener: TcpListener, stop: CancellationToken) {
     let tasks = TaskTracker::new();
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    tasks.spawn(serve_connection(daemon.clone(), stream, stop.clone()));
-                }
-                Err(error) => {
-                    log::warn!(event = "accept_failed"; "{error}");
-                    tokio::time::sleep(ACCEPT_BACKOFF).await;
-                }
-            },
-        }
-    }
+    let spawn = |stream: TcpStream, connection: ConnectionHandle| {
+        let frames =
+            Framed::new(EdgeStream::new(stream, connection.clone()), FrameCodec::default());
+        let (daemon, stop) = (daemon.clone(), stop.clone());
+        tasks.spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                _ = connection.closed() => {}
+                () = serve_calls(daemon, frames, &connection) => {}
+            }
+        });
+    };
+    accept(listener, &daemon.edges.peers, &stop, no_response, spawn).await;
 }
 
-async fn serve_connection(daemon: Arc<DaemonState>, stream: TcpStream, stop: CancellationToken) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(event = "peer_lost"; "{error}");
-    }
-    let (mut sink, mut frames) = Framed::new(stream, FrameCodec::default()).split();
-    let (answers, mut queued_answers) = mpsc::channel(FRAME_QUEUE_CAPACITY);
+/// Answers the calls on one connection until it ends. A call that was read is carried out even if the
+/// connection ends before its answer.
+async fn serve_calls(
+    daemon: Arc<DaemonState>,
+    frames: Framed<EdgeStream, FrameCodec>,
+    connection: &ConnectionHandle,
+) {
+    let (mut sink, mut frames) = frames.split();
+    let (answers, mut queued_answers) = mpsc::channel(MAX_OPEN_CALLS);
+    let mut open_calls = 0;
     loop {
         tokio::select! {
-            () = stop.cancelled() => return,
-            frame = frames.next() => match frame {
-                Some(Ok(Frame { body: Some(Body::FleetCall(call)) })) => {
-                    let (daemon, answers) = (daemon.clone(), answers.clone());
-                    tokio::spawn(async move {
-                        let answer = answer_call(&daemon, call).await;
-                        if answers.send(answer).await.is_err() {
-                            log::debug!(event = "peer_answer_unheard"; "");
-                        }
-                    });
-                }
-                Some(Ok(_)) => {}
-                Some(Err(_)) | None => return,
-            },
+            frame = frames.next(), if open_calls < MAX_OPEN_CALLS => {
+                let Some(Ok(Frame { body })) = frame else { return };
+                connection.request_ended();
+                let Some(Body::FleetCall(call)) = body else { continue };
+                open_calls += 1;
+                let (daemon, answers) = (daemon.clone(), answers.clone());
+                tokio::spawn(async move {
+                    let answer = answer_call(&daemon, call).await;
+                    if answers.send(answer).await.is_err() {
+                        log::debug!(event = "peer_answer_unheard"; "");
+                    }
+                });
+            }
             answer = queued_answers.recv() => {
                 let Some(answer) = answer else { return };
+                open_calls -= 1;
                 let frame = Frame { body: Some(Body::FleetAnswer(answer)) };
                 if let Err(error) = sink.send(frame).await {
                     log::debug!(event = "peer_lost"; "{error}");
