Entry and admin interface use the listener of all edges

The entry of the product's own interface had a listener of its own, with limits that the admin interface lacked: no number of connections there, no timeout of a body, 2 MB bodies held for ever. Both use agatesill_wire::listener now. New for the entry: room is made by closing a connection that has been behind for a second, so that a crowd that stays shuts nobody out until its timeout; heads are counted, 64 kB for each allowed connection. The admin interface has 256 connections and 64 MB.

The tests of the relay hold unchanged: 503 at the limit, 408 for heads, 431, unread answers.

--- a/crates/agatesilld/src/admin.rs
+++ b/crates/agatesilld/src/admin.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 
 use agatesill_coord::prelude::*;
+use agatesill_policy::connections::ListenerShare;
 use agatesill_policy::prelude::*;
 use agatesill_wire::api::{ConfigChange, JobExplanation, StatusReport, VersionedConfig};
-use agatesill_wire::http::{read_json, respond, serve};
+use agatesill_wire::http::{read_counted_json, respond};
+use agatesill_wire::listener::{ConnectionHandle, Edge, EdgeLimits, Shutdown, no_response, serve};
 use agatesill_wire::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -31,6 +33,9 @@
 /// Path prefix of rollbacks, followed by the version.
 const ROLLBACK_PATH: &str = "/v1/config/rollback/";
 
+/// Share of the process for connections of operators and monitoring systems.
+const SHARE: ListenerShare = ListenerShare { connections: 256, bytes: 64 << 20 };
+
 /// The admin interface; clones share one state.
 #[derive(Clone, Debug)]
 pub struct Admin {
@@ -73,14 +78,20 @@
 
     /// Serves requests until `stop` is cancelled.
     pub async fn run(self, listener: TcpListener, stop: CancellationToken) {
-        serve(listener, stop, move |request| {
+        let edge = Edge::new("admin", EdgeLimits::default(), SHARE);
+        let stop = Shutdown { drain: stop, ..Shutdown::default() };
+        let handler = move |request, connection| {
             let admin = self.clone();
-            async move { admin.handle(request).await }
-        })
-        .await;
+            async move { admin.handle(request, &connection).await }
+        };
+        serve(listener, edge, stop, no_response, handler).await;
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        connection: &ConnectionHandle,
+    ) -> Response<Full<Bytes>> {
         let path = request.uri().path().to_owned();
         let mut operator = String::new();
         if request.method() != Method::GET {
@@ -98,9 +109,12 @@
             (&Method::GET, "/v1/status", _) => respond(Ok(self.status())),
             (&Method::GET, "/v1/config", _) => respond(Ok((*self.shared.config()).clone())),
             (&Method::GET, "/v1/config/history", _) => respond(self.config.history().await),
-            (&Method::POST, "/v1/config", _) => respond(self.change(request, operator).await),
+            (&Method::POST, "/v1/config", _) => {
+                respond(self.change(request, connection, operator).await)
+            }
             (&Method::POST, _, None) if path.starts_with(ROLLBACK_PATH) => {
-                respond(self.rollback(request, operator, &path[ROLLBACK_PATH.len()..]).await)
+                let version = &path[ROLLBACK_PATH.len()..];
+                respond(self.rollback(request, connection, operator, version).await)
             }
             (&Method::GET, explain, _) if explain.starts_with("/v1/explain/job/") => {
                 let id = explain.trim_start_matches("/v1/explain/job/").to_owned();
@@ -111,7 +125,7 @@
                 respond(explain(&self.shared, kind, id))
             }
             (&Method::GET, "/v1/jobs", _) => respond(self.list().await),
-            (&Method::POST, "/v1/jobs", _) => respond(self.submit(request).await),
+            (&Method::POST, "/v1/jobs", _) => respond(self.submit(request, connection).await),
             (&Method::GET, _, Some(id)) => {
                 respond(self.ask(|reply| CellCall::Show(id, reply)).await)
             }
@@ -161,9 +175,10 @@
     async fn change(
         &self,
         request: Request<Incoming>,
+        connection: &ConnectionHandle,
         operator: String,
     ) -> Result<VersionedConfig, Error> {
-        let mut change: ConfigChange = read_json(request.into_body()).await?;
+        let mut change: ConfigChange = read_counted_json(connection, request.into_body()).await?;
         set_author(&mut change, operator);
         self.finish_change("change", &change, self.config.change(&change, now_ms()).await)
     }
@@ -171,12 +186,13 @@
     async fn rollback(
         &self,
         request: Request<Incoming>,
+        connection: &ConnectionHandle,
         operator: String,
         to: &str,
     ) -> Result<VersionedConfig, Error> {
         let to =
             to.parse().map_err(|_| Error::new(ErrorKind::BadRequest, format!("version {to:?}")))?;
-        let mut change: ConfigChange = read_json(request.into_body()).await?;
+        let mut change: ConfigChange = read_counted_json(connection, request.into_body()).await?;
         set_author(&mut change, operator);
         self.finish_change("rollback", &change, self.config.rollback(to, &change, now_ms()).await)
     }
@@ -203,8 +219,12 @@
         outcome
     }
 
-    async fn submit(&self, request: Request<Incoming>) -> Result<JobStatus, Error> {
-        let job: JobSpec = read_json(request.into_body()).await?;
+    async fn submit(
+        &self,
+        request: Request<Incoming>,
+        connection: &ConnectionHandle,
+    ) -> Result<JobStatus, Error> {
+        let job: JobSpec = read_counted_json(connection, request.into_body()).await?;
         self.ask(|reply| CellCall::Submit(job, reply)).await
     }
 
--- a/crates/agatesilld/src/relay/entry.rs
+++ b/crates/agatesilld/src/relay/entry.rs
@@ -1,107 +1,82 @@
-//! Listener for callers: serves each connection in a task of its own and enforces limits on it.
+//! Listener for callers: the limits of the settings, and the responses to callers that exceed them.
 
 use std::future::Future;
-use std::sync::Arc;
 use std::time::Duration;
 
+use agatesill_policy::connections::{CloseReason, ListenerShare};
 use agatesill_wire::api::ErrorBody;
+use agatesill_wire::listener::{self, Edge, EdgeLimits, MAX_HEAD_BYTES, Shutdown};
 use agatesill_wire::prelude::*;
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio::net::TcpListener;
 
 use super::body::ResponseBody;
-use super::write_timeout::WriteTimeoutStream;
 use crate::settings::EntrySettings;
 use crate::shared::Shared;
 
-/// Maximum size of a request head; hyper requires at least 8 KB.
-const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Memory of the entry for each connection that the settings allow. Connections with large heads share
+/// what idle ones do not need.
+const BYTES_PER_CONNECTION: u64 = 64 << 10;
 
-/// Maximum number of header lines of a request.
-const MAX_HEADERS: usize = 100;
-
-/// Delay after a failed `accept`, for example when file descriptors are exhausted.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-
-/// Timeout for writing the response to a caller whose request head timed out.
-const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How far behind a connection must be before it is closed for another one. Until then, callers beyond
+/// the limit are refused.
+const MIN_BEHIND: Duration = Duration::from_secs(1);
 
 /// Retry-After of a connection refused because of the connection limit.
 const REFUSED_RETRY_AFTER_MS: u32 = 1_000;
 
-/// Cancellation tokens and task tracker of the listener.
-#[derive(Clone, Debug)]
-pub struct EntryShutdown {
-    /// Closes the listener, and each connection after its exchange in flight.
-    pub drain: CancellationToken,
-    /// Aborts the exchanges still in flight.
-    pub abort: CancellationToken,
-    /// Tasks of connections, and of exchanges that outlive their connection.
-    pub tasks: TaskTracker,
-}
-
 /// Serves callers until `stop.drain` is cancelled and the last exchange has ended, or until
 /// `stop.abort` is cancelled.
 pub async fn serve<H, F>(
     listener: TcpListener,
-    limits: EntrySettings,
-    stop: EntryShutdown,
+    limits: &EntrySettings,
+    stop: Shutdown,
     shared: Shared,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
-    loop {
-        let accepted = tokio::select! {
-            () = stop.drain.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(event = "accept_failed"; "{error}");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-                continue;
-            }
-        };
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            shared.counters().connections_refused.add();
-            refuse(&stream);
-            continue;
-        };
-        let connection =
-            serve_connection(stream, limits.clone(), stop.clone(), shared.clone(), handler.clone());
-        stop.tasks.spawn(async move {
-            connection.await;
-            drop(permit);
-        });
-    }
-    drop(listener);
-    stop.tasks.close();
-    tokio::select! {
-        () = stop.tasks.wait() => {}
-        () = stop.abort.cancelled() => {}
-    }
+    let head_timeout = Duration::from_millis(limits.head_ms);
+    let edge_limits = EdgeLimits {
+        max_head_bytes: MAX_HEAD_BYTES,
+        min_behind: MIN_BEHIND,
+        head_timeout,
+        idle_timeout: Some(head_timeout),
+        stall_timeout: Duration::from_millis(limits.stall_ms),
+    };
+    let share = ListenerShare {
+        connections: limits.max_connections,
+        bytes: limits.max_connections as u64 * BYTES_PER_CONNECTION,
+    };
+    let head_ms = limits.head_ms;
+    let respond = move |reason| refusal(reason, head_ms, &shared);
+    let edge = Edge::new("entry", edge_limits, share);
+    let handler = move |request, _| handler(request);
+    listener::serve(listener, edge, stop, respond, handler).await;
 }
 
-/// Refuses a connection beyond the limit with a 503 `overloaded` response.
-///
-/// Such a connection costs one short write but no task and no buffers, so that large numbers of
-/// idle connections do not exhaust memory.
-fn refuse(stream: &TcpStream) {
-    let error = Error::new(ErrorKind::Overloaded, "entry.max_connections reached")
-        .retry_after(REFUSED_RETRY_AFTER_MS);
-    let _ = stream.try_write(&raw_response("503 Service Unavailable", &error));
+/// The response to a connection that is refused or closed.
+fn refusal(reason: CloseReason, head_ms: u64, shared: &Shared) -> Option<Vec<u8>> {
+    match reason {
+        CloseReason::NoRoom => {
+            shared.counters().connections_refused.add();
+            let error = Error::new(ErrorKind::Overloaded, "entry.max_connections reached")
+                .retry_after(REFUSED_RETRY_AFTER_MS);
+            Some(raw_response("503 Service Unavailable", &error))
+        }
+        CloseReason::HeadTimeout | CloseReason::IdleTimeout => {
+            shared.counters().heads_timed_out.add();
+            let message = format!("request head incomplete after {head_ms} ms");
+            let error = Error::new(ErrorKind::CallerTimeout, message);
+            Some(raw_response("408 Request Timeout", &error))
+        }
+        CloseReason::Behind
+        | CloseReason::BodyTimeout
+        | CloseReason::StallTimeout
+        | CloseReason::HeadTooLarge => None,
+    }
 }
 
 fn raw_response(status: &str, error: &Error) -> Vec<u8> {
@@ -113,46 +88,3 @@
     )
     .into_bytes()
 }
-
-async fn serve_connection<H, F>(
-    stream: TcpStream,
-    limits: EntrySettings,
-    stop: EntryShutdown,
-    shared: Shared,
-    handler: H,
-) where
-    H: Fn(Request<Incoming>) -> F + Send + 'static,
-    F: Future<Output = Response<ResponseBody>> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let io = WriteTimeoutStream::new(stream, Duration::from_millis(limits.stall_ms));
-    let service = service_fn(move |request| {
-        let response = handler(request);
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
-    });
-    let mut connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.head_ms))
-        .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(io), service);
-    let mut is_draining = false;
-    let ended = loop {
-        tokio::select! {
-            ended = &mut connection => break ended,
-            () = stop.drain.cancelled(), if !is_draining => {
-                is_draining = true;
-                std::pin::Pin::new(&mut connection).graceful_shutdown();
-            }
-            () = stop.abort.cancelled() => return,
-        }
-    };
-    if ended.is_err_and(|error| error.is_timeout()) {
-        shared.counters().heads_timed_out.add();
-        let message = format!("request head incomplete after {} ms", limits.head_ms);
-        let response =
-            raw_response("408 Request Timeout", &Error::new(ErrorKind::CallerTimeout, message));
-        let mut stream = connection.into_parts().io.into_inner().into_stream();
-        let _ = tokio::time::timeout(RESPONSE_WRITE_TIMEOUT, stream.write_all(&response)).await;
-    }
-}
--- a/crates/agatesilld/src/relay/mod.rs
+++ b/crates/agatesilld/src/relay/mod.rs
@@ -15,7 +15,6 @@
 pub mod record;
 mod response;
 mod upstream;
-mod write_timeout;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -25,6 +24,7 @@
 
 use agatesill_policy::prelude::*;
 use agatesill_wire::api::ErrorBody;
+use agatesill_wire::listener::Shutdown;
 use agatesill_wire::prelude::*;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -127,11 +127,11 @@
         drain: CancellationToken,
         abort: CancellationToken,
     ) {
-        let stop = entry::EntryShutdown { drain, abort: abort.clone(), tasks: self.tasks.clone() };
+        let stop = Shutdown { drain, abort: abort.clone(), tasks: self.tasks.clone() };
         let sharing = self.clone().share_connections(abort);
         let limits = self.limits.clone();
         let shared = self.shared.clone();
-        let serving = entry::serve(listener, limits, stop, shared, move |request| {
+        let serving = entry::serve(listener, &limits, stop, shared, move |request| {
             let relay = self.clone();
             async move { relay.handle(request).await }
         });
