Soak with crowds outside the limits; answers of the store and workers read in 64 kB

Seeds from 13,000 on: five crowds of 150 clients of a drawn kind, which come back when they are closed, beside two to six faults of daemons, the store and workers. The daemons of all seeds have 128 MB and 1,000 descriptors in their settings, and the check of 128 MB looks at the peak of each process in place of its memory at the end.

hyper's buffer of a connection to the store or to a worker grew to 400 kB, also for a head without end. It is 64 kB now; the new test of the channel gets such an answer. The own memory of a daemon is read each second, so that a crowd that comes within a second of a quiet one does not use the planner's. Peers get an eighth of the memory, as 300 daemons hold some 600 connections to the planner.

--- a/crates/agatesill_policy/src/connections/shares.rs
+++ b/crates/agatesill_policy/src/connections/shares.rs
@@ -32,7 +32,7 @@
 const MIN_CALLER_MEMORY_DIVISOR: u64 = 16;
 
 /// Part of the memory that connections of peers get.
-const PEER_MEMORY_DIVISOR: u64 = 16;
+const PEER_MEMORY_DIVISOR: u64 = 8;
 
 /// Part of the memory that each of the small endpoints gets.
 const ENDPOINT_MEMORY_DIVISOR: u64 = 32;
--- a/crates/agatesill_wire/src/channel.rs
+++ b/crates/agatesill_wire/src/channel.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{Connection, SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -18,6 +18,10 @@
 use crate::http::MAX_RESPONSE_BYTES;
 use crate::listener::collect;
 
+/// Maximum size of a response's head, and of the buffer into which its body is read. By default the
+/// buffer of each connection grows to several times this size.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Timeout of the opening of a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -170,7 +174,8 @@
             }
         })?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) =
+            Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream)).await?;
         self.connections += 1;
         Ok(self.open.insert(OpenConnection { sender, connection: Some(connection) }))
     }
--- a/crates/agatesill_wire/tests/channel.rs
+++ b/crates/agatesill_wire/tests/channel.rs
@@ -24,6 +24,8 @@
     AnswerAndClose,
     Close,
     KeepSilent,
+    /// Answers with a head that never ends, for as long as it is read.
+    AnswerWithoutEnd,
 }
 
 /// A server that counts its connections and the requests that it reads.
@@ -57,6 +59,11 @@
             match self.reaction {
                 Reaction::Close => return,
                 Reaction::KeepSilent => return std::future::pending().await,
+                Reaction::AnswerWithoutEnd => {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nx-filler: ").await.unwrap();
+                    while stream.write_all(&[b'a'; 1 << 10]).await.is_ok() {}
+                    return;
+                }
                 Reaction::Answer | Reaction::AnswerAndClose => {
                     let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
                     stream.write_all(answer).await.unwrap();
@@ -125,3 +132,14 @@
     }
     assert_eq!(server.connections.load(Ordering::Relaxed), 1);
 }
+
+/// Guards against an answer whose head takes hundreds of kilobytes at each of a thousand workers.
+#[tokio::test]
+async fn an_answer_whose_head_has_no_end_is_given_up() {
+    let (_, addr) = Server::start(Reaction::AnswerWithoutEnd).await;
+    let mut channel = Channel::new(addr);
+    let failed = channel.call(request(), Via::Any, Duration::from_secs(30)).await.unwrap_err();
+    assert_eq!(failed.delivery, Delivery::Unknown);
+    assert!(failed.error.detail.contains("too large"), "{}", failed.error.detail);
+    assert_eq!(channel.connection(), None, "the connection is closed");
+}
--- a/crates/agatesilld/src/fleet/edges.rs
+++ b/crates/agatesilld/src/fleet/edges.rs
@@ -13,10 +13,6 @@
 /// Interval between updates of the shares and limits.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Part of the callers' share below which the memory of the process is not read: the share that they
-/// had is large enough.
-const CALM_DIVISOR: u64 = 4;
-
 /// The edges of one daemon.
 #[derive(Debug)]
 pub struct Edges {
@@ -60,19 +56,21 @@
 /// configuration, until `stop` is cancelled.
 pub async fn keep_up_to_date(daemon: Arc<DaemonState>, stop: CancellationToken) {
     let mut updates = tokio::time::interval(UPDATE_INTERVAL);
-    let mut used = ProcessUse { own_bytes: 0, workers: 0 };
+    let mut is_first = true;
     while stop.run_until_cancelled(updates.tick()).await.is_some() {
         if let Some(config) = daemon.config() {
             daemon.edges.callers.set_limits(&caller_limits(&config.limits));
         }
-        let callers = &daemon.edges.callers;
-        if callers.held().1 > callers.share().bytes / CALM_DIVISOR {
-            let held_bytes = daemon.edges.held_bytes();
-            used.own_bytes = resident_bytes().map_or(0, |bytes| bytes.saturating_sub(held_bytes));
+        let used = ProcessUse {
+            own_bytes: resident_bytes().unwrap_or(0).saturating_sub(daemon.edges.held_bytes()),
+            workers: daemon.planner_stats().workers as usize,
+        };
+        let callers = Shares::new(daemon.settings.process_limits, used).callers;
+        daemon.edges.callers.set_share(callers);
+        if std::mem::take(&mut is_first) {
+            log::info!(event = "connection_shares", own_bytes = used.own_bytes,
+                caller_connections = callers.connections, caller_bytes = callers.bytes; "");
         }
-        used.workers = daemon.planner_stats().workers as usize;
-        let shares = Shares::new(daemon.settings.process_limits, used);
-        daemon.edges.callers.set_share(shares.callers);
     }
 }
 
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -114,9 +114,9 @@
             return refuse(daemon, id, &Error::new(ErrorKind::TooLarge, error.to_string()));
         }
         Err(error @ BodyError::Broken(_)) => {
-            return refuse(daemon, id, &Error::new(ErrorKind::BadRequest, error.to_string()));
+            return error_response(&Error::new(ErrorKind::BadRequest, error.to_string()));
         }
-        Err(BodyError::NoRoom) => return no_room(connection).await,
+        Err(BodyError::NoRoom) => return no_room().await,
     };
     let spec = match front::job(queue, id, &body, wall_ms()) {
         Ok(spec) => spec,
@@ -134,7 +134,7 @@
         return refuse(daemon, id, &Error::new(ErrorKind::TooLarge, detail));
     }
     if !connection.hold(submission_bytes(&spec, &value)) {
-        return no_room(connection).await;
+        return no_room().await;
     }
     match store_or_refuse(daemon, &spec, &value).await {
         Submission::Stored { is_return } => {
@@ -168,11 +168,10 @@
     (steps_bytes + value.len() * VALUE_COPIES) as u64
 }
 
-/// Waits for the end of a connection that is closed for lack of room. An answer could only say what is
-/// not known here: whether a request with the same ID was accepted before.
-async fn no_room(connection: &ConnectionHandle) -> Answer {
-    connection.closed().await;
-    error_response(&Error::new(ErrorKind::OutcomeUnknown, "no room for the request"))
+/// Leaves a request without an answer. Its connection is closed for lack of room, which ends this. An
+/// answer could only say what is not known here: whether a job with the same ID was accepted before.
+async fn no_room() -> Answer {
+    std::future::pending().await
 }
 
 /// Stores a job or a record of its refusal. If the store turns this daemon away, the planner's daemon
--- a/crates/agatesilld/tests/fleet_soak/daemon.rs
+++ b/crates/agatesilld/tests/fleet_soak/daemon.rs
@@ -22,8 +22,14 @@
 /// How long a planned stop may take before the process is killed.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Memory limit of a daemon, in pages of 4 kB: 128 MB.
-const MAX_MEMORY_PAGES: u64 = 32_768;
+/// Memory limit of a daemon.
+const MEMORY_MB: u64 = 128;
+
+/// The same in kilobytes.
+const MAX_MEMORY_KB: u64 = MEMORY_MB << 10;
+
+/// Limit of a daemon's descriptors.
+const MAX_FDS: usize = 1_000;
 
 pub struct Daemon {
     pub name: String,
@@ -58,7 +64,8 @@
         let listen_addrs = ListenAddrs::allocate().await;
         let store = Proxy::start(store, stop).await;
         let metrics_port = crate::support::free_addr().await.port();
-        let text = settings::daemon(name, &listen_addrs, store.addr, cpu_share);
+        let limits = format!("cpuShare: {cpu_share}, memoryMb: {MEMORY_MB}, maxFds: {MAX_FDS}");
+        let text = settings::daemon_with_limits(name, &listen_addrs, store.addr, &limits);
         std::fs::write(folder.join(format!("{name}.yaml")), text).unwrap();
         Self {
             name: name.to_owned(),
@@ -191,17 +198,19 @@
             panics.map(|line| format!("{}: {line}", self.name)).collect();
         problems.extend(self.problems.lock().unwrap().clone());
         problems.extend(
-            self.memory_pages()
-                .filter(|memory_pages| *memory_pages > MAX_MEMORY_PAGES)
-                .map(|memory_pages| format!("{} uses {} MB", self.name, memory_pages * 4 / 1_024)),
+            self.peak_memory_kb()
+                .filter(|memory_kb| *memory_kb > MAX_MEMORY_KB)
+                .map(|memory_kb| format!("{} used {} MB", self.name, memory_kb >> 10)),
         );
         problems
     }
 
-    fn memory_pages(&self) -> Option<u64> {
+    /// Highest resident memory of the present process so far.
+    fn peak_memory_kb(&self) -> Option<u64> {
         let id = self.id()?;
-        let text = std::fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
-        text.split(' ').nth(1)?.parse().ok()
+        let text = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().split(' ').next()?.parse().ok()
     }
 
     fn id(&self) -> Option<u32> {
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::crowds::CrowdKind;
 use crate::history::Scope;
 use crate::support::proxy::LinkFault;
 use crate::support::simulated_workers::WorkerFault;
@@ -43,6 +44,12 @@
 /// faults.
 const FIRST_SEED_WITH_LOST_WORKERS: u64 = 12_000;
 
+/// From this seed on crowds of clients outside the limits come beside faults of all kinds.
+const FIRST_SEED_WITH_CROWDS: u64 = 13_000;
+
+/// Crowds of one run.
+const CROWDS: u32 = 5;
+
 /// Longest time for which tasks of a lost worker may be without a run while planners are restarted as planned,
 /// and if they are killed, suspended or cut off.
 const MAX_AWAY_PLANNED: Duration = Duration::from_secs(7);
@@ -152,6 +159,8 @@
     ReduceCapacity(usize),
     /// A worker misbehaves in the given way.
     Worker(usize, WorkerFault),
+    /// Clients outside the limits come to a daemon, and again when it has closed their connections.
+    Crowd(usize, CrowdKind),
 }
 
 /// Workers that restart under their identifiers at once.
@@ -195,6 +204,7 @@
             Self::Kill(daemon)
             | Self::Pause(daemon)
             | Self::Terminate(daemon)
+            | Self::Crowd(daemon, _)
             | Self::StoreConnection(daemon, _) => Scope::Daemon(daemon),
             Self::TurnAway(daemon, _) => Scope::TurnedAway(daemon),
             Self::KillAll
@@ -255,6 +265,9 @@
 /// The fault schedule of a seed. Every fourth run has planned maintenance only, as only there
 /// callers may expect that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
+    if seed >= FIRST_SEED_WITH_CROWDS {
+        return schedule_with_crowds(seed, daemons, workers);
+    }
     if seed >= FIRST_SEED_WITH_LOST_WORKERS {
         return schedule_with_lost_workers(seed);
     }
@@ -316,6 +329,25 @@
     scheduled_faults
 }
 
+/// Crowds that overlap, beside the faults of daemons, the store and workers.
+fn schedule_with_crowds(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let is_planned = seed % 4 == 0;
+    let faults = random.random_range(2..=6);
+    let mut scheduled_faults: Vec<ScheduledFault> = (0..CROWDS + faults)
+        .map(|nth| ScheduledFault {
+            at: Duration::from_millis(random.random_range(500..FAULT_PERIOD.as_millis() as u64)),
+            duration: Duration::from_millis(random.random_range(500..4_000)),
+            fault: match nth < CROWDS {
+                true => Fault::Crowd(random.random_range(0..daemons), CrowdKind::draw(&mut random)),
+                false => draw_fault(&mut random, is_planned, daemons, workers),
+            },
+        })
+        .collect();
+    scheduled_faults.sort_by_key(|scheduled| scheduled.at);
+    scheduled_faults
+}
+
 /// Workers that are lost for good, and changes of the planner before and after that, at equal intervals. Every
 /// other run has planned changes only.
 fn schedule_with_lost_workers(seed: u64) -> Vec<ScheduledFault> {
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -14,6 +14,7 @@
 
 use crate::callers::{Callers, RequestOutcome, Submission};
 use crate::config_probe::{CALM_PERIOD, ConfigProbe};
+use crate::crowds::crowd;
 use crate::daemon::Daemon;
 use crate::faults::{self, Fault, Restart, ScheduledFault};
 use crate::history::FaultHistory;
@@ -569,6 +570,9 @@
                 self.remove_entry(slot, &worker);
                 slot.replace(&worker, &self.simulated_workers, &self.store, &self.stop).await;
             }
+            Fault::Crowd(daemon, kind) => {
+                crowd(self.daemons[daemon].listen_addrs.entry, kind, duration).await;
+            }
             Fault::Worker(slot, fault) => {
                 let incarnation = self.slots[slot].worker().incarnation;
                 if fault == WorkerFault::FailsAll {
