--- a/crates/agatesilld/tests/misbehaving_clients/crowd.rs
+++ b/crates/agatesilld/tests/misbehaving_clients/crowd.rs
@@ -13,6 +13,7 @@
 
 use crate::process::DaemonProcess;
 use crate::support::caller::call;
+use crate::support::settings::{Step, TaskFault, job};
 use crate::support::wait_until;
 
 /// Connections that the clients open at the same time, so that the listener's queue does not overflow.
@@ -139,7 +140,9 @@
 
 /// Submits a job on a new connection.
 async fn is_accepted(entry: SocketAddr) -> bool {
-    let body = r#"{"spec":"work","steps":[{"count":1,"cpu":1000,"memMb":500,"estimatedMs":100}]}"#;
-    let reply = call(entry, Method::POST, "/q/00000000000000aa", body);
+    let (is_best_effort, after) = (false, Vec::new());
+    let step = Step { count: 1, work_ms: 100, cpu_milli: 1_000, is_best_effort, after };
+    let body = job(&[step], TaskFault::None);
+    let reply = call(entry, Method::POST, "/q/00000000000000aa", &body);
     matches!(timeout(Duration::from_secs(3), reply).await, Ok(Some((200, ..))))
 }
