Entry: test that idle connections make way for new callers

Before the shared listener, eight idle connections kept everyone else out until entry.head_ms had passed (60 s in this test, which waits 30 s at most).

--- a/crates/agatesilld/tests/relay.rs
+++ b/crates/agatesilld/tests/relay.rs
@@ -381,6 +381,23 @@
     Ok(())
 }
 
+/// Idle connections use up the connection limit and stay. Guards against new callers that are refused for
+/// as long as the idle ones are allowed to be idle.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connections_make_way_for_new_callers() -> TestResult {
+    let harness = RelayHarness::start(SIZES, |settings| {
+        settings.entry.max_connections = 8;
+        settings.entry.head_ms = 60_000;
+    })
+    .await?;
+    let mut idle = Vec::new();
+    for _ in 0..8 {
+        idle.push(TcpStream::connect(harness.entry(0)).await?);
+    }
+    wait_until(|| async { kind(&harness.send(0, &read_request("r1")).await) == "answer" }).await?;
+    Ok(())
+}
+
 /// A caller requests a long response and never reads it. After the stall timeout its connection
 /// must be closed and its slot at the upstream released.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
