Receive buffers count with the size that the kernel has set

The size is read back now and counted, 32 kB on Linux, up to 128 kB on systems that don't shrink it, so that a connection that is not read is paid for.

--- a/crates/agatesill_wire/src/listener/edge.rs
+++ b/crates/agatesill_wire/src/listener/edge.rs
@@ -19,8 +19,9 @@
 /// Memory of a connection without a request: hyper's buffers and the state of its task.
 const CONNECTION_BYTES: u64 = 20 << 10;
 
-/// Bytes that the kernel may have received for a connection that is not read.
-pub(super) const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+/// Bytes that the kernel may have received for a connection that is not read, unless the edge knows
+/// better.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 
 /// Default of the time for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -42,6 +43,8 @@
 pub struct EdgeLimits {
     /// Maximum size of a request's head.
     pub max_head_bytes: usize,
+    /// Bytes that the kernel may have received for a connection that is not read.
+    pub receive_buffer_bytes: usize,
     /// How far behind a connection must be before it is closed for another one.
     pub min_behind: Duration,
     /// Time for the head of a request, or for a frame.
@@ -56,6 +59,7 @@
     fn default() -> Self {
         Self {
             max_head_bytes: MAX_HEAD_BYTES,
+            receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
             min_behind: MIN_BEHIND,
             head_timeout: HEAD_TIMEOUT,
             idle_timeout: Some(IDLE_TIMEOUT),
@@ -68,7 +72,7 @@
     fn of_connection(&self) -> ConnectionLimits {
         let us = |duration: Duration| duration.as_micros() as u64;
         ConnectionLimits {
-            base_bytes: CONNECTION_BYTES + u64::from(RECEIVE_BUFFER_BYTES),
+            base_bytes: CONNECTION_BYTES + self.receive_buffer_bytes as u64,
             min_behind_us: us(self.min_behind),
             head_timeout_us: us(self.head_timeout),
             idle_timeout_us: self.idle_timeout.map_or(u64::MAX, us),
--- a/crates/agatesill_wire/src/listener/server.rs
+++ b/crates/agatesill_wire/src/listener/server.rs
@@ -20,7 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::body::AnswerBody;
-use super::edge::{ConnectionHandle, Edge, RECEIVE_BUFFER_BYTES};
+use super::edge::{ConnectionHandle, Edge};
 use super::stream::EdgeStream;
 
 /// Maximum number of header lines of a request.
@@ -32,6 +32,12 @@
 /// Room for empty lines before a request.
 const EMPTY_LINES_BYTES: usize = 256;
 
+/// Requested size of the kernel's receive buffers. Linux sets twice the size, for its own overhead.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+
+/// Most that is counted for a receive buffer, also if the kernel tells a larger size.
+const MAX_RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+
 /// Delay after a failed `accept`, for example when file descriptors are exhausted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -53,10 +59,16 @@
 }
 
 /// Bounds what the kernel receives for each connection to `listener` that the process does not read.
-pub fn limit_receive_buffer(listener: &impl AsFd) {
+/// Returns the size that the kernel has set, which may be another one.
+pub fn limit_receive_buffer(listener: &impl AsFd) -> usize {
     let socket = SockRef::from(listener);
-    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as usize) {
-        log::warn!(event = "receive_buffer_unlimited"; "{error}");
+    let set = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    match set.and_then(|()| socket.recv_buffer_size()) {
+        Ok(bytes) => bytes.clamp(RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES),
+        Err(error) => {
+            log::warn!(event = "receive_buffer_unlimited"; "{error}");
+            MAX_RECEIVE_BUFFER_BYTES
+        }
     }
 }
 
--- a/crates/agatesilld/src/fleet/edges.rs
+++ b/crates/agatesilld/src/fleet/edges.rs
@@ -53,14 +53,18 @@
 }
 
 /// Keeps the shares and the limits up to date with what the daemon needs itself and with the active
-/// configuration, until `stop` is cancelled.
-pub async fn keep_up_to_date(daemon: Arc<DaemonState>, stop: CancellationToken) {
+/// configuration, until `stop` is cancelled. `receive_buffer_bytes` is the size of the kernel's receive
+/// buffers.
+pub async fn keep_up_to_date(
+    daemon: Arc<DaemonState>,
+    receive_buffer_bytes: usize,
+    stop: CancellationToken,
+) {
     let mut updates = tokio::time::interval(UPDATE_INTERVAL);
     let mut is_first = true;
     while stop.run_until_cancelled(updates.tick()).await.is_some() {
-        if let Some(config) = daemon.config() {
-            daemon.edges.callers.set_limits(&caller_limits(&config.limits));
-        }
+        let limits = daemon.config().map(|config| config.limits).unwrap_or_default();
+        daemon.edges.callers.set_limits(&caller_limits(&limits, receive_buffer_bytes));
         let used = ProcessUse {
             own_bytes: resident_bytes().unwrap_or(0).saturating_sub(daemon.edges.held_bytes()),
             workers: daemon.planner_stats().workers as usize,
@@ -69,15 +73,17 @@
         daemon.edges.callers.set_share(callers);
         if std::mem::take(&mut is_first) {
             log::info!(event = "connection_shares", own_bytes = used.own_bytes,
-                caller_connections = callers.connections, caller_bytes = callers.bytes; "");
+                caller_connections = callers.connections, caller_bytes = callers.bytes,
+                receive_buffer_bytes = receive_buffer_bytes; "");
         }
     }
 }
 
 /// The limits of callers' connections in a configuration.
-fn caller_limits(limits: &RequestLimits) -> EdgeLimits {
+fn caller_limits(limits: &RequestLimits, receive_buffer_bytes: usize) -> EdgeLimits {
     let default = EdgeLimits::default();
     EdgeLimits {
+        receive_buffer_bytes,
         max_head_bytes: limits.max_header_bytes.unwrap_or(default.max_head_bytes),
         head_timeout: limits.header_timeout_ms.map_or(default.head_timeout, Duration::from_millis),
         idle_timeout: limits.idle_timeout_ms.map(Duration::from_millis).or(default.idle_timeout),
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -117,6 +117,8 @@
     let instruments = FleetMetrics::new()
         .map_err(|error| Error::new(ErrorKind::Settings, format!("metrics: {error}")))?;
     let daemon = Arc::new(DaemonState::new(settings, store, instruments));
+    let buffers = [&entry, &ready, &peers, &figures].map(limit_receive_buffer);
+    let receive_buffer_bytes = buffers.into_iter().max().unwrap_or_default();
     daemon.metrics.observe(&daemon);
     let tasks = TaskTracker::new();
     let stop_entry = CancellationToken::new();
@@ -130,7 +132,7 @@
     tasks.spawn(config_peers::fetch_versions(daemon.clone(), stop_entry.clone()));
     tasks.spawn(ownership::run(daemon.clone(), stop.clone(), abort));
     tasks.spawn(peer_connection::serve(daemon.clone(), peers, stop_entry.clone()));
-    tasks.spawn(edges::keep_up_to_date(daemon.clone(), stop_entry.clone()));
+    tasks.spawn(edges::keep_up_to_date(daemon.clone(), receive_buffer_bytes, stop_entry.clone()));
     tasks.spawn(serve_edge(ready, &daemon.edges.ready, &stop_entry, {
         let daemon = daemon.clone();
         move |request, _| ready::answer(daemon.clone(), request)
@@ -168,7 +170,6 @@
     let listener = TcpListener::bind(addr).await.map_err(|error| {
         Error::new(ErrorKind::Settings, format!("cannot listen on {addr}: {error}"))
     })?;
-    limit_receive_buffer(&listener);
     Ok(listener)
 }
 
--- a/crates/agatesilld/src/relay/entry.rs
+++ b/crates/agatesilld/src/relay/entry.rs
@@ -5,7 +5,7 @@
 
 use agatesill_policy::connections::{CloseReason, ListenerShare};
 use agatesill_wire::api::ErrorBody;
-use agatesill_wire::listener::{self, Edge, EdgeLimits, MAX_HEAD_BYTES, Shutdown};
+use agatesill_wire::listener::{self, Edge, EdgeLimits, Shutdown};
 use agatesill_wire::prelude::*;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -17,7 +17,7 @@
 
 /// Memory of the entry for each connection that the settings allow. Connections with large heads share
 /// what idle ones do not need.
-const BYTES_PER_CONNECTION: u64 = 64 << 10;
+const BYTES_PER_CONNECTION: u64 = 80 << 10;
 
 /// How far behind a connection must be before it is closed for another one. Until then, callers beyond
 /// the limit are refused.
@@ -40,11 +40,11 @@
 {
     let head_timeout = Duration::from_millis(limits.head_ms);
     let edge_limits = EdgeLimits {
-        max_head_bytes: MAX_HEAD_BYTES,
         min_behind: MIN_BEHIND,
         head_timeout,
         idle_timeout: Some(head_timeout),
         stall_timeout: Duration::from_millis(limits.stall_ms),
+        ..EdgeLimits::default()
     };
     let share = ListenerShare {
         connections: limits.max_connections,
