The kernel's receive buffers are not taken for resident memory

By reading: the callers' share follows from the resident memory less what listeners count, and they count the kernel's buffers too, which are not resident. 1,600 connections made a planner of 150 MB look like one of 50, and raised their own share to half of the memory.

--- a/crates/agatesill_wire/src/listener/edge.rs
+++ b/crates/agatesill_wire/src/listener/edge.rs
@@ -92,6 +92,7 @@
     name: &'static str,
     started: Instant,
     max_head_bytes: AtomicUsize,
+    receive_buffer_bytes: AtomicUsize,
     table: Mutex<OpenConnections>,
     closed: [AtomicU64; CloseReason::ALL.len()],
     lines: LineLimit,
@@ -119,6 +120,7 @@
             name,
             started: Instant::now(),
             max_head_bytes: AtomicUsize::new(limits.max_head_bytes),
+            receive_buffer_bytes: AtomicUsize::new(limits.receive_buffer_bytes),
             table: Mutex::new(OpenConnections { table, closers: HashMap::new() }),
             closed: Default::default(),
             lines: LineLimit::new(MAX_LINES_PER_S),
@@ -134,6 +136,7 @@
     /// Sets the limits of each connection. The maximum size of a head applies to new connections.
     pub fn set_limits(&self, limits: &EdgeLimits) {
         self.state.max_head_bytes.store(limits.max_head_bytes, Ordering::Relaxed);
+        self.state.receive_buffer_bytes.store(limits.receive_buffer_bytes, Ordering::Relaxed);
         self.lock().table.set_limits(limits.of_connection());
     }
 
@@ -148,6 +151,13 @@
         (open.table.len(), open.table.held_bytes())
     }
 
+    /// The part of that memory which is the process's own: all but the kernel's receive buffers.
+    pub fn resident_bytes(&self) -> u64 {
+        let (connections, held_bytes) = self.held();
+        let kernel_bytes = connections * self.state.receive_buffer_bytes.load(Ordering::Relaxed);
+        held_bytes.saturating_sub(kernel_bytes as u64)
+    }
+
     /// The share of the process's memory and descriptors.
     pub fn share(&self) -> ListenerShare {
         self.lock().table.share()
--- a/crates/agatesilld/src/fleet/edges.rs
+++ b/crates/agatesilld/src/fleet/edges.rs
@@ -46,9 +46,9 @@
         [&self.callers, &self.peers, &self.ready, &self.metrics]
     }
 
-    /// Memory that the connections to all edges hold, by their counts.
-    fn held_bytes(&self) -> u64 {
-        self.all().iter().map(|edge| edge.held().1).sum()
+    /// Resident memory that the connections to all edges hold, by their counts.
+    fn resident_bytes(&self) -> u64 {
+        self.all().iter().map(|edge| edge.resident_bytes()).sum()
     }
 }
 
@@ -66,7 +66,7 @@
         let limits = daemon.config().map(|config| config.limits).unwrap_or_default();
         daemon.edges.callers.set_limits(&caller_limits(&limits, receive_buffer_bytes));
         let used = ProcessUse {
-            own_bytes: resident_bytes().unwrap_or(0).saturating_sub(daemon.edges.held_bytes()),
+            own_bytes: resident_bytes().unwrap_or(0).saturating_sub(daemon.edges.resident_bytes()),
             workers: daemon.planner_stats().workers as usize,
         };
         let callers = Shares::new(daemon.settings.process_limits, used).callers;
