--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -287,6 +287,7 @@
     def __init__(self, store, record, service):
         self.store, self.record, self.service = store, record, service
         self.executors, self.starts, self.ends = [], [], []
+        self.tells_born = False
         # Ends that were taken note of, by task and run.
         self.noted = set()
         self.on_start = lambda executor, task, run: None
@@ -297,6 +298,7 @@
 
     async def add(self, host, cpu, mem_mb, rack):
         executor = Executor(self, host, cpu, mem_mb, rack)
+        executor.tells_born = self.tells_born
         self.executors.append(executor)
         await executor.start()
         return executor
@@ -326,13 +328,17 @@
         self.fleet, self.host, self.cpu, self.mem_mb, self.rack = fleet, host, cpu, mem_mb, rack
         self.port, self.is_up, self.server = 0, False, None
         self.state, self.leaves_s = "ready", 0.0
+        # How far the time of day of this machine is ahead; `born` is sent if `tells_born` is set.
+        self.ahead_ms, self.tells_born, self.born = 0, False, 0
 
-    async def start(self):
-        """Begins a life: a new id, nothing runs, no fence number is known."""
-        self.identity = f"i-{random.randrange(16 ** 8):08x}"
+    async def start(self, identity=None):
+        """Begins a life, under a new id if none is given: nothing runs, no fence number is known."""
+        self.identity = identity or f"i-{random.randrange(16 ** 8):08x}"
+        self.born = int(time.time() * 1000) + self.ahead_ms
         self.runs, self.ended, self.next_end = {}, [], 1
         self.fence, self.lease_until_ms, self.barred = 0, 0, {}
         self.sequence, self.clock_base = 0, time.monotonic() - random.uniform(10, 900)
+        self.life = getattr(self, "life", 0) + 1
         self.has_end = asyncio.Event()
         self.server = Server(self.handle)
         _, self.port = await self.server.start(self.host, self.port)
@@ -347,6 +353,7 @@
         for run in self.runs.values():
             self.fleet.record.say(f"executor {self.identity}: crashed with {run.task} run {run.run}")
         lost, self.runs = list(self.runs.values()), {}
+        self.life += 1
         for run in lost:
             self.break_gang(run)
 
@@ -369,6 +376,8 @@
                  "version": "v1", "slots": 8, "state": self.state, "coldRemainingMs": 0,
                  "capacity": {"cpu": self.cpu, "memMb": self.mem_mb, "gpu": 0},
                  "labels": ["a", self.rack], "clockMs": self.clock_ms(), "sequence": self.sequence}
+        if self.tells_born:
+            entry["born"] = self.born
         if self.state == "draining":
             entry["remainingMs"] = max(0, int((self.leaves_s - time.monotonic()) * 1000))
         self.fleet.store.put(f"servers/{self.identity}", json.dumps(entry))
@@ -439,7 +448,7 @@
         if token < self.fence:
             return 409, {"clockMs": self.clock_ms(), "reason": "fence"}
         self.fence = token
-        life = self.identity
+        life = self.life
         if path == "/agatesill/hold":
             self.hold(value)
             seen = value.get("lastSeen", 0)
@@ -451,11 +460,12 @@
                     await asyncio.wait_for(self.has_end.wait(), until - time.monotonic())
                 except TimeoutError:
                     pass
-            if self.identity != life:
+            if self.life != life:
                 return None
             rows = [[r.task, r.run, r.saved, r.percent(), 8 if r.plan.get("lasts") else r.plan["cpu"]]
                     for r in self.runs.values()]
-            return 200, {"clockMs": self.clock_ms(), "running": rows, "ended": self.ended[:500]}
+            reply = {"clockMs": self.clock_ms(), "running": rows, "ended": self.ended[:500]}
+            return 200, {**reply, "born": self.born} if self.tells_born else reply
         if path == "/agatesill/run-start":
             return self.start_run(value)
         if path == "/agatesill/run-stop":
