Cancels: a line tells what was found under the job's key

A DELETE that was answered 410 left no trace in the log, so a cancel that found no job could not be told from one that was stored and forgotten later.

--- a/crates/agatesilld/src/fleet/job_store.rs
+++ b/crates/agatesilld/src/fleet/job_store.rs
@@ -94,15 +94,19 @@
     if daemon.store.is_unavailable() {
         return FleetWrite::NotStored;
     }
-    match daemon.store.get(&keys::job(id)).await {
-        Ok(Some(entry)) if RefusalRecord::decode(&entry.value).is_some() => FleetWrite::NoSuchJob,
-        Ok(Some(_)) => create_cancel(daemon, id).await,
-        Ok(None) => FleetWrite::NoSuchJob,
+    let (found, write) = match daemon.store.get(&keys::job(id)).await {
+        Ok(Some(entry)) if RefusalRecord::decode(&entry.value).is_some() => {
+            ("refusal", FleetWrite::NoSuchJob)
+        }
+        Ok(Some(_)) => ("job", create_cancel(daemon, id).await),
+        Ok(None) => ("nothing", FleetWrite::NoSuchJob),
         Err(error) => {
             log::debug!(event = "cancel_unread", job = id; "{error}");
-            FleetWrite::NotStored
+            ("unread", FleetWrite::NotStored)
         }
-    }
+    };
+    log::info!(event = "cancel_written", job = id, found = found, outcome:? = write; "");
+    write
 }
 
 /// Guards against a create whose answer is lost: it may have taken effect, or may still do so. The
