An answered cancel holds for submissions that are still under way

What callers saw: a DELETE was answered 410, and seconds later the job ran to its end.

Cause: "there is no such job" was told after a read, which says nothing of a write of the job that is under way, at any daemon. A refusal occupies the job's key before it is told; a cancel left nothing. A refused job was answered 410 as well while a replacement of its record could still take effect. A lost answer is not needed: with a store that takes 0.4 to 0.9 s a write and callers that leave after 0.15 s it was the same.

Evidence: cancel_written found=nothing outcome=NoSuchJob, then the late write is done and the planner starts the job; no key of a cancel in the store, no takeover. So the cancel was neither stored and forgotten nor missed by a successor.

Change: a cancel that finds no job occupies its key with a record under a lease. Creates under way find the key, replacements another version, and a submission that arrives later is stored together with its cancel. A record of unknown outcome is told as 502. Records are limited to five a second and daemon after a burst of fifty (429 beyond it); cancels of stored jobs are not, and take a read and a write as before. The cancel of a stored job names the version of its key, so that it can't outlive it. The planner's cancels of unknown jobs are forgotten with ended jobs.

--- a/crates/agatesill_policy/src/admission/mod.rs
+++ b/crates/agatesill_policy/src/admission/mod.rs
@@ -16,6 +16,7 @@
 //! has accepted since its view.
 
 mod activation;
+pub mod cancel_records;
 mod demand;
 mod door;
 mod extrapolation;
--- a/crates/agatesill_policy/src/batch/policy/mod.rs
+++ b/crates/agatesill_policy/src/batch/policy/mod.rs
@@ -16,7 +16,6 @@
 mod plan_protect;
 mod protection;
 mod queue;
-mod token_bucket;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +28,7 @@
     Attempt, AttemptOutcome, Cell, CellDelta, CellEffect, EvictReason, FailureKind, Job, TaskId,
     TaskState, WorkerId, WorkerState, split_task,
 };
+use crate::token_bucket::TokenBucket;
 use estimates::{ClassEstimates, class_of};
 use failures::FailureTracker;
 use history::{History, HistoryEvent};
@@ -37,7 +37,6 @@
 use plan::ChangeSubject;
 use protection::MitigationStates;
 use queue::{PriorityTier, Queue};
-use token_bucket::TokenBucket;
 use workers::WorkerDirectory;
 
 /// A live attempt, with the data that the ledger does not hold.
--- a/crates/agatesill_policy/src/fleet/retention.rs
+++ b/crates/agatesill_policy/src/fleet/retention.rs
@@ -33,10 +33,11 @@
         })
     }
 
-    /// Removes jobs that ended before `before_us`. Returns their identifiers; their keys may be
+    /// Removes jobs that ended before `before_us`, and older cancels of jobs that are still unknown. Returns their identifiers; their keys may be
     /// deleted.
     pub fn forget_ended(&mut self, before_us: u64) -> Vec<JobId> {
         self.retire_ended();
+        self.pending_cancels.retain(|_, since_us| *since_us >= before_us);
         let mut forgotten: Vec<JobId> = Vec::new();
         self.retired.retain(|id, (_, ended_us)| {
             let is_kept = *ended_us >= before_us;
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -126,7 +126,8 @@
     pub(super) retired: HashMap<JobId, (JobPhase, u64)>,
     /// Jobs whose stored specification can't be read, and whether they had started.
     pub(super) set_aside: HashMap<JobId, bool>,
-    pub(super) pending_cancels: HashSet<JobId>,
+    /// Cancelled jobs that are not known yet, and since when.
+    pub(super) pending_cancels: HashMap<JobId, u64>,
     pub(super) images: Images,
     pub(super) interference: InterferenceModel,
     pub(super) pairs: PairCounts,
@@ -180,7 +181,7 @@
             ended_jobs: Vec::new(),
             retired: HashMap::new(),
             set_aside: HashMap::new(),
-            pending_cancels: HashSet::new(),
+            pending_cancels: HashMap::new(),
             images: Images::default(),
             interference: InterferenceModel::default(),
             pairs: PairCounts::default(),
@@ -199,6 +200,11 @@
         }
     }
 
+    /// Number of cancelled jobs that are not known yet.
+    pub fn pending_cancels(&self) -> usize {
+        self.pending_cancels.len()
+    }
+
     /// Returns the event counters since the start.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -235,7 +241,7 @@
         if is_known {
             return;
         }
-        let was_cancelled = self.pending_cancels.remove(&spec.id);
+        let was_cancelled = self.pending_cancels.remove(&spec.id).is_some();
         let mut job = Job::new(spec, now_us);
         job.accepted_us = self.monotonic_us(job.spec.accepted_at_ms, now_us);
         let slot = self.insert(job);
@@ -310,8 +316,9 @@
 
     /// Cancels a job.
     ///
-    /// A cancel of an unknown job is remembered. After a gap in the store's history both keys are
-    /// read again, cancels first, and the job would otherwise start after it was cancelled.
+    /// A cancel of an unknown job is remembered for as long as an ended job. After a gap in the store's
+    /// history both keys are read again, cancels first, and the job would otherwise start after it was
+    /// cancelled.
     pub fn cancel(&mut self, id: &str, now_us: u64) {
         if self.set_aside.remove(id).is_some() {
             self.retired.insert(id.to_owned(), (JobPhase::Cancelled, now_us));
@@ -320,7 +327,7 @@
             return;
         }
         let Some(slot) = self.by_id.get(id).copied() else {
-            self.pending_cancels.insert(id.to_owned());
+            self.pending_cancels.insert(id.to_owned(), now_us);
             return;
         };
         self.finish(slot, JobPhase::Cancelled, now_us);
--- a/crates/agatesill_policy/src/lib.rs
+++ b/crates/agatesill_policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod profile;
 pub mod request;
+mod token_bucket;
 
 /// Commonly used types of this crate.
 pub mod prelude {
--- a/crates/agatesill_policy/src/batch/policy/token_bucket.rs
+++ b/crates/agatesill_policy/src/token_bucket.rs
@@ -1,13 +1,8 @@
-//! A token bucket for starts and evictions. The caller passes the time.
-//!
-//! When a rack or zone is lost, hundreds of tasks wait at once, and one late sample can show many
-//! workers over their latency target. Without a rate limit, the starts would reach the store and
-//! the workers in one burst, and evictions would empty half of the workers before the first
-//! eviction takes effect.
+//! A token bucket. The caller passes the time.
 
 /// A token bucket with a fractional fill level.
 #[derive(Clone, Debug, Default)]
-pub struct TokenBucket {
+pub(crate) struct TokenBucket {
     tokens: f64,
     refilled_ms: Option<u64>,
 }
@@ -15,7 +10,7 @@
 impl TokenBucket {
     /// Adds tokens at the rate `per_second` for the time since the last call, up to `burst`, and
     /// returns the available whole tokens. The bucket is full at the first call.
-    pub fn refill(&mut self, now_ms: u64, per_second: f64, burst: f64) -> usize {
+    pub(crate) fn refill(&mut self, now_ms: u64, per_second: f64, burst: f64) -> usize {
         let added = match self.refilled_ms {
             None => burst,
             Some(last_ms) => now_ms.saturating_sub(last_ms) as f64 / 1_000.0 * per_second,
@@ -26,7 +21,7 @@
     }
 
     /// Removes `count` tokens.
-    pub fn spend(&mut self, count: usize) {
+    pub(crate) fn spend(&mut self, count: usize) {
         self.tokens = (self.tokens - count as f64).max(0.0);
     }
 }
--- a/crates/agatesill_policy/tests/fleet_orders.rs
+++ b/crates/agatesill_policy/tests/fleet_orders.rs
@@ -403,3 +403,14 @@
     assert_eq!(harness.fleet.forget_ended(harness.now_us + MS), vec!["j1".to_owned()]);
     assert_eq!(harness.fleet.state_of("j1"), None);
 }
+
+/// Guards against a ledger that grows with each cancel of a job that never becomes known.
+#[test]
+fn cancels_of_unknown_jobs_are_forgotten_with_the_ended_jobs() {
+    let mut harness = Harness::new(vec![entry("w1", "r1-1")]);
+    harness.fleet.cancel("j1", harness.now_us);
+    harness.fleet.forget_ended(harness.now_us);
+    assert_eq!(harness.fleet.pending_cancels(), 1, "its job may be read next");
+    harness.fleet.forget_ended(harness.now_us + MS);
+    assert_eq!(harness.fleet.pending_cancels(), 0);
+}
--- a/crates/agatesill_wire/src/fleet.rs
+++ b/crates/agatesill_wire/src/fleet.rs
@@ -263,4 +263,6 @@
     NoSuchJob = 5,
     /// The job was refused for lack of capacity and can't run unless it is submitted again.
     Refused = 6,
+    /// Nothing was stored, because too many writes of this kind were requested.
+    Throttled = 7,
 }
--- a/crates/agatesilld/src/fleet/daemon_state.rs
+++ b/crates/agatesilld/src/fleet/daemon_state.rs
@@ -22,8 +22,9 @@
 use super::peer_directory::PeerDirectory;
 use super::planner::PlannerHandle;
 use super::planner_time::DutyTimes;
-use super::record_lease::RecordLease;
 use super::store_outage::StoreOutage;
+use crate::job_keys::cancels::CancelWriter;
+use crate::job_keys::record_lease::RecordLease;
 
 /// Factor by which a daemon's processor share must exceed the planner's for planning to move there.
 const LARGER_FACTOR: u32 = 2;
@@ -109,6 +110,8 @@
     pub edges: Edges,
     /// Lease of the records of refused jobs.
     pub record_lease: RecordLease,
+    /// Stores cancels.
+    pub cancels: CancelWriter,
     /// Stores accepted jobs in shared transactions.
     pub group_commit: GroupCommitter,
     /// Callers refused while the store is unavailable.
@@ -148,6 +151,7 @@
             edges: Edges::new(&settings),
             settings,
             group_commit: GroupCommitter::new(store.clone(), metrics.clone(), clock),
+            cancels: CancelWriter::new(store.clone()),
             store,
             clock,
             peer_connection: PeerConnection::new("planner", addr, ANSWER_TIMEOUT),
--- a/crates/agatesilld/src/fleet/front.rs
+++ b/crates/agatesilld/src/fleet/front.rs
@@ -27,6 +27,9 @@
 /// Retry-After while the store is unavailable. The store client tries again within a second.
 const STORE_RETRY_AFTER_MS: u32 = 1_000;
 
+/// Retry-After of a cancel that was not stored because too many cancels of unknown jobs arrive.
+const THROTTLED_RETRY_AFTER_MS: u32 = 1_000;
+
 /// Most time for the body of a request.
 const MAX_BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -222,6 +225,10 @@
             "the store did not report whether the write took effect",
         )
         .retry_after(STORE_RETRY_AFTER_MS),
+        FleetWrite::Throttled => {
+            Error::new(ErrorKind::Overloaded, "too many cancels of unknown jobs")
+                .retry_after(THROTTLED_RETRY_AFTER_MS)
+        }
         _ => not_stored(store_retry_after_ms(daemon)),
     }
 }
--- a/crates/agatesilld/src/fleet/group_commit.rs
+++ b/crates/agatesilld/src/fleet/group_commit.rs
@@ -15,9 +15,9 @@
 use tokio::time::Instant;
 
 use super::clock::Clock;
-use super::job_store::{Guarded, WRITE_TIMEOUT};
 use super::line_limit::LineLimit;
 use super::metrics::FleetMetrics;
+use crate::job_keys::guarded::{Guarded, WRITE_TIMEOUT};
 
 /// Maximum wait for a transaction; after that the job is not stored.
 const MAX_WAIT: Duration = WRITE_TIMEOUT;
--- a/crates/agatesilld/src/fleet/job_store.rs
+++ b/crates/agatesilld/src/fleet/job_store.rs
@@ -2,26 +2,21 @@
 //! daemon, they go through the planner's daemon.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use agatesill_policy::fleet::{JobPhase, JobSpec, ProgressRecord};
 use agatesill_wire::fleet::{FleetAnswer, FleetPhase, FleetQuestion, FleetWrite, JobToStore};
-use agatesill_wire::platform::{Entry, StoreCall};
 use agatesill_wire::prelude::*;
 
+use super::clock::wall_ms;
 use super::daemon_state::DaemonState;
 use super::keys;
-use super::refusal_record::RefusalRecord;
 use super::submission::{self, Submission};
 use super::submission_report;
+use crate::job_keys::refusal_record::RefusalRecord;
 
 /// Daemons that are called in turn for one question. The first may refer to a newer planner.
 const MAX_HOPS: usize = 2;
 
-/// Timeout of a write for a caller, after which its outcome is reported as unknown. A slow store
-/// takes 300 ms.
-pub const WRITE_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// A job's phase and whether any of its tasks has started.
 pub type JobState = (JobPhase, bool);
 
@@ -89,89 +84,9 @@
     }
 }
 
-/// Stores a cancel if the job is stored.
+/// Stores a cancel without the help of other daemons.
 pub async fn store_cancel_directly(daemon: &DaemonState, id: &str) -> FleetWrite {
-    if daemon.store.is_unavailable() {
-        return FleetWrite::NotStored;
-    }
-    let (found, write) = match daemon.store.get(&keys::job(id)).await {
-        Ok(Some(entry)) if RefusalRecord::decode(&entry.value).is_some() => {
-            ("refusal", FleetWrite::NoSuchJob)
-        }
-        Ok(Some(_)) => ("job", create_cancel(daemon, id).await),
-        Ok(None) => ("nothing", FleetWrite::NoSuchJob),
-        Err(error) => {
-            log::debug!(event = "cancel_unread", job = id; "{error}");
-            ("unread", FleetWrite::NotStored)
-        }
-    };
-    log::info!(event = "cancel_written", job = id, found = found, outcome:? = write; "");
-    write
-}
-
-/// Guards against a create whose answer is lost: it may have taken effect, or may still do so. The
-/// key is read back, and the caller never gets the answer that the cancel was not accepted.
-async fn create_cancel(daemon: &DaemonState, id: &str) -> FleetWrite {
-    let key = keys::cancel(id);
-    match write_guarded(daemon, &key, 0, "{}", 0).await {
-        Guarded::Applied => FleetWrite::Stored,
-        Guarded::Conflict(_) => FleetWrite::Existed,
-        Guarded::NotWritten => FleetWrite::NotStored,
-        Guarded::Unknown => match read_in_time(daemon, &key).await {
-            Some(_) => FleetWrite::Stored,
-            None => FleetWrite::Unknown,
-        },
-    }
-}
-
-/// Outcome of a write that is guarded by the version of its key.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Guarded {
-    /// The write took effect.
-    Applied,
-    /// The key has another version, that of the entry, or has been deleted; or the lease has ended.
-    Conflict(Option<Entry>),
-    /// The write did not take effect and can't do so later.
-    NotWritten,
-    /// The write may have taken effect, or may still do so.
-    Unknown,
-}
-
-/// Writes a key if it has the expected version; 0 means that it must be absent. The key is bound to a
-/// lease unless that is 0.
-pub async fn write_guarded(
-    daemon: &DaemonState,
-    key: &str,
-    expect_version: u64,
-    value: &str,
-    lease_id: u64,
-) -> Guarded {
-    if daemon.store.is_unavailable() {
-        return Guarded::NotWritten;
-    }
-    let value = Some(value.to_owned());
-    let write = StoreCall::Cas { key: key.to_owned(), expect_version, value, lease_id };
-    let answer =
-        tokio::time::timeout(WRITE_TIMEOUT, daemon.store.call_reporting_outcome(write)).await;
-    match answer {
-        Ok(Ok(reply)) if reply.applied => Guarded::Applied,
-        Ok(Ok(reply)) => Guarded::Conflict(
-            reply.entries.into_iter().find(|entry| entry.key == key && entry.version > 0),
-        ),
-        Ok(Err(error)) if error.kind != ErrorKind::OutcomeUnknown => {
-            log::debug!(event = "not_stored", key = key; "{error}");
-            Guarded::NotWritten
-        }
-        Ok(Err(_)) | Err(_) => Guarded::Unknown,
-    }
-}
-
-/// Reads a key after a write of unknown outcome; `None` if it does not exist or there is no answer.
-pub async fn read_in_time(daemon: &DaemonState, key: &str) -> Option<Entry> {
-    match tokio::time::timeout(WRITE_TIMEOUT, daemon.store.get(key)).await {
-        Ok(Ok(entry)) => entry,
-        Ok(Err(_)) | Err(_) => None,
-    }
+    daemon.cancels.cancel(id, daemon.clock.now_us(), wall_ms()).await
 }
 
 /// Notifies the planner of a job that has just been stored, so that it need not wait for its watch.
--- a/crates/agatesilld/src/fleet/mod.rs
+++ b/crates/agatesilld/src/fleet/mod.rs
@@ -16,7 +16,6 @@
 mod front;
 mod group_commit;
 pub mod job_store;
-mod keys;
 mod lease_records;
 pub use agatesill_wire::line_limit;
 mod load_report;
@@ -30,9 +29,7 @@
 mod planner_time;
 mod predecessors;
 mod ready;
-pub mod record_lease;
 mod recovery;
-pub mod refusal_record;
 pub mod store_outage;
 mod store_watchers;
 pub mod submission;
@@ -61,6 +58,7 @@
 
 use self::daemon_state::DaemonState;
 use self::metrics::FleetMetrics;
+use crate::store_keys as keys;
 
 /// Store calls a second that one daemon may make, per write a second that the platform allows for
 /// all daemons. The planner makes nearly all writes, and about as many reads and watches.
--- a/crates/agatesilld/src/fleet/recovery.rs
+++ b/crates/agatesilld/src/fleet/recovery.rs
@@ -17,8 +17,8 @@
 use super::keys::{self, InboxKey};
 use super::lease_records::{self, LeaseWrite};
 use super::predecessors::{self, Predecessors};
-use super::refusal_record::RefusalRecord;
 use super::store_watchers;
+use crate::job_keys::refusal_record::RefusalRecord;
 
 /// Delay between attempts.
 const RETRY_BACKOFF: Duration = Duration::from_millis(100);
--- a/crates/agatesilld/src/fleet/store_watchers.rs
+++ b/crates/agatesilld/src/fleet/store_watchers.rs
@@ -16,7 +16,7 @@
 use super::daemon_state::DaemonState;
 use super::keys::{self, InboxKey};
 use super::planner::Event;
-use super::refusal_record::RefusalRecord;
+use crate::job_keys::refusal_record::RefusalRecord;
 
 /// Wait time of one watch call. A watch that the store has silently dropped hides updates for this
 /// long.
--- a/crates/agatesilld/src/fleet/submission.rs
+++ b/crates/agatesilld/src/fleet/submission.rs
@@ -4,6 +4,9 @@
 //! outcome is unknown may take effect seconds later, from any daemon. So a job counts as refused only
 //! once a guarded write has occupied its key with a [`RefusalRecord`]: a create finds the key, and a
 //! replacement finds another revision.
+//!
+//! A job that was cancelled before it is stored is stored together with its cancel, so that it never
+//! runs.
 
 use agatesill_policy::admission::{Refusal, Return, Verdict};
 use agatesill_policy::fleet::JobSpec;
@@ -11,10 +14,12 @@
 
 use super::clock::wall_ms;
 use super::daemon_state::DaemonState;
-use super::job_store::{Guarded, read_in_time, write_guarded};
 use super::keys;
 use super::load_state::RefusedBecause;
-use super::refusal_record::RefusalRecord;
+use crate::job_keys::guarded::{
+    Guarded, GuardedTxn, read_in_time, write_all_guarded, write_guarded,
+};
+use crate::job_keys::refusal_record::RefusalRecord;
 
 /// Attempts to write the key of one job. Each but the last finds that another daemon wrote it, or that
 /// a lease ended.
@@ -41,7 +46,7 @@
         /// Whether the job was refused before.
         is_return: bool,
     },
-    /// The job was stored before.
+    /// The job was stored before, or was cancelled before and is stored as such.
     Existed,
     /// The job is refused and can't run unless it is submitted again.
     Refused(RefusedJob),
@@ -73,6 +78,8 @@
 /// What is to be written under the key of a job.
 enum PlannedWrite {
     Job,
+    /// The job and its cancel.
+    CancelledJob,
     Record(RefusalRecord, RefusedJob),
 }
 
@@ -110,18 +117,29 @@
     let key = keys::job(&spec.id);
     let mut found: Option<FoundRecord> = None;
     let mut is_unknown = false;
+    // A cancel holds also if its record vanishes before the next attempt.
+    let mut is_cancelled = false;
     for _ in 0..MAX_ATTEMPTS {
-        let planned = plan(spec, found.as_ref(), decide);
+        is_cancelled |= found.is_some_and(|found| found.record.is_cancelled);
+        let planned = match is_cancelled {
+            true => PlannedWrite::CancelledJob,
+            false => plan(spec, found.as_ref(), decide),
+        };
         let expect_version = found.map_or(0, |found| found.version);
         let write = match &planned {
             PlannedWrite::Job => match create {
                 JobCreate::Grouped { is_urgent } if expect_version == 0 => {
                     daemon.group_commit.create(&key, json, is_urgent).await
                 }
-                _ => write_guarded(daemon, &key, expect_version, json, 0).await,
+                _ => write_guarded(&daemon.store, &key, expect_version, json, 0).await,
             },
+            PlannedWrite::CancelledJob => {
+                store_cancelled(daemon, &spec.id, json, expect_version).await
+            }
             PlannedWrite::Record(record, _) => {
-                write_record(daemon, &key, expect_version, record).await
+                let now_us = daemon.clock.now_us();
+                let lease = &daemon.record_lease;
+                lease.write(&daemon.store, &key, expect_version, record, now_us).await
             }
         };
         let entry = match write {
@@ -131,7 +149,7 @@
             Guarded::Unknown if is_unknown => return Submission::Unknown,
             Guarded::Unknown => {
                 is_unknown = true;
-                match read_in_time(daemon, &key).await {
+                match read_in_time(&daemon.store, &key).await {
                     Some(entry) => Some(entry),
                     None => return Submission::Unknown,
                 }
@@ -159,6 +177,7 @@
     fn applied(self, is_return: bool) -> Submission {
         match self {
             PlannedWrite::Job => Submission::Stored { is_return },
+            PlannedWrite::CancelledJob => Submission::Existed,
             PlannedWrite::Record(_, refused) => Submission::Refused(refused),
         }
     }
@@ -195,27 +214,23 @@
     }
 }
 
-/// Writes a record under the lease of this daemon.
-async fn write_record(
+/// Stores a job together with its cancel if its key has the expected version.
+async fn store_cancelled(
     daemon: &DaemonState,
-    key: &str,
+    id: &str,
+    json: &str,
     expect_version: u64,
-    record: &RefusalRecord,
 ) -> Guarded {
-    let value = match serde_json::to_string(record) {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!(event = "refusal_unencodable", key = key; "{error}");
-            return Guarded::NotWritten;
-        }
-    };
-    let Some(lease_id) = daemon.record_lease.id(&daemon.store, daemon.clock.now_us()).await else {
-        return Guarded::NotWritten;
-    };
-    let write = write_guarded(daemon, key, expect_version, &value, lease_id).await;
-    if matches!(write, Guarded::Conflict(None)) {
-        // The key was deleted in the meantime, or the lease has ended.
-        daemon.record_lease.forget(lease_id);
+    let (job_key, cancel_key) = (keys::job(id), keys::cancel(id));
+    let expected = [(job_key.as_str(), expect_version)];
+    let puts = [(job_key.as_str(), json), (cancel_key.as_str(), keys::CANCEL_VALUE)];
+    let write = write_all_guarded(&daemon.store, &expected, &puts).await;
+    log::info!(event = "job_stored_cancelled", job = id, is_stored = write == GuardedTxn::Applied;
+        "it was cancelled before it was stored");
+    match write {
+        GuardedTxn::Applied => Guarded::Applied,
+        GuardedTxn::Conflict(entries) => Guarded::Conflict(entries.into_iter().next()),
+        GuardedTxn::NotWritten => Guarded::NotWritten,
+        GuardedTxn::Unknown => Guarded::Unknown,
     }
-    write
 }
--- a/crates/agatesilld/src/fleet/refusal_record.rs
+++ b/crates/agatesilld/src/job_keys/refusal_record.rs
@@ -1,7 +1,8 @@
-//! Records of refused jobs in the store.
+//! Records of jobs that are not stored: their callers were told that they are refused, or that a job
+//! which they cancelled does not exist.
 //!
 //! A record occupies the key of its job, so that no earlier write of the job can take effect after
-//! its caller was told that it was refused. It is bound to a lease and vanishes with it.
+//! its caller was told so. It is bound to a lease and vanishes with it.
 
 use agatesill_policy::admission::Return;
 use agatesill_policy::value_type;
@@ -26,21 +27,36 @@
 }
 
 value_type! {
-    /// Value of the key of a refused job.
+    /// Value of the key of a job that was refused, or cancelled before it was stored.
     #[derive(Copy, Eq)]
     pub struct RefusalRecord {
-        /// When it was refused.
+        /// When it was refused; for a job that was only cancelled, when that was.
         pub refused: Refused,
+        /// Whether it was cancelled. It does not run then, also if it is submitted later.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub is_cancelled: bool,
     }
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref)] // Signature required by serde.
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 impl RefusalRecord {
     /// A record of a job refused at `now_ms`, which is to return after `retry_after_ms`; `before` is
     /// its record so far.
     pub fn new(before: Option<&Self>, now_ms: u64, retry_after_ms: u32) -> Self {
         let first_ms = before.map_or(now_ms, |before| before.refused.first_ms);
         let return_ms = now_ms + u64::from(whole_seconds_ms(u64::from(retry_after_ms)));
-        Self { refused: Refused { first_ms, last_ms: now_ms, return_ms } }
+        Self { refused: Refused { first_ms, last_ms: now_ms, return_ms }, is_cancelled: false }
+    }
+
+    /// A record of a job that is cancelled at `now_ms`; `before` is its record so far.
+    pub fn cancelled(before: Option<&Self>, now_ms: u64) -> Self {
+        let not_refused = Refused { first_ms: now_ms, last_ms: now_ms, return_ms: now_ms };
+        let refused = before.map_or(not_refused, |before| before.refused);
+        Self { refused, is_cancelled: true }
     }
 
     /// Decodes the value of a job's key; `None` if it is a job.
--- a/crates/agatesilld/src/lib.rs
+++ b/crates/agatesilld/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod explain;
 pub mod fleet;
 pub mod instruments;
+pub mod job_keys;
 pub mod logging;
 pub mod metrics;
 pub mod peers;
@@ -21,6 +22,7 @@
 pub mod relay;
 pub mod settings;
 pub mod shared;
+mod store_keys;
 
 /// The types that most users of this crate need.
 pub mod prelude {
--- a/crates/agatesilld/src/fleet/keys.rs
+++ b/crates/agatesilld/src/store_keys.rs
@@ -44,6 +44,9 @@
     format!("{PROGRESS}{id}")
 }
 
+/// Value of the key of a cancel.
+pub const CANCEL_VALUE: &str = "{}";
+
 /// Value that replaces the specification of an ended job. The key must stay, because the job could
 /// be submitted again otherwise, but the steps are no longer needed and a successor need not read
 /// them.
--- a/crates/agatesilld/tests/submissions.rs
+++ b/crates/agatesilld/tests/submissions.rs
@@ -3,37 +3,25 @@
 
 #![allow(clippy::unwrap_used)] // A failed assumption of a test fails the test.
 
-#[path = "../../../platform/tests/support/mod.rs"]
-mod support;
+mod memory_store;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 
-use agatesill_coord::store::Store;
-use agatesill_platform::settings;
 use agatesill_policy::admission::group_commit::{MAX_GROUP_CREATES, MAX_GROUPS_IN_FLIGHT};
 use agatesill_policy::admission::{Refusal, RefusalCause, Return, Verdict};
-use agatesill_policy::fleet::{JobSpec, QueueTerms};
+use agatesill_policy::fleet::JobSpec;
 use agatesill_wire::fleet::{FleetAnswer, FleetWrite};
-use agatesill_wire::platform::{Entry, StoreCall, StoreReply};
-use agatesill_wire::prelude::*;
 use agatesilld::fleet::daemon_state::DaemonState;
 use agatesilld::fleet::job_store;
 use agatesilld::fleet::load_state::RefusedBecause;
-use agatesilld::fleet::metrics::FleetMetrics;
-use agatesilld::fleet::record_lease::RecordLease;
-use agatesilld::fleet::refusal_record::RefusalRecord;
 use agatesilld::fleet::submission::{self, JobCreate, RefusedJob, Submission};
 use agatesilld::fleet::submission_report;
-use support::settings::ListenAddrs;
-use tokio::sync::watch;
+use agatesilld::job_keys::record_lease::RecordLease;
+use agatesilld::job_keys::refusal_record::RefusalRecord;
+use memory_store::{ID, KEY, MemoryStore, WriteFault, daemon, job, wall_ms};
 use tokio::task::JoinHandle;
 
-const ID: &str = "00000000000000aa";
-
-const KEY: &str = "in/job/00000000000000aa";
-
 /// Retry-After of the refusals.
 const RETRY_AFTER_MS: u32 = 4_000;
 
@@ -42,206 +30,6 @@
     wall_ms() - 60_000
 }
 
-fn wall_ms() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.unwrap().as_millis() as u64
-}
-
-/// What the store does with a write of the job's key.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum WriteFault {
-    /// The write is executed, and its answer is lost.
-    LosesAnswer,
-    /// The write is executed by [`FakeStore::execute_late`], and has no answer.
-    IsLate,
-    /// The write is not served.
-    Rejects,
-    /// The write is invalid.
-    IsInvalid,
-}
-
-#[derive(Default)]
-struct State {
-    revision: u64,
-    items: BTreeMap<String, (String, u64, u64)>,
-    /// Faults of the next writes of the job's key; without one a write is executed and answered.
-    faults: VecDeque<Option<WriteFault>>,
-    late: Vec<StoreCall>,
-    leases: u64,
-    /// Writes that have arrived.
-    writes: usize,
-    /// Value that another daemon writes to the job's key before the next write arrives.
-    raced: Option<String>,
-}
-
-/// A store in memory, shared by the daemons of a test.
-#[derive(Clone, Default)]
-struct MemoryStore {
-    state: Arc<Mutex<State>>,
-    /// Whether calls are held back before they are executed.
-    is_held: Arc<watch::Sender<bool>>,
-}
-
-impl MemoryStore {
-    fn client(&self) -> Store {
-        let store = self.clone();
-        Store::with_transport(Arc::new(move |call, _| {
-            let store = store.clone();
-            Box::pin(async move {
-                store.arrived(&call).await;
-                match store.call(call) {
-                    Some(reply) => reply,
-                    None => std::future::pending().await,
-                }
-            })
-        }))
-    }
-
-    /// Counts a call and waits until calls are executed.
-    async fn arrived(&self, call: &StoreCall) {
-        let is_write = matches!(call, StoreCall::Cas { .. } | StoreCall::Txn { .. });
-        self.state.lock().unwrap().writes += usize::from(is_write);
-        self.is_held.subscribe().wait_for(|is_held| !is_held).await.unwrap();
-    }
-
-    /// Executes a call; `None` if it has no answer.
-    fn call(&self, call: StoreCall) -> Option<Result<StoreReply, Error>> {
-        let mut state = self.state.lock().unwrap();
-        let is_write = match &call {
-            StoreCall::Cas { key, .. } => key == KEY,
-            StoreCall::Txn { puts, .. } => puts.iter().any(|put| put.key == KEY),
-            _ => false,
-        };
-        if let Some(value) = state.raced.take_if(|_| is_write) {
-            state.put(KEY, &value, 0);
-        }
-        let fault = if is_write { state.faults.pop_front().flatten() } else { None };
-        match fault {
-            None => Some(Ok(state.execute(&call))),
-            Some(WriteFault::Rejects) => {
-                Some(Err(Error::new(ErrorKind::StoreUnavailable, "status 503")))
-            }
-            Some(WriteFault::IsInvalid) => {
-                Some(Err(Error::new(ErrorKind::BadRequest, "status 400")))
-            }
-            Some(WriteFault::LosesAnswer) => {
-                state.execute(&call);
-                None
-            }
-            Some(WriteFault::IsLate) => {
-                state.late.push(call);
-                None
-            }
-        }
-    }
-
-    /// Executes the writes that are late.
-    fn execute_late(&self) {
-        let mut state = self.state.lock().unwrap();
-        for call in std::mem::take(&mut state.late) {
-            state.execute(&call);
-        }
-    }
-
-    fn fail_writes(&self, faults: &[Option<WriteFault>]) {
-        self.state.lock().unwrap().faults = faults.iter().copied().collect();
-    }
-
-    /// Ends all leases, and with them their keys.
-    fn end_leases(&self) {
-        self.state.lock().unwrap().items.retain(|_, (_, _, lease)| *lease == 0);
-    }
-
-    fn value(&self, key: &str) -> Option<String> {
-        Some(self.state.lock().unwrap().items.get(key)?.0.clone())
-    }
-
-    fn holds_job(&self) -> bool {
-        self.value(KEY).is_some_and(|value| serde_json::from_str::<JobSpec>(&value).is_ok())
-    }
-
-    fn record(&self) -> Option<RefusalRecord> {
-        RefusalRecord::decode(&self.value(KEY)?)
-    }
-}
-
-impl State {
-    fn put(&mut self, key: &str, value: &str, lease: u64) {
-        self.revision += 1;
-        self.items.insert(key.to_owned(), (value.to_owned(), self.revision, lease));
-    }
-
-    fn entry(&self, key: &str) -> Option<Entry> {
-        let (value, version, _) = self.items.get(key)?;
-        Some(Entry { key: key.to_owned(), value: value.clone(), version: *version })
-    }
-
-    fn execute(&mut self, call: &StoreCall) -> StoreReply {
-        let mut reply = StoreReply::default();
-        match call {
-            StoreCall::Cas { key, expect_version, value: Some(value), lease_id } => {
-                let found = self.entry(key);
-                let version = found.as_ref().map_or(0, |entry| entry.version);
-                reply.applied = version == *expect_version;
-                if reply.applied {
-                    self.put(key, value, *lease_id);
-                }
-                reply.entries = self.entry(key).into_iter().collect();
-            }
-            StoreCall::Txn { expected, puts, deletes } => {
-                assert!(expected.len() + puts.len() + deletes.len() <= 32, "too many entries");
-                let found = expected.iter().filter_map(|row| self.entry(&row.key)).collect();
-                reply.applied = expected
-                    .iter()
-                    .all(|row| self.items.get(&row.key).map_or(0, |item| item.1) == row.version);
-                match reply.applied {
-                    true => {
-                        puts.iter().for_each(|put| self.put(&put.key, &put.value, put.lease_id))
-                    }
-                    false => reply.entries = found,
-                }
-            }
-            StoreCall::Range { prefix } => reply.entries = self.entry(prefix).into_iter().collect(),
-            StoreCall::Grant { .. } => {
-                self.leases += 1;
-                (reply.applied, reply.lease_id) = (true, self.leases);
-            }
-            other => panic!("{other:?}"),
-        }
-        reply.revision = self.revision;
-        reply
-    }
-}
-
-/// A daemon before the store; its planner is unknown.
-async fn daemon(store: &MemoryStore) -> DaemonState {
-    let addrs = ListenAddrs::allocate().await;
-    let text = support::settings::daemon("d1", &addrs, addrs.peer, 0.5);
-    let settings = settings::decode(&text).unwrap();
-    DaemonState::new(settings, store.client(), FleetMetrics::new().unwrap())
-}
-
-fn job(arrived_ms: u64) -> JobSpec {
-    JobSpec {
-        id: ID.to_owned(),
-        queue: "desk.example/q/".to_owned(),
-        terms: QueueTerms {
-            service: "pricing".to_owned(),
-            priority: 0,
-            max_attempts: 3,
-            stretch: 1.5,
-            target_ms: 250,
-            needs_advice: false,
-        },
-        payload: String::new(),
-        steps: Vec::new(),
-        first_due_ms: 0,
-        interval_ms: 0,
-        occurrences: 0,
-        accepted_at_ms: arrived_ms,
-    }
-}
-
 fn refuse() -> Verdict {
     Verdict::Refuse(Refusal {
         cause: RefusalCause::NoRoom,
@@ -266,13 +54,7 @@
 /// Refuses the job as it arrived at `arrived_ms`; its record then has the times of that moment.
 async fn refuse_at(store: &MemoryStore, daemon: &DaemonState, arrived_ms: u64) {
     assert!(is_refused(&submit(daemon, arrived_ms, refuse()).await));
-    let mut record = store.record().unwrap();
-    record.refused.first_ms = arrived_ms;
-    record.refused.last_ms = arrived_ms;
-    record.refused.return_ms = arrived_ms + u64::from(RETRY_AFTER_MS);
-    let mut state = store.state.lock().unwrap();
-    let lease = state.leases;
-    state.put(KEY, &serde_json::to_string(&record).unwrap(), lease);
+    store.set_record_times(arrived_ms, RETRY_AFTER_MS);
 }
 
 /// Guards against a job that is stored after its caller was told that it is refused, by an earlier
@@ -408,7 +190,7 @@
     let store = MemoryStore::default();
     let one = daemon(&store).await;
     let record = RefusalRecord::new(None, wall_ms(), RETRY_AFTER_MS);
-    store.state.lock().unwrap().raced = Some(serde_json::to_string(&record).unwrap());
+    store.race_writes(&[Some(&serde_json::to_string(&record).unwrap())]);
     assert!(is_refused(&submit(&one, wall_ms(), Verdict::Accept).await));
     assert!(!store.holds_job());
 }
