The advice service is asked about workers that would take a task

What callers saw: in a queue with advice, jobs that need the label of one rack never ran again after its workers were replaced.

Cause: the workers to ask about were chosen without the step's label, limit per worker and the other rules of placement; those with a ticket, also an expired one, came first; then the list was cut at 30. Once 30 were approved, no other was ever named.

Evidence: 393 lines advised, each asked=30 good=30, and job_idle with "accepting 0, constraint 40, ticket 8": the eight workers with the label lacked nothing but a ticket. Answers came each 82 ms, so none was lost or late.

Change: candidates are those that placement would use with a ticket, by the same function and in its order. Tickets of approved workers are renewed only as far as tasks are missing, declined workers are not named again for 30 s, and a step that misses over 30 tasks names up to 100 at once. A rejected ticket is not used again. A question for a few tasks is as long as before; one that renews a ticket names one worker in place of 30. Line advice_requested.

Tests: 6 of the 9 in fleet_advice fail on the former code (30 of 200 tasks run, 238 questions in 20 s in place of 2), all pass now.

--- a/crates/agatesill_policy/src/fleet/advice.rs
+++ b/crates/agatesill_policy/src/fleet/advice.rs
@@ -1,25 +1,13 @@
-//! Placement advice for queues whose policy allows only some workers to run a step.
-//!
-//! An external service knows which workers these are. It serves one call at a time from each
-//! machine, and a call takes longer for each worker named. A step therefore asks about a few
-//! workers with free capacity, and about others only if those are not enough.
+//! Questions to the advice service about workers that would take a task of a step.
 
-use std::collections::{HashMap, HashSet};
+use crate::advice::{Candidate, Standing, shortlist};
 
-use super::US_PER_MS;
 use super::job::TaskKey;
+use super::orders::Order;
+use super::place::PlacementRequest;
 use super::state::{Fleet, TaskGroup};
 use super::worker::WorkerIndex;
 
-/// Maximum number of workers named in one call.
-const MAX_WORKERS_PER_CALL: usize = 30;
-
-/// Time without an answer after which a question is asked again.
-const ANSWER_TIMEOUT_US: u64 = 3_000 * US_PER_MS;
-
-/// Percentage of its validity for which a ticket is used; the rest is left for the order to arrive.
-const USABLE_VALIDITY_PERCENT: u64 = 80;
-
 /// A question to the advice service: which of these workers may run the step?
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdviceQuestion {
@@ -29,17 +17,6 @@
     pub workers: Vec<String>,
 }
 
-/// Advice received for one step.
-#[derive(Debug, Default)]
-pub(super) struct Advice {
-    /// Tickets with the time until which they are used.
-    tickets: HashMap<WorkerIndex, (String, u64)>,
-    /// Workers asked about so far.
-    asked: HashSet<WorkerIndex>,
-    /// When the pending question was asked; 0 if none is pending.
-    waiting_since_us: u64,
-}
-
 impl Fleet {
     /// Returns the ticket with which a worker may start tasks of a step, unless it has expired.
     pub(super) fn ticket(
@@ -48,61 +25,73 @@
         worker: WorkerIndex,
         now_us: u64,
     ) -> Option<&str> {
-        let (ticket, until_us) = self.advice.get(&group)?.tickets.get(&worker)?;
-        (now_us < *until_us).then_some(ticket.as_str())
+        self.advice.get(&group)?.ticket(worker, now_us)
     }
 
     /// Returns the workers with a ticket for a step, in index order. Tickets may have expired.
     pub(super) fn workers_with_tickets(&self, group: TaskGroup) -> Vec<WorkerIndex> {
-        let advice = self.advice.get(&group);
-        let mut workers: Vec<WorkerIndex> =
-            advice.into_iter().flat_map(|advice| advice.tickets.keys().copied()).collect();
-        workers.sort_unstable();
-        workers
+        self.advice.get(&group).map(|advice| advice.approved()).unwrap_or_default()
     }
 
-    /// Queues a question about workers for a step, unless an answer is still pending.
-    pub(super) fn request_advice(&mut self, group: TaskGroup, service: &str, now_us: u64) {
+    /// Queues a question about workers that would take a task, unless an answer is still pending.
+    /// `missing` tasks of the step could not be placed, the first of them with this request.
+    pub(super) fn request_advice(
+        &mut self,
+        group: TaskGroup,
+        request: &PlacementRequest<'_>,
+        missing: usize,
+        now_us: u64,
+    ) {
         let Some(job) = self.job(group.job) else { return };
-        let allocation = job.spec.steps[group.step as usize].allocation();
         let step = job.key(job.first_of(group.occurrence, group.step));
-        let advice = self.advice.entry(group).or_default();
-        if advice.waiting_since_us > 0 && now_us - advice.waiting_since_us < ANSWER_TIMEOUT_US {
+        if !self.advice.get(&group).is_none_or(|advice| advice.may_ask(now_us)) {
             return;
         }
-        // A worker that was approved once is asked about again, because only its ticket has to be
-        // renewed.
-        let may_be_asked = |index: &WorkerIndex| {
-            !advice.asked.contains(index) || advice.tickets.contains_key(index)
-        };
-        let mut candidates: Vec<WorkerIndex> = self
-            .workers
-            .iter()
-            .enumerate()
-            .filter(|(_, worker)| {
-                worker.is_open(now_us)
-                    && worker.entry.service == service
-                    && worker.has_capacity_for(&allocation)
-            })
-            .map(|(index, _)| index as WorkerIndex)
-            .filter(may_be_asked)
-            .collect();
-        candidates.sort_by_key(|index| {
-            let free = self.workers[*index as usize].free().cpu_milli;
-            (!advice.tickets.contains_key(index), std::cmp::Reverse(free))
-        });
-        candidates.truncate(MAX_WORKERS_PER_CALL);
-        if candidates.is_empty() {
-            advice.asked.clear();
+        let candidates = self.advice_candidates(group, request, now_us);
+        let count = candidates.len();
+        let workers = shortlist(candidates, missing);
+        if workers.is_empty() {
             return;
         }
-        advice.waiting_since_us = now_us;
-        advice.asked.extend(&candidates);
-        let workers =
-            candidates.iter().map(|index| self.workers[*index as usize].entry.id.clone()).collect();
+        self.advice.entry(group).or_default().asked(workers.len(), now_us);
+        log::info!(event = "advice_requested", job = step.job.as_str(), step = group.step,
+            missing = missing, candidates = count, asked = workers.len(); "");
+        let ids = workers.iter().map(|index| self.workers[*index as usize].entry.id.clone());
+        let workers = ids.collect();
         self.questions.push(AdviceQuestion { step, workers });
     }
 
+    /// Returns the workers without a usable ticket that would take a task if they had one.
+    fn advice_candidates(
+        &self,
+        group: TaskGroup,
+        request: &PlacementRequest<'_>,
+        now_us: u64,
+    ) -> Vec<Candidate> {
+        let advice = self.advice.get(&group);
+        let request = PlacementRequest { ticket_group: None, ..*request };
+        self.live_workers()
+            .filter_map(|(worker, _)| {
+                let standing =
+                    advice.map_or(Standing::Unknown, |advice| advice.standing(worker, now_us));
+                if matches!(standing, Standing::Usable | Standing::Declined) {
+                    return None;
+                }
+                let score = self.placement_score_of(&request, worker, now_us)?;
+                Some(Candidate { worker, score, standing })
+            })
+            .collect()
+    }
+
+    /// Has a new ticket asked for after a worker rejected the one of a start.
+    pub(super) fn ticket_rejected(&mut self, order: &Order) {
+        let (occurrence, step) = (order.task.occurrence, order.task.step);
+        let group = TaskGroup { job: order.task_ref.job, occurrence, step };
+        if let Some(advice) = self.advice.get_mut(&group) {
+            advice.ticket_rejected(order.worker);
+        }
+    }
+
     /// Takes the queued questions for the advice service.
     pub fn take_questions(&mut self) -> Vec<AdviceQuestion> {
         std::mem::take(&mut self.questions)
@@ -122,19 +111,14 @@
         let group =
             TaskGroup { job, occurrence: question.step.occurrence, step: question.step.step };
         let Some(advice) = self.advice.get_mut(&group) else { return };
-        advice.waiting_since_us = 0;
-        let asked = question.workers.iter().filter_map(|id| self.worker_by_id.get(id));
-        asked.for_each(|index| drop(advice.tickets.remove(index)));
         let Some(good) = good else {
-            advice.asked.clear();
+            advice.unanswered();
             return;
         };
-        let until_us = now_us + valid_ms * US_PER_MS * USABLE_VALIDITY_PERCENT / 100;
-        for (id, ticket) in good {
-            if let Some(index) = self.worker_by_id.get(id) {
-                advice.tickets.insert(*index, (ticket.clone(), until_us));
-            }
-        }
+        let index_of = |id: &String| self.worker_by_id.get(id).copied();
+        let asked = question.workers.iter().filter_map(index_of);
+        let approved = good.iter().filter_map(|(id, ticket)| Some((index_of(id)?, ticket.clone())));
+        advice.answered(asked, approved, valid_ms, now_us);
         log::info!(event = "advised", job = question.step.job.as_str(), step = group.step,
             asked = question.workers.len(), good = good.len(), valid_ms = valid_ms; "");
     }
--- a/crates/agatesill_policy/src/fleet/order_outcomes.rs
+++ b/crates/agatesill_policy/src/fleet/order_outcomes.rs
@@ -159,6 +159,9 @@
         if is_stopping && end.is_none() {
             return;
         }
+        if outcome == OrderOutcome::NoTicket {
+            self.ticket_rejected(order);
+        }
         self.mark_dirty(order.task_ref.job, now_us);
         match end {
             Some(end) => self.end_run(order.task_ref, TaskState::Waiting, end, now_us),
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -18,7 +18,7 @@
 use super::worker::{Worker, WorkerIndex};
 
 /// Requirements of a task that needs a worker.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct PlacementRequest<'a> {
     /// Step of the task.
     pub step: &'a Step,
@@ -169,6 +169,16 @@
         Ok(Score(closed + failure + cold + suspect + self.placement_score(request, worker)?))
     }
 
+    /// Returns the score of a worker for a task; lower is better. `None` if it may not take the task.
+    pub(super) fn placement_score_of(
+        &self,
+        request: &PlacementRequest<'_>,
+        index: WorkerIndex,
+        now_us: u64,
+    ) -> Option<f64> {
+        self.evaluate(request, index, now_us).ok().map(|score| score.0)
+    }
+
     /// Counts the workers of the service by whether they would take the task now, and if not, why.
     pub(super) fn count_refusals(&self, request: &PlacementRequest<'_>, now_us: u64) -> Refusals {
         let mut refusals = Refusals::default();
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -176,9 +176,8 @@
             self.waiting.remove(&group);
         } else if placed == tasks.len() {
             // The remaining tasks are backing off; the group stays waiting.
-        } else if ticket_group.is_some() {
-            self.request_advice(group, &service, now_us);
         } else if !awaits_separation
+            && ticket_group.is_none()
             && (step.label.is_empty() || self.controls_load(&service))
             && step.max_per_worker == 0
             && !step.is_gang
@@ -232,10 +231,15 @@
                 Some(worker_search) => worker_search,
                 None => self.search(&request, now_us),
             };
-            let worker = match self.choose_worker(&request, &mut worker_search, now_us) {
-                Some(worker) => worker,
-                None if awaits_separation => continue,
-                None => break,
+            let Some(worker) = self.choose_worker(&request, &mut worker_search, now_us) else {
+                if ticket_group.is_some() {
+                    let missing = tasks.len() - chosen.len();
+                    self.request_advice(group, &request, missing, now_us);
+                }
+                match awaits_separation {
+                    true => continue,
+                    false => break,
+                }
             };
             *tasks_by_worker.entry(worker).or_default() += 1;
             if step.wants_one_rack {
--- a/crates/agatesill_policy/src/fleet/state.rs
+++ b/crates/agatesill_policy/src/fleet/state.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use crate::admission::LoadControl;
+use crate::advice::StepAdvice;
 
-use super::advice::{Advice, AdviceQuestion};
+use super::advice::AdviceQuestion;
 use super::call_queue::CallClass;
 use super::capacity_index::CapacityIndex;
 use super::colocation::{InterferenceModel, PairCounts};
@@ -139,7 +140,7 @@
     pub(super) job_outcomes: JobOutcomes,
     /// When a worker was last distrusted, or failed a trial; 0 if none was.
     pub(super) distrusted_us: u64,
-    pub(super) advice: HashMap<TaskGroup, Advice>,
+    pub(super) advice: HashMap<TaskGroup, StepAdvice>,
     pub(super) questions: Vec<AdviceQuestion>,
     pub(super) mean_work: HashMap<String, f64>,
     pub(super) counts: Counts,
--- a/crates/agatesill_policy/src/lib.rs
+++ b/crates/agatesill_policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! under the virtual clock of the benchmarks.
 
 pub mod admission;
+pub mod advice;
 pub mod batch;
 pub mod connections;
 pub mod fleet;
--- a/crates/agatesilld/src/fleet/advice_client.rs
+++ b/crates/agatesilld/src/fleet/advice_client.rs
@@ -6,6 +6,7 @@
 
 use agatesill_coord::prelude::*;
 use agatesill_platform::advice::AdviceChannel;
+use agatesill_policy::advice::MIN_SHORTLIST;
 use agatesill_policy::fleet::AdviceQuestion;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -14,7 +15,8 @@
 use super::daemon_state::DaemonState;
 use super::planner::Event;
 
-/// Timeout of one answer: the service takes a few milliseconds for each of thirty workers.
+/// Timeout of the answer to a question about [`MIN_SHORTLIST`] workers, for each of which the service
+/// takes a few milliseconds; it is longer in proportion for more workers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Delay after a question that got no answer.
@@ -40,7 +42,8 @@
         };
         let Some(question) = question else { return };
         let sent = Instant::now();
-        let advised = match channel.ask(&question, ANSWER_TIMEOUT).await {
+        let shortlists = question.workers.len().div_ceil(MIN_SHORTLIST) as u32;
+        let advised = match channel.ask(&question, ANSWER_TIMEOUT * shortlists).await {
             Ok(advised) => {
                 service.answered(sent);
                 Some(advised)
