Wide steps are placed beyond the workers that one search examines

What callers saw: of a step with 200 tasks and at most one on each worker, 128 ran and the others never did, however many workers were free; a gang that needs over 128 workers never started.

Cause: the search lists 128 workers, those with the least free capacity first, and applies the limit per worker and others of placement's rules afterwards. Workers that have a task of the step stay on the list, so that no other is examined; the list moves on only if it is empty. The same for a label that over 512 workers have. A gang needs all of its workers in one list.

Tests: the three of fleet_wide_steps fail before (128, 128 and 0 of 200 tasks run) and pass now; cost_per_start_does_not_grow_with_the_fleet passes.

--- a/crates/agatesill_policy/src/fleet/capacity_index.rs
+++ b/crates/agatesill_policy/src/fleet/capacity_index.rs
@@ -13,7 +13,7 @@
 use super::images::ImageId;
 use super::worker::{Worker, WorkerIndex};
 
-/// Maximum number of workers examined for one task.
+/// Usual maximum number of workers examined for one task.
 pub(super) const MAX_EXAMINED: usize = 128;
 
 /// Maximum number of workers whose free resources are compared with an allocation in one search.
@@ -141,13 +141,14 @@
         }
     }
 
-    /// Returns workers that `may_take` accepts and that have capacity for `allocation`, those with
-    /// the least free CPU first, from where the searches of the last round gave up. All others are
-    /// skipped, since they could otherwise use up [`MAX_EXAMINED`].
+    /// Returns at most `limit` workers that `may_take` accepts and that have capacity for `allocation`,
+    /// those with the least free CPU first, from where the searches of the last round gave up. All
+    /// others are skipped, since they could otherwise use up the limit.
     pub fn tightest_fit(
         &self,
         service: &str,
         allocation: &Resources,
+        limit: usize,
         may_take: impl Fn(WorkerIndex) -> bool,
     ) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
@@ -155,7 +156,7 @@
             |index: &WorkerIndex| self.has_capacity_for(*index, allocation) && may_take(*index);
         let scanned =
             service.workers_to_scan(allocation).take(MAX_SCANNED).map(|(_, index)| *index);
-        scanned.filter(fits).take(MAX_EXAMINED).collect()
+        scanned.filter(fits).take(limit).collect()
     }
 
     /// Returns the worker with the least free CPU that `may_take` accepts and that has capacity for
@@ -186,12 +187,12 @@
         service.next_reserved_cursor.get_or_insert(next);
     }
 
-    /// Returns workers that take best-effort tasks, the least crowded first, from where the searches
-    /// of the last round for this image gave up.
-    pub fn least_crowded(&self, service: &str, image: ImageId) -> Vec<WorkerIndex> {
+    /// Returns at most `limit` workers that take best-effort tasks, the least crowded first, from where
+    /// the searches of the last round for this image gave up.
+    pub fn least_crowded(&self, service: &str, image: ImageId, limit: usize) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
         let from = service.best_effort_cursors.get(&image).copied().unwrap_or((0, 0));
-        service.by_crowding.range(from..).map(|(_, index)| *index).take(MAX_EXAMINED).collect()
+        service.by_crowding.range(from..).map(|(_, index)| *index).take(limit).collect()
     }
 
     /// Records that none of the workers returned by [`CapacityIndex::least_crowded`] takes a task of
@@ -210,12 +211,15 @@
             .or_insert_with(|| by_crowding.range(from..).nth(MAX_EXAMINED).copied());
     }
 
-    /// Returns workers with a label; if many have it, those with the tightest fit.
+    /// Returns workers with a label; if many have it, at most `limit` that `may_take` accepts, those with
+    /// the tightest fit.
     pub fn with_label(
         &self,
         service: &str,
         label: &str,
         allocation: &Resources,
+        limit: usize,
+        may_take: impl Fn(WorkerIndex) -> bool,
     ) -> Vec<WorkerIndex> {
         let Some(service) = self.service(service) else { return Vec::new() };
         let Some(labelled) = service.by_label.get(label) else { return Vec::new() };
@@ -225,7 +229,8 @@
         let by_free = service.by_free.range((allocation.cpu_milli, 0)..).map(|(_, index)| *index);
         by_free
             .filter(|index| labelled.contains(index) && self.has_capacity_for(*index, allocation))
-            .take(MAX_EXAMINED)
+            .filter(|index| may_take(*index))
+            .take(limit)
             .collect()
     }
 }
--- a/crates/agatesill_policy/src/fleet/idle_jobs.rs
+++ b/crates/agatesill_policy/src/fleet/idle_jobs.rs
@@ -112,6 +112,7 @@
             accepts_throttling: false,
             attempts: None,
             chosen_racks: &[],
+            workers_at_once: 1,
         };
         self.count_refusals(&request, now_us)
     }
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -10,6 +10,7 @@
 
 use crate::batch::Resources;
 
+use super::capacity_index::MAX_EXAMINED;
 use super::failing_workers::Attempts;
 use super::images::ImageId;
 use super::job::Step;
@@ -42,6 +43,16 @@
     pub attempts: Option<Attempts<'a>>,
     /// Racks already used by the tasks of the step; only tracked if the step wants one rack.
     pub chosen_racks: &'a [String],
+    /// Number of workers that the tasks may need at once: the size of a gang, or 1.
+    pub workers_at_once: usize,
+}
+
+/// How a worker may take a task.
+#[derive(Clone, Copy, Debug)]
+struct Admission {
+    is_open: bool,
+    /// Whether the task is to try a distrusted worker.
+    is_trial: bool,
 }
 
 /// Penalty of a worker outside the rack of the data, or outside the racks of the step if it wants
@@ -138,13 +149,14 @@
         None
     }
 
-    /// Returns the score of a worker, or why the worker may not take the task.
-    fn evaluate(
+    /// Applies the rules that do not depend on tickets and on other tasks' share of the CPU. Searches
+    /// apply them to each worker before they limit the number of candidates.
+    fn admit(
         &self,
         request: &PlacementRequest<'_>,
         index: WorkerIndex,
         now_us: u64,
-    ) -> Result<Score, Refusal> {
+    ) -> Result<Admission, Refusal> {
         let worker = &self.workers[index as usize];
         let is_open = worker.is_open(now_us);
         refuse_if(!worker.is_available(), Refusal::Unavailable)?;
@@ -156,6 +168,18 @@
         refuse_if(!worker.has_capacity_for(&request.step.allocation()), Refusal::Capacity)?;
         refuse_if(request.awaits_separation && worker.isolated_tasks > 0, Refusal::Separation)?;
         refuse_if(!meets_constraints(request, index, worker), Refusal::Constraint)?;
+        Ok(Admission { is_open, is_trial })
+    }
+
+    /// Returns the score of a worker, or why the worker may not take the task.
+    fn evaluate(
+        &self,
+        request: &PlacementRequest<'_>,
+        index: WorkerIndex,
+        now_us: u64,
+    ) -> Result<Score, Refusal> {
+        let worker = &self.workers[index as usize];
+        let Admission { is_open, is_trial } = self.admit(request, index, now_us)?;
         let lacks_ticket = |group| self.ticket(group, index, now_us).is_none();
         refuse_if(request.ticket_group.is_some_and(lacks_ticket), Refusal::Ticket)?;
         if is_trial {
@@ -199,18 +223,22 @@
             return self.workers_with_tickets(group);
         }
         let allocation = step.allocation();
+        let may_take = |index: WorkerIndex| self.admit(request, index, now_us).is_ok();
+        let limit = MAX_EXAMINED.max(request.workers_at_once);
+        let with_label =
+            |label| self.capacity_index.with_label(service, label, &allocation, limit, may_take);
         if !step.label.is_empty() {
-            return self.capacity_index.with_label(service, &step.label, &allocation);
+            return with_label(&step.label);
         }
         let mut candidates = Vec::new();
         let data_rack = Some(&step.data_rack).filter(|rack| !rack.is_empty());
         for rack in data_rack.into_iter().chain(request.chosen_racks.last()) {
-            candidates.extend(self.capacity_index.with_label(service, rack, &allocation));
+            candidates.extend(with_label(rack));
         }
         candidates.extend(if step.fills {
-            self.capacity_index.least_crowded(service, request.image)
+            self.capacity_index.least_crowded(service, request.image, limit)
         } else {
-            self.tightest_fit(request, &allocation, now_us)
+            self.tightest_fit(request, &allocation, limit, now_us)
         });
         candidates
     }
@@ -218,29 +246,25 @@
     /// Returns the best fits among the workers that may take the task, at first those without a
     /// crash suspect.
     ///
-    /// If closed workers and those with suspects counted as candidates, enough of them could hide
-    /// all others: tasks would wait, and suspects that must not share a worker would end up
-    /// together on the tightest one.
+    /// If workers that may not take the task and those with suspects counted as candidates, enough of
+    /// them could hide all others: tasks would wait, and suspects that must not share a worker would end
+    /// up together on the tightest one.
     fn tightest_fit(
         &self,
         request: &PlacementRequest<'_>,
         allocation: &Resources,
+        limit: usize,
         now_us: u64,
     ) -> Vec<WorkerIndex> {
-        let may_take = |index: WorkerIndex| {
-            let worker = &self.workers[index as usize];
-            let may_use = worker.is_open(now_us)
-                || request.accepts_closed
-                || self.may_try_distrusted(request, worker, now_us);
-            may_use && !worker.has_stray_runs
-        };
+        let may_take = |index: WorkerIndex| self.admit(request, index, now_us).is_ok();
         let has_no_suspect = |index: WorkerIndex| {
             self.workers[index as usize].isolated_tasks == 0 && may_take(index)
         };
         let service = request.service;
-        let candidates = self.capacity_index.tightest_fit(service, allocation, has_no_suspect);
+        let candidates =
+            self.capacity_index.tightest_fit(service, allocation, limit, has_no_suspect);
         if candidates.is_empty() && !request.awaits_separation {
-            return self.capacity_index.tightest_fit(service, allocation, may_take);
+            return self.capacity_index.tightest_fit(service, allocation, limit, may_take);
         }
         candidates
     }
--- a/crates/agatesill_policy/src/fleet/plan.rs
+++ b/crates/agatesill_policy/src/fleet/plan.rs
@@ -225,6 +225,7 @@
                 accepts_throttling,
                 attempts,
                 chosen_racks: &racks,
+                workers_at_once: if step.is_gang { tasks.len() } else { 1 },
             };
             // An isolated task is scored differently, so its search is not shared with other tasks.
             let mut worker_search = match search.take().filter(|_| !is_isolated) {
