Tasks leave slow workers only for workers that may take them

A long-running task on a slow worker was stopped although no other worker may run it, and went back to the slow one or waited.

Cause: the worker that has room for the task was chosen by its label and free capacity alone, without the step's limit per worker, without the advice of queues that need it and without the other rules of placement.

Change: the target is one that placement would use; with advice, an approved one, whose ticket can be renewed.

--- a/crates/agatesill_policy/src/fleet/advice.rs
+++ b/crates/agatesill_policy/src/fleet/advice.rs
@@ -28,6 +28,12 @@
         self.advice.get(&group)?.ticket(worker, now_us)
     }
 
+    /// Whether the advice service has approved a worker for a step. Its ticket may have expired.
+    pub(super) fn is_approved(&self, group: TaskGroup, worker: WorkerIndex, now_us: u64) -> bool {
+        let standing = self.advice.get(&group).map(|advice| advice.standing(worker, now_us));
+        matches!(standing, Some(Standing::Usable | Standing::Expired))
+    }
+
     /// Returns the workers with a ticket for a step, in index order. Tickets may have expired.
     pub(super) fn workers_with_tickets(&self, group: TaskGroup) -> Vec<WorkerIndex> {
         self.advice.get(&group).map(|advice| advice.approved()).unwrap_or_default()
--- a/crates/agatesill_policy/src/fleet/idle_jobs.rs
+++ b/crates/agatesill_policy/src/fleet/idle_jobs.rs
@@ -1,7 +1,5 @@
 //! Diagnostics: jobs that have open tasks but no run, each with the reason.
 
-use std::collections::HashMap;
-
 use super::US_PER_MS;
 use super::job::{Job, JobPhase, Task, TaskRef, TaskState};
 use super::missing_tasks::{MissingTask, StartsByWorker, absent_us};
@@ -92,29 +90,13 @@
             open: job.open_tasks(),
             task: self.describe_missing(task_ref, task_idle_us, starting, now_us)?,
             is_queued: self.waiting.contains(&group),
-            refusals: is_waiting.then(|| self.refusals(task_ref, group, now_us)),
+            refusals: is_waiting.then(|| self.refusals(task_ref, now_us)),
         })
     }
 
-    fn refusals(&self, task_ref: TaskRef, group: TaskGroup, now_us: u64) -> Refusals {
-        let Some(job) = self.job(task_ref.job) else { return Refusals::default() };
-        let terms = self.terms(job);
-        let tasks_by_worker: HashMap<_, _> = self.count_tasks_by_worker(group);
-        let request = PlacementRequest {
-            step: &job.spec.steps[group.step as usize],
-            service: &terms.service,
-            image: job.images[group.step as usize],
-            tasks_by_worker: &tasks_by_worker,
-            ticket_group: terms.needs_advice.then_some(group),
-            accepts_closed: false,
-            is_isolated: self.is_isolated(task_ref),
-            awaits_separation: self.awaits_separation(task_ref, now_us),
-            accepts_throttling: false,
-            attempts: None,
-            chosen_racks: &[],
-            workers_at_once: 1,
-        };
-        self.count_refusals(&request, now_us)
+    fn refusals(&self, task_ref: TaskRef, now_us: u64) -> Refusals {
+        let count = |request: &PlacementRequest<'_>| self.count_refusals(request, now_us);
+        self.with_request(task_ref, now_us, count).unwrap_or_default()
     }
 }
 
--- a/crates/agatesill_policy/src/fleet/place.rs
+++ b/crates/agatesill_policy/src/fleet/place.rs
@@ -13,7 +13,7 @@
 use super::capacity_index::MAX_EXAMINED;
 use super::failing_workers::Attempts;
 use super::images::ImageId;
-use super::job::Step;
+use super::job::{Step, TaskRef};
 use super::refusals::{Refusal, Refusals, refuse_if};
 use super::state::{Fleet, TaskGroup};
 use super::worker::{Worker, WorkerIndex};
@@ -193,6 +193,46 @@
         Ok(Score(closed + failure + cold + suspect + self.placement_score(request, worker)?))
     }
 
+    /// Calls `f` with the requirements of one task alone; `None` if its job was retired.
+    pub(super) fn with_request<T>(
+        &self,
+        task_ref: TaskRef,
+        now_us: u64,
+        f: impl FnOnce(&PlacementRequest<'_>) -> T,
+    ) -> Option<T> {
+        let job = self.job(task_ref.job)?;
+        let (occurrence, step, _) = job.locate(task_ref.task);
+        let group = TaskGroup { job: task_ref.job, occurrence, step };
+        let terms = self.terms(job);
+        let tasks_by_worker = self.count_tasks_by_worker(group);
+        Some(f(&PlacementRequest {
+            step: &job.spec.steps[step as usize],
+            service: &terms.service,
+            image: job.images[step as usize],
+            tasks_by_worker: &tasks_by_worker,
+            ticket_group: terms.needs_advice.then_some(group),
+            accepts_closed: false,
+            is_isolated: self.is_isolated(task_ref),
+            awaits_separation: self.awaits_separation(task_ref, now_us),
+            accepts_throttling: false,
+            attempts: None,
+            chosen_racks: &[],
+            workers_at_once: 1,
+        }))
+    }
+
+    /// Whether a task could be placed on a worker, apart from the CPU that other tasks leave unused. A
+    /// worker that the advice service has approved counts, as its ticket can be renewed.
+    pub(super) fn may_take(
+        &self,
+        request: &PlacementRequest<'_>,
+        index: WorkerIndex,
+        now_us: u64,
+    ) -> bool {
+        let is_approved = |group| self.is_approved(group, index, now_us);
+        self.admit(request, index, now_us).is_ok() && request.ticket_group.is_none_or(is_approved)
+    }
+
     /// Returns the score of a worker for a task; lower is better. `None` if it may not take the task.
     pub(super) fn placement_score_of(
         &self,
--- a/crates/agatesill_policy/src/fleet/slow_evacuation.rs
+++ b/crates/agatesill_policy/src/fleet/slow_evacuation.rs
@@ -205,20 +205,22 @@
 
     /// Returns a healthy worker with capacity for a task that no other evacuated task counts on.
     fn evacuation_target(&self, task_ref: TaskRef, now_us: u64) -> Option<WorkerIndex> {
-        let job = self.job(task_ref.job)?;
-        let step = job.step(task_ref.task);
         let is_claimed =
             |index| self.slow_evacuation.in_transit.values().any(|target| *target == index);
-        let may_take = |worker: &Worker| {
+        let is_healthy = |worker: &Worker| {
             worker.is_open(now_us)
                 && !worker.speed.is_slow
                 && !worker.is_cold(now_us)
                 && worker.isolated_tasks == 0
-                && (step.label.is_empty() || worker.entry.labels.contains(&step.label))
         };
-        self.capacity_index.tightest(&self.terms(job).service, &step.allocation(), |index| {
-            may_take(&self.workers[index as usize]) && !is_claimed(index)
-        })
+        self.with_request(task_ref, now_us, |request| {
+            let allocation = request.step.allocation();
+            self.capacity_index.tightest(request.service, &allocation, |index| {
+                is_healthy(&self.workers[index as usize])
+                    && !is_claimed(index)
+                    && self.may_take(request, index, now_us)
+            })
+        })?
     }
 
     fn evacuate_task(&mut self, candidate: &Candidate, target: WorkerIndex, now_us: u64) {
--- a/crates/agatesill_policy/tests/fleet_slow_evacuation.rs
+++ b/crates/agatesill_policy/tests/fleet_slow_evacuation.rs
@@ -53,6 +53,10 @@
 
     /// A fleet with `jobs` long-running jobs, each of which reserves a sixteenth of the CPUs.
     fn with_jobs(control: LoadControl, job_count: usize) -> Self {
+        Self::with_specs(control, (0..job_count).map(watch).collect())
+    }
+
+    fn with_specs(control: LoadControl, specs: Vec<JobSpec>) -> Self {
         let entries = (0..WORKERS).map(|index| {
             let mut worker = entry(&format!("w{index}"), &format!("r1-{}", index / 4));
             worker.address = format!("10.0.0.{index}:80");
@@ -60,14 +64,20 @@
         });
         let mut harness = Harness::new(entries.collect());
         let mut jobs = Vec::new();
-        for number in 0..job_count {
-            let spec = watch(number);
+        for spec in specs {
             harness.fleet.set_queues(HashMap::from([(spec.queue.clone(), spec.terms.clone())]));
             jobs.push(spec.id.clone());
             harness.fleet.accept(spec, harness.now_us);
         }
         harness.fleet.set_load_control(control);
         harness.settle();
+        for question in harness.fleet.take_questions() {
+            let ticket = |id: &String| (id.clone(), "leave".to_owned());
+            let approved = question.workers.iter().filter(|id| id.len() == "w0".len());
+            let good: Vec<_> = approved.map(ticket).collect();
+            harness.fleet.advice_answered(&question, Some(&good), 3_000, harness.now_us);
+        }
+        harness.settle();
         let mut replay = Self { harness, progress: BTreeMap::new(), harmed_ms: 0, jobs };
         replay.run(8_000, |_, _| false);
         replay.harmed_ms = 0;
@@ -296,3 +306,32 @@
         replay.harness.end(worker, &row.task, row.run, agatesill_policy::fleet::EndCause::Done);
     }
 }
+
+/// Guards against a task that leaves its slow worker although no other may take it: all others have a task
+/// of its step.
+#[test]
+fn tasks_stay_where_no_other_worker_may_take_another_of_their_step() {
+    let one_on_each = |number| {
+        let mut spec = watch(number);
+        (spec.steps[0].count, spec.steps[0].max_per_worker) = (WORKERS as u32, 1);
+        spec
+    };
+    let mut replay = Replay::with_specs(LoadControl::On, (0..5).map(one_on_each).collect());
+    assert_eq!(replay.well_served(), 5 * WORKERS as u64);
+    replay.run(8_000, |worker, _| worker == 3);
+    assert_eq!(replay.stops(), 0);
+}
+
+/// Guards against the same where the advice service has approved no other worker.
+#[test]
+fn tasks_stay_where_no_other_worker_is_approved() {
+    let advised = |number| {
+        let mut spec = watch(number);
+        (spec.steps[0].max_per_worker, spec.terms.needs_advice) = (1, true);
+        spec
+    };
+    let mut replay = Replay::with_specs(LoadControl::On, (0..5).map(advised).collect());
+    assert_eq!(replay.well_served(), 50, "workers with one digit are approved");
+    replay.run(8_000, |worker, _| worker == 3);
+    assert_eq!(replay.stops(), 0);
+}
