A failed run of a gang is one attempt, however many members failed

What callers saw: a job was shown as failed after two failed runs of its gang though four are allowed.

Cause: a gang has its attempts in common, so the failure of one member was added to all, without regard to the run. Members that fail before they learn of each other's end used up an attempt each. A successor reads the count from the record and the remaining ends from the workers, and counted the rest of a run again.

Evidence: run_ended with cause Failed for tasks 15 and 16 of run 1 and 22 and 23 of run 2, one line each, then job_ended. So no end was applied twice and no task was given up for crashes. New line gang_failed.

Change: each member keeps the run that was counted last, also in the record. Records of earlier versions lack it; the next failure then counts, so that each failed run is counted at least once.

--- a/crates/agatesill_policy/src/fleet/job.rs
+++ b/crates/agatesill_policy/src/fleet/job.rs
@@ -277,8 +277,11 @@
     pub state: TaskState,
     /// Number of the newest run; 0 before the first.
     pub run: u32,
-    /// Failed runs, not counting runs lost with their worker.
+    /// Failed runs, not counting runs lost with their worker. A run of a gang counts once for each
+    /// member, whichever and how many of them failed.
     pub failures: u32,
+    /// Newest run of the gang that is counted in [`Task::failures`]; 0 for a task without a gang.
+    pub counted_run: u32,
     /// Newest checkpoint; empty if there is none.
     pub saved: String,
     /// When the task entered its state.
@@ -361,6 +364,7 @@
             state,
             run: 0,
             failures: 0,
+            counted_run: 0,
             saved: String::new(),
             since_us: now_us,
             idle_since_us: now_us,
@@ -535,6 +539,27 @@
             .all(|after| self.remaining[self.step_position(occurrence, *after)] == 0)
     }
 
+    /// Counts the failure of the newest run of a task, for all members of its gang if it has one. Returns
+    /// false if the run was counted before, when another member failed in it.
+    pub(super) fn count_failure(&mut self, task: u32) -> bool {
+        if !self.step(task).is_gang {
+            self.tasks[task as usize].failures += 1;
+            return true;
+        }
+        let (occurrence, step, _) = self.locate(task);
+        let run = self.tasks[task as usize].run;
+        let mut is_new = false;
+        for member in self.tasks_of(occurrence, step) {
+            let member = &mut self.tasks[member as usize];
+            if member.counted_run != run {
+                member.counted_run = run;
+                member.failures += 1;
+                is_new = true;
+            }
+        }
+        is_new
+    }
+
     /// Increments the version after a change.
     pub fn bump_version(&mut self) {
         self.version += 1;
--- a/crates/agatesill_policy/src/fleet/limits.rs
+++ b/crates/agatesill_policy/src/fleet/limits.rs
@@ -83,6 +83,7 @@
     fn reduce_numbers(&mut self) {
         self.run = self.run.min(MAX_RUNS);
         self.failures = self.failures.min(MAX_RUNS);
+        self.counted_run = self.counted_run.min(MAX_RUNS);
         self.crashes = self.crashes.min(MAX_RUNS);
         self.unexplained_crashes = self.unexplained_crashes.min(MAX_RUNS);
         self.waits_since_ms = self.waits_since_ms.min(MAX_WALL_MS);
--- a/crates/agatesill_policy/src/fleet/polls.rs
+++ b/crates/agatesill_policy/src/fleet/polls.rs
@@ -379,17 +379,15 @@
             self.suspect_worker(index, task_ref.job, now_us);
         }
         let Some(job) = self.jobs[task_ref.job as usize].as_mut() else { return };
-        let (occurrence, step, _) = job.locate(task_ref.task);
-        let (is_lasting, is_gang) =
-            (job.step(task_ref.task).is_lasting, job.step(task_ref.task).is_gang);
-        let members =
-            if is_gang { job.tasks_of(occurrence, step) } else { task_ref.task..task_ref.task + 1 };
-        for member in members {
-            job.tasks[member as usize].failures += 1;
-        }
+        let step = job.step(task_ref.task);
+        let (is_lasting, is_gang) = (step.is_lasting, step.is_gang);
+        let is_new = job.count_failure(task_ref.task);
         let failures = job.tasks[task_ref.task as usize].failures;
         let max_attempts =
             self.job(task_ref.job).map_or(u32::MAX, |job| self.terms(job).max_attempts.max(1));
+        if is_gang {
+            self.log_gang_failure(task_ref, is_new, max_attempts);
+        }
         self.end_run(task_ref, TaskState::Waiting, end, now_us);
         if is_attributed {
             self.attribute_failure(index, task_ref, now_us);
@@ -399,6 +397,14 @@
         }
     }
 
+    fn log_gang_failure(&self, task_ref: TaskRef, is_new: bool, max_attempts: u32) {
+        let Some(job) = self.job(task_ref.job) else { return };
+        let task = &job.tasks[task_ref.task as usize];
+        log::info!(event = "gang_failed", job = job.spec.id.as_str(),
+            task:% = job.key(task_ref.task), run = task.run, is_new = is_new,
+            failures = task.failures, max_attempts = max_attempts; "");
+    }
+
     /// Counts a failure against a worker and quarantines it after [`QUARANTINE_FAILURES`] in a row.
     /// At least two jobs must have failed there, because one job that fails everywhere is no
     /// evidence against its workers.
--- a/crates/agatesill_policy/src/fleet/record.rs
+++ b/crates/agatesill_policy/src/fleet/record.rs
@@ -19,6 +19,9 @@
         /// Failed runs.
         #[serde(rename = "f", skip_serializing_if = "is_zero")]
         pub failures: u32,
+        /// Newest run of the task's gang that is counted among the failed runs.
+        #[serde(rename = "l", skip_serializing_if = "is_zero")]
+        pub counted_run: u32,
         /// Consecutive runs lost in worker crashes during probation.
         #[serde(rename = "c", skip_serializing_if = "is_zero")]
         pub crashes: u32,
@@ -95,6 +98,7 @@
                 task: index as u32,
                 run: task.run,
                 failures: task.failures,
+                counted_run: task.counted_run,
                 crashes: task.crashes,
                 unexplained_crashes: task.unexplained_crashes,
                 is_done: task.state == TaskState::Done,
--- a/crates/agatesill_policy/src/fleet/takeover.rs
+++ b/crates/agatesill_policy/src/fleet/takeover.rs
@@ -69,6 +69,7 @@
         let task = &mut job.tasks[record.task as usize];
         task.run = record.run;
         task.failures = record.failures;
+        task.counted_run = record.counted_run;
         task.crashes = record.crashes;
         task.unexplained_crashes = record.unexplained_crashes;
         task.saved.clone_from(&record.saved);
