Cells: a job whose acceptance is being stored can be cancelled

What callers saw: on the own interface, a DELETE of a job that its cell was just accepting was answered 404, and the job ran.

Cause: a cancel looked at committed jobs only, also at the owner of the cell whose log had the acceptance in flight or waiting.

Change: the owner queues the cancel behind the acceptance, in whose order records take them, and answers when it is committed.

Test: a_job_that_is_being_accepted_can_be_cancelled, with a store that takes 300 ms, fails before (404, 1 of 1 runs) and passes with it (3 of 3).

--- a/crates/agatesilld/src/cells/jobs.rs
+++ b/crates/agatesilld/src/cells/jobs.rs
@@ -22,7 +22,7 @@
                 None => self.forward_job(JobCall::Show { id }, reply),
             },
             CellCall::Cancel(id, reply) => {
-                if self.cell_of(&id).is_some() {
+                if self.cell_to_cancel(&id).is_some() {
                     self.cancel(&id, Box::new(move |answer| respond(reply, answer)));
                 } else {
                     self.forward_job(JobCall::Cancel { id }, reply);
@@ -183,7 +183,7 @@
 
     fn cancel(&mut self, id: &str, reply: JobReply) {
         let valid = self.lease.is_valid();
-        let Some(cell) = self.cell_of(id) else {
+        let Some(cell) = self.cell_to_cancel(id) else {
             return reply(Err(Error::new(ErrorKind::NotFound, format!("job {id}"))));
         };
         let Some(owned) = self.owned.get_mut(&cell) else { return };
@@ -205,6 +205,18 @@
         self.owned.iter().find(holds).map(|(name, _)| name.clone())
     }
 
+    /// The cell that holds a job or is storing it.
+    ///
+    /// Guards against a job that runs although a cancel was told that it does not exist: records take
+    /// deltas in order, so a cancel that is queued now follows the acceptance.
+    fn cell_to_cancel(&self, id: &str) -> Option<String> {
+        let is_accepting = |(_, owned): &(&String, &OwnedCell)| {
+            owned.cell.job(id).is_none() && known_spec(owned, id).is_some()
+        };
+        let accepting = || self.owned.iter().find(is_accepting).map(|(name, _)| name.clone());
+        self.cell_of(id).or_else(accepting)
+    }
+
     fn show(&self, id: &str) -> Option<JobStatus> {
         let cell = self.cell_of(id)?;
         self.owned.get(&cell)?.cell.job(id).map(|job| job_status(&cell, job))
--- a/crates/agatesilld/tests/cells/main.rs
+++ b/crates/agatesilld/tests/cells/main.rs
@@ -306,6 +306,26 @@
     }
 }
 
+/// Guards against a job that runs although its cancel was told that it does not exist, while the store took
+/// its time to accept it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_being_accepted_can_be_cancelled() {
+    let cluster = Cluster::start(1).await;
+    cluster.submit(0, &job("first", 1, 10)).await;
+    let slow = StoreFaults { delay_ms: 300, ..StoreFaults::default() };
+    cluster.harness.store.set_faults(slow);
+    let wave = job("wave", 1, 60_000);
+    let submitted = cluster.ask::<JobStatus>(Method::POST, 0, "/v1/jobs", &wave);
+    let cancelled = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        cluster.ask::<JobStatus>(Method::DELETE, 0, "/v1/jobs/wave", &()).await
+    };
+    let (submitted, cancelled) = tokio::join!(submitted, cancelled);
+    assert!(submitted.is_ok(), "{submitted:?}");
+    assert_eq!(cancelled.unwrap().outcome, "cancelled");
+    assert_eq!(cluster.await_outcome(0, "wave").await.outcome, "cancelled");
+}
+
 /// A log of the first cell that releases the same reservation twice, which the ledger asserts against.
 async fn write_invalid_log(cluster: &Cluster) {
     let standin = cluster.harness.store.clone();
