Soak: callers that leave early and cancel beside a slow or late store

Change: from seed 14,000 on a third of the callers leave within 0.9 s, cancel at any daemon, and half of them have a copy of the submission arrive later. Nothing of these jobs may start three seconds after the cancel was answered, by the check there was for all cancelled jobs.

--- a/crates/agatesilld/tests/fleet_soak/callers.rs
+++ b/crates/agatesilld/tests/fleet_soak/callers.rs
@@ -1,6 +1,7 @@
 //! Callers that submit jobs, retry, cancel and poll states, and verify the answers.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -133,6 +134,11 @@
         }
     }
 
+    /// Address at which a daemon serves callers.
+    pub fn entry_addr(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].listen_addrs.entry
+    }
+
     pub fn daemon_count(&self) -> usize {
         self.daemons.len()
     }
@@ -334,7 +340,7 @@
 
 /// Draws a job by its number. The first three are long-running; the others belong to the desk queue
 /// or are batch work, and some of them cannot succeed.
-fn draw_job(random: &mut Pcg64Mcg, number: u32) -> (&'static str, Vec<Step>, TaskFault) {
+pub fn draw_job(random: &mut Pcg64Mcg, number: u32) -> (&'static str, Vec<Step>, TaskFault) {
     let step = |count, work_ms, cpu_milli, is_best_effort, after| Step {
         count,
         work_ms,
--- a/crates/agatesilld/tests/fleet_soak/faults.rs
+++ b/crates/agatesilld/tests/fleet_soak/faults.rs
@@ -47,6 +47,13 @@
 /// From this seed on crowds of clients outside the limits come beside faults of all kinds.
 const FIRST_SEED_WITH_CROWDS: u64 = 13_000;
 
+/// From this seed on callers withdraw jobs beside a store that is slow or executes writes late, and faults
+/// of all kinds.
+const FIRST_SEED_WITH_WITHDRAWALS: u64 = 14_000;
+
+/// Times at which the store of such a run is slow or late.
+const SLOW_STORES: u32 = 5;
+
 /// Crowds of one run.
 const CROWDS: u32 = 5;
 
@@ -265,6 +272,9 @@
 /// The fault schedule of a seed. Every fourth run has planned maintenance only, as only there
 /// callers may expect that every request is answered.
 pub fn schedule(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
+    if has_withdrawals(seed) {
+        return schedule_with_withdrawals(seed, daemons, workers);
+    }
     if seed >= FIRST_SEED_WITH_CROWDS {
         return schedule_with_crowds(seed, daemons, workers);
     }
@@ -329,6 +339,34 @@
     scheduled_faults
 }
 
+/// Whether callers withdraw jobs in the run of a seed.
+pub fn has_withdrawals(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_WITHDRAWALS
+}
+
+/// A store that is slow or late in series, beside the faults of daemons, the store and workers.
+fn schedule_with_withdrawals(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let faults = random.random_range(1..=5);
+    let mut scheduled_faults: Vec<ScheduledFault> = (0..SLOW_STORES + faults)
+        .map(|nth| ScheduledFault {
+            at: Duration::from_millis(random.random_range(500..FAULT_PERIOD.as_millis() as u64)),
+            duration: Duration::from_millis(random.random_range(1_000..4_000)),
+            fault: match (nth < SLOW_STORES, random.random_bool(0.5)) {
+                (true, true) => Fault::Store(StoreFault::Late(Duration::from_millis(
+                    random.random_range(1_000..6_000),
+                ))),
+                (true, false) => Fault::Store(StoreFault::Slow(Duration::from_millis(
+                    random.random_range(200..900),
+                ))),
+                (false, _) => draw_fault(&mut random, false, daemons, workers),
+            },
+        })
+        .collect();
+    scheduled_faults.sort_by_key(|scheduled| scheduled.at);
+    scheduled_faults
+}
+
 /// Crowds that overlap, beside the faults of daemons, the store and workers.
 fn schedule_with_crowds(seed: u64, daemons: usize, workers: usize) -> Vec<ScheduledFault> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/agatesilld/tests/fleet_soak/main.rs
+++ b/crates/agatesilld/tests/fleet_soak/main.rs
@@ -21,6 +21,7 @@
 mod stale_config;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
+mod withdrawals;
 
 use std::time::Duration;
 
@@ -38,11 +39,12 @@
 /// back under their identifier or at their address, late entries and numbers at their limits, 11,002
 /// to 11,004 workers that live on behind cuts, flap, or restart unnoticed, beside changes of the
 /// planner, 12,000 to 12,003 workers that are lost for good beside planners that are restarted as planned,
-/// killed, suspended and cut off in series, 13,001 and 13,002 clients outside the limits of the interface. Seed 46 covers a start that is unanswered, rejected when it is sent again, and executed
+/// killed, suspended and cut off in series, 13,001 and 13,002 clients outside the limits of the interface, 14,000 to 14,002 callers that leave
+/// and cancel while the store is slow or late. Seed 46 covers a start that is unanswered, rejected when it is sent again, and executed
 /// late.
-const SEEDS: [u64; 21] = [
+const SEEDS: [u64; 24] = [
     1, 2, 3, 4, 46, 1_001, 2_001, 3_001, 3_002, 4_002, 5_005, 10_001, 10_003, 11_002, 11_003,
-    11_004, 12_000, 12_001, 12_003, 13_001, 13_002,
+    11_004, 12_000, 12_001, 12_003, 13_001, 13_002, 14_000, 14_001, 14_002,
 ];
 
 /// Concurrent runs. Each has three daemons that are mostly idle.
--- a/crates/agatesilld/tests/fleet_soak/run.rs
+++ b/crates/agatesilld/tests/fleet_soak/run.rs
@@ -25,6 +25,7 @@
 use crate::support::simulated_workers::{CPU_MILLI, SimulatedWorkers, WorkerFault};
 use crate::support::store::{FakeStore, StoreFault};
 use crate::support::worker::FakeWorker;
+use crate::withdrawals;
 
 /// Processor shares of the daemons, in turn. One is smaller, so that planning also moves for that
 /// reason.
@@ -403,7 +404,11 @@
             if number % jobs_per_burst == 0 {
                 ticks.tick().await;
             }
-            jobs.spawn(self.callers.clone().live(self.seed, number));
+            let callers = self.callers.clone();
+            match withdrawals::is_withdrawn(self.seed, number) {
+                true => jobs.spawn(callers.withdraw(self.seed, number)),
+                false => jobs.spawn(callers.live(self.seed, number)),
+            };
         }
         self.callers.load_over.cancel();
         tokio::spawn(async move { while jobs.join_next().await.is_some() {} });
